Add the whole path from caller to runner in separate processes

Cause: the repository was empty. Ruled out: ports of 127.0.0.1 picked in advance, since outgoing connections of other processes can take them before the daemon listens.

--- /dev/null
+++ b/internal/declarer/work.go
@@ -0,0 +1,157 @@
+// Package declarer defines declared work, the configuration document and the
+// workload file, and checks them.
+package declarer
+
+import "time"
+
+// Preset names a set of policy parameters. One is in force at a time.
+type Preset string
+
+// The presets that operators can choose.
+const (
+	OrdinaryDay Preset = "ordinary_day"
+	Peak        Preset = "peak"
+	Maintenance Preset = "maintenance"
+)
+
+// Presets lists every preset.
+var Presets = []Preset{OrdinaryDay, Peak, Maintenance}
+
+// Class tells how work is treated under contention.
+type Class string
+
+// The classes of work, from the one that yields last to the one that yields
+// first.
+const (
+	ClassService Class = "service"
+	ClassWatcher Class = "watcher"
+	ClassBatch   Class = "batch"
+)
+
+// Service is a latency-critical service that answers requests.
+type Service struct {
+	// Name is unique among services and watchers.
+	Name string `yaml:"name" json:"name" cbor:"1,keyasint"`
+	Team string `yaml:"team" json:"team" cbor:"2,keyasint"`
+	// Replicas is the number of runners over all domains in service.
+	Replicas int `yaml:"replicas" json:"replicas" cbor:"3,keyasint"`
+	// Resources is the declared size of one replica.
+	Resources Resources `yaml:"resources" json:"resources" cbor:"4,keyasint"`
+}
+
+// Watcher is a standing task of which one copy runs at any time.
+type Watcher struct {
+	Name      string    `yaml:"name" json:"name" cbor:"1,keyasint"`
+	Team      string    `yaml:"team" json:"team" cbor:"2,keyasint"`
+	Resources Resources `yaml:"resources" json:"resources" cbor:"4,keyasint"`
+}
+
+// BatchJob is an array of equal tasks that run to completion.
+type BatchJob struct {
+	// ID is chosen by the caller; a second submission with the same ID and
+	// content is the same job.
+	ID   string `yaml:"id" json:"id" cbor:"1,keyasint"`
+	Team string `yaml:"team" json:"team" cbor:"2,keyasint"`
+	// Kind groups jobs that behave alike, for size and interference estimates.
+	Kind string `yaml:"kind" json:"kind" cbor:"3,keyasint"`
+	// Tasks is the number of tasks, one or more.
+	Tasks int `yaml:"tasks" json:"tasks" cbor:"4,keyasint"`
+	// Resources is the declared size of one task.
+	Resources Resources `yaml:"resources" json:"resources" cbor:"5,keyasint"`
+	// RunTime is the declared run time of one task.
+	RunTime time.Duration `yaml:"run_time" json:"run_time" cbor:"6,keyasint"`
+	// Deadline is how long after submission the job should be complete; zero
+	// for none.
+	Deadline time.Duration `yaml:"deadline,omitempty" json:"deadline,omitempty" cbor:"7,keyasint,omitempty"`
+	// Urgent work starts within 5.5 s of submission.
+	Urgent bool `yaml:"urgent,omitempty" json:"urgent,omitempty" cbor:"8,keyasint,omitempty"`
+	// Domain restricts the job to one failure domain; empty for any.
+	Domain string `yaml:"domain,omitempty" json:"domain,omitempty" cbor:"9,keyasint,omitempty"`
+}
+
+// Team is a group of declared work that shares one quota.
+type Team struct {
+	Name string `yaml:"name" json:"name" cbor:"1,keyasint"`
+	// Quota is the most that the team's tasks may reserve over all domains.
+	Quota Resources `yaml:"quota" json:"quota" cbor:"2,keyasint"`
+	// Weight is the team's share under contention relative to other teams,
+	// one or more.
+	Weight int `yaml:"weight" json:"weight" cbor:"3,keyasint"`
+}
+
+// Config is the operators' configuration: one document with one order of
+// revisions.
+type Config struct {
+	// Revision counts accepted changes; it only grows.
+	Revision uint64 `json:"revision" cbor:"1,keyasint"`
+	Preset   Preset `json:"preset" cbor:"2,keyasint"`
+	// Domains are the failure domains that work may be spread over, sorted.
+	Domains []string `json:"domains" cbor:"3,keyasint"`
+	// DomainsOut are the members of Domains that are out of service, sorted.
+	DomainsOut []string  `json:"domains_out" cbor:"4,keyasint"`
+	Services   []Service `json:"services" cbor:"5,keyasint"`
+	Watchers   []Watcher `json:"watchers" cbor:"6,keyasint"`
+	Teams      []Team    `json:"teams" cbor:"7,keyasint"`
+	// Changes are the last accepted changes, oldest first; a writer whose
+	// answer was lost looks for its own change here.
+	Changes []ChangeNote `json:"changes" cbor:"8,keyasint"`
+}
+
+// ChangeNote identifies one accepted change of the configuration.
+type ChangeNote struct {
+	ID       string    `json:"id" cbor:"1,keyasint"`
+	Revision uint64    `json:"revision" cbor:"2,keyasint"`
+	Operator string    `json:"operator" cbor:"3,keyasint"`
+	Summary  string    `json:"summary" cbor:"4,keyasint"`
+	At       time.Time `json:"at" cbor:"5,keyasint"`
+}
+
+// IsOut reports whether domain is out of service.
+func (c *Config) IsOut(domain string) bool {
+	for _, d := range c.DomainsOut {
+		if d == domain {
+			return true
+		}
+	}
+	return false
+}
+
+// DomainsIn returns the domains in service, in the order of Domains.
+func (c *Config) DomainsIn() []string {
+	var in []string
+	for _, d := range c.Domains {
+		if !c.IsOut(d) {
+			in = append(in, d)
+		}
+	}
+	return in
+}
+
+// ReplicasIn returns how many replicas of s the given domain should run. The
+// result follows from the configuration alone, so that the owners of the
+// domains need no agreement; the counts over all domains in service add up to
+// s.Replicas.
+func (c *Config) ReplicasIn(s Service, domain string) int {
+	in := c.DomainsIn()
+	for i, d := range in {
+		if d != domain {
+			continue
+		}
+		n := s.Replicas / len(in)
+		if i < s.Replicas%len(in) {
+			n++
+		}
+		return n
+	}
+	return 0
+}
+
+// WatcherDomain returns the domain that should run w, or "" when every domain
+// is out of service. Watchers are spread by their position in the document.
+func (c *Config) WatcherDomain(position int) string {
+	in := c.DomainsIn()
+	if len(in) == 0 {
+		return ""
+	}
+	return in[position%len(in)]
+}
--- /dev/null
+++ b/internal/dispatcher/worker.go
@@ -0,0 +1,119 @@
+// Package dispatcher is the adapter to the platform's workers and to its list
+// of instances.
+package dispatcher
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Worker is what a worker of the platform promises. Each function is safe for
+// concurrent use; errors are a RefusedError or an UnreachableError.
+type Worker struct {
+	Renew      func(ctx context.Context, r RenewRequest) (Status, error)
+	Start      func(ctx context.Context, r StartRequest) error
+	Stop       func(ctx context.Context, r AttemptRequest) error
+	Checkpoint func(ctx context.Context, r AttemptRequest) error
+	Throttle   func(ctx context.Context, r AttemptRequest) error
+}
+
+// RefusedError reports a command that the worker did not carry out.
+type RefusedError struct {
+	Worker netip.AddrPort
+	Reason string
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("worker %s refused: %s", e.Worker, e.Reason)
+}
+
+// UnreachableError reports a command without an answer; it may have been
+// carried out.
+type UnreachableError struct {
+	Worker netip.AddrPort
+	Err    error
+}
+
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("worker %s: no answer: %v", e.Worker, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+const callTimeout = time.Second
+
+// Caller makes HTTP calls with JSON bodies to the platform.
+type Caller struct{ client *fasthttp.Client }
+
+// NewCaller returns a caller with its own connections.
+func NewCaller() *Caller {
+	return &Caller{client: &fasthttp.Client{MaxConnsPerHost: 8, MaxIdemponentCallAttempts: 1}}
+}
+
+// Worker returns the adapter to the worker at addr.
+func (c *Caller) Worker(addr netip.AddrPort) Worker {
+	return Worker{
+		Renew: func(ctx context.Context, r RenewRequest) (Status, error) {
+			var s Status
+			err := c.post(ctx, addr, "/v1/renew", r, &s)
+			return s, err
+		},
+		Start: func(ctx context.Context, r StartRequest) error { return c.post(ctx, addr, "/v1/start", r, nil) },
+		Stop:  func(ctx context.Context, r AttemptRequest) error { return c.post(ctx, addr, "/v1/stop", r, nil) },
+		Checkpoint: func(ctx context.Context, r AttemptRequest) error {
+			return c.post(ctx, addr, "/v1/checkpoint", r, nil)
+		},
+		Throttle: func(ctx context.Context, r AttemptRequest) error { return c.post(ctx, addr, "/v1/throttle", r, nil) },
+	}
+}
+
+// Instances returns the platform's list of instances.
+func (c *Caller) Instances(ctx context.Context, platform netip.AddrPort) ([]Instance, error) {
+	var list []Instance
+	err := c.call(ctx, platform, "GET", "/v1/instances", nil, &list)
+	return list, err
+}
+
+func (c *Caller) post(ctx context.Context, addr netip.AddrPort, path string, request, response any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	return c.call(ctx, addr, "POST", path, body, response)
+}
+
+func (c *Caller) call(ctx context.Context, addr netip.AddrPort, method, path string, body []byte, to any) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + addr.String() + path)
+	request.Header.SetMethod(method)
+	request.SetBodyRaw(body)
+	deadline := time.Now().Add(callTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := c.client.DoDeadline(request, response, deadline); err != nil {
+		return &UnreachableError{addr, err}
+	}
+	switch status := response.StatusCode(); {
+	case status == fasthttp.StatusConflict:
+		return &RefusedError{addr, string(response.Body())}
+	case status != fasthttp.StatusOK:
+		return &UnreachableError{addr, errors.Errorf("status %d: %s", status, response.Body())}
+	}
+	if to == nil {
+		return nil
+	}
+	if err := json.Unmarshal(response.Body(), to); err != nil {
+		return &UnreachableError{addr, errors.Wrap(err, "decode")}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scheduler/change.go
@@ -0,0 +1,111 @@
+package scheduler
+
+import (
+	"time"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
+)
+
+// Change is one committed step of a shard's state. Exactly one field is set.
+// Applying the same changes in the same order gives the same state.
+type Change struct {
+	JobAccepted    *JobAccepted    `cbor:"1,keyasint,omitempty"`
+	TaskAdded      *TaskAdded      `cbor:"2,keyasint,omitempty"`
+	AttemptPlaced  *AttemptPlaced  `cbor:"3,keyasint,omitempty"`
+	AttemptMoved   *AttemptMoved   `cbor:"4,keyasint,omitempty"`
+	TaskParked     *TaskParked     `cbor:"5,keyasint,omitempty"`
+	TaskMoved      *TaskMoved      `cbor:"6,keyasint,omitempty"`
+	ReservationSet *ReservationSet `cbor:"7,keyasint,omitempty"`
+	HandedOver     *HandedOver     `cbor:"8,keyasint,omitempty"`
+	TakenOver      *TakenOver      `cbor:"9,keyasint,omitempty"`
+	WorkerChanged  *WorkerChanged  `cbor:"10,keyasint,omitempty"`
+	JobCancelled   *JobEnded       `cbor:"11,keyasint,omitempty"`
+	HorizonSet     *HorizonSet     `cbor:"12,keyasint,omitempty"`
+}
+
+// JobAccepted adds a batch job with all of its tasks pending.
+type JobAccepted struct {
+	Job declarer.BatchJob `cbor:"1,keyasint"`
+	At  time.Time         `cbor:"2,keyasint"`
+}
+
+// TaskAdded adds one task of a service or a watcher.
+type TaskAdded struct {
+	Task Task `cbor:"1,keyasint"`
+}
+
+// AttemptPlaced starts attempt number Attempt of a task on a worker and
+// consumes the task's checkpoint.
+type AttemptPlaced struct {
+	Task     TaskID             `cbor:"1,keyasint"`
+	Attempt  uint64             `cbor:"2,keyasint"`
+	Worker   string             `cbor:"3,keyasint"`
+	Reserved declarer.Resources `cbor:"4,keyasint"`
+	Reason   string             `cbor:"5,keyasint,omitempty"`
+}
+
+// AttemptMoved moves the current attempt of a task along the task's chart.
+type AttemptMoved struct {
+	Task       TaskID  `cbor:"1,keyasint"`
+	Attempt    uint64  `cbor:"2,keyasint"`
+	Event      string  `cbor:"3,keyasint"`
+	Checkpoint string  `cbor:"4,keyasint,omitempty"`
+	Reason     string  `cbor:"5,keyasint,omitempty"`
+	Outcome    Outcome `cbor:"6,keyasint,omitempty"`
+}
+
+// TaskParked takes a task out of the queue with a reason.
+type TaskParked struct {
+	Task   TaskID `cbor:"1,keyasint"`
+	Reason string `cbor:"2,keyasint"`
+}
+
+// TaskMoved moves a task without a running attempt along its chart.
+type TaskMoved struct {
+	Task   TaskID `cbor:"1,keyasint"`
+	Event  string `cbor:"2,keyasint"`
+	Reason string `cbor:"3,keyasint,omitempty"`
+}
+
+// ReservationSet changes what a running attempt reserves.
+type ReservationSet struct {
+	Task     TaskID             `cbor:"1,keyasint"`
+	Attempt  uint64             `cbor:"2,keyasint"`
+	Reserved declarer.Resources `cbor:"3,keyasint"`
+	Reason   string             `cbor:"4,keyasint,omitempty"`
+}
+
+// HandedOver gives a task to another shard. The task stays until the transfer
+// is confirmed.
+type HandedOver struct {
+	Task       TaskID `cbor:"1,keyasint"`
+	TransferID string `cbor:"2,keyasint"`
+	ToShard    string `cbor:"3,keyasint"`
+}
+
+// TakenOver adds a task that another shard has handed over. Each transfer is
+// taken over at most once.
+type TakenOver struct {
+	TransferID string `cbor:"1,keyasint"`
+	Task       Task   `cbor:"2,keyasint"`
+}
+
+// WorkerChanged adds a worker, or moves it along the worker's chart.
+type WorkerChanged struct {
+	Worker Worker `cbor:"1,keyasint"`
+	Event  string `cbor:"2,keyasint,omitempty"`
+	Reason string `cbor:"3,keyasint,omitempty"`
+}
+
+// JobEnded marks a job that accepts no more attempts.
+type JobEnded struct {
+	JobID  string `cbor:"1,keyasint"`
+	Reason string `cbor:"2,keyasint,omitempty"`
+}
+
+// HorizonSet extends for how long after this record the leases of a class may
+// be renewed.
+type HorizonSet struct {
+	Class  declarer.Class `cbor:"1,keyasint"`
+	Length time.Duration  `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,138 @@
+// Package server puts the parts of a daemon together and serves its two
+// listeners.
+package server
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"tarragonhead.example/tarragonhead/internal/configurer"
+	"tarragonhead.example/tarragonhead/internal/controller"
+	"tarragonhead.example/tarragonhead/internal/dispatcher"
+	"tarragonhead.example/tarragonhead/internal/gossiper"
+	"tarragonhead.example/tarragonhead/internal/messenger"
+	"tarragonhead.example/tarragonhead/internal/placer"
+	"tarragonhead.example/tarragonhead/internal/router"
+	"tarragonhead.example/tarragonhead/internal/scheduler"
+	"tarragonhead.example/tarragonhead/internal/storeclient"
+)
+
+// maxBodyBytes is the largest request body that a caller may send.
+const maxBodyBytes = 4 << 20
+
+// Server is one daemon.
+type Server struct {
+	settings   checked
+	log        *log.Logger
+	store      storeclient.Store
+	config     *configurer.Configurer
+	controller *controller.Controller
+	gossip     *gossiper.Gossiper
+	router     *router.Router
+	peers      *http.Client
+	// stopping is set from the first stop signal on; readiness then fails.
+	stopping atomic.Bool
+
+	mu sync.Mutex
+	// owners has the highest epoch seen of each shard.
+	owners map[string]*messenger.ShardOwner
+	// addresses has the control address of each member seen.
+	addresses map[string]string
+}
+
+// New checks the settings and returns a daemon that isn't running. The error
+// is a SettingsError when settings are not accepted.
+func New(s Settings, output io.Writer) (*Server, error) {
+	c, err := s.check()
+	if err != nil {
+		return nil, err
+	}
+	charts, err := scheduler.LoadCharts()
+	if err != nil {
+		return nil, err
+	}
+	logger := &log.Logger{Level: log.ParseLevel(s.LogLevel), Writer: &log.IOWriter{Writer: output}, TimeFormat: time.RFC3339Nano}
+	d := &Server{
+		settings: c, log: logger, owners: map[string]*messenger.ShardOwner{}, addresses: map[string]string{},
+		store: storeclient.Limit(storeclient.HTTP(c.store), storeclient.DefaultRates),
+		peers: &http.Client{Timeout: 2 * time.Second},
+	}
+	caller := dispatcher.NewCaller()
+	d.config = configurer.New(configurer.Options{Store: d.store, Log: logger})
+	d.router = router.New(router.Options{Domain: c.Domain, Log: logger})
+	d.controller = controller.New(controller.Options{
+		Self: c.ID, Control: c.control, Domain: c.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
+		Worker: caller.Worker, Log: logger,
+		Instances: func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) },
+	})
+	self := &messenger.Member{Id: c.ID, Domain: c.Domain, ControlAddr: c.control.String(), TrafficAddr: c.traffic.String(), Incarnation: uint64(time.Now().UnixNano())}
+	d.gossip = gossiper.New(gossiper.Options{
+		Self: self, Seeds: c.peers, Dial: d.dial, Complete: d.completeDigest, Received: d.receiveDigest, Log: logger,
+		Preferred: func() string { return d.ownerAddress(c.Domain) }, Rand: rand.New(rand.NewPCG(self.Incarnation, 0)),
+	})
+	return d, nil
+}
+
+func (d *Server) dial(addr string) messenger.Peer {
+	return messenger.NewPeerProtobufClient("http://"+addr, d.peers)
+}
+
+// Run serves until ctx ends, then finishes the requests in progress and gives
+// the shard away.
+func (d *Server) Run(ctx context.Context) error {
+	control, err := listen(d.settings.control)
+	if err != nil {
+		return err
+	}
+	traffic, err := listen(d.settings.traffic)
+	if err != nil {
+		return err
+	}
+	controlServer := &http.Server{Handler: d.controlHandler(), ReadHeaderTimeout: 5 * time.Second}
+	trafficServer := &fasthttp.Server{Handler: d.router.Handle, MaxRequestBodySize: maxBodyBytes, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	failed := make(chan error, 2)
+	go func() { failed <- controlServer.Serve(control) }()
+	go func() { failed <- trafficServer.Serve(traffic) }()
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var parts sync.WaitGroup
+	parts.Go(func() { d.config.Run(running) })
+	parts.Go(func() { d.gossip.Run(running) })
+	parts.Go(func() { d.publishRoutes(running) })
+	owning, release := context.WithCancel(running)
+	defer release()
+	parts.Go(func() { d.controller.Run(owning) })
+	d.log.Info().Str("id", d.settings.ID).Str("domain", d.settings.Domain).Msg("server: started")
+	select {
+	case err = <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	d.log.Info().Msg("server: stopping")
+	d.stopping.Store(true)
+	release()
+	draining, stop := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+	defer stop()
+	err = trafficServer.ShutdownWithContext(draining)
+	cancel()
+	parts.Wait()
+	controlServer.Close()
+	d.log.Info().Msg("server: stopped")
+	return errors.Wrap(err, "drain")
+}
+
+func listen(addr netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr.String())
+	return l, errors.Wrapf(err, "listen on %s", addr)
+}
--- /dev/null
+++ b/internal/storeclient/http.go
@@ -0,0 +1,137 @@
+package storeclient
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// RevisionHeader carries an entry's revision in the store's answers.
+const RevisionHeader = "Revision"
+
+const (
+	callTimeout = 2 * time.Second
+	// watchWait is how long the store holds a watch before it answers that
+	// nothing has changed.
+	watchWait = 10 * time.Second
+)
+
+// HTTP returns the adapter to a store that speaks HTTP at addr.
+func HTTP(addr netip.AddrPort) Store {
+	c := &httpClient{
+		base:   "http://" + addr.String(),
+		client: &fasthttp.Client{MaxConnsPerHost: 64, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 2 * MaxValueBytes},
+	}
+	return Store{
+		Get:            c.get,
+		CompareAndSwap: c.compareAndSwap,
+		Watch:          c.watch,
+		Grant:          c.grant,
+		KeepAlive:      c.keepAlive,
+		Revoke:         c.revoke,
+	}
+}
+
+type httpClient struct {
+	base   string
+	client *fasthttp.Client
+}
+
+// answer is what a call needs of an HTTP response after its release.
+type answer struct {
+	status   int
+	revision uint64
+	body     []byte
+}
+
+func (c *httpClient) do(ctx context.Context, op, key, method, path string, body []byte, timeout time.Duration) (answer, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(c.base + path)
+	request.Header.SetMethod(method)
+	request.SetBodyRaw(body)
+	deadline := time.Now().Add(timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := ctx.Err(); err != nil {
+		return answer{}, err
+	}
+	if err := c.client.DoDeadline(request, response, deadline); err != nil {
+		return answer{}, &UnavailableError{Op: op, Key: key, MayHaveApplied: !errors.Is(err, fasthttp.ErrNoFreeConns), Err: err}
+	}
+	revision, _ := strconv.ParseUint(string(response.Header.Peek(RevisionHeader)), 10, 64)
+	a := answer{response.StatusCode(), revision, append([]byte(nil), response.Body()...)}
+	if a.status >= 500 {
+		return a, &UnavailableError{Op: op, Key: key, MayHaveApplied: true, Err: errors.Errorf("status %d: %s", a.status, a.body)}
+	}
+	return a, nil
+}
+
+func (c *httpClient) get(ctx context.Context, key string) (Entry, error) {
+	a, err := c.do(ctx, "get", key, "GET", "/v1/kv/"+key, nil, callTimeout)
+	if err != nil {
+		return Entry{}, err
+	}
+	if a.status == fasthttp.StatusNotFound {
+		return Entry{}, &NotFoundError{key}
+	}
+	return Entry{key, a.body, a.revision}, nil
+}
+
+func (c *httpClient) compareAndSwap(ctx context.Context, key string, value []byte, expected uint64, lease LeaseID) (uint64, error) {
+	path := fmt.Sprintf("/v1/kv/%s?expected=%d&lease=%d", key, expected, lease)
+	a, err := c.do(ctx, "compare_and_swap", key, "PUT", path, value, callTimeout)
+	switch {
+	case err != nil:
+		return 0, err
+	case a.status == fasthttp.StatusConflict:
+		return 0, &ConflictError{key, a.revision}
+	case a.status == fasthttp.StatusGone:
+		return 0, &LeaseError{lease}
+	case a.status != fasthttp.StatusOK:
+		return 0, errors.Errorf("store: compare_and_swap %s: status %d: %s", key, a.status, a.body)
+	}
+	return a.revision, nil
+}
+
+func (c *httpClient) watch(ctx context.Context, key string, after uint64) (Entry, error) {
+	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait_ms=%d", key, after, watchWait.Milliseconds())
+	for {
+		a, err := c.do(ctx, "watch", key, "GET", path, nil, watchWait+callTimeout)
+		if err != nil {
+			return Entry{}, err
+		}
+		if a.status == fasthttp.StatusOK {
+			return Entry{key, a.body, a.revision}, nil
+		}
+	}
+}
+
+func (c *httpClient) grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	a, err := c.do(ctx, "grant", "", "POST", fmt.Sprintf("/v1/lease?ttl_ms=%d", ttl.Milliseconds()), nil, callTimeout)
+	if err != nil {
+		return 0, err
+	}
+	id, err := strconv.ParseUint(string(a.body), 10, 64)
+	return LeaseID(id), errors.Wrap(err, "store: grant")
+}
+
+func (c *httpClient) keepAlive(ctx context.Context, id LeaseID) error {
+	a, err := c.do(ctx, "keep_alive", "", "POST", fmt.Sprintf("/v1/lease/%d", id), nil, callTimeout)
+	if err == nil && a.status == fasthttp.StatusGone {
+		return &LeaseError{id}
+	}
+	return err
+}
+
+func (c *httpClient) revoke(ctx context.Context, id LeaseID) error {
+	_, err := c.do(ctx, "revoke", "", "DELETE", fmt.Sprintf("/v1/lease/%d", id), nil, callTimeout)
+	return err
+}
--- /dev/null
+++ b/standins/cmd/demo/main.go
@@ -0,0 +1,215 @@
+// Command demo runs a workload on stand-ins from the start to a summary.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"tarragonhead.example/tarragonhead/internal/controller"
+	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/router"
+	"tarragonhead.example/tarragonhead/internal/scheduler"
+	"tarragonhead.example/tarragonhead/standins/launcher"
+	"tarragonhead.example/tarragonhead/standins/runner"
+)
+
+type settings struct {
+	workload string
+	scale    float64
+	daemons  int
+	requests int
+	timeout  time.Duration
+}
+
+func main() {
+	var s settings
+	app := kingpin.New("demo", "Runs a workload on stand-ins in separate processes and prints a summary.")
+	app.Flag("workload", "Workload file.").Default("workloads/hooghly.yaml").ExistingFileVar(&s.workload)
+	app.Flag("scale", "Share of the workload's workers, replicas and tasks, above 0 and at most 1.").Default("0.2").Float64Var(&s.scale)
+	app.Flag("daemons", "Daemons a domain; 0 takes the workload's entry instances.").Default("0").IntVar(&s.daemons)
+	app.Flag("requests", "Requests to send.").Default("500").IntVar(&s.requests)
+	app.Flag("timeout", "How long the services and jobs may take.").Default("90s").DurationVar(&s.timeout)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := run(s); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		os.Exit(1)
+	}
+}
+
+func run(s settings) error {
+	if s.scale <= 0 || s.scale > 1 {
+		return errors.Errorf("--scale: got %g, want above 0 and at most 1", s.scale)
+	}
+	data, err := os.ReadFile(s.workload)
+	if err != nil {
+		return err
+	}
+	w, err := declarer.Parse(data)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "tarragonhead-demo-")
+	if err != nil {
+		return err
+	}
+	step("building into %s", dir)
+	if err := launcher.Build(dir); err != nil {
+		return err
+	}
+	step("starting %s at scale %g", w.User, s.scale)
+	system, err := launcher.Start(launcher.Options{Binaries: dir, Logs: dir, Workload: w, Scale: s.scale, Daemons: s.daemons, TimeScale: 1})
+	if err != nil {
+		return err
+	}
+	defer system.Stop()
+	step("started the store, %d workers and %d daemons", len(system.Workers), len(system.Daemons))
+	scaled := scale(w, s.scale)
+	file := dir + "/workload.yaml"
+	if err := writeWorkload(file, scaled); err != nil {
+		return err
+	}
+	if err := operate(system, file, scaled); err != nil {
+		return err
+	}
+	return observe(system, scaled, s)
+}
+
+func step(format string, args ...any) {
+	fmt.Printf("%s  %s\n", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+}
+
+// operate declares the work and submits the jobs, as operators would.
+func operate(system *launcher.System, file string, w declarer.Workload) error {
+	output, err := system.Control("declare", file)
+	if err != nil {
+		return err
+	}
+	step("declared %d services and %d watchers: %s", len(w.Services), len(w.Watchers), strings.TrimSpace(output))
+	// A shard's owner becomes known by gossip within a few seconds.
+	for deadline := time.Now().Add(20 * time.Second); ; {
+		output, err = system.Control("submit", file)
+		if err == nil {
+			break
+		}
+		if time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	step("%s", strings.ReplaceAll(strings.TrimSpace(output), "\n", "; "))
+	return nil
+}
+
+// progress is what the shards report together.
+type progress struct {
+	services, watchers, jobs int
+	done                     int
+}
+
+func observe(system *launcher.System, w declarer.Workload, s settings) error {
+	want := progress{watchers: len(w.Watchers), jobs: len(w.Jobs)}
+	for _, service := range w.Services {
+		want.services += service.Replicas
+	}
+	for _, j := range w.Jobs {
+		want.done += j.Tasks
+	}
+	deadline := time.Now().Add(s.timeout)
+	if err := waitFor(system, deadline, "replicas and watchers", func(p progress) bool { return p.services == want.services && p.watchers == want.watchers }); err != nil {
+		return err
+	}
+	step("%d replicas and %d watchers are running", want.services, want.watchers)
+	// Routing tables reach every daemon by gossip.
+	time.Sleep(3 * time.Second)
+	answered, err := sendRequests(system, w, s.requests)
+	if err != nil {
+		return err
+	}
+	step("%d of %d requests got their whole answer", answered, s.requests)
+	if err := waitFor(system, deadline, "jobs", func(p progress) bool { return p.done == want.done }); err != nil {
+		return err
+	}
+	step("%d tasks of %d jobs are done", want.done, want.jobs)
+	output, err := system.Control("status")
+	if err != nil {
+		return err
+	}
+	fmt.Print(output)
+	if answered != s.requests {
+		return errors.Errorf("%d of %d requests were not answered", s.requests-answered, s.requests)
+	}
+	fmt.Println("summary: everything declared ran and every request was answered")
+	return nil
+}
+
+func waitFor(system *launcher.System, deadline time.Time, what string, reached func(progress) bool) error {
+	for {
+		p, err := inspect(system)
+		if err == nil && reached(p) {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Errorf("%s not reached in time: %+v, %v", what, p, err)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+func inspect(system *launcher.System) (progress, error) {
+	var p progress
+	output, err := system.Control("status", "--json")
+	if err != nil {
+		return p, err
+	}
+	var status struct{ Shards []controller.Report }
+	if err := json.Unmarshal([]byte(output), &status); err != nil {
+		return p, errors.Wrap(err, "status")
+	}
+	for _, r := range status.Shards {
+		for _, t := range r.Tasks {
+			switch {
+			case t.State != scheduler.Running:
+			case t.Class == declarer.ClassService:
+				p.services++
+			case t.Class == declarer.ClassWatcher:
+				p.watchers++
+			}
+		}
+		for _, j := range r.Jobs {
+			p.done += j.Done
+		}
+	}
+	return p, nil
+}
+
+// sendRequests sends requests through all daemons in turn and counts the whole
+// answers.
+func sendRequests(system *launcher.System, w declarer.Workload, n int) (int, error) {
+	if len(w.Services) == 0 {
+		return n, nil
+	}
+	answered := 0
+	for i := range n {
+		d := system.Daemons[i%len(system.Daemons)]
+		id := fmt.Sprintf("demo-%d", i)
+		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		request.SetRequestURI(fmt.Sprintf("http://%s/v1/services/%s/report?lines=3", d.Traffic, w.Services[i%len(w.Services)].Name))
+		request.Header.Set(router.RequestIDHeader, id)
+		err := fasthttp.DoTimeout(request, response, 10*time.Second)
+		if err == nil && response.StatusCode() == fasthttp.StatusOK && string(response.Body()) == runner.Answer(id, 3) {
+			answered++
+		} else if i < 5 {
+			step("request %s: status %d, %v: %s", id, response.StatusCode(), err, response.Body())
+		}
+		fasthttp.ReleaseRequest(request)
+		fasthttp.ReleaseResponse(response)
+	}
+	return answered, nil
+}
--- /dev/null
+++ b/standins/cmd/demo/scale.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"math"
+	"os"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
+)
+
+// scale returns the workload with its replicas and tasks multiplied by f.
+func scale(w declarer.Workload, f float64) declarer.Workload {
+	part := func(n int) int { return max(1, int(math.Ceil(float64(n)*f))) }
+	scaled := w
+	scaled.Services, scaled.Jobs = nil, nil
+	for _, s := range w.Services {
+		s.Replicas = max(part(s.Replicas), len(w.Platform.Domains))
+		scaled.Services = append(scaled.Services, s)
+	}
+	for _, j := range w.Jobs {
+		j.Tasks = part(j.Tasks)
+		scaled.Jobs = append(scaled.Jobs, j)
+	}
+	return scaled
+}
+
+func writeWorkload(file string, w declarer.Workload) error {
+	data, err := yaml.Marshal(w)
+	if err != nil {
+		return errors.Wrap(err, "workload")
+	}
+	return os.WriteFile(file, data, 0o644)
+}
--- /dev/null
+++ b/standins/launcher/launcher.go
@@ -0,0 +1,256 @@
+// Package launcher starts a whole system of separate processes on this
+// machine: the platform's stand-ins and the daemons.
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
+)
+
+// Options are the settings of a system.
+type Options struct {
+	// Binaries is the directory with tarragond, tarragonctl and standin.
+	Binaries string
+	// Logs is the directory for one log file a process.
+	Logs     string
+	Workload declarer.Workload
+	// Scale multiplies the number of workers, between 0 and 1; at least two
+	// workers a domain remain.
+	Scale float64
+	// Daemons is the number of daemons a domain; zero takes the workload's.
+	Daemons int
+	// TimeScale multiplies the run time of tasks.
+	TimeScale float64
+}
+
+// Process is one started process.
+type Process struct {
+	Name    string
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error { return p.command.Process.Signal(s) }
+
+// Wait waits for the end of the process, or reports false after d.
+func (p *Process) Wait(d time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
+// Daemon is a started daemon.
+type Daemon struct {
+	*Process
+	Domain  string
+	Traffic netip.AddrPort
+	Control netip.AddrPort
+}
+
+// System is a started system.
+type System struct {
+	options Options
+	Store   netip.AddrPort
+	// StoreProcess serves Store.
+	StoreProcess *Process
+	Daemons      []*Daemon
+	Workers      []*Process
+}
+
+// Start starts the store, the workers and the daemons of a workload.
+func Start(o Options) (*System, error) {
+	s := &System{options: o}
+	if err := s.startAll(); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) startAll() error {
+	var err error
+	s.Store = nextAddr()
+	if s.StoreProcess, err = s.start("store", "standin", "store", "--listen", s.Store.String()); err != nil {
+		return err
+	}
+	for _, d := range s.options.Workload.Platform.Domains {
+		for i := range s.workers(d) {
+			if err := s.startWorker(d.Name, i); err != nil {
+				return err
+			}
+		}
+	}
+	return s.startDaemons()
+}
+
+func (s *System) workers(d declarer.Domain) int {
+	return max(2, int(math.Ceil(float64(d.Workers)*s.options.Scale)))
+}
+
+func (s *System) startWorker(domain string, n int) error {
+	p := s.options.Workload.Platform
+	id := fmt.Sprintf("%s-w%d", domain, n)
+	rack := fmt.Sprintf("%s-rack-%d", domain, n/max(1, p.WorkersPerRack))
+	process, err := s.start(id, "standin", "worker", "--listen", "127.0.0.1:0", "--store", s.Store.String(), "--id", id, "--domain", domain, "--rack", rack,
+		"--milli-cpu", fmt.Sprint(p.Worker.MilliCPU), "--memory-mb", fmt.Sprint(p.Worker.MemoryMB), "--time-scale", fmt.Sprint(s.options.TimeScale))
+	if err != nil {
+		return err
+	}
+	s.Workers = append(s.Workers, process)
+	return nil
+}
+
+func (s *System) startDaemons() error {
+	var seed netip.AddrPort
+	for _, d := range s.options.Workload.Platform.Domains {
+		count := d.EntryInstances
+		if s.options.Daemons > 0 {
+			count = s.options.Daemons
+		}
+		for i := range count {
+			daemon, err := s.startDaemon(fmt.Sprintf("%s-d%d", d.Name, i), d.Name, seed)
+			if err != nil {
+				return err
+			}
+			if !seed.IsValid() {
+				seed = daemon.Control
+			}
+		}
+	}
+	for _, d := range s.Daemons {
+		if err := waitLive(d.Control); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startDaemon(id, domain string, seed netip.AddrPort) (*Daemon, error) {
+	traffic, control := nextAddr(), nextAddr()
+	args := []string{"--id", id, "--domain", domain, "--traffic", traffic.String(), "--control", control.String(), "--store", s.Store.String()}
+	if seed.IsValid() {
+		args = append(args, "--peer", seed.String())
+	}
+	process, err := s.start(id, "tarragond", args...)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{process, domain, traffic, control}
+	s.Daemons = append(s.Daemons, d)
+	return d, nil
+}
+
+func (s *System) start(name, binary string, args ...string) (*Process, error) {
+	output, err := os.OpenFile(filepath.Join(s.options.Logs, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	command := exec.Command(filepath.Join(s.options.Binaries, binary), args...)
+	command.Stdout, command.Stderr = output, output
+	// The processes end with the one that started them, however it ends.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	p := &Process{name, command, make(chan struct{})}
+	go func() {
+		_ = command.Wait()
+		_ = output.Close()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Stop ends every process: the daemons first, and gracefully.
+func (s *System) Stop() {
+	for _, d := range s.Daemons {
+		_ = d.Signal(syscall.SIGCONT)
+		_ = d.Signal(syscall.SIGTERM)
+	}
+	for _, d := range s.Daemons {
+		if !d.Wait(10 * time.Second) {
+			_ = d.Signal(syscall.SIGKILL)
+		}
+	}
+	for _, w := range s.Workers {
+		_ = w.Signal(syscall.SIGKILL)
+	}
+	if s.StoreProcess != nil {
+		_ = s.StoreProcess.Signal(syscall.SIGKILL)
+	}
+}
+
+// Control runs tarragonctl against the first daemon and returns its output.
+func (s *System) Control(args ...string) (string, error) {
+	args = append([]string{"--daemon", s.Daemons[0].Control.String()}, args...)
+	output, err := exec.Command(filepath.Join(s.options.Binaries, "tarragonctl"), args...).CombinedOutput()
+	return string(output), errors.Wrapf(err, "tarragonctl: %s", output)
+}
+
+// lastPort counts the ports that this process has given to its systems.
+var lastPort atomic.Uint32
+
+// firstPort is the first port that a system listens on.
+const firstPort = 20000
+
+// nextAddr returns a loopback address that nothing else uses: the IP address
+// belongs to this process, so that neither outgoing connections nor systems
+// started by other processes take its ports.
+func nextAddr() netip.AddrPort {
+	pid := os.Getpid()
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid>>16&0x7f), byte(pid >> 8), byte(pid)})
+	return netip.AddrPortFrom(ip, uint16(firstPort+lastPort.Add(1)))
+}
+
+const startTimeout = 10 * time.Second
+
+func waitLive(control netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control.String()+"/livez", nil)
+		if err != nil {
+			return err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			return nil
+		}
+		if ctx.Err() != nil {
+			return errors.Wrapf(err, "daemon at %s", control)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Build builds the binaries that a system needs into dir. It is run from the
+// top of the repository.
+func Build(dir string) error {
+	for _, p := range []string{"./cmd/tarragond", "./cmd/tarragonctl", "./standins/cmd/standin"} {
+		output, err := exec.Command("go", "build", "-o", dir+"/", p).CombinedOutput()
+		if err != nil {
+			return errors.Wrapf(err, "build %s: %s", p, output)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/standins/storekeeper/store.go
@@ -0,0 +1,198 @@
+// Package storekeeper is a small stand-in for the platform's key-value service
+// and its list of instances.
+package storekeeper
+
+import (
+	"sync"
+	"time"
+
+	"tarragonhead.example/tarragonhead/internal/dispatcher"
+)
+
+type entry struct {
+	value    []byte
+	revision uint64
+	lease    uint64
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+	keys map[string]bool
+}
+
+// Store is an in-memory key-value service with leases and watches. It is safe
+// for concurrent use.
+type Store struct {
+	mu sync.Mutex
+	// revision is that of the last write; each write has its own.
+	revision  uint64
+	nextLease uint64
+	entries   map[string]entry
+	leases    map[uint64]*lease
+	// changed is closed at each write.
+	changed   chan struct{}
+	instances map[string]listed
+	listLag   time.Duration
+	calls     map[string]uint64
+}
+
+// listed is an instance with when the list shows its latest state.
+type listed struct {
+	instance dispatcher.Instance
+	seen     time.Time
+}
+
+// New returns an empty store whose list of instances lags by listLag.
+func New(listLag time.Duration) *Store {
+	return &Store{
+		entries: map[string]entry{}, leases: map[uint64]*lease{}, changed: make(chan struct{}),
+		instances: map[string]listed{}, listLag: listLag, calls: map[string]uint64{},
+	}
+}
+
+// expire removes the leases that have ended. The caller holds s.mu.
+func (s *Store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.After(l.ends) {
+			s.drop(id, l)
+		}
+	}
+}
+
+func (s *Store) drop(id uint64, l *lease) {
+	for key := range l.keys {
+		if s.entries[key].lease == id {
+			delete(s.entries, key)
+		}
+	}
+	delete(s.leases, id)
+	s.notify()
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) count(op string) { s.calls[op]++ }
+
+func (s *Store) get(key string) (entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count("get")
+	s.expire(time.Now())
+	e, ok := s.entries[key]
+	return e, ok
+}
+
+type swapResult int
+
+const (
+	swapped swapResult = iota
+	swapConflict
+	swapLeaseEnded
+)
+
+func (s *Store) compareAndSwap(key string, value []byte, expected, leaseID uint64) (swapResult, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count("compare_and_swap")
+	s.expire(time.Now())
+	if current := s.entries[key].revision; current != expected {
+		return swapConflict, current
+	}
+	if leaseID != 0 {
+		l := s.leases[leaseID]
+		if l == nil {
+			return swapLeaseEnded, 0
+		}
+		l.keys[key] = true
+	}
+	s.revision++
+	s.entries[key] = entry{value, s.revision, leaseID}
+	s.notify()
+	return swapped, s.revision
+}
+
+// wait returns the entry once its revision is above after, or false at the end
+// of the wait.
+func (s *Store) wait(key string, after uint64, d time.Duration) (entry, bool) {
+	end := time.NewTimer(d)
+	defer end.Stop()
+	s.mu.Lock()
+	s.count("watch")
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		s.expire(time.Now())
+		e, ok := s.entries[key]
+		changed := s.changed
+		s.mu.Unlock()
+		if ok && e.revision > after {
+			return e, true
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return entry{}, false
+		}
+	}
+}
+
+func (s *Store) grant(ttl time.Duration) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count("grant")
+	s.nextLease++
+	s.leases[s.nextLease] = &lease{ttl, time.Now().Add(ttl), map[string]bool{}}
+	return s.nextLease
+}
+
+func (s *Store) keepAlive(id uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count("keep_alive")
+	now := time.Now()
+	s.expire(now)
+	l := s.leases[id]
+	if l == nil {
+		return false
+	}
+	l.ends = now.Add(l.ttl)
+	return true
+}
+
+func (s *Store) revoke(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count("revoke")
+	if l := s.leases[id]; l != nil {
+		s.drop(id, l)
+	}
+}
+
+// instanceTTL is how long an instance stays listed without registering again.
+const instanceTTL = 15 * time.Second
+
+func (s *Store) register(in dispatcher.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances[in.ID] = listed{in, time.Now()}
+}
+
+func (s *Store) list() []dispatcher.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count("instances")
+	list := []dispatcher.Instance{}
+	for id, in := range s.instances {
+		age := time.Since(in.seen)
+		if age > instanceTTL {
+			delete(s.instances, id)
+			continue
+		}
+		list = append(list, in.instance)
+	}
+	return list
+}
