Add the table of presets and best fit to the placer

Cause: the presets had names but no figures, and there was one policy only. Change: one table gives the figures of each preset; BestFit places by the learnt size of a request, or by the declared one when none is known. Ruled out: figures per domain or per team, since operators only choose a preset.

--- a/internal/placer/policy.go
+++ b/internal/placer/policy.go
@@ -3,6 +3,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
 )
@@ -48,6 +50,22 @@
 	Team     string
 	Owner    string
 	Declared declarer.Resources
+	// Needed is the reservation learnt from observed use; the zero value
+	// means that none is known and Declared counts.
+	Needed declarer.Resources
+	Urgent bool
+	// Waiting is how long the task has been waiting for a place.
+	Waiting time.Duration
+	// Avoid has workers on which the task failed or was evicted of late.
+	Avoid []string
+}
+
+// Size returns the reservation to place: Needed, or Declared without it.
+func (r Request) Size() declarer.Resources {
+	if r.Needed == (declarer.Resources{}) {
+		return r.Declared
+	}
+	return r.Needed
 }
 
 // Choice is where a task goes.
@@ -89,3 +107,27 @@
 		return Choice{}, &NoFitError{r.Task, r.Declared, len(v.Workers)}
 	}}
 }
+
+// BestFit takes the worker that has the least room left after the placement,
+// by the learnt size. It knows nothing of interference.
+func BestFit() Policy {
+	return Policy{Name: "best_fit", Place: func(v *View, r Request) (Choice, error) {
+		size := r.Size()
+		best, left := -1, 0.0
+		for i := range v.Workers {
+			w := &v.Workers[i]
+			after := w.Reserved.Add(size)
+			if !after.FitsIn(w.Capacity) || slices.Contains(r.Avoid, w.ID) {
+				continue
+			}
+			room := w.Capacity.Sub(after).DominantShare(w.Capacity)
+			if best < 0 || room < left {
+				best, left = i, room
+			}
+		}
+		if best < 0 {
+			return Choice{}, &NoFitError{r.Task, size, len(v.Workers)}
+		}
+		return Choice{v.Workers[best].ID, size, fmt.Sprintf("tightest worker, %.1f%% of its room left", 100*left)}, nil
+	}}
+}
--- /dev/null
+++ b/internal/placer/preset.go
@@ -0,0 +1,79 @@
+package placer
+
+import (
+	"time"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
+)
+
+// Parameters are the figures that a preset stands for. Shares are between 0
+// and 1.
+type Parameters struct {
+	// BatchShare is the most of a domain's processors that batch may reserve.
+	BatchShare float64
+	// Headroom is the share of a domain's processors that batch which is not
+	// urgent leaves free, so that urgent work starts without an eviction.
+	Headroom float64
+	// HarmLimit is the most that one batch task may add to the expected
+	// queueing of the runners on a worker, in requests per slot.
+	HarmLimit float64
+	// HarmPatience is how long a task waits until HarmLimit has doubled for
+	// it, so that every kind of work runs in the end.
+	HarmPatience time.Duration
+	// ThrottleThreshold, CheckpointThreshold and EvictionThreshold are the
+	// measured slowdowns of a runner from which batch beside it is throttled,
+	// checkpointed and evicted. They increase in this order.
+	ThrottleThreshold   float64
+	CheckpointThreshold float64
+	EvictionThreshold   float64
+	// ReleaseThreshold is the slowdown below which a throttled task gets its
+	// processors back. It is below ThrottleThreshold for hysteresis.
+	ReleaseThreshold float64
+	// ThrottleShare is the share of its reserved processors that a throttled
+	// task may use.
+	ThrottleShare float64
+	// EvictionBudget is the most evictions of one job within
+	// EvictionWindow.
+	EvictionBudget int
+	// TaskEvictions is the most evictions of one task in its life.
+	TaskEvictions int
+	// DrainRate is the most tasks a second that leave a domain that is being
+	// taken out of service.
+	DrainRate float64
+	// ReturnRate is the number of task starts a second at which a domain is
+	// admitted back; it doubles every 10 s.
+	ReturnRate float64
+}
+
+// EvictionWindow is the time over which an eviction budget counts.
+const EvictionWindow = time.Minute
+
+// presets is the only place that gives the figures of the presets. A peak
+// trades batch throughput for latency; maintenance moves work quickly and
+// lets batch use what is free.
+var presets = map[declarer.Preset]Parameters{
+	declarer.OrdinaryDay: {
+		BatchShare: 0.85, Headroom: 0.02, HarmLimit: 0.15, HarmPatience: time.Minute,
+		ThrottleThreshold: 1.5, CheckpointThreshold: 1.8, EvictionThreshold: 2.4, ReleaseThreshold: 1.25,
+		ThrottleShare: 0.5, EvictionBudget: 4, TaskEvictions: 2, DrainRate: 4, ReturnRate: 2,
+	},
+	declarer.Peak: {
+		BatchShare: 0.6, Headroom: 0.1, HarmLimit: 0.05, HarmPatience: 2 * time.Minute,
+		ThrottleThreshold: 1.25, CheckpointThreshold: 1.5, EvictionThreshold: 1.8, ReleaseThreshold: 1.1,
+		ThrottleShare: 0.3, EvictionBudget: 8, TaskEvictions: 3, DrainRate: 2, ReturnRate: 1,
+	},
+	declarer.Maintenance: {
+		BatchShare: 0.9, Headroom: 0.02, HarmLimit: 0.2, HarmPatience: 30 * time.Second,
+		ThrottleThreshold: 1.7, CheckpointThreshold: 2.2, EvictionThreshold: 3, ReleaseThreshold: 1.4,
+		ThrottleShare: 0.5, EvictionBudget: 4, TaskEvictions: 2, DrainRate: 10, ReturnRate: 4,
+	},
+}
+
+// ParametersOf returns the figures of a preset; those of an ordinary day for
+// a preset that is not known.
+func ParametersOf(p declarer.Preset) Parameters {
+	if got, ok := presets[p]; ok {
+		return got
+	}
+	return presets[declarer.OrdinaryDay]
+}
