--- a/internal/committer/codec.go
+++ b/internal/committer/codec.go
@@ -9,18 +9,21 @@
 // maxDecodedBytes bounds what a corrupt value can make the decoder allocate.
 const maxDecodedBytes = 64 << 20
 
+// Frames carry a checksum, which the encoder adds by default.
 var (
 	compressor, _   = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
-	decompressor, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxDecodedBytes))
-	encoding        = mustEncoding()
+	decompressor, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(0), zstd.WithDecoderMaxMemory(maxDecodedBytes))
+	encoding        = must(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode())
+	// An unknown field is refused: a daemon of an older version would
+	// otherwise drop the changes that it doesn't know.
+	decoding = must(cbor.DecOptions{ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode())
 )
 
-func mustEncoding() cbor.EncMode {
-	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
 	}
-	return mode
+	return v
 }
 
 func encode(v any) ([]byte, error) {
@@ -36,5 +39,5 @@
 	if err != nil {
 		return errors.Wrap(err, "decompress")
 	}
-	return errors.Wrap(cbor.Unmarshal(plain, v), "decode")
+	return errors.Wrap(decoding.Unmarshal(plain, v), "decode")
 }
--- /dev/null
+++ b/internal/committer/replay.go
@@ -0,0 +1,160 @@
+package committer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/scheduler"
+	"tarragonhead.example/tarragonhead/internal/storeclient"
+)
+
+const (
+	// readAhead bounds the slots that a replay reads at once; it starts with
+	// firstRead, since most replays follow a recent snapshot.
+	readAhead = 64
+	firstRead = 8
+	// limitPause is the wait of a replay whose class has no rate left.
+	limitPause = 100 * time.Millisecond
+)
+
+// Replay reads the snapshot and the records after it into core, which must be
+// empty. The error is a StaleError when another owner was writing meanwhile,
+// or a CorruptError.
+func (l *Ledger) Replay(ctx context.Context, core *scheduler.Core) error {
+	ctx = storeclient.WithClass(ctx, storeclient.ClassLedger)
+	d, revision, err := l.readSnapshot(ctx)
+	if err != nil {
+		return err
+	}
+	l.next = d.Sequence + 1
+	if revision != 0 {
+		l.snapshotRevision, l.covered, l.epoch = revision, d.Sequence, d.Epoch
+		if d.Horizons != nil {
+			l.horizons = d.Horizons
+		}
+		if err := core.Restore(d.State); err != nil {
+			return &CorruptError{l.snapshotKey(), err}
+		}
+	}
+	for window := firstRead; ; window = min(2*window, readAhead) {
+		more, err := l.replayWindow(ctx, core, window)
+		if err != nil || !more {
+			return err
+		}
+	}
+}
+
+// slotRead is the result of reading one slot.
+type slotRead struct {
+	record   Record
+	revision uint64
+	err      error
+}
+
+// replayWindow applies the next records, at most n, and reports whether there
+// may be more. A record that is appended during the reads is not missed: Begin
+// conflicts with it.
+func (l *Ledger) replayWindow(ctx context.Context, core *scheduler.Core, n int) (bool, error) {
+	reads := make([]slotRead, n)
+	var all sync.WaitGroup
+	for i := range reads {
+		all.Go(func() {
+			reads[i].record, reads[i].revision, reads[i].err = l.read(ctx, l.next+uint64(i))
+		})
+	}
+	all.Wait()
+	for _, s := range reads {
+		if s.err != nil {
+			return false, s.err
+		}
+		if s.record.Sequence > l.next {
+			return false, &StaleError{l.options.Shard, l.next, s.record.Sequence}
+		}
+		l.revisions[l.next%ringSlots] = s.revision
+		if s.record.Sequence < l.next {
+			return false, nil
+		}
+		if err := l.applyRecord(core, s.record); err != nil {
+			return false, &CorruptError{l.slotKey(l.next), err}
+		}
+		l.next++
+	}
+	return true, nil
+}
+
+func (l *Ledger) applyRecord(core *scheduler.Core, r Record) error {
+	if r.Epoch < l.epoch || r.Begin != (r.Epoch > l.epoch) {
+		return errors.Errorf("record %d (begin %t) has epoch %d after epoch %d", r.Sequence, r.Begin, r.Epoch, l.epoch)
+	}
+	for i, ch := range r.Changes {
+		if err := core.Apply(ch); err != nil {
+			return errors.Wrapf(err, "record %d, change %d", r.Sequence, i)
+		}
+	}
+	l.epoch = r.Epoch
+	l.note(r)
+	return nil
+}
+
+// get reads a value and waits for the rate of its class.
+func (l *Ledger) get(ctx context.Context, key string) (storeclient.Entry, error) {
+	for {
+		entry, err := l.options.Store.Get(ctx, key)
+		var limited *storeclient.LimitError
+		if !errors.As(err, &limited) {
+			return entry, err
+		}
+		select {
+		case <-ctx.Done():
+			return entry, err
+		case <-time.After(limitPause):
+		}
+	}
+}
+
+// readSnapshot returns the stored snapshot and its revision; without one, a
+// zero document and zero.
+func (l *Ledger) readSnapshot(ctx context.Context) (snapshotDocument, uint64, error) {
+	var d snapshotDocument
+	entry, err := l.get(ctx, l.snapshotKey())
+	var missing *storeclient.NotFoundError
+	if errors.As(err, &missing) {
+		return d, 0, nil
+	}
+	if err != nil {
+		return d, 0, err
+	}
+	err = decode(entry.Value, &d)
+	if err == nil && (d.Shard != l.options.Shard || d.Sequence == 0) {
+		err = errors.Errorf("holds record %d of shard %q", d.Sequence, d.Shard)
+	}
+	if err != nil {
+		return snapshotDocument{}, 0, &CorruptError{l.snapshotKey(), err}
+	}
+	return d, entry.Revision, nil
+}
+
+// read returns the record in the slot of a sequence number, which may be that
+// of another round or, for an empty slot, the zero Record.
+func (l *Ledger) read(ctx context.Context, sequence uint64) (Record, uint64, error) {
+	entry, err := l.get(ctx, l.slotKey(sequence))
+	var missing *storeclient.NotFoundError
+	if errors.As(err, &missing) {
+		return Record{}, 0, nil
+	}
+	if err != nil {
+		return Record{}, 0, err
+	}
+	var r Record
+	err = decode(entry.Value, &r)
+	if err == nil && (r.Shard != l.options.Shard || r.Sequence == 0 || r.Sequence%ringSlots != sequence%ringSlots) {
+		err = errors.Errorf("holds record %d of shard %q", r.Sequence, r.Shard)
+	}
+	if err != nil {
+		return Record{}, 0, &CorruptError{l.slotKey(sequence), err}
+	}
+	return r, entry.Revision, nil
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -204,7 +204,7 @@
 	if err := ledger.Replay(ctx, core); err != nil {
 		return err
 	}
-	if err := ledger.Begin(ctx); err != nil {
+	if err := ledger.Begin(ctx, nil); err != nil {
 		return err
 	}
 	c.options.Log.Info().Uint64("epoch", ledger.Epoch()).Uint64("sequence", ledger.Next()).Dur("replay", time.Since(begun)).Msg("shard: owned")
