Give the request path shares, a queue, claims, hedges and spans

Cause: the thin path trusted fasthttp's HostClient, which can't tell whether a byte was sent, sends again by itself on closed idle connections and takes a body without a length as whole at the end of the connection; it had no queue, no shares of the runners' slots, no budget, no hedging and no keys. Change: own connections that count the bytes sent, shares by membership, a bounded queue by class, a retry budget, hedging, claims in the store, metrics and spans; a runner that records its runs and can be told to misbehave. Ruled out: HostClient with RetryIf, for the reasons above.

--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -25,6 +25,11 @@
 	app.Flag("peer", "Control address of another daemon; may be repeated.").StringsVar(&s.Peers)
 	app.Flag("log-level", "Least level to log: debug, info, warn or error.").Default("info").EnumVar(&s.LogLevel, "debug", "info", "warn", "error")
 	app.Flag("drain-timeout", "How long a stop waits for requests in progress.").Default("30s").DurationVar(&s.DrainTimeout)
+	app.Flag("stop-delay", "How long a stopping daemon still accepts connections after its readiness check fails.").Default("2s").DurationVar(&s.StopDelay)
+	app.Flag("domain-cost", "One-way latency to another domain, such as howrah=1.5ms; may be repeated.").StringMapVar(&s.DomainCosts)
+	app.Flag("trace-file", "File that receives spans as JSON lines; no tracing without it.").StringVar(&s.TraceFile)
+	app.Flag("trace-ratio", "Share of requests without a trace context that is sampled.").Default("0").Float64Var(&s.TraceRatio)
+	app.Flag("panic-on-violation", "Panic when an invariant is violated; for tests.").BoolVar(&s.PanicOnViolation)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := run(s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/internal/router/result.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+)
+
+// The headers of a request and its response.
+const (
+	RequestIDHeader      = "Request-Id"
+	DeadlineHeader       = "Deadline-Ms"
+	TimeoutHeader        = "Request-Timeout-Ms"
+	ClassHeader          = "Request-Class"
+	IdempotencyKeyHeader = "Idempotency-Key"
+	AdmissionHeader      = "Admission"
+	TraceparentHeader    = "Traceparent"
+)
+
+// The values of AdmissionHeader.
+const (
+	AdmissionRefused = "refused"
+	AdmissionLeaving = "leaving"
+)
+
+// Result is the JSON body of a response that is not the target's.
+type Result struct {
+	Result       string `json:"result"`
+	Reason       string `json:"reason"`
+	RequestID    string `json:"request_id"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	TargetStatus int    `json:"target_status,omitempty"`
+
+	// status overrides the usual status of Result.
+	status int
+}
+
+// The values of Result.Result.
+const (
+	NotRun         = "not_run"
+	OutcomeUnknown = "outcome_unknown"
+	FailedByTarget = "failed_by_target"
+	AlreadyRun     = "already_run"
+	BadRequest     = "bad_request"
+)
+
+var statuses = map[string]int{
+	NotRun:         fasthttp.StatusServiceUnavailable,
+	OutcomeUnknown: fasthttp.StatusGatewayTimeout,
+	FailedByTarget: fasthttp.StatusBadGateway,
+	AlreadyRun:     fasthttp.StatusConflict,
+	BadRequest:     fasthttp.StatusBadRequest,
+}
+
+func writeResult(ctx *fasthttp.RequestCtx, r Result) {
+	status := r.status
+	if status == 0 {
+		status = statuses[r.Result]
+	}
+	body, err := json.Marshal(r)
+	if err != nil {
+		status = fasthttp.StatusInternalServerError
+	}
+	ctx.Response.Reset()
+	ctx.Response.SkipBody = ctx.Request.Header.IsHead()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set(RequestIDHeader, r.RequestID)
+	ctx.SetBody(body)
+}
+
+// HandleError answers a request that the HTTP server could not read.
+func HandleError(ctx *fasthttp.RequestCtx, err error) {
+	r := Result{Result: BadRequest, Reason: "request: " + err.Error()}
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case err == fasthttp.ErrBodyTooLarge:
+		r.status, r.Reason = fasthttp.StatusRequestEntityTooLarge, "body: larger than the limit"
+	case errorsAs(err, &small):
+		r.status, r.Reason = fasthttp.StatusRequestHeaderFieldsTooLarge, "headers: larger than the limit"
+	}
+	if id := ctx.Request.Header.Peek(RequestIDHeader); isID(id) {
+		r.RequestID = string(id)
+	} else {
+		r.RequestID = newID()
+	}
+	writeResult(ctx, r)
+}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/twitchtv/twirp"
 
@@ -21,7 +22,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(messenger.PeerPathPrefix, messenger.NewPeerServer(d))
 	mux.Handle(messenger.OperatorPathPrefix, messenger.NewOperatorServer(d))
-	mux.Handle("/metrics", promhttp.Handler())
+	mux.Handle("/metrics", promhttp.HandlerFor(prometheus.Gatherers{prometheus.DefaultGatherer, d.metrics}, promhttp.HandlerOpts{}))
 	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", d.ready)
 	return mux
@@ -108,7 +109,19 @@
 	}
 }
 
-// publishRoutes gives this daemon's own router the table of the owned shard.
+// routingMembers are the daemons that share the slots of the targets.
+func (d *Server) routingMembers() []string {
+	var ids []string
+	for _, m := range d.gossip.View() {
+		if !m.Leaving {
+			ids = append(ids, m.Id)
+		}
+	}
+	return ids
+}
+
+// publishRoutes gives this daemon's own router the table of the owned shard
+// and the membership view.
 func (d *Server) publishRoutes(ctx context.Context) {
 	t := time.NewTicker(100 * time.Millisecond)
 	defer t.Stop()
@@ -116,6 +129,7 @@
 		if table := d.controller.Routes(); table != nil {
 			d.router.Update(table)
 		}
+		d.router.SetMembers(d.routingMembers())
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,19 +4,23 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
+	"tarragonhead.example/tarragonhead/internal/claimer"
 	"tarragonhead.example/tarragonhead/internal/configurer"
 	"tarragonhead.example/tarragonhead/internal/controller"
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
@@ -26,6 +30,7 @@
 	"tarragonhead.example/tarragonhead/internal/router"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
+	"tarragonhead.example/tarragonhead/internal/tracer"
 )
 
 // maxBodyBytes is the largest request body that a caller may send.
@@ -40,6 +45,9 @@
 	controller *controller.Controller
 	gossip     *gossiper.Gossiper
 	router     *router.Router
+	claimer    *claimer.Claimer
+	tracer     *tracer.Tracer
+	metrics    *prometheus.Registry
 	peers      *http.Client
 	// stopping is set from the first stop signal on; readiness then fails.
 	stopping atomic.Bool
@@ -66,17 +74,26 @@
 	d := &Server{
 		settings: c, log: logger, owners: map[string]*messenger.ShardOwner{}, addresses: map[string]string{},
 		store: storeclient.Limit(storeclient.HTTP(c.store), storeclient.DefaultRates),
-		peers: &http.Client{Timeout: 2 * time.Second},
+		peers: &http.Client{Timeout: 2 * time.Second}, metrics: prometheus.NewRegistry(),
+	}
+	if d.tracer, err = tracer.New(tracer.Options{File: s.TraceFile, Ratio: s.TraceRatio, Service: "tarragond " + s.ID}); err != nil {
+		return nil, err
 	}
 	caller := dispatcher.NewCaller()
 	d.config = configurer.New(configurer.Options{Store: d.store, Log: logger})
-	d.router = router.New(router.Options{Domain: c.Domain, Log: logger})
+	incarnation := uint64(time.Now().UnixNano())
+	d.claimer = claimer.New(claimer.Options{
+		Store: d.store, Holder: holder(c.ID, incarnation), IsAlive: d.isHolderAlive, Registry: d.metrics, Log: logger, PanicOnViolation: s.PanicOnViolation,
+	})
+	d.router = router.New(router.Options{
+		Self: c.ID, Domain: c.Domain, Costs: c.costs, Claimer: d.claimer, Tracer: d.tracer, Registry: d.metrics, Log: logger, PanicOnViolation: s.PanicOnViolation,
+	})
 	d.controller = controller.New(controller.Options{
 		Self: c.ID, Control: c.control, Domain: c.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
 		Worker: caller.Worker, Log: logger,
 		Instances: func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) },
 	})
-	self := &messenger.Member{Id: c.ID, Domain: c.Domain, ControlAddr: c.control.String(), TrafficAddr: c.traffic.String(), Incarnation: uint64(time.Now().UnixNano())}
+	self := &messenger.Member{Id: c.ID, Domain: c.Domain, ControlAddr: c.control.String(), TrafficAddr: c.traffic.String(), Incarnation: incarnation}
 	d.gossip = gossiper.New(gossiper.Options{
 		Self: self, Seeds: c.peers, Dial: d.dial, Complete: d.completeDigest, Received: d.receiveDigest, Log: logger,
 		Preferred: func() string { return d.ownerAddress(c.Domain) }, Rand: rand.New(rand.NewPCG(self.Incarnation, 0)),
@@ -100,7 +117,7 @@
 		return err
 	}
 	controlServer := &http.Server{Handler: d.controlHandler(), ReadHeaderTimeout: 5 * time.Second}
-	trafficServer := &fasthttp.Server{Handler: d.router.Handle, MaxRequestBodySize: maxBodyBytes, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	trafficServer := d.trafficServer()
 	failed := make(chan error, 2)
 	go func() { failed <- controlServer.Serve(control) }()
 	go func() { failed <- trafficServer.Serve(traffic) }()
@@ -121,18 +138,66 @@
 	}
 	d.log.Info().Msg("server: stopping")
 	d.stopping.Store(true)
+	d.router.Drain()
 	release()
+	// Callers and the load balancer go elsewhere before the listener closes.
+	time.Sleep(d.settings.StopDelay)
+	_ = traffic.Close()
+	d.router.Refuse()
 	draining, stop := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
 	defer stop()
 	err = trafficServer.ShutdownWithContext(draining)
+	d.claimer.Wait(draining)
 	cancel()
 	parts.Wait()
+	if traceErr := d.tracer.Close(draining); traceErr != nil {
+		d.log.Warn().Err(traceErr).Msg("server: spans not written")
+	}
 	controlServer.Close()
 	d.log.Info().Msg("server: stopped")
 	return errors.Wrap(err, "drain")
 }
 
+// maxHeaderBytes is the largest request header that a caller may send.
+const maxHeaderBytes = 16 << 10
+
+func (d *Server) trafficServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: d.router.Handle, ErrorHandler: router.HandleError, MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes,
+		ReadTimeout: time.Minute, IdleTimeout: 2 * time.Minute, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: quiet{},
+	}
+}
+
+// quiet drops fasthttp's own log lines, which are about broken connections of
+// callers.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// holder names one run of a daemon.
+func holder(id string, incarnation uint64) string { return fmt.Sprintf("%s/%d", id, incarnation) }
+
+// isHolderAlive reports whether the membership view has the holder of a claim.
+func (d *Server) isHolderAlive(name string) bool {
+	return slices.ContainsFunc(d.gossip.View(), func(m *messenger.Member) bool { return holder(m.Id, m.Incarnation) == name })
+}
+
+// onceListener can be closed twice: by the stop of the daemon and by the
+// server's own shutdown.
+type onceListener struct {
+	net.Listener
+	once sync.Once
+	err  error
+}
+
+// Close closes the listener the first time and returns the same error later.
+func (l *onceListener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
 func listen(addr netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr.String())
-	return l, errors.Wrapf(err, "listen on %s", addr)
+	return &onceListener{Listener: l}, errors.Wrapf(err, "listen on %s", addr)
 }
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 )
@@ -18,6 +20,19 @@
 	LogLevel string
 	// DrainTimeout bounds how long a stop waits for requests in progress.
 	DrainTimeout time.Duration
+	// StopDelay is how long a stopping daemon still accepts connections, so
+	// that the load balancer sees the failed readiness check first.
+	StopDelay time.Duration
+	// DomainCosts has the one-way latency to other domains, such as
+	// howrah=1.5ms.
+	DomainCosts map[string]string
+	// TraceFile receives spans as JSON lines; empty turns tracing off.
+	TraceFile string
+	// TraceRatio is the share of requests without a trace context that is
+	// sampled.
+	TraceRatio float64
+	// PanicOnViolation makes a violated invariant panic, for tests.
+	PanicOnViolation bool
 }
 
 // SettingError says what is wrong with one setting.
@@ -47,6 +62,7 @@
 	Settings
 	traffic, control, store netip.AddrPort
 	peers                   []netip.AddrPort
+	costs                   map[string]time.Duration
 }
 
 func (s Settings) check() (checked, error) {
@@ -78,6 +94,20 @@
 	if s.DrainTimeout < 0 || s.DrainTimeout > 10*time.Minute {
 		fail("drain-timeout", s.DrainTimeout.String(), "0s to 10m")
 	}
+	if s.StopDelay < 0 || s.StopDelay > time.Minute {
+		fail("stop-delay", s.StopDelay.String(), "0s to 1m")
+	}
+	if !(s.TraceRatio >= 0 && s.TraceRatio <= 1) {
+		fail("trace-ratio", fmt.Sprint(s.TraceRatio), "0 to 1")
+	}
+	c.costs = map[string]time.Duration{}
+	for _, domain := range slices.Sorted(maps.Keys(s.DomainCosts)) {
+		d, err := time.ParseDuration(s.DomainCosts[domain])
+		if err != nil || d < 0 || d > time.Second {
+			fail("domain-cost", domain+"="+s.DomainCosts[domain], "a domain and its one-way latency from 0s to 1s, such as howrah=1.5ms")
+		}
+		c.costs[domain] = d
+	}
 	if len(e.Problems) > 0 {
 		return checked{}, e
 	}
--- a/standins/cmd/demo/main.go
+++ b/standins/cmd/demo/main.go
@@ -195,7 +195,7 @@
 	if len(w.Services) == 0 {
 		return n, nil
 	}
-	answered := 0
+	answered, bad := 0, 0
 	for i := range n {
 		d := system.Daemons[i%len(system.Daemons)]
 		id := fmt.Sprintf("demo-%d", i)
@@ -205,7 +205,7 @@
 		err := fasthttp.DoTimeout(request, response, 10*time.Second)
 		if err == nil && response.StatusCode() == fasthttp.StatusOK && string(response.Body()) == runner.Answer(id, 3) {
 			answered++
-		} else if i < 5 {
+		} else if bad++; bad < 5 {
 			step("request %s: status %d, %v: %s", id, response.StatusCode(), err, response.Body())
 		}
 		fasthttp.ReleaseRequest(request)
--- a/standins/cmd/standin/main.go
+++ b/standins/cmd/standin/main.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
+	"tarragonhead.example/tarragonhead/standins/forwarder"
 	"tarragonhead.example/tarragonhead/standins/runner"
 	"tarragonhead.example/tarragonhead/standins/storekeeper"
 	"tarragonhead.example/tarragonhead/standins/worker"
@@ -28,6 +29,7 @@
 	addStore(app)
 	addWorker(app)
 	addRunner(app)
+	addForwarder(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
@@ -46,25 +48,62 @@
 
 func addRunner(app *kingpin.Application) {
 	var o runner.Options
-	command := app.Command("runner", "A runner; it prints its address and ends when its standard input closes.")
+	command := app.Command("runner", "A runner; it prints its address and that of its administration, and ends when its standard input closes.")
 	command.Flag("name", "Name of the runner.").Required().StringVar(&o.Name)
 	command.Flag("slots", "Requests served at once.").Default("8").IntVar(&o.Slots)
 	command.Flag("connections", "Connections accepted at once.").Default("64").IntVar(&o.Connections)
 	command.Flag("work", "How long a request takes.").Default("2ms").DurationVar(&o.Work)
+	command.Flag("records", "Directory for the record of runs.").Envar(recordsVariable).StringVar(&o.Records)
+	command.Action(func(*kingpin.ParseContext) error { return runRunner(o) })
+}
+
+// recordsVariable reaches the runners that workers start.
+const recordsVariable = "STANDIN_RECORDS"
+
+func runRunner(o runner.Options) error {
+	r, err := runner.New(o)
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	admin, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	if err := r.Announce(l.Addr().String(), admin.Addr().String()); err != nil {
+		return err
+	}
+	go func() { _ = fasthttp.Serve(admin, r.HandleAdmin) }()
+	fmt.Println(l.Addr(), admin.Addr())
+	go func() {
+		// The worker closes the pipe when it stops the runner or dies.
+		_, _ = os.Stdin.Read(make([]byte, 1))
+		r.Leave()
+		// Requests that daemons send until they know that the runner leaves
+		// are refused, not cut.
+		time.Sleep(3 * time.Second)
+		_ = r.Shutdown()
+	}()
+	return r.Serve(l)
+}
+
+func addForwarder(app *kingpin.Application) {
+	var target string
+	var connections int
+	command := app.Command("forwarder", "A bare forwarding hop, the baseline for the overhead of the daemon; it prints its address.")
+	command.Flag("target", "Address to forward to.").Required().StringVar(&target)
+	command.Flag("connections", "Connections to the target.").Default("512").IntVar(&connections)
 	command.Action(func(*kingpin.ParseContext) error {
-		r := runner.New(o)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return err
 		}
 		fmt.Println(l.Addr())
-		go func() {
-			// The worker closes the pipe when it stops the runner or dies.
-			_, _ = os.Stdin.Read(make([]byte, 1))
-			r.Leave()
-			_ = r.Shutdown()
-		}()
-		return r.Serve(l)
+		server := &fasthttp.Server{Handler: forwarder.New(target, connections).Handle, NoDefaultServerHeader: true}
+		return server.Serve(l)
 	})
 }
 
@@ -151,6 +190,7 @@
 		return netip.AddrPort{}, nil, err
 	}
 	go func() { _ = command.Wait() }()
-	addr, err := netip.ParseAddrPort(strings.TrimSpace(string(line[:n])))
+	text, _, _ := strings.Cut(strings.TrimSpace(string(line[:n])), " ")
+	addr, err := netip.ParseAddrPort(text)
 	return addr, func() { _ = input.Close() }, err
 }
