Split the configuration into a head and declared work, and rework membership

Cause: the configuration was one value that each owner read twice a second, a lost answer was settled by one read, a store with an old value was not noticed, daemons copied whole member records in each digest, and the tool's exit status said nothing about what had happened to a change.

Besides the reads there is a watch, and a new revision is gossiped at once. Settings are checked as a whole. tarragonctl has exit statuses for refused, undecided and unreachable, and the commands explain, config show and request.

Ruled out: sending whole records in each digest (about 2 KB at 24 daemons).

--- /dev/null
+++ b/cmd/tarragonctl/exit.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
+)
+
+// The exit statuses.
+const (
+	exitDone        = 0
+	exitFailed      = 1
+	exitRefused     = 2
+	exitUndecided   = 3
+	exitUnreachable = 4
+)
+
+// undecidedError reports a change or request that may have taken effect.
+type undecidedError struct{ err error }
+
+func (e *undecidedError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *undecidedError) Unwrap() error { return e.err }
+
+// refusedError reports something that had no effect.
+type refusedError struct{ reason string }
+
+func (e *refusedError) Error() string { return e.reason }
+
+// unreachableError reports a call without effect that a repeat may change.
+type unreachableError struct{ err error }
+
+func (e *unreachableError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *unreachableError) Unwrap() error { return e.err }
+
+// exitStatus returns the status that tells what an error means.
+func exitStatus(err error) int {
+	var refused *refusedError
+	var invalid *declarer.InvalidError
+	var coded twirp.Error
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &refused), errors.As(err, &invalid):
+		return exitRefused
+	case isUndecided(err):
+		return exitUndecided
+	case isUnreachable(err):
+		return exitUnreachable
+	case errors.As(err, &coded):
+		return exitRefused
+	}
+	return exitFailed
+}
+
+// isUndecided reports whether the change may have taken effect. A call without
+// an answer is undecided unless the connection itself was refused.
+func isUndecided(err error) bool {
+	var undecided *undecidedError
+	var unreachable *unreachableError
+	var coded twirp.Error
+	switch {
+	case errors.As(err, &undecided):
+		return true
+	case errors.As(err, &unreachable) || wasNotSent(err) || !errors.As(err, &coded):
+		return false
+	}
+	switch coded.Code() {
+	case twirp.Unknown, twirp.Internal, twirp.DeadlineExceeded, twirp.Canceled, twirp.DataLoss:
+		return true
+	}
+	return false
+}
+
+func isUnreachable(err error) bool {
+	var unreachable *unreachableError
+	var coded twirp.Error
+	return errors.As(err, &unreachable) || wasNotSent(err) ||
+		(errors.As(err, &coded) && (coded.Code() == twirp.Unavailable || coded.Code() == twirp.ResourceExhausted))
+}
+
+func wasNotSent(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
+// asRead turns an undecided error of a call that changes nothing into an
+// unreachable one.
+func asRead(err error) error {
+	if isUndecided(err) {
+		return &unreachableError{err}
+	}
+	return err
+}
+
+// message is the text of an error with what its exit status means.
+func message(err error) string {
+	text := err.Error()
+	var coded twirp.Error
+	if errors.As(err, &coded) {
+		text = coded.Msg()
+	}
+	switch exitStatus(err) {
+	case exitRefused:
+		return "refused: " + text
+	case exitUndecided:
+		return "undecided: " + text
+	case exitUnreachable:
+		return "unreachable: " + text
+	}
+	return fmt.Sprint(text)
+}
--- a/cmd/tarragond/main.go
+++ b/cmd/tarragond/main.go
@@ -4,40 +4,81 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"tarragonhead.example/tarragonhead/internal/server"
 )
 
-func main() {
-	app := kingpin.New("tarragond", "Schedules services and batch work and routes requests to services.")
+const help = `Schedules services and batch work and routes requests to services.
+
+Each flag can also be given as an environment variable, such as TARRAGOND_DRAIN_TIMEOUT for --drain-timeout; several peers stand on separate lines. A flag wins over its variable.
+
+Example:
+
+tarragond --id kolkata-a-d0 --domain kolkata-a --traffic 10.1.0.5:7000 --control 10.1.0.5:7001 --store 10.0.0.2:7100 --peer 10.2.0.5:7001`
+
+// The exit statuses of the daemon.
+const (
+	exitFailed = 1
+	// exitSettings tells a supervisor that a restart won't help.
+	exitSettings = 2
+)
+
+func newApp(s *server.Settings) *kingpin.Application {
+	app := kingpin.New("tarragond", help)
 	app.DefaultEnvars()
-	var s server.Settings
-	app.Flag("id", "Name of this daemon; no other daemon has it.").Required().StringVar(&s.ID)
-	app.Flag("domain", "Failure domain of this daemon.").Required().StringVar(&s.Domain)
-	app.Flag("traffic", "Address for callers, such as 127.0.0.1:7000.").Required().StringVar(&s.Traffic)
-	app.Flag("control", "Address for peers, operators and metrics.").Required().StringVar(&s.Control)
-	app.Flag("store", "Address of the platform's key-value service.").Required().StringVar(&s.Store)
-	app.Flag("peer", "Control address of another daemon; may be repeated.").StringsVar(&s.Peers)
-	app.Flag("log-level", "Least level to log: debug, info, warn or error.").Default("info").EnumVar(&s.LogLevel, "debug", "info", "warn", "error")
-	app.Flag("drain-timeout", "How long a stop waits for requests in progress.").Default("30s").DurationVar(&s.DrainTimeout)
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := run(s); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	s.Register(app)
+	return app
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Environ(), os.Stderr))
 }
 
-func run(s server.Settings) error {
+func run(args, environment []string, output io.Writer) int {
+	var s server.Settings
+	app := newApp(&s)
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintf(output, "tarragond: %v; --help lists the settings\n", err)
+		return exitSettings
+	}
+	if err := joinErrors(server.CheckEnvironment(app, "TARRAGOND_", environment), s.Check()); err != nil {
+		fmt.Fprintf(output, "tarragond: settings not accepted:\n%v\n", err)
+		return exitSettings
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	d, err := server.New(s, os.Stderr)
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d, err := server.New(s, output, registry)
+	if err == nil {
+		err = d.Run(ctx)
+	}
 	if err != nil {
-		return err
+		fmt.Fprintln(output, "tarragond:", err)
+		return exitFailed
+	}
+	return 0
+}
+
+func joinErrors(errs ...error) error {
+	var lines []string
+	for _, err := range errs {
+		if err != nil {
+			lines = append(lines, err.Error())
+		}
+	}
+	if len(lines) == 0 {
+		return nil
 	}
-	return d.Run(ctx)
+	return errors.New(strings.Join(lines, "\n"))
 }
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -3,86 +3,98 @@
 package configurer
 
 import (
-	"context"
-	"fmt"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
 const (
-	configKey = "config"
-	// keptChanges is how many accepted changes the document remembers, so that
-	// a writer whose answer was lost can look for its own.
-	keptChanges = 64
-	// confirmInterval is the time between reads that confirm the
-	// configuration; starts need one that is at most 2 s old.
-	confirmInterval = 500 * time.Millisecond
+	configKey  = "config"
+	workPrefix = "config_work/"
 )
 
-// ConflictError reports a change that lost against another one. Nothing of it
-// was applied.
-type ConflictError struct {
-	Expected uint64
-	Current  uint64
-	// Other is the change that was accepted last.
-	Other declarer.ChangeNote
-}
-
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("configuration is at revision %d, not %d: %s changed it: %s", e.Current, e.Expected, e.Other.Operator, e.Other.Summary)
-}
-
-// UndecidedError reports a change of which it isn't known whether it was
-// accepted. Proposing it again with the same change id is safe.
-type UndecidedError struct{ Err error }
-
-func (e *UndecidedError) Error() string {
-	return fmt.Sprintf("it is not known whether the change was accepted: %v", e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *UndecidedError) Unwrap() error { return e.Err }
-
-// Change is a proposed change of the configuration.
-type Change struct {
-	// ID makes a repeated proposal the same change.
-	ID       string
-	Operator string
-	Summary  string
-	// Expected is the revision that the operator saw; zero accepts any.
-	Expected uint64
-	// Edit changes the document; its error refuses the change.
-	Edit func(*declarer.Config) error
-}
-
 // Options are what a configurer depends on.
 type Options struct {
 	Store storeclient.Store
 	Log   *log.Logger
+	// Owning reports whether this daemon owns a shard and so needs a
+	// configuration that is confirmed often; nil stands for always.
+	Owning func() bool
+	// Violated is called when an invariant of the design does not hold.
+	Violated func(invariant int, problem string)
+	// Registry gets the metrics; nil for none.
+	Registry prometheus.Registerer
 }
 
 // Configurer is safe for concurrent use.
 type Configurer struct {
 	options Options
+	metrics metrics
 
 	mu sync.Mutex
-	// current only ever moves to a higher revision.
-	current     *declarer.Config
+	// held only ever moves to a higher revision; nil before the first.
+	held *held
+	// confirmedAt is when the last read began that showed held's revision.
 	confirmedAt time.Time
-	changed     chan struct{}
+	// seen is the highest store revision of the head that was seen.
+	seen    uint64
+	changed chan struct{}
+}
+
+// held is a configuration with its encoded parts, for peers.
+type held struct {
+	config *declarer.Config
+	head   []byte
+	work   []byte
+}
+
+// metrics are the configurer's metrics.
+type metrics struct {
+	revision, age prometheus.GaugeFunc
+	applied       *prometheus.CounterVec
+	proposed      *prometheus.CounterVec
+	stale         prometheus.Counter
+	readFailures  prometheus.Counter
 }
 
 // New returns a configurer that holds no configuration yet.
 func New(o Options) *Configurer {
-	return &Configurer{options: o, changed: make(chan struct{})}
+	c := &Configurer{options: o, changed: make(chan struct{})}
+	f := promauto.With(o.Registry)
+	c.metrics = metrics{
+		revision: f.NewGaugeFunc(prometheus.GaugeOpts{Name: "tarragond_config_revision", Help: "Revision of the configuration in force, 0 for none."}, func() float64 {
+			return float64(c.revision())
+		}),
+		age: f.NewGaugeFunc(prometheus.GaugeOpts{Name: "tarragond_config_confirmation_age_seconds", Help: "Time since the last read of the store that confirmed the configuration, -1 for none."}, c.confirmationAge),
+		applied: f.NewCounterVec(prometheus.CounterOpts{Name: "tarragond_config_applied_total", Help: "Configurations that came into force, by where they came from."},
+			[]string{"source"}),
+		proposed: f.NewCounterVec(prometheus.CounterOpts{Name: "tarragond_config_proposals_total", Help: "Changes proposed through this daemon, by result."},
+			[]string{"result"}),
+		stale:        f.NewCounter(prometheus.CounterOpts{Name: "tarragond_config_stale_reads_total", Help: "Reads that showed a revision below the one in force."}),
+		readFailures: f.NewCounter(prometheus.CounterOpts{Name: "tarragond_config_read_failures_total", Help: "Reads of the configuration that the store did not answer."}),
+	}
+	return c
+}
+
+func (c *Configurer) revision() uint64 {
+	if config, _ := c.Current(); config != nil {
+		return config.Revision
+	}
+	return 0
+}
+
+func (c *Configurer) confirmationAge() float64 {
+	if _, at := c.Current(); !at.IsZero() {
+		return time.Since(at).Seconds()
+	}
+	return -1
 }
 
 // Current returns the configuration, nil if there is none, and when the last
@@ -90,7 +102,10 @@
 func (c *Configurer) Current() (*declarer.Config, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.current, c.confirmedAt
+	if c.held == nil {
+		return nil, time.Time{}
+	}
+	return c.held.config, c.confirmedAt
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -100,148 +115,99 @@
 	return c.changed
 }
 
-// Encode returns the document for a peer, nil if there is none.
-func (c *Configurer) Encode() (uint64, []byte, error) {
-	current, _ := c.Current()
-	if current == nil {
+// Encode returns the encoded head and work for a peer, revision zero if there
+// are none. The work is left out if its hash is knownWork.
+func (c *Configurer) Encode(knownWork string) (revision uint64, head, work []byte) {
+	h := c.current()
+	if h == nil {
 		return 0, nil, nil
 	}
-	data, err := cbor.Marshal(current)
-	return current.Revision, data, errors.Wrap(err, "encode")
-}
-
-// Adopt takes over the document that a peer holds if it is newer.
-func (c *Configurer) Adopt(data []byte) error {
-	var d declarer.Config
-	if err := cbor.Unmarshal(data, &d); err != nil {
-		return errors.Wrap(err, "decode")
+	if h.config.WorkHash != knownWork {
+		work = h.work
 	}
-	c.apply(&d, time.Time{})
-	return nil
+	return h.config.Revision, h.head, work
 }
 
-func (c *Configurer) apply(d *declarer.Config, confirmedAt time.Time) {
+func (c *Configurer) current() *held {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.current != nil && d.Revision < c.current.Revision {
-		return
-	}
-	if confirmedAt.After(c.confirmedAt) {
-		c.confirmedAt = confirmedAt
-	}
-	if c.current != nil && d.Revision == c.current.Revision {
-		return
-	}
-	c.current = d
-	close(c.changed)
-	c.changed = make(chan struct{})
-	c.options.Log.Info().Uint64("revision", d.Revision).Str("preset", string(d.Preset)).Msg("config: applied")
+	return c.held
 }
 
-// read returns the stored document and its store revision; a missing document
-// is revision zero.
-func (c *Configurer) read(ctx context.Context) (*declarer.Config, uint64, error) {
-	begun := time.Now()
-	entry, err := c.options.Store.Get(ctx, configKey)
-	var missing *storeclient.NotFoundError
-	if errors.As(err, &missing) {
-		return &declarer.Config{Preset: declarer.OrdinaryDay}, 0, nil
-	}
-	if err != nil {
-		return nil, 0, err
+// WorkHash names the declared work that is held, "" for none.
+func (c *Configurer) WorkHash() string {
+	if h := c.current(); h != nil {
+		return h.config.WorkHash
 	}
-	var d declarer.Config
-	if err := cbor.Unmarshal(entry.Value, &d); err != nil {
-		return nil, 0, errors.Wrap(err, "decode")
-	}
-	c.apply(&d, begun)
-	return &d, entry.Revision, nil
+	return ""
 }
 
-// Propose makes a change and returns the revision at which it was accepted.
-func (c *Configurer) Propose(ctx context.Context, ch Change) (uint64, error) {
-	ctx = storeclient.WithClass(ctx, storeclient.ClassConfig)
-	d, storeRevision, err := c.read(ctx)
+// Adopt takes over the configuration that a peer holds if it is newer. Work may
+// be nil if this daemon holds the work that the head names.
+func (c *Configurer) Adopt(head, work []byte) error {
+	h, err := declarer.DecodeHead(head)
 	if err != nil {
-		return 0, err
-	}
-	if note := find(d, ch.ID); note != nil {
-		return note.Revision, nil
-	}
-	if ch.Expected != 0 && ch.Expected != d.Revision {
-		return 0, conflict(ch, d)
-	}
-	next := *d
-	next.Revision++
-	if err := ch.Edit(&next); err != nil {
-		return 0, err
+		return err
 	}
-	if err := declarer.CheckConfig(&next); err != nil {
-		return 0, err
+	old := c.current()
+	if old != nil && h.Revision < old.config.Revision {
+		return nil
 	}
-	note := declarer.ChangeNote{ID: ch.ID, Revision: next.Revision, Operator: ch.Operator, Summary: ch.Summary, At: time.Now().UTC()}
-	next.Changes = append(slices.Clone(d.Changes), note)
-	if over := len(next.Changes) - keptChanges; over > 0 {
-		next.Changes = next.Changes[over:]
-	}
-	data, err := cbor.Marshal(&next)
+	next, err := c.join(h, head, func(hash string) ([]byte, error) {
+		if len(work) == 0 {
+			return nil, errors.Errorf("peer left out the declared work %.12s", hash)
+		}
+		return work, nil
+	})
 	if err != nil {
-		return 0, errors.Wrap(err, "encode")
+		return err
 	}
-	if _, err = c.options.Store.CompareAndSwap(ctx, configKey, data, storeRevision, 0); err != nil {
-		return c.settle(ctx, ch, err)
-	}
-	c.apply(&next, time.Time{})
-	return next.Revision, nil
+	c.apply(next, time.Time{}, "peer")
+	return nil
 }
 
-// settle finds out what became of a change whose compare-and-swap failed or
-// had no answer.
-func (c *Configurer) settle(ctx context.Context, ch Change, cause error) (uint64, error) {
-	d, _, err := c.read(ctx)
-	if err != nil {
-		return 0, &UndecidedError{cause}
+// join puts a head and its work together; it gets the work only if it isn't
+// the one that is held.
+func (c *Configurer) join(h declarer.Head, head []byte, get func(hash string) ([]byte, error)) (*held, error) {
+	old := c.current()
+	switch {
+	case h.WorkHash == "":
+		return &held{declarer.Assemble(h, declarer.Work{}), head, nil}, nil
+	case old != nil && old.config.WorkHash == h.WorkHash:
+		return &held{declarer.Assemble(h, old.config.Work()), head, old.work}, nil
 	}
-	if note := find(d, ch.ID); note != nil {
-		return note.Revision, nil
+	work, err := get(h.WorkHash)
+	if err != nil {
+		return nil, err
 	}
-	var lost *storeclient.ConflictError
-	if errors.As(cause, &lost) {
-		return 0, conflict(ch, d)
+	w, err := declarer.DecodeWork(h.WorkHash, work)
+	if err != nil {
+		return nil, err
 	}
-	return 0, &UndecidedError{cause}
+	return &held{declarer.Assemble(h, w), head, work}, nil
 }
 
-func conflict(ch Change, d *declarer.Config) error {
-	e := &ConflictError{Expected: ch.Expected, Current: d.Revision}
-	if n := len(d.Changes); n > 0 {
-		e.Other = d.Changes[n-1]
+// apply brings next into force if it is newer than what is held. A read that
+// shows the revision in force, or a newer one, confirms it.
+func (c *Configurer) apply(next *held, confirmedAt time.Time, source string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held != nil && next.config.Revision < c.held.config.Revision {
+		return
 	}
-	return e
-}
-
-func find(d *declarer.Config, id string) *declarer.ChangeNote {
-	for i := range d.Changes {
-		if d.Changes[i].ID == id {
-			return &d.Changes[i]
-		}
+	if confirmedAt.After(c.confirmedAt) {
+		c.confirmedAt = confirmedAt
 	}
-	return nil
-}
-
-// Run confirms the configuration until ctx ends.
-func (c *Configurer) Run(ctx context.Context) {
-	ctx = storeclient.WithClass(ctx, storeclient.ClassConfig)
-	t := time.NewTicker(confirmInterval)
-	defer t.Stop()
-	for {
-		if _, _, err := c.read(ctx); err != nil && ctx.Err() == nil {
-			c.options.Log.Warn().Err(err).Msg("config: store not read")
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
+	if c.held != nil && next.config.Revision == c.held.config.Revision {
+		if string(next.head) != string(c.held.head) {
+			c.options.Violated(10, "two configurations have the same revision")
 		}
+		return
 	}
+	c.held = next
+	close(c.changed)
+	c.changed = make(chan struct{})
+	c.metrics.applied.WithLabelValues(source).Inc()
+	c.options.Log.Info().Uint64("revision", next.config.Revision).Str("preset", string(next.config.Preset)).
+		Strs("domains_out", next.config.DomainsOut).Str("source", source).Msg("config: applied")
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -40,6 +40,17 @@
 
 func (e *NotOwnerError) Error() string { return "this daemon does not own shard " + e.Shard }
 
+// UndecidedError reports a call of which it isn't known whether its change was
+// or will be committed. Repeating the call is safe.
+type UndecidedError struct{ Err error }
+
+func (e *UndecidedError) Error() string {
+	return fmt.Sprintf("it is not known whether the change was committed: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UndecidedError) Unwrap() error { return e.Err }
+
 // Options are what a controller depends on.
 type Options struct {
 	// Self is this daemon's member id, and Control its control address.
@@ -110,7 +121,7 @@
 	case err := <-k.done:
 		return err
 	case <-ctx.Done():
-		return ctx.Err()
+		return &UndecidedError{ctx.Err()}
 	}
 }
 
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -164,7 +164,7 @@
 		o.waiting = append(o.waiting, o.inFlight.waiting...)
 	}
 	for _, w := range o.waiting {
-		w <- &NotOwnerError{o.controller.options.Domain}
+		w <- &UndecidedError{&NotOwnerError{o.controller.options.Domain}}
 	}
 }
 
--- a/internal/dispatcher/protocol.go
+++ b/internal/dispatcher/protocol.go
@@ -89,5 +89,9 @@
 	Leaving  bool               `json:"leaving,omitempty"`
 }
 
-// RoleWorker marks a worker in the platform's list.
-const RoleWorker = "worker"
+// The roles of instances in the platform's list. The address of a worker is
+// that of its API, the address of a daemon its control address.
+const (
+	RoleWorker = "worker"
+	RoleDaemon = "daemon"
+)
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -6,11 +6,9 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/twitchtv/twirp"
 
-	"tarragonhead.example/tarragonhead/internal/configurer"
 	"tarragonhead.example/tarragonhead/internal/controller"
 	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/messenger"
@@ -21,91 +19,29 @@
 	mux := http.NewServeMux()
 	mux.Handle(messenger.PeerPathPrefix, messenger.NewPeerServer(d))
 	mux.Handle(messenger.OperatorPathPrefix, messenger.NewOperatorServer(d))
-	mux.Handle("/metrics", promhttp.Handler())
+	mux.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{Registry: d.registry}))
 	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", d.ready)
 	return mux
 }
 
 func (d *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if reason := d.unreadiness(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+	}
+}
+
+// unreadiness says why the load balancer should send no callers here, "" if it
+// should.
+func (d *Server) unreadiness() string {
 	config, _ := d.config.Current()
 	switch {
 	case d.stopping.Load():
-		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return "stopping"
 	case config == nil:
-		http.Error(w, "no configuration", http.StatusServiceUnavailable)
-	}
-}
-
-// completeDigest adds the versions that this daemon holds.
-func (d *Server) completeDigest(g *messenger.Digest) {
-	if config, _ := d.config.Current(); config != nil {
-		g.ConfigRevision = config.Revision
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if t := d.controller.Routes(); t != nil {
-		d.owners[t.Shard] = &messenger.ShardOwner{Shard: t.Shard, Member: d.settings.ID, Epoch: t.Epoch, RoutesVersion: t.Version}
-	}
-	for _, o := range d.owners {
-		g.Owners = append(g.Owners, o)
-	}
-}
-
-// receiveDigest fetches what a peer has newer.
-func (d *Server) receiveDigest(g *messenger.Digest) {
-	d.mu.Lock()
-	for _, m := range g.Members {
-		d.addresses[m.Id] = m.ControlAddr
-	}
-	var stale []*messenger.ShardOwner
-	for _, o := range g.Owners {
-		known := d.owners[o.Shard]
-		if known == nil || o.Epoch > known.Epoch || (o.Epoch == known.Epoch && o.RoutesVersion > known.RoutesVersion) {
-			d.owners[o.Shard] = o
-		}
-		epoch, version := d.router.Version(o.Shard)
-		if o.Epoch > epoch || (o.Epoch == epoch && o.RoutesVersion > version) {
-			stale = append(stale, o)
-		}
-	}
-	from := d.addresses[g.From]
-	d.mu.Unlock()
-	for _, o := range stale {
-		go d.fetchRoutes(o)
-	}
-	if config, _ := d.config.Current(); from != "" && g.ConfigRevision > 0 && (config == nil || config.Revision < g.ConfigRevision) {
-		go d.fetchConfig(from)
-	}
-}
-
-func (d *Server) fetchRoutes(o *messenger.ShardOwner) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	d.mu.Lock()
-	addr := d.addresses[o.Member]
-	d.mu.Unlock()
-	if addr == "" {
-		return
-	}
-	table, err := d.dial(addr).FetchRoutes(ctx, &messenger.FetchRoutesRequest{Shard: o.Shard})
-	if err != nil {
-		d.log.Debug().Err(err).Str("shard", o.Shard).Msg("routes: not fetched")
-		return
-	}
-	d.router.Update(table)
-}
-
-func (d *Server) fetchConfig(addr string) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	doc, err := d.dial(addr).FetchConfig(ctx, &messenger.FetchConfigRequest{})
-	if err == nil && len(doc.Document) > 0 {
-		err = d.config.Adopt(doc.Document)
-	}
-	if err != nil {
-		d.log.Debug().Err(err).Msg("config: not fetched from a peer")
+		return "no configuration: neither the store nor a peer has given one"
 	}
+	return ""
 }
 
 // publishRoutes gives this daemon's own router the table of the owned shard.
@@ -124,32 +60,15 @@
 	}
 }
 
-// ownerAddress returns the control address of a shard's owner, "" if unknown.
-func (d *Server) ownerAddress(shard string) string {
-	if d.controller.Epoch() > 0 && shard == d.controller.Shard() {
-		return d.settings.control.String()
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if o := d.owners[shard]; o != nil {
-		return d.addresses[o.Member]
-	}
-	return ""
-}
-
 // Exchange implements messenger.Peer.
 func (d *Server) Exchange(_ context.Context, g *messenger.Digest) (*messenger.Digest, error) {
-	d.gossip.Receive(g)
-	return d.gossip.Digest(), nil
+	return d.gossip.Answer(g), nil
 }
 
 // FetchConfig implements messenger.Peer.
-func (d *Server) FetchConfig(context.Context, *messenger.FetchConfigRequest) (*messenger.ConfigDocument, error) {
-	revision, data, err := d.config.Encode()
-	if err != nil {
-		return nil, twirp.InternalErrorWith(err)
-	}
-	return &messenger.ConfigDocument{Revision: revision, Document: data}, nil
+func (d *Server) FetchConfig(_ context.Context, r *messenger.FetchConfigRequest) (*messenger.ConfigDocument, error) {
+	revision, head, work := d.config.Encode(r.WorkHash)
+	return &messenger.ConfigDocument{Revision: revision, Head: head, Work: work}, nil
 }
 
 // FetchRoutes implements messenger.Peer.
@@ -162,9 +81,12 @@
 
 // Submit implements messenger.Peer.
 func (d *Server) Submit(ctx context.Context, r *messenger.SubmitRequest) (*messenger.SubmitResponse, error) {
-	var j declarer.BatchJob
-	if err := cbor.Unmarshal(r.Job, &j); err != nil {
-		return nil, twirp.InvalidArgumentError("job", err.Error())
+	j, err := declarer.DecodeJob(r.Job)
+	if err != nil {
+		return nil, operatorError(err)
+	}
+	if err := d.checkShard(r.Shard); err != nil {
+		return nil, err
 	}
 	if err := d.controller.Submit(ctx, j); err != nil {
 		return nil, operatorError(err)
@@ -172,8 +94,19 @@
 	return &messenger.SubmitResponse{Shard: r.Shard}, nil
 }
 
+// checkShard refuses a call for a shard that this daemon never owns.
+func (d *Server) checkShard(shard string) error {
+	if shard != d.controller.Shard() {
+		return operatorError(&controller.NotOwnerError{Shard: shard})
+	}
+	return nil
+}
+
 // Cancel implements messenger.Peer.
 func (d *Server) Cancel(ctx context.Context, r *messenger.CancelRequest) (*messenger.CancelResponse, error) {
+	if err := d.checkShard(r.Shard); err != nil {
+		return nil, err
+	}
 	if err := d.controller.Cancel(ctx, r.JobId); err != nil {
 		return nil, operatorError(err)
 	}
@@ -193,32 +126,13 @@
 }
 
 // Inspect implements messenger.Peer.
-func (d *Server) Inspect(ctx context.Context, _ *messenger.InspectRequest) (*messenger.InspectResponse, error) {
+func (d *Server) Inspect(ctx context.Context, r *messenger.InspectRequest) (*messenger.InspectResponse, error) {
 	report, err := d.controller.Inspect(ctx)
+	if err == nil && r.Kind != "" {
+		report, err = explain(report, r.Kind, r.Id)
+	}
 	if err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.InspectResponse{Shard: d.controller.Shard(), Epoch: d.controller.Epoch(), Report: report}, nil
 }
-
-// operatorError gives an error the Twirp code that tells what to do about it.
-func operatorError(err error) error {
-	var invalid *declarer.InvalidError
-	var conflict *configurer.ConflictError
-	var undecided *configurer.UndecidedError
-	var notOwner *controller.NotOwnerError
-	var coded twirp.Error
-	switch {
-	case errors.As(err, &coded):
-		return err
-	case errors.As(err, &invalid):
-		return twirp.NewError(twirp.InvalidArgument, err.Error())
-	case errors.As(err, &conflict):
-		return twirp.NewError(twirp.Aborted, err.Error())
-	case errors.As(err, &undecided):
-		return twirp.NewError(twirp.Unknown, err.Error())
-	case errors.As(err, &notOwner):
-		return twirp.NewError(twirp.FailedPrecondition, err.Error())
-	}
-	return twirp.NewError(twirp.Unavailable, err.Error())
-}
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -1,19 +1,18 @@
 package server
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
+	"fmt"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
-	"github.com/twitchtv/twirp"
 
 	"tarragonhead.example/tarragonhead/internal/configurer"
 	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/messenger"
-	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
 // GetConfig implements messenger.Operator.
@@ -23,155 +22,125 @@
 
 // ChangeConfig implements messenger.Operator.
 func (d *Server) ChangeConfig(ctx context.Context, r *messenger.ChangeConfigRequest) (*messenger.ChangeConfigResponse, error) {
-	change := configurer.Change{ID: r.ChangeId, Operator: r.Operator, Expected: r.ExpectedRevision}
-	if r.ChangeId == "" {
-		return nil, twirp.RequiredArgumentError("change_id")
+	summary, edit, err := changeOf(r)
+	if err != nil {
+		return nil, operatorError(err)
+	}
+	revision, err := d.config.Propose(ctx, configurer.Change{ID: r.ChangeId, Operator: r.Operator, Expected: r.ExpectedRevision, Summary: summary, Edit: edit})
+	if err != nil {
+		return nil, operatorError(err)
 	}
+	return &messenger.ChangeConfigResponse{Revision: revision}, nil
+}
+
+// changeOf returns what a request does, and its summary, which is the same for
+// the same content only.
+func changeOf(r *messenger.ChangeConfigRequest) (summary string, edit func(*declarer.Config) error, err error) {
 	switch ch := r.Change.(type) {
 	case *messenger.ChangeConfigRequest_Preset:
-		change.Summary = "preset " + ch.Preset
-		change.Edit = func(c *declarer.Config) error {
+		return "preset " + ch.Preset, func(c *declarer.Config) error {
 			c.Preset = declarer.Preset(ch.Preset)
 			return nil
-		}
+		}, nil
 	case *messenger.ChangeConfigRequest_TakeOut:
-		change.Summary = "take out " + ch.TakeOut
-		change.Edit = func(c *declarer.Config) error {
-			if !c.IsOut(ch.TakeOut) {
-				c.DomainsOut = slices.Sorted(slices.Values(append(slices.Clone(c.DomainsOut), ch.TakeOut)))
-			}
-			return nil
-		}
+		return "take out " + ch.TakeOut, func(c *declarer.Config) error { return takeOut(c, ch.TakeOut) }, nil
 	case *messenger.ChangeConfigRequest_BringBack:
-		change.Summary = "bring back " + ch.BringBack
-		change.Edit = func(c *declarer.Config) error {
-			c.DomainsOut = slices.DeleteFunc(slices.Clone(c.DomainsOut), func(out string) bool { return out == ch.BringBack })
-			return nil
-		}
+		return "bring back " + ch.BringBack, func(c *declarer.Config) error { return bringBack(c, ch.BringBack) }, nil
 	case *messenger.ChangeConfigRequest_Declare:
-		var w declarer.Workload
 		w, err := declarer.Parse(ch.Declare)
 		if err != nil {
-			return nil, operatorError(err)
+			return "", nil, err
 		}
-		change.Summary = "declare work of " + w.User
-		change.Edit = func(c *declarer.Config) error {
-			c.Domains = nil
-			for _, domain := range w.Platform.Domains {
-				c.Domains = append(c.Domains, domain.Name)
-			}
-			c.Teams, c.Services, c.Watchers = w.Teams, w.Services, w.Watchers
-			return nil
-		}
-	default:
-		return nil, twirp.RequiredArgumentError("change")
+		summary := fmt.Sprintf("declare work of %s (%016x)", w.User, xxhash.Sum64(ch.Declare))
+		return summary, func(c *declarer.Config) error { return declare(c, w) }, nil
 	}
-	revision, err := d.config.Propose(ctx, change)
-	if err != nil {
-		return nil, operatorError(err)
-	}
-	return &messenger.ChangeConfigResponse{Revision: revision}, nil
+	return "", nil, invalid("change", "missing, want preset, take_out, bring_back or declare")
 }
 
-// jobEntry is the value of a job's index key.
-type jobEntry struct {
-	Shard string `json:"shard"`
-	Hash  uint64 `json:"hash"`
+func invalid(field, format string, args ...any) error {
+	return &declarer.InvalidError{Document: "change", Problems: []*declarer.FieldError{{Field: field, Problem: fmt.Sprintf(format, args...)}}}
 }
 
-// SubmitJob implements messenger.Operator: it fixes the job's shard in the
-// store, so that a repeated submission goes to the same one, and gives the job
-// to the shard's owner.
-func (d *Server) SubmitJob(ctx context.Context, r *messenger.SubmitRequest) (*messenger.SubmitResponse, error) {
-	config, _ := d.config.Current()
-	if config == nil {
-		return nil, twirp.NewError(twirp.Unavailable, "no configuration")
-	}
-	var j declarer.BatchJob
-	if err := cbor.Unmarshal(r.Job, &j); err != nil {
-		return nil, twirp.InvalidArgumentError("job", err.Error())
-	}
-	if err := declarer.CheckJob(j, config); err != nil {
-		return nil, operatorError(err)
-	}
-	entry, existed, err := d.indexJob(ctx, j, r.Job, config)
-	if err != nil {
-		return nil, operatorError(err)
-	}
-	if entry.Hash != xxhash.Sum64(r.Job) {
-		return nil, twirp.NewError(twirp.AlreadyExists, "job "+j.ID+" was submitted with other content")
-	}
-	addr := d.ownerAddress(entry.Shard)
-	if addr == "" {
-		return nil, twirp.NewError(twirp.Unavailable, "no owner known for shard "+entry.Shard)
-	}
-	response, err := d.dial(addr).Submit(ctx, &messenger.SubmitRequest{Job: r.Job, Shard: entry.Shard})
-	if err != nil {
-		return nil, err
-	}
-	response.Existed = existed
-	return response, nil
+func takeOut(c *declarer.Config, domain string) error {
+	switch {
+	case !slices.Contains(c.Domains, domain):
+		return invalid("take_out", "unknown failure domain %q; known are %v", domain, c.Domains)
+	case !c.IsOut(domain):
+		c.DomainsOut = slices.Sorted(slices.Values(append(slices.Clone(c.DomainsOut), domain)))
+	}
+	return nil
 }
 
-func (d *Server) indexJob(ctx context.Context, j declarer.BatchJob, encoded []byte, config *declarer.Config) (jobEntry, bool, error) {
-	ctx = storeclient.WithClass(ctx, storeclient.ClassConfig)
-	in := config.DomainsIn()
-	if len(in) == 0 {
-		return jobEntry{}, false, errors.New("every domain is out of service")
-	}
-	entry := jobEntry{Shard: in[xxhash.Sum64String(j.ID)%uint64(len(in))], Hash: xxhash.Sum64(encoded)}
-	if j.Domain != "" {
-		entry.Shard = j.Domain
+func bringBack(c *declarer.Config, domain string) error {
+	if !slices.Contains(c.Domains, domain) {
+		return invalid("bring_back", "unknown failure domain %q; known are %v", domain, c.Domains)
 	}
-	value, err := json.Marshal(entry)
-	if err != nil {
-		return jobEntry{}, false, err
-	}
-	key := "job/" + j.ID
-	_, err = d.store.CompareAndSwap(ctx, key, value, 0, 0)
-	if err == nil {
-		return entry, false, nil
-	}
-	found, readErr := d.store.Get(ctx, key)
-	if readErr != nil {
-		return jobEntry{}, false, err
-	}
-	return entry, true, errors.Wrap(json.Unmarshal(found.Value, &entry), "decode")
+	c.DomainsOut = slices.DeleteFunc(slices.Clone(c.DomainsOut), func(out string) bool { return out == domain })
+	return nil
 }
 
-// CancelJob implements messenger.Operator.
-func (d *Server) CancelJob(ctx context.Context, r *messenger.CancelRequest) (*messenger.CancelResponse, error) {
-	found, err := d.store.Get(storeclient.WithClass(ctx, storeclient.ClassRead), "job/"+r.JobId)
-	if err != nil {
-		return nil, operatorError(err)
-	}
-	var entry jobEntry
-	if err := json.Unmarshal(found.Value, &entry); err != nil {
-		return nil, operatorError(err)
-	}
-	addr := d.ownerAddress(entry.Shard)
-	if addr == "" {
-		return nil, twirp.NewError(twirp.Unavailable, "no owner known for shard "+entry.Shard)
+// declare replaces the declared work. A failure domain leaves the declaration
+// only after it was taken out of service, so that a missing line in a file
+// empties no domain.
+func declare(c *declarer.Config, w declarer.Workload) error {
+	var domains []string
+	for _, domain := range w.Platform.Domains {
+		domains = append(domains, domain.Name)
+	}
+	slices.Sort(domains)
+	for _, domain := range c.DomainsIn() {
+		if !slices.Contains(domains, domain) {
+			return invalid("platform.domains", "failure domain %q is missing and in service; take it out first", domain)
+		}
 	}
-	return d.dial(addr).Cancel(ctx, &messenger.CancelRequest{JobId: r.JobId, Shard: entry.Shard})
+	c.DomainsOut = slices.DeleteFunc(slices.Clone(c.DomainsOut), func(out string) bool { return !slices.Contains(domains, out) })
+	c.Domains, c.Worker, c.Teams, c.Services, c.Watchers = domains, w.Platform.Worker, w.Teams, w.Services, w.Watchers
+	return nil
 }
 
 // Status implements messenger.Operator.
 func (d *Server) Status(ctx context.Context, r *messenger.InspectRequest) (*messenger.StatusResponse, error) {
-	response := &messenger.StatusResponse{Daemon: d.settings.ID, Members: d.gossip.View()}
+	response := &messenger.StatusResponse{Daemon: d.settings.ID, Unanswered: map[string]string{}}
+	for _, s := range d.gossip.Statuses() {
+		response.Members = append(response.Members, s.Member)
+		if s.Suspected {
+			response.Suspected = append(response.Suspected, s.Member.Id)
+		}
+	}
+	if err := checkKind(r.Kind, r.Id); err != nil {
+		return nil, operatorError(err)
+	}
 	config, _ := d.config.Current()
 	if config == nil {
 		return response, nil
 	}
 	response.ConfigRevision = config.Revision
+	var mu sync.Mutex
+	var calls sync.WaitGroup
 	for _, domain := range config.Domains {
-		addr := d.ownerAddress(domain)
-		if addr == "" || (r.Shard != "" && r.Shard != domain) {
+		if r.Shard != "" && r.Shard != domain {
 			continue
 		}
-		if report, err := d.dial(addr).Inspect(ctx, &messenger.InspectRequest{Shard: domain}); err == nil {
+		calls.Go(func() {
+			report, err := d.inspect(ctx, domain, r)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				response.Unanswered[domain] = err.Error()
+				return
+			}
 			response.Shards = append(response.Shards, report)
-		}
+		})
 	}
+	calls.Wait()
+	slices.SortFunc(response.Shards, func(a, b *messenger.InspectResponse) int { return cmp.Compare(a.Shard, b.Shard) })
 	return response, nil
 }
+
+func (d *Server) inspect(ctx context.Context, shard string, r *messenger.InspectRequest) (*messenger.InspectResponse, error) {
+	addr := d.ownerAddress(shard)
+	if addr == "" {
+		return nil, errors.New("no owner known")
+	}
+	return d.dial(addr).Inspect(ctx, &messenger.InspectRequest{Shard: shard, Kind: r.Kind, Id: r.Id})
+}
--- /dev/null
+++ b/internal/server/owners.go
@@ -0,0 +1,150 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tarragonhead.example/tarragonhead/internal/messenger"
+)
+
+// fetchTimeout bounds a fetch of a routing table or configuration; the next
+// digest, at most a second later, starts another.
+const fetchTimeout = time.Second
+
+// maxOwners bounds the shard owners taken from digests.
+const maxOwners = 1024
+
+// completeDigest adds the versions that this daemon holds. The owners
+// themselves are added only to the answer to a digest with other ones.
+func (d *Server) completeDigest(g, answered *messenger.Digest) {
+	if config, _ := d.config.Current(); config != nil {
+		g.ConfigRevision = config.Revision
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t := d.controller.Routes(); t != nil {
+		d.owners[t.Shard] = &messenger.ShardOwner{Shard: t.Shard, Member: d.settings.ID, Epoch: t.Epoch, RoutesVersion: t.Version}
+	}
+	shards := slices.Sorted(maps.Keys(d.owners))
+	h := xxhash.New()
+	for _, shard := range shards {
+		o := d.owners[shard]
+		_, _ = fmt.Fprintf(h, "%s %s %d %d\n", o.Shard, o.Member, o.Epoch, o.RoutesVersion)
+	}
+	g.OwnersHash = h.Sum64()
+	if answered == nil || answered.OwnersHash == g.OwnersHash {
+		return
+	}
+	for _, shard := range shards {
+		g.Owners = append(g.Owners, d.owners[shard])
+	}
+}
+
+// receiveDigest fetches what a peer has newer.
+func (d *Server) receiveDigest(g *messenger.Digest, from string) {
+	var stale []*messenger.ShardOwner
+	d.mu.Lock()
+	for _, o := range g.Owners {
+		known := d.owners[o.Shard]
+		if known == nil && len(d.owners) >= maxOwners {
+			continue
+		}
+		if known == nil || isNewerOwner(o, known) {
+			d.owners[o.Shard] = o
+		}
+	}
+	for _, o := range d.owners {
+		epoch, version := d.router.Version(o.Shard)
+		if o.Member != d.settings.ID && isNewerOwner(o, &messenger.ShardOwner{Epoch: epoch, RoutesVersion: version}) {
+			stale = append(stale, o)
+		}
+	}
+	d.mu.Unlock()
+	for _, o := range stale {
+		d.fetch("routes "+o.Shard, func(ctx context.Context) { d.fetchRoutes(ctx, o) })
+	}
+	if config, _ := d.config.Current(); from != "" && g.ConfigRevision > 0 && (config == nil || config.Revision < g.ConfigRevision) {
+		d.fetch("config", func(ctx context.Context) { d.fetchConfig(ctx, from) })
+	}
+}
+
+func isNewerOwner(a, b *messenger.ShardOwner) bool {
+	return a.Epoch > b.Epoch || (a.Epoch == b.Epoch && a.RoutesVersion > b.RoutesVersion)
+}
+
+// fetch runs f in the background unless the same thing is being fetched now.
+func (d *Server) fetch(what string, f func(context.Context)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fetching[what] {
+		return
+	}
+	d.fetching[what] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+		defer cancel()
+		f(ctx)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.fetching, what)
+	}()
+}
+
+func (d *Server) fetchRoutes(ctx context.Context, o *messenger.ShardOwner) {
+	m := d.gossip.Find(o.Member)
+	if m == nil {
+		return
+	}
+	table, err := d.dial(m.ControlAddr).FetchRoutes(ctx, &messenger.FetchRoutesRequest{Shard: o.Shard})
+	if err != nil {
+		d.log.Debug().Err(err).Str("shard", o.Shard).Msg("routes: not fetched")
+		return
+	}
+	d.router.Update(table)
+}
+
+func (d *Server) fetchConfig(ctx context.Context, addr string) {
+	doc, err := d.dial(addr).FetchConfig(ctx, &messenger.FetchConfigRequest{WorkHash: d.config.WorkHash()})
+	if err == nil && len(doc.Head) > 0 {
+		err = d.config.Adopt(doc.Head, doc.Work)
+	}
+	if err != nil {
+		d.log.Debug().Err(err).Str("peer", addr).Msg("config: not fetched from a peer")
+	}
+}
+
+// spreadChanges tells peers of a new configuration at once, for those that the
+// store does not reach.
+func (d *Server) spreadChanges(ctx context.Context) {
+	for {
+		changed := d.config.Changed()
+		d.gossip.Nudge()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// ownerAddress returns the control address of a shard's owner, "" if unknown.
+func (d *Server) ownerAddress(shard string) string {
+	if d.controller.Epoch() > 0 && shard == d.controller.Shard() {
+		return d.settings.control.String()
+	}
+	d.mu.Lock()
+	o := d.owners[shard]
+	d.mu.Unlock()
+	if o == nil {
+		return ""
+	}
+	if m := d.gossip.Find(o.Member); m != nil {
+		return m.ControlAddr
+	}
+	return ""
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,12 +9,15 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/valyala/fasthttp"
 
 	"tarragonhead.example/tarragonhead/internal/configurer"
@@ -28,6 +31,9 @@
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
+// peerTimeout bounds a call to another daemon.
+const peerTimeout = 2 * time.Second
+
 // maxBodyBytes is the largest request body that a caller may send.
 const maxBodyBytes = 4 << 20
 
@@ -41,19 +47,22 @@
 	gossip     *gossiper.Gossiper
 	router     *router.Router
 	peers      *http.Client
+	registry   *prometheus.Registry
+	violations *prometheus.CounterVec
 	// stopping is set from the first stop signal on; readiness then fails.
 	stopping atomic.Bool
 
 	mu sync.Mutex
 	// owners has the highest epoch seen of each shard.
 	owners map[string]*messenger.ShardOwner
-	// addresses has the control address of each member seen.
-	addresses map[string]string
+	// fetching has what is being fetched from a peer now.
+	fetching map[string]bool
 }
 
-// New checks the settings and returns a daemon that isn't running. The error
-// is a SettingsError when settings are not accepted.
-func New(s Settings, output io.Writer) (*Server, error) {
+// New checks the settings and returns a daemon that isn't running. It logs to
+// output and registers its metrics with registry. The error is a SettingsError
+// when settings are not accepted.
+func New(s Settings, output io.Writer, registry *prometheus.Registry) (*Server, error) {
 	c, err := s.check()
 	if err != nil {
 		return nil, err
@@ -64,26 +73,59 @@
 	}
 	logger := &log.Logger{Level: log.ParseLevel(s.LogLevel), Writer: &log.IOWriter{Writer: output}, TimeFormat: time.RFC3339Nano}
 	d := &Server{
-		settings: c, log: logger, owners: map[string]*messenger.ShardOwner{}, addresses: map[string]string{},
+		settings: c, log: logger, registry: registry, owners: map[string]*messenger.ShardOwner{}, fetching: map[string]bool{},
 		store: storeclient.Limit(storeclient.HTTP(c.store), storeclient.DefaultRates),
-		peers: &http.Client{Timeout: 2 * time.Second},
+		peers: &http.Client{Timeout: peerTimeout},
+		violations: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{Name: "tarragond_invariant_violations_total", Help: "Violations of an invariant of the design, by its number."},
+			[]string{"invariant"}),
 	}
+	promauto.With(registry).NewGaugeFunc(prometheus.GaugeOpts{Name: "tarragond_ready", Help: "1 if /readyz answers that the daemon is ready, else 0."}, func() float64 {
+		if d.unreadiness() == "" {
+			return 1
+		}
+		return 0
+	})
 	caller := dispatcher.NewCaller()
-	d.config = configurer.New(configurer.Options{Store: d.store, Log: logger})
+	instances := func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) }
+	d.config = configurer.New(configurer.Options{
+		Store: d.store, Log: logger, Registry: registry, Violated: d.violated,
+		Owning: func() bool { return d.controller.Epoch() > 0 },
+	})
 	d.router = router.New(router.Options{Domain: c.Domain, Log: logger})
 	d.controller = controller.New(controller.Options{
 		Self: c.ID, Control: c.control, Domain: c.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
-		Worker: caller.Worker, Log: logger,
-		Instances: func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) },
+		Worker: caller.Worker, Log: logger, Instances: instances,
 	})
 	self := &messenger.Member{Id: c.ID, Domain: c.Domain, ControlAddr: c.control.String(), TrafficAddr: c.traffic.String(), Incarnation: uint64(time.Now().UnixNano())}
 	d.gossip = gossiper.New(gossiper.Options{
-		Self: self, Seeds: c.peers, Dial: d.dial, Complete: d.completeDigest, Received: d.receiveDigest, Log: logger,
+		Self: self, Seeds: c.peers, Dial: d.dial, Complete: d.completeDigest, Received: d.receiveDigest, Log: logger, Registry: registry,
 		Preferred: func() string { return d.ownerAddress(c.Domain) }, Rand: rand.New(rand.NewPCG(self.Incarnation, 0)),
+		Instances: func(ctx context.Context) ([]netip.AddrPort, error) {
+			list, err := instances(ctx)
+			return daemonAddresses(list), err
+		},
 	})
 	return d, nil
 }
 
+// daemonAddresses returns the control addresses of the daemons in the
+// platform's list that are not leaving.
+func daemonAddresses(list []dispatcher.Instance) []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, in := range list {
+		if in.Role == dispatcher.RoleDaemon && !in.Leaving {
+			addrs = append(addrs, in.Addr)
+		}
+	}
+	return addrs
+}
+
+// violated records that an invariant does not hold.
+func (d *Server) violated(invariant int, problem string) {
+	d.violations.WithLabelValues(strconv.Itoa(invariant)).Inc()
+	d.log.Error().Int("invariant", invariant).Str("problem", problem).Msg("server: invariant violated")
+}
+
 func (d *Server) dial(addr string) messenger.Peer {
 	return messenger.NewPeerProtobufClient("http://"+addr, d.peers)
 }
@@ -110,6 +152,7 @@
 	parts.Go(func() { d.config.Run(running) })
 	parts.Go(func() { d.gossip.Run(running) })
 	parts.Go(func() { d.publishRoutes(running) })
+	parts.Go(func() { d.spreadChanges(running) })
 	owning, release := context.WithCancel(running)
 	defer release()
 	parts.Go(func() { d.controller.Run(owning) })
@@ -121,8 +164,9 @@
 	}
 	d.log.Info().Msg("server: stopping")
 	d.stopping.Store(true)
+	parts.Go(func() { d.gossip.Leave(running) })
 	release()
-	draining, stop := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+	draining, stop := context.WithTimeout(context.Background(), d.settings.drainTimeout)
 	defer stop()
 	err = trafficServer.ShutdownWithContext(draining)
 	cancel()
