Drive shards by their chart, with lease horizons, settled starts and hand-over

Cause: in the thin version a start without an answer stayed in state starting, a new owner took every worker as live without asking, loss of a worker was counted from the last answered renewal although an unanswered one may have extended the leases, acknowledgements followed the name in the report, commands without a session were dropped, HandOver commands went nowhere, and only the own domain's shard could be owned.

Change: one goroutine per shard drives the chart (candidate to released; event fail added for faults that are no conflict). Sessions stop renewing at the first unanswered request and note each lease before they send it; reports settle starts once the command's validity has passed; a new owner asks every worker before it starts anything; unreachable workers keep their attempts until lease or horizon has run out, by class. A worker that has met a later epoch makes the owner step down. Transfers are sent until confirmed. Daemons of other domains take a shard that has had no owner for 15 s and hand its waiting work over. Each class of store calls has its own connections, rate and burst.

The core gets the events WorkerUnreachable and Caretaking, a class in WorkerLost, and Lookup. The stand-in store has faults, a lagging list and counts by class; the stand-in worker has lagging usage, throttling, progress with checkpoints and a record of its attempts.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,4 +1,4 @@
-// Package controller owns a shard: it takes the shard's lease, replays the
+// Package controller owns shards: it takes a shard's lease, replays the
 // ledger, and then drives the control core, commits its changes and carries
 // out its commands.
 package controller
@@ -6,16 +6,14 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
-	"tarragonhead.example/tarragonhead/internal/committer"
 	"tarragonhead.example/tarragonhead/internal/configurer"
 	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
@@ -25,21 +23,21 @@
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
-const (
-	ownerLease = 6 * time.Second
-	keepAlive  = 2 * time.Second
-	// groupInterval is how long changes are gathered into one record.
-	groupInterval = 250 * time.Millisecond
-	// snapshotEvery is the number of records after which a snapshot is due.
-	snapshotEvery = 256
-	retryPause    = 500 * time.Millisecond
-)
-
-// NotOwnerError reports a call to a daemon that doesn't own the shard.
+// NotOwnerError reports a call to a daemon that doesn't own the shard. What
+// the call asked for may still be committed if it had been accepted before the
+// shard was lost.
 type NotOwnerError struct{ Shard string }
 
 func (e *NotOwnerError) Error() string { return "this daemon does not own shard " + e.Shard }
 
+// NotAcceptedError reports a call that changed nothing.
+type NotAcceptedError struct {
+	Shard  string
+	Reason string
+}
+
+func (e *NotAcceptedError) Error() string { return "shard " + e.Shard + ": " + e.Reason }
+
 // Options are what a controller depends on.
 type Options struct {
 	// Self is this daemon's member id, and Control its control address.
@@ -53,24 +51,30 @@
 	Worker  func(addr netip.AddrPort) dispatcher.Worker
 	// Instances returns the platform's list of instances.
 	Instances func(ctx context.Context) ([]dispatcher.Instance, error)
-	Log       *log.Logger
-}
-
-// Owner is the value of a shard's owner key.
-type Owner struct {
-	Member  string `json:"member"`
-	Control string `json:"control"`
+	// Peer returns the client of a shard's owner, nil if none is known.
+	Peer func(shard string) messenger.Peer
+	// IsPresent reports whether a daemon of a domain is known to be alive.
+	IsPresent func(domain string) bool
+	// Violated is called with a broken invariant; the shard is then given up
+	// and replayed. Nil panics, as tests want.
+	Violated func(error)
+	Log      *log.Logger
 }
 
 // Controller is safe for concurrent use; Run is called once.
 type Controller struct {
 	options Options
-	routes  atomic.Pointer[messenger.RoutingTable]
-	epoch   atomic.Uint64
-	calls   chan call
+
+	mu     sync.Mutex
+	shards map[string]*shard
 }
 
-// call is a function to run on the control goroutine.
+// New returns a controller that owns nothing yet.
+func New(o Options) *Controller {
+	return &Controller{options: o, shards: map[string]*shard{}}
+}
+
+// call is a function to run on a shard's control goroutine.
 type call struct {
 	// run returns an event to handle, or nil.
 	run func(*owner) (*scheduler.Event, error)
@@ -78,31 +82,53 @@
 	done chan error
 }
 
-// New returns a controller that owns nothing yet.
-func New(o Options) *Controller {
-	return &Controller{options: o, calls: make(chan call)}
+// Owned returns the shards that this daemon owns, sorted.
+func (c *Controller) Owned() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var owned []string
+	for name, s := range c.shards {
+		if s.epoch.Load() > 0 {
+			owned = append(owned, name)
+		}
+	}
+	slices.Sort(owned)
+	return owned
 }
 
-// Epoch returns the epoch in which this daemon owns its shard, zero if it does
+// Epoch returns the epoch in which this daemon owns a shard, zero if it does
 // not.
-func (c *Controller) Epoch() uint64 { return c.epoch.Load() }
-
-// Shard returns the shard that this daemon owns or would own.
-func (c *Controller) Shard() string { return c.options.Domain }
+func (c *Controller) Epoch(shard string) uint64 {
+	if s := c.find(shard); s != nil {
+		return s.epoch.Load()
+	}
+	return 0
+}
 
-// Routes returns the routing table of the owned shard, nil if it owns none.
-func (c *Controller) Routes() *messenger.RoutingTable {
-	if c.Epoch() == 0 {
-		return nil
+// Routes returns the routing table of a shard that this daemon owns, else nil.
+func (c *Controller) Routes(shard string) *messenger.RoutingTable {
+	if s := c.find(shard); s != nil && s.epoch.Load() > 0 {
+		return s.routes.Load()
 	}
-	return c.routes.Load()
+	return nil
+}
+
+func (c *Controller) find(name string) *shard {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shards[name]
 }
 
-// do runs f on the control goroutine and waits for the commit of its event.
-func (c *Controller) do(ctx context.Context, f func(*owner) (*scheduler.Event, error)) error {
+// do runs f on the shard's control goroutine and waits for the commit of its
+// event.
+func (c *Controller) do(ctx context.Context, name string, f func(*owner) (*scheduler.Event, error)) error {
+	s := c.find(name)
+	if s == nil || s.epoch.Load() == 0 {
+		return &NotOwnerError{name}
+	}
 	k := call{f, make(chan error, 1)}
 	select {
-	case c.calls <- k:
+	case s.calls <- k:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -115,22 +141,33 @@
 }
 
 // Submit accepts a job; it returns after the commit.
-func (c *Controller) Submit(ctx context.Context, j declarer.BatchJob) error {
-	return c.do(ctx, func(*owner) (*scheduler.Event, error) {
+func (c *Controller) Submit(ctx context.Context, shard string, j declarer.BatchJob) error {
+	return c.do(ctx, shard, func(o *owner) (*scheduler.Event, error) {
+		if err := o.checkRoom(); err != nil {
+			return nil, err
+		}
 		return &scheduler.Event{Submitted: &scheduler.JobSubmitted{Job: j}}, nil
 	})
 }
 
 // Cancel cancels a job; it returns after the commit.
-func (c *Controller) Cancel(ctx context.Context, id string) error {
-	return c.do(ctx, func(*owner) (*scheduler.Event, error) {
+func (c *Controller) Cancel(ctx context.Context, shard, id string) error {
+	return c.do(ctx, shard, func(*owner) (*scheduler.Event, error) {
 		return &scheduler.Event{Cancelled: &scheduler.JobCancelled{JobID: id}}, nil
 	})
 }
 
-// TakeOver accepts a task from another shard; it returns after the commit.
-func (c *Controller) TakeOver(ctx context.Context, offer scheduler.TransferOffered) error {
-	return c.do(ctx, func(*owner) (*scheduler.Event, error) {
+// TakeOver accepts a task from another shard; it returns after the commit. A
+// repeated offer of the same transfer changes nothing.
+func (c *Controller) TakeOver(ctx context.Context, shard string, offer scheduler.TransferOffered) error {
+	return c.do(ctx, shard, func(o *owner) (*scheduler.Event, error) {
+		if err := o.checkRoom(); err != nil {
+			return nil, err
+		}
+		// A task that comes back waits until its way out is confirmed.
+		if t, ok := o.core.Lookup(offer.Task.ID); ok && t.State == scheduler.HandingOver {
+			return nil, &NotAcceptedError{shard, "task " + string(t.ID) + " is being handed over"}
+		}
 		return &scheduler.Event{Offered: &offer}, nil
 	})
 }
@@ -144,163 +181,73 @@
 	Workers []scheduler.Worker `json:"workers"`
 }
 
-// Inspect returns the state of the owned shard as JSON.
-func (c *Controller) Inspect(ctx context.Context) ([]byte, error) {
-	var data []byte
-	err := c.do(ctx, func(o *owner) (*scheduler.Event, error) {
+// Inspect returns the state of an owned shard as JSON.
+func (c *Controller) Inspect(ctx context.Context, shard string) ([]byte, error) {
+	var r Report
+	err := c.do(ctx, shard, func(o *owner) (*scheduler.Event, error) {
 		s := o.core.Snapshot()
-		var err error
-		data, err = json.Marshal(Report{c.options.Domain, o.ledger.Epoch(), s.Tasks, s.Jobs, s.Workers})
-		return nil, err
+		r = Report{shard, o.ledger.Epoch(), s.Tasks, s.Jobs, s.Workers}
+		return nil, nil
 	})
-	return data, err
-}
-
-// Run owns the shard whenever it can, until ctx ends.
-func (c *Controller) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := c.own(ctx)
-		c.epoch.Store(0)
-		if err != nil && ctx.Err() == nil {
-			c.options.Log.Info().Err(err).Msg("shard: not owned")
-		}
-		c.refuseCalls(ctx, retryPause)
-	}
-}
-
-// refuseCalls answers calls for a while as a daemon that owns nothing.
-func (c *Controller) refuseCalls(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	for {
-		select {
-		case k := <-c.calls:
-			k.done <- &NotOwnerError{c.options.Domain}
-		case <-t.C:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// own takes the shard, drives it until it is lost or ctx ends, and gives it
-// back.
-func (c *Controller) own(ctx context.Context) error {
-	lease, err := c.acquire(ctx)
 	if err != nil {
-		return err
-	}
-	defer func() {
-		ending, cancel := context.WithTimeout(storeclient.WithClass(context.Background(), storeclient.ClassOwnership), time.Second)
-		defer cancel()
-		if err := c.options.Store.Revoke(ending, lease); err != nil {
-			c.options.Log.Warn().Err(err).Msg("shard: lease not revoked")
-		}
-	}()
-	ledger := committer.New(committer.Options{Store: c.options.Store, Shard: c.options.Domain, Writer: c.options.Self})
-	core := scheduler.New(scheduler.Options{Shard: c.options.Domain, Domain: c.options.Domain, Charts: c.options.Charts, Policy: c.options.Policy})
-	begun := time.Now()
-	if err := ledger.Replay(ctx, core); err != nil {
-		return err
-	}
-	if err := ledger.Begin(ctx, nil); err != nil {
-		return err
-	}
-	c.options.Log.Info().Uint64("epoch", ledger.Epoch()).Uint64("sequence", ledger.Next()).Dur("replay", time.Since(begun)).Msg("shard: owned")
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	o := &owner{
-		controller: c, core: core, ledger: ledger, ctx: ctx,
-		events: make(chan scheduler.Event, 1024), sessions: map[string]*session{}, runners: map[string]*messenger.Route{},
-		committed: make(chan error, 1), lost: make(chan error, 1),
+		return nil, err
 	}
-	o.background.Go(func() { o.lost <- c.hold(ctx, lease) })
-	c.routes.Store(&messenger.RoutingTable{Shard: c.options.Domain, Epoch: ledger.Epoch()})
-	c.epoch.Store(ledger.Epoch())
-	err = o.run()
-	cancel()
-	o.background.Wait()
-	return err
+	data, err := json.Marshal(r)
+	return data, errors.Wrap(err, "encode")
 }
 
-// acquire makes this daemon the shard's owner, or returns the error of the
-// compare-and-swap.
-func (c *Controller) acquire(ctx context.Context) (storeclient.LeaseID, error) {
-	ctx = storeclient.WithClass(ctx, storeclient.ClassOwnership)
-	key := "owner/" + c.options.Domain
-	if entry, err := c.options.Store.Get(ctx, key); err == nil {
-		var other Owner
-		if err := json.Unmarshal(entry.Value, &other); err != nil {
-			return 0, errors.Wrap(err, "decode")
-		}
-		return 0, fmt.Errorf("owned by %s", other.Member)
-	}
-	lease, err := c.options.Store.Grant(ctx, ownerLease)
-	if err != nil {
-		return 0, err
-	}
-	value, err := json.Marshal(Owner{c.options.Self, c.options.Control.String()})
-	if err != nil {
-		return 0, err
-	}
-	if _, err := c.options.Store.CompareAndSwap(ctx, key, value, 0, lease); err != nil {
-		return 0, err
-	}
-	return lease, nil
-}
+const (
+	// retryPause is between two tries of an undecided append.
+	retryPause = 500 * time.Millisecond
+	// homePause is between two attempts to take the shard of the own domain.
+	homePause = 250 * time.Millisecond
+	// foreignPause is between two looks at the owner of another domain's
+	// shard, and foreignPatience how long that shard must be without one.
+	foreignPause    = 3 * time.Second
+	foreignPatience = 15 * time.Second
+)
 
-// hold keeps the shard's lease alive and returns when it has ended. While the
-// store can't be reached the shard stays owned: nobody else can take it.
-func (c *Controller) hold(ctx context.Context, lease storeclient.LeaseID) error {
-	ctx = storeclient.WithClass(ctx, storeclient.ClassOwnership)
-	t := time.NewTicker(keepAlive)
+// Run owns the shard of the own domain whenever it can, and those of other
+// domains that have no daemon left, until ctx ends. Then it releases them.
+func (c *Controller) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	home := c.add(c.options.Domain)
+	all.Go(func() { home.run(ctx) })
+	t := time.NewTicker(time.Second)
 	defer t.Stop()
 	for {
+		if config, _ := c.options.Config.Current(); config != nil {
+			for _, domain := range config.Domains {
+				if c.find(domain) == nil {
+					s := c.add(domain)
+					all.Go(func() { s.run(ctx) })
+				}
+			}
+		}
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-t.C:
 		}
-		var ended *storeclient.LeaseError
-		if err := c.options.Store.KeepAlive(ctx, lease); errors.As(err, &ended) {
-			return err
-		}
 	}
 }
 
-// owner is the state of the control goroutine while it owns the shard.
-type owner struct {
-	controller *Controller
-	core       *scheduler.Core
-	ledger     *committer.Ledger
-	ctx        context.Context
-	background sync.WaitGroup
-
-	events    chan scheduler.Event
-	committed chan error
-	lost      chan error
-	sessions  map[string]*session
-	// runners has the reported runner of each service task.
-	runners map[string]*messenger.Route
-
-	// changes, commands and waiting belong to the next record.
-	changes  []scheduler.Change
-	commands []scheduler.Command
-	waiting  []chan error
-	ended    []endedAttempt
-	// inFlight is set while a record is being appended.
-	inFlight *batch
-}
-
-type endedAttempt struct {
-	worker string
-	name   dispatcher.AttemptName
+func (c *Controller) add(domain string) *shard {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := &shard{
+		controller: c, name: domain, home: domain == c.options.Domain, calls: make(chan call),
+		state: c.options.Charts.Shard.Start(),
+	}
+	c.shards[domain] = s
+	return s
 }
 
-// batch is what becomes of one record.
-type batch struct {
-	commands []scheduler.Command
-	waiting  []chan error
-	ended    []endedAttempt
+// violated reports a broken invariant.
+func (c *Controller) violated(err error) {
+	if c.options.Violated == nil {
+		panic(err)
+	}
+	c.options.Violated(err)
 }
--- /dev/null
+++ b/internal/controller/routes.go
@@ -0,0 +1,60 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+
+	"tarragonhead.example/tarragonhead/internal/messenger"
+	"tarragonhead.example/tarragonhead/internal/scheduler"
+)
+
+const (
+	runnerSlots       = 8
+	runnerConnections = 64
+)
+
+// takeRunners keeps the runner addresses of a report.
+func (o *owner) takeRunners(worker string, r scheduler.WorkerReport) {
+	for id, route := range o.runners {
+		if route.Worker == worker {
+			delete(o.runners, id)
+		}
+	}
+	for _, a := range r.Running {
+		if a.Addr.IsValid() {
+			o.runners[a.Task] = &messenger.Route{
+				Task: string(a.Task), Addr: a.Addr.String(), Worker: worker, Domain: o.shard.name, Slots: runnerSlots, Connections: runnerConnections,
+			}
+		}
+	}
+}
+
+// publish makes the routing table. A runner whose task is ending, or whose
+// worker is leaving, is in it as leaving until it has ended.
+func (o *owner) publish() {
+	old := o.shard.routes.Load()
+	table := &messenger.RoutingTable{Shard: o.shard.name, Epoch: o.ledger.Epoch(), Version: old.Version}
+	for _, id := range slices.Sorted(maps.Keys(o.runners)) {
+		route := o.runners[id]
+		t, ok := o.core.Lookup(id)
+		if !ok || t.Worker != route.Worker {
+			continue
+		}
+		w, _ := o.core.LookupWorker(route.Worker)
+		table.Routes = append(table.Routes, &messenger.Route{
+			Service: t.Owner, Task: route.Task, Addr: route.Addr, Worker: route.Worker, Domain: route.Domain, Slots: route.Slots, Connections: route.Connections,
+			Leaving: (t.State != scheduler.Running && t.State != scheduler.Unknown) || w.State == scheduler.Leaving,
+		})
+	}
+	if sameRoutes(old.Routes, table.Routes) {
+		return
+	}
+	table.Version++
+	o.shard.routes.Store(table)
+}
+
+func sameRoutes(a, b []*messenger.Route) bool {
+	return slices.EqualFunc(a, b, func(x, y *messenger.Route) bool {
+		return x.Task == y.Task && x.Addr == y.Addr && x.Leaving == y.Leaving
+	})
+}
--- a/internal/dispatcher/protocol.go
+++ b/internal/dispatcher/protocol.go
@@ -13,8 +13,13 @@
 	// Epoch is that of the shard's owner; the worker refuses a lower one.
 	Epoch uint64 `json:"epoch"`
 	// SentAt is the sender's clock; only differences of it are used.
-	SentAt time.Time     `json:"sent_at"`
-	Lease  time.Duration `json:"lease"`
+	SentAt time.Time `json:"sent_at"`
+	// Lease is how long the attempts may run on from SentAt; zero asks for the
+	// status and extends nothing.
+	Lease time.Duration `json:"lease"`
+	// Horizons bounds the lease of each class, also from SentAt. Attempts of
+	// a class without one are not extended.
+	Horizons map[declarer.Class]time.Duration `json:"horizons,omitempty"`
 	// Acknowledged are ended attempts whose end is committed.
 	Acknowledged []AttemptName `json:"acknowledged,omitempty"`
 }
@@ -89,5 +94,9 @@
 	Leaving  bool               `json:"leaving,omitempty"`
 }
 
+// EpochHeader carries the highest epoch that a worker has seen in its refusal
+// of a lower one.
+const EpochHeader = "Epoch"
+
 // RoleWorker marks a worker in the platform's list.
 const RoleWorker = "worker"
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,8 @@
 type RefusedError struct {
 	Worker netip.AddrPort
 	Reason string
+	// Epoch is the worker's epoch when it refused a lower one, else zero.
+	Epoch uint64
 }
 
 func (e *RefusedError) Error() string {
@@ -105,7 +108,8 @@
 	}
 	switch status := response.StatusCode(); {
 	case status == fasthttp.StatusConflict:
-		return &RefusedError{addr, string(response.Body())}
+		epoch, _ := strconv.ParseUint(string(response.Header.Peek(EpochHeader)), 10, 64)
+		return &RefusedError{addr, string(response.Body()), epoch}
 	case status != fasthttp.StatusOK:
 		return &UnreachableError{addr, errors.Errorf("status %d: %s", status, response.Body())}
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -87,7 +87,11 @@
 	case e.WorkerSeen != nil:
 		c.seeWorker(*e.WorkerSeen)
 	case e.WorkerLost != nil:
-		c.loseWorker(e.WorkerLost.ID)
+		c.loseWorker(e.WorkerLost.ID, e.WorkerLost.Class)
+	case e.Unreachable != nil:
+		c.missWorker(e.Unreachable.ID)
+	case e.Caretaking != nil:
+		c.handOverWaiting(now, e.Caretaking.To)
 	case e.WorkerLeaving != nil:
 		c.moveWorker(e.WorkerLeaving.ID, "leave", "listed as leaving")
 	case e.Report != nil:
@@ -208,14 +212,24 @@
 	c.record(Change{WorkerChanged: &WorkerChanged{Worker: Worker{ID: id}, Event: event, Reason: reason}})
 }
 
-// loseWorker ends every attempt on a worker whose leases have run out.
-func (c *Core) loseWorker(id string) {
-	c.moveWorker(id, "lose", "leases have run out")
+// missWorker keeps an unreachable worker's attempts until their leases have
+// run out.
+func (c *Core) missWorker(id string) {
+	c.moveWorker(id, "lose", "no answer")
 	for _, t := range c.tasksOn(id) {
 		if t.State != Unknown {
-			c.record(Change{AttemptMoved: &AttemptMoved{Task: t.ID, Attempt: t.Attempt, Event: "lose", Reason: "worker lost"}})
+			c.record(Change{AttemptMoved: &AttemptMoved{Task: t.ID, Attempt: t.Attempt, Event: "lose", Reason: "worker gives no answer"}})
+		}
+	}
+}
+
+// loseWorker ends the attempts on a worker whose leases have run out.
+func (c *Core) loseWorker(id string, class declarer.Class) {
+	c.missWorker(id)
+	for _, t := range c.tasksOn(id) {
+		if class == "" || t.Class == class {
+			c.record(Change{AttemptMoved: &AttemptMoved{Task: t.ID, Attempt: t.Attempt, Event: "expire", Outcome: OutcomeExpired, Reason: "leases have run out"}})
 		}
-		c.record(Change{AttemptMoved: &AttemptMoved{Task: t.ID, Attempt: t.Attempt, Event: "expire", Outcome: OutcomeExpired, Reason: "leases have run out"}})
 	}
 }
 
@@ -251,6 +265,9 @@
 	event := outcomeEvents[a.Outcome]
 	if _, err := c.options.Charts.Task.Next(t.State, interpreterEvent(event)); err != nil {
 		event = "fail"
+		if t.State == Unknown {
+			event = "expire"
+		}
 	}
 	c.record(Change{AttemptMoved: &AttemptMoved{Task: t.ID, Attempt: t.Attempt, Event: event, Checkpoint: a.Checkpoint, Reason: a.Reason, Outcome: a.Outcome}})
 }
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -14,6 +14,8 @@
 	Cancelled     *JobCancelled
 	WorkerSeen    *WorkerSeen
 	WorkerLost    *WorkerLost
+	Unreachable   *WorkerUnreachable
+	Caretaking    *Caretaking
 	WorkerLeaving *WorkerLeaving
 	Report        *WorkerReport
 	StartRefused  *StartRefused
@@ -43,8 +45,22 @@
 	Capacity declarer.Resources
 }
 
-// WorkerLost reports that every lease on a worker has run out.
-type WorkerLost struct{ ID string }
+// WorkerLost reports that every lease on a worker has run out, or every lease
+// of one class.
+type WorkerLost struct {
+	ID string
+	// Class is empty for all classes.
+	Class declarer.Class
+}
+
+// WorkerUnreachable reports a worker that gives no answer, while its leases
+// may still run.
+type WorkerUnreachable struct{ ID string }
+
+// Caretaking tells that the owner belongs to another domain, since the shard's
+// own daemons are gone. Waiting batch tasks go to the shards in To, and
+// nothing starts here.
+type Caretaking struct{ To []string }
 
 // WorkerLeaving reports that a worker takes no new work.
 type WorkerLeaving struct{ ID string }
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -44,8 +44,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if t := d.controller.Routes(); t != nil {
-		d.owners[t.Shard] = &messenger.ShardOwner{Shard: t.Shard, Member: d.settings.ID, Epoch: t.Epoch, RoutesVersion: t.Version}
+	for _, shard := range d.controller.Owned() {
+		if t := d.controller.Routes(shard); t != nil {
+			d.owners[t.Shard] = &messenger.ShardOwner{Shard: t.Shard, Member: d.settings.ID, Epoch: t.Epoch, RoutesVersion: t.Version}
+		}
 	}
 	for _, o := range d.owners {
 		g.Owners = append(g.Owners, o)
@@ -108,13 +110,15 @@
 	}
 }
 
-// publishRoutes gives this daemon's own router the table of the owned shard.
+// publishRoutes gives this daemon's own router the tables of the owned shards.
 func (d *Server) publishRoutes(ctx context.Context) {
 	t := time.NewTicker(100 * time.Millisecond)
 	defer t.Stop()
 	for {
-		if table := d.controller.Routes(); table != nil {
-			d.router.Update(table)
+		for _, shard := range d.controller.Owned() {
+			if table := d.controller.Routes(shard); table != nil {
+				d.router.Update(table)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -126,7 +130,7 @@
 
 // ownerAddress returns the control address of a shard's owner, "" if unknown.
 func (d *Server) ownerAddress(shard string) string {
-	if d.controller.Epoch() > 0 && shard == d.controller.Shard() {
+	if d.controller.Epoch(shard) > 0 {
 		return d.settings.control.String()
 	}
 	d.mu.Lock()
@@ -137,6 +141,24 @@
 	return ""
 }
 
+// ownerPeer returns the client of a shard's owner, nil if none is known.
+func (d *Server) ownerPeer(shard string) messenger.Peer {
+	if addr := d.ownerAddress(shard); addr != "" {
+		return d.dial(addr)
+	}
+	return nil
+}
+
+// isPresent reports whether a daemon of a domain is known to be alive.
+func (d *Server) isPresent(domain string) bool {
+	for _, m := range d.gossip.View() {
+		if m.Domain == domain && !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // Exchange implements messenger.Peer.
 func (d *Server) Exchange(_ context.Context, g *messenger.Digest) (*messenger.Digest, error) {
 	d.gossip.Receive(g)
@@ -154,7 +176,7 @@
 
 // FetchRoutes implements messenger.Peer.
 func (d *Server) FetchRoutes(_ context.Context, r *messenger.FetchRoutesRequest) (*messenger.RoutingTable, error) {
-	if t := d.controller.Routes(); t != nil && t.Shard == r.Shard {
+	if t := d.controller.Routes(r.Shard); t != nil {
 		return t, nil
 	}
 	return nil, twirp.NotFoundError("this daemon does not own shard " + r.Shard)
@@ -166,7 +188,7 @@
 	if err := cbor.Unmarshal(r.Job, &j); err != nil {
 		return nil, twirp.InvalidArgumentError("job", err.Error())
 	}
-	if err := d.controller.Submit(ctx, j); err != nil {
+	if err := d.controller.Submit(ctx, r.Shard, j); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.SubmitResponse{Shard: r.Shard}, nil
@@ -174,7 +196,7 @@
 
 // Cancel implements messenger.Peer.
 func (d *Server) Cancel(ctx context.Context, r *messenger.CancelRequest) (*messenger.CancelResponse, error) {
-	if err := d.controller.Cancel(ctx, r.JobId); err != nil {
+	if err := d.controller.Cancel(ctx, r.Shard, r.JobId); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.CancelResponse{}, nil
@@ -186,19 +208,19 @@
 	if err := cbor.Unmarshal(r.Task, &t); err != nil {
 		return nil, twirp.InvalidArgumentError("task", err.Error())
 	}
-	if err := d.controller.TakeOver(ctx, scheduler.TransferOffered{TransferID: r.TransferId, Task: t}); err != nil {
+	if err := d.controller.TakeOver(ctx, r.ToShard, scheduler.TransferOffered{TransferID: r.TransferId, Task: t}); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.HandOverResponse{Accepted: true}, nil
 }
 
 // Inspect implements messenger.Peer.
-func (d *Server) Inspect(ctx context.Context, _ *messenger.InspectRequest) (*messenger.InspectResponse, error) {
-	report, err := d.controller.Inspect(ctx)
+func (d *Server) Inspect(ctx context.Context, r *messenger.InspectRequest) (*messenger.InspectResponse, error) {
+	report, err := d.controller.Inspect(ctx, r.Shard)
 	if err != nil {
 		return nil, operatorError(err)
 	}
-	return &messenger.InspectResponse{Shard: d.controller.Shard(), Epoch: d.controller.Epoch(), Report: report}, nil
+	return &messenger.InspectResponse{Shard: r.Shard, Epoch: d.controller.Epoch(r.Shard), Report: report}, nil
 }
 
 // operatorError gives an error the Twirp code that tells what to do about it.
@@ -207,6 +229,7 @@
 	var conflict *configurer.ConflictError
 	var undecided *configurer.UndecidedError
 	var notOwner *controller.NotOwnerError
+	var notAccepted *controller.NotAcceptedError
 	var coded twirp.Error
 	switch {
 	case errors.As(err, &coded):
@@ -217,6 +240,8 @@
 		return twirp.NewError(twirp.Aborted, err.Error())
 	case errors.As(err, &undecided):
 		return twirp.NewError(twirp.Unknown, err.Error())
+	case errors.As(err, &notAccepted):
+		return twirp.NewError(twirp.ResourceExhausted, err.Error())
 	case errors.As(err, &notOwner):
 		return twirp.NewError(twirp.FailedPrecondition, err.Error())
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,8 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/valyala/fasthttp"
 
 	"tarragonhead.example/tarragonhead/internal/configurer"
@@ -31,6 +33,12 @@
 // maxBodyBytes is the largest request body that a caller may send.
 const maxBodyBytes = 4 << 20
 
+// violations counts broken invariants of the shards that this process owned.
+var violations = promauto.NewCounter(prometheus.CounterOpts{
+	Name: "tarragon_shard_invariant_violations_total",
+	Help: "Broken invariants in the state of owned shards.",
+})
+
 // Server is one daemon.
 type Server struct {
 	settings   checked
@@ -73,7 +81,11 @@
 	d.router = router.New(router.Options{Domain: c.Domain, Log: logger})
 	d.controller = controller.New(controller.Options{
 		Self: c.ID, Control: c.control, Domain: c.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
-		Worker: caller.Worker, Log: logger,
+		Worker: caller.Worker, Peer: d.ownerPeer, IsPresent: d.isPresent, Log: logger,
+		Violated: func(err error) {
+			violations.Inc()
+			logger.Error().Err(err).Msg("shard: invariant violated")
+		},
 		Instances: func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) },
 	})
 	self := &messenger.Member{Id: c.ID, Domain: c.Domain, ControlAddr: c.control.String(), TrafficAddr: c.traffic.String(), Incarnation: uint64(time.Now().UnixNano())}
--- a/internal/storeclient/http.go
+++ b/internal/storeclient/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"strconv"
 	"time"
@@ -11,8 +12,12 @@
 	"github.com/valyala/fasthttp"
 )
 
-// RevisionHeader carries an entry's revision in the store's answers.
-const RevisionHeader = "Revision"
+const (
+	// RevisionHeader carries an entry's revision in the store's answers.
+	RevisionHeader = "Revision"
+	// ClassHeader carries the class of a call, for the platform's counts.
+	ClassHeader = "Call-Class"
+)
 
 const (
 	callTimeout = 2 * time.Second
@@ -23,9 +28,9 @@
 
 // HTTP returns the adapter to a store that speaks HTTP at addr.
 func HTTP(addr netip.AddrPort) Store {
-	c := &httpClient{
-		base:   "http://" + addr.String(),
-		client: &fasthttp.Client{MaxConnsPerHost: 64, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 2 * MaxValueBytes},
+	c := &httpClient{base: "http://" + addr.String()}
+	for i := range c.clients {
+		c.clients[i] = &fasthttp.Client{MaxConnsPerHost: 64, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 2 * MaxValueBytes}
 	}
 	return Store{
 		Get:            c.get,
@@ -38,8 +43,10 @@
 }
 
 type httpClient struct {
-	base   string
-	client *fasthttp.Client
+	base string
+	// clients has connections of its own for each class, so that slow calls
+	// of one class leave the others theirs.
+	clients [classes]*fasthttp.Client
 }
 
 // answer is what a call needs of an HTTP response after its release.
@@ -63,8 +70,10 @@
 	if err := ctx.Err(); err != nil {
 		return answer{}, err
 	}
-	if err := c.client.DoDeadline(request, response, deadline); err != nil {
-		return answer{}, &UnavailableError{Op: op, Key: key, MayHaveApplied: !errors.Is(err, fasthttp.ErrNoFreeConns), Err: err}
+	class := ClassOf(ctx)
+	request.Header.Set(ClassHeader, class.String())
+	if err := c.clients[class].DoDeadline(request, response, deadline); err != nil {
+		return answer{}, &UnavailableError{Op: op, Key: key, MayHaveApplied: !isUnsent(err), Err: err}
 	}
 	revision, _ := strconv.ParseUint(string(response.Header.Peek(RevisionHeader)), 10, 64)
 	a := answer{response.StatusCode(), revision, append([]byte(nil), response.Body()...)}
@@ -74,6 +83,12 @@
 	return a, nil
 }
 
+// isUnsent reports whether err shows that no byte of a call was sent.
+func isUnsent(err error) bool {
+	var network *net.OpError
+	return errors.Is(err, fasthttp.ErrNoFreeConns) || (errors.As(err, &network) && network.Op == "dial")
+}
+
 func (c *httpClient) get(ctx context.Context, key string) (Entry, error) {
 	a, err := c.do(ctx, "get", key, "GET", "/v1/kv/"+key, nil, callTimeout)
 	if err != nil {
--- a/internal/storeclient/limit.go
+++ b/internal/storeclient/limit.go
@@ -31,18 +31,31 @@
 	return context.WithValue(ctx, classKey{}, c)
 }
 
-func classOf(ctx context.Context) Class {
+// ClassOf returns the class of a context's store calls, ClassRead if none was
+// given.
+func ClassOf(ctx context.Context) Class {
 	c, _ := ctx.Value(classKey{}).(Class)
 	return c
 }
 
-// Rates gives the calls a second of one daemon for each class.
-type Rates map[Class]float64
+// Rate bounds the calls of one class.
+type Rate struct {
+	// PerSecond is the lasting rate.
+	PerSecond float64
+	// Burst is how many calls may follow each other at once.
+	Burst int
+}
+
+// Rates gives the rate of one daemon for each class.
+type Rates map[Class]Rate
 
 // DefaultRates share the store's several hundred writes and about 2,000 reads
 // a second among 9 daemons; ownership and ledger have their own shares, so
-// that claims can't use them up.
-var DefaultRates = Rates{ClassRead: 100, ClassConfig: 10, ClassOwnership: 5, ClassLedger: 20, ClassClaim: 40}
+// that claims can't use them up. The burst of the ledger lets a new owner read
+// a snapshot and a whole ring of 1,024 slots without a wait.
+var DefaultRates = Rates{
+	ClassRead: {100, 100}, ClassConfig: {10, 20}, ClassOwnership: {10, 20}, ClassLedger: {20, 1200}, ClassClaim: {40, 40},
+}
 
 // limitWait is the longest that a call waits for its class's rate.
 const limitWait = 200 * time.Millisecond
@@ -52,11 +65,10 @@
 func Limit(s Store, r Rates) Store {
 	var limiters [classes]*rate.Limiter
 	for c := range limiters {
-		perSecond := r[Class(c)]
-		limiters[c] = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+		limiters[c] = rate.NewLimiter(rate.Limit(r[Class(c)].PerSecond), max(1, r[Class(c)].Burst))
 	}
 	wait := func(ctx context.Context) error {
-		c := classOf(ctx)
+		c := ClassOf(ctx)
 		waiting, cancel := context.WithTimeout(ctx, limitWait)
 		defer cancel()
 		if err := limiters[c].Wait(waiting); err != nil {
--- a/standins/cmd/standin/main.go
+++ b/standins/cmd/standin/main.go
@@ -37,9 +37,11 @@
 func addStore(app *kingpin.Application) {
 	var listen string
 	store := app.Command("store", "The key-value service and the list of instances.")
+	var lag time.Duration
 	store.Flag("listen", "Address to listen on.").Required().StringVar(&listen)
+	store.Flag("list-lag", "How old the list of instances is.").Default("1s").DurationVar(&lag)
 	store.Action(func(*kingpin.ParseContext) error {
-		s := storekeeper.New(time.Second)
+		s := storekeeper.New(lag)
 		return errors.Wrap(fasthttp.ListenAndServe(listen, s.Handle), "store")
 	})
 }
@@ -70,7 +72,7 @@
 
 func addWorker(app *kingpin.Application) {
 	var o worker.Options
-	var listen, store string
+	var listen, store, record string
 	command := app.Command("worker", "A worker that starts a runner process for each replica of a service.")
 	command.Flag("listen", "Address to listen on.").Required().StringVar(&listen)
 	command.Flag("store", "Address of the platform.").Required().StringVar(&store)
@@ -80,7 +82,22 @@
 	command.Flag("milli-cpu", "Processors in thousandths.").Default("64000").Int64Var(&o.Capacity.MilliCPU)
 	command.Flag("memory-mb", "Memory in megabytes.").Default("250000").Int64Var(&o.Capacity.MemoryMB)
 	command.Flag("time-scale", "Factor on the run time of tasks.").Default("1").Float64Var(&o.TimeScale)
-	command.Action(func(*kingpin.ParseContext) error { return runWorker(o, listen, store) })
+	command.Flag("usage-lag", "How old the reported usage is.").Default("2s").DurationVar(&o.UsageLag)
+	command.Flag("usage-share", "Share of its reservation that a task uses.").Default("1").Float64Var(&o.UsageShare)
+	command.Flag("failing", "Make every attempt fail.").BoolVar(&o.Failing)
+	command.Flag("record", "File to append a line to for each start and end of an attempt.").StringVar(&record)
+	command.Action(func(*kingpin.ParseContext) error {
+		if record != "" {
+			f, err := os.OpenFile(record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			e := json.NewEncoder(f)
+			o.Record = func(a worker.Attempt) { _ = e.Encode(a) }
+		}
+		return runWorker(o, listen, store)
+	})
 }
 
 func runWorker(o worker.Options, listen, store string) error {
@@ -96,9 +113,15 @@
 	w := worker.New(o)
 	self := dispatcher.Instance{ID: o.ID, Domain: o.Domain, Rack: o.Rack, Role: dispatcher.RoleWorker, Addr: netip.MustParseAddrPort(l.Addr().String()), Capacity: o.Capacity}
 	go func() {
+		// Leases end on time even while the platform gives no answer.
 		for {
-			register(platform, self)
 			w.Advance()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	go func() {
+		for {
+			register(platform, self)
 			time.Sleep(200 * time.Millisecond)
 		}
 	}()
--- a/standins/storekeeper/http.go
+++ b/standins/storekeeper/http.go
@@ -12,37 +12,87 @@
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
-// Handle serves the store over HTTP.
+// Handle serves the store over HTTP. The faults that a test has switched on
+// affect every call but those to /v1/faults, /v1/calls and /v1/leaving.
 func (s *Store) Handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
-	case strings.HasPrefix(path, "/v1/kv/"):
-		s.handleKey(ctx, strings.TrimPrefix(path, "/v1/kv/"))
-	case strings.HasPrefix(path, "/v1/watch/"):
+	case path == "/v1/faults" && ctx.IsDelete():
+		s.ClearFaults()
+		return
+	case path == "/v1/faults":
+		decode(ctx, s.AddFault)
+		return
+	case path == "/v1/leaving":
+		decode(ctx, func(in dispatcher.Instance) { s.SetLeaving(in.ID, in.Leaving) })
+		return
+	case path == "/v1/calls":
+		writeJSON(ctx, s.Calls())
+		return
+	}
+	op, key := operation(ctx, path)
+	if op == "" {
+		ctx.Error("no such path", fasthttp.StatusNotFound)
+		return
+	}
+	class := string(ctx.Request.Header.Peek(storeclient.ClassHeader))
+	if !s.perform(class, op, key, func() { s.serve(ctx, op, key) }) {
+		ctx.Response.Reset()
+		ctx.Error("injected fault", fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// operation names the operation of a request and its key.
+func operation(ctx *fasthttp.RequestCtx, path string) (string, string) {
+	name, key, _ := strings.Cut(strings.TrimPrefix(path, "/v1/"), "/")
+	switch {
+	case name == "kv" && ctx.IsGet():
+		return "get", key
+	case name == "kv":
+		return "compare_and_swap", key
+	case name == "watch":
+		return "watch", key
+	case name == "lease" && key == "":
+		return "grant", ""
+	case name == "lease" && ctx.IsDelete():
+		return "revoke", key
+	case name == "lease":
+		return "keep_alive", key
+	case name == "instances" && ctx.IsPost():
+		return "register", ""
+	case name == "instances":
+		return "instances", ""
+	}
+	return "", ""
+}
+
+func (s *Store) serve(ctx *fasthttp.RequestCtx, op, key string) {
+	switch op {
+	case "get", "compare_and_swap":
+		s.handleKey(ctx, key)
+	case "watch":
 		wait := time.Duration(number(ctx, "wait_ms")) * time.Millisecond
-		e, ok := s.wait(strings.TrimPrefix(path, "/v1/watch/"), number(ctx, "after"), wait)
+		e, ok := s.wait(key, number(ctx, "after"), wait)
 		respond(ctx, e, ok, fasthttp.StatusNotModified)
-	case path == "/v1/lease":
+	case "grant":
 		ttl := time.Duration(number(ctx, "ttl_ms")) * time.Millisecond
 		ctx.SetBodyString(strconv.FormatUint(s.grant(ttl), 10))
-	case strings.HasPrefix(path, "/v1/lease/"):
-		s.handleLease(ctx, strings.TrimPrefix(path, "/v1/lease/"))
-	case path == "/v1/instances" && ctx.IsPost():
-		var in dispatcher.Instance
-		if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-			return
-		}
-		s.register(in)
-	case path == "/v1/instances":
-		writeJSON(ctx, s.list())
-	case path == "/v1/calls":
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		writeJSON(ctx, s.calls)
-	default:
-		ctx.Error("no such path", fasthttp.StatusNotFound)
+	case "keep_alive", "revoke":
+		s.handleLease(ctx, key)
+	case "register":
+		decode(ctx, s.Register)
+	case "instances":
+		writeJSON(ctx, s.Instances())
+	}
+}
+
+func decode[T any](ctx *fasthttp.RequestCtx, f func(T)) {
+	var v T
+	if err := json.Unmarshal(ctx.PostBody(), &v); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
 	}
+	f(v)
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
--- a/standins/storekeeper/store.go
+++ b/standins/storekeeper/store.go
@@ -5,8 +5,6 @@
 import (
 	"sync"
 	"time"
-
-	"tarragonhead.example/tarragonhead/internal/dispatcher"
 )
 
 type entry struct {
@@ -32,22 +30,18 @@
 	leases    map[uint64]*lease
 	// changed is closed at each write.
 	changed   chan struct{}
-	instances map[string]listed
+	instances map[string]*history
 	listLag   time.Duration
-	calls     map[string]uint64
-}
-
-// listed is an instance with when the list shows its latest state.
-type listed struct {
-	instance dispatcher.Instance
-	seen     time.Time
+	// calls counts by class and operation, as "ledger/get".
+	calls  map[string]uint64
+	faults []*Fault
 }
 
 // New returns an empty store whose list of instances lags by listLag.
 func New(listLag time.Duration) *Store {
 	return &Store{
 		entries: map[string]entry{}, leases: map[uint64]*lease{}, changed: make(chan struct{}),
-		instances: map[string]listed{}, listLag: listLag, calls: map[string]uint64{},
+		instances: map[string]*history{}, listLag: listLag, calls: map[string]uint64{},
 	}
 }
 
@@ -75,12 +69,9 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *Store) count(op string) { s.calls[op]++ }
-
 func (s *Store) get(key string) (entry, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count("get")
 	s.expire(time.Now())
 	e, ok := s.entries[key]
 	return e, ok
@@ -97,7 +88,6 @@
 func (s *Store) compareAndSwap(key string, value []byte, expected, leaseID uint64) (swapResult, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count("compare_and_swap")
 	s.expire(time.Now())
 	if current := s.entries[key].revision; current != expected {
 		return swapConflict, current
@@ -120,9 +110,6 @@
 func (s *Store) wait(key string, after uint64, d time.Duration) (entry, bool) {
 	end := time.NewTimer(d)
 	defer end.Stop()
-	s.mu.Lock()
-	s.count("watch")
-	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		s.expire(time.Now())
@@ -143,7 +130,6 @@
 func (s *Store) grant(ttl time.Duration) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count("grant")
 	s.nextLease++
 	s.leases[s.nextLease] = &lease{ttl, time.Now().Add(ttl), map[string]bool{}}
 	return s.nextLease
@@ -152,7 +138,6 @@
 func (s *Store) keepAlive(id uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count("keep_alive")
 	now := time.Now()
 	s.expire(now)
 	l := s.leases[id]
@@ -166,33 +151,7 @@
 func (s *Store) revoke(id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count("revoke")
 	if l := s.leases[id]; l != nil {
 		s.drop(id, l)
 	}
 }
-
-// instanceTTL is how long an instance stays listed without registering again.
-const instanceTTL = 15 * time.Second
-
-func (s *Store) register(in dispatcher.Instance) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.instances[in.ID] = listed{in, time.Now()}
-}
-
-func (s *Store) list() []dispatcher.Instance {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.count("instances")
-	list := []dispatcher.Instance{}
-	for id, in := range s.instances {
-		age := time.Since(in.seen)
-		if age > instanceTTL {
-			delete(s.instances, id)
-			continue
-		}
-		list = append(list, in.instance)
-	}
-	return list
-}
--- a/standins/worker/http.go
+++ b/standins/worker/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -21,7 +22,9 @@
 	case "/v1/checkpoint":
 		call(ctx, plain(w.Checkpoint))
 	case "/v1/throttle":
-		call(ctx, plain(func(dispatcher.AttemptRequest) error { return nil }))
+		call(ctx, plain(w.Throttle))
+	case "/v1/record":
+		call(ctx, func(struct{}) ([]Attempt, error) { return w.Recorded(), nil })
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
@@ -33,7 +36,7 @@
 
 func call[T, U any](ctx *fasthttp.RequestCtx, f func(T) (U, error)) {
 	var request T
-	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
+	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil && len(ctx.PostBody()) > 0 {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
@@ -41,6 +44,9 @@
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		ctx.Error(refused.Reason, fasthttp.StatusConflict)
+		if refused.Epoch > 0 {
+			ctx.Response.Header.Set(dispatcher.EpochHeader, strconv.FormatUint(refused.Epoch, 10))
+		}
 		return
 	}
 	if err != nil {
