--- a/internal/server/errors.go
+++ b/internal/server/errors.go
@@ -15,7 +15,7 @@
 //
 //	invalid_argument, not_found, already_exists, aborted: refused
 //	unknown: it isn't known whether the change was or will be made
-//	unavailable: nothing was changed, and a repeat may succeed
+//	unavailable, resource_exhausted: nothing was changed, and a repeat may succeed
 func operatorError(err error) error {
 	var (
 		invalid         *declarer.InvalidError
@@ -23,6 +23,7 @@
 		reused          *configurer.ReusedIDError
 		changeUndecided *configurer.UndecidedError
 		callUndecided   *controller.UndecidedError
+		notAccepted     *controller.NotAcceptedError
 		coded           twirp.Error
 	)
 	switch {
@@ -34,6 +35,8 @@
 		return twirp.NewError(twirp.Aborted, err.Error())
 	case errors.As(err, &reused):
 		return twirp.NewError(twirp.AlreadyExists, err.Error())
+	case errors.As(err, &notAccepted):
+		return twirp.NewError(twirp.ResourceExhausted, err.Error())
 	case errors.As(err, &changeUndecided), errors.As(err, &callUndecided):
 		return twirp.NewError(twirp.Unknown, err.Error())
 	}
--- a/internal/server/owners.go
+++ b/internal/server/owners.go
@@ -27,8 +27,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if t := d.controller.Routes(); t != nil {
-		d.owners[t.Shard] = &messenger.ShardOwner{Shard: t.Shard, Member: d.settings.ID, Epoch: t.Epoch, RoutesVersion: t.Version}
+	for _, shard := range d.controller.Owned() {
+		if t := d.controller.Routes(shard); t != nil {
+			d.owners[t.Shard] = &messenger.ShardOwner{Shard: t.Shard, Member: d.settings.ID, Epoch: t.Epoch, RoutesVersion: t.Version}
+		}
 	}
 	shards := slices.Sorted(maps.Keys(d.owners))
 	h := xxhash.New()
@@ -134,7 +136,7 @@
 
 // ownerAddress returns the control address of a shard's owner, "" if unknown.
 func (d *Server) ownerAddress(shard string) string {
-	if d.controller.Epoch() > 0 && shard == d.controller.Shard() {
+	if d.controller.Epoch(shard) > 0 {
 		return d.settings.control.String()
 	}
 	d.mu.Lock()
@@ -148,3 +150,21 @@
 	}
 	return ""
 }
+
+// ownerPeer returns the client of a shard's owner, nil if none is known.
+func (d *Server) ownerPeer(shard string) messenger.Peer {
+	if addr := d.ownerAddress(shard); addr != "" {
+		return d.dial(addr)
+	}
+	return nil
+}
+
+// isPresent reports whether a daemon of a domain is known to be alive.
+func (d *Server) isPresent(domain string) bool {
+	for _, m := range d.gossip.View() {
+		if m.Domain == domain && !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -41,6 +41,12 @@
 // maxBodyBytes is the largest request body that a caller may send.
 const maxBodyBytes = 4 << 20
 
+// violations counts broken invariants of the shards that this process owned.
+var violations = promauto.NewCounter(prometheus.CounterOpts{
+	Name: "tarragon_shard_invariant_violations_total",
+	Help: "Broken invariants in the state of owned shards.",
+})
+
 // Server is one daemon.
 type Server struct {
 	settings   checked
@@ -98,7 +104,7 @@
 	instances := func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) }
 	d.config = configurer.New(configurer.Options{
 		Store: d.store, Log: logger, Registry: registry, Violated: d.violated,
-		Owning: func() bool { return d.controller.Epoch() > 0 },
+		Owning: func() bool { return len(d.controller.Owned()) > 0 },
 	})
 	incarnation := uint64(time.Now().UnixNano())
 	d.claimer = claimer.New(claimer.Options{
@@ -109,7 +115,8 @@
 	})
 	d.controller = controller.New(controller.Options{
 		Self: c.ID, Control: c.control, Domain: c.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
-		Worker: caller.Worker, Log: logger, Instances: instances,
+		Worker: caller.Worker, Peer: d.ownerPeer, IsPresent: d.isPresent, Log: logger, Instances: instances,
+		Violated: func(err error) { d.violated(invariantOf(err), err.Error()) },
 	})
 	self := &messenger.Member{Id: c.ID, Domain: c.Domain, ControlAddr: c.control.String(), TrafficAddr: c.traffic.String(), Incarnation: incarnation}
 	d.gossip = gossiper.New(gossiper.Options{
@@ -135,6 +142,16 @@
 	return addrs
 }
 
+// invariantOf returns the number of the invariant that err reports, zero if it
+// names none.
+func invariantOf(err error) int {
+	var broken *scheduler.InvariantError
+	if errors.As(err, &broken) {
+		return broken.Invariant
+	}
+	return 0
+}
+
 // violated records that an invariant does not hold.
 func (d *Server) violated(invariant int, problem string) {
 	d.violations.WithLabelValues(strconv.Itoa(invariant)).Inc()
