--- a/standins/cmd/demo/main.go
+++ b/standins/cmd/demo/main.go
@@ -17,6 +17,7 @@
 	"tarragonhead.example/tarragonhead/internal/router"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 	"tarragonhead.example/tarragonhead/standins/launcher"
+	"tarragonhead.example/tarragonhead/standins/measurer"
 	"tarragonhead.example/tarragonhead/standins/runner"
 )
 
@@ -72,7 +73,7 @@
 	step("started the store, %d workers and %d daemons", len(system.Workers), len(system.Daemons))
 	scaled := scale(w, s.scale)
 	file := dir + "/workload.yaml"
-	if err := writeWorkload(file, scaled); err != nil {
+	if err := measurer.WriteWorkload(file, scaled); err != nil {
 		return err
 	}
 	if err := operate(system, file, scaled); err != nil {
--- a/standins/cmd/demo/scale.go
+++ b/standins/cmd/demo/scale.go
@@ -2,10 +2,6 @@
 
 import (
 	"math"
-	"os"
-
-	"github.com/goccy/go-yaml"
-	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
 )
@@ -25,11 +21,3 @@
 	}
 	return scaled
 }
-
-func writeWorkload(file string, w declarer.Workload) error {
-	data, err := yaml.Marshal(w)
-	if err != nil {
-		return errors.Wrap(err, "workload")
-	}
-	return os.WriteFile(file, data, 0o644)
-}
--- a/standins/launcher/launcher.go
+++ b/standins/launcher/launcher.go
@@ -47,6 +47,9 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.command.Process.Signal(s) }
 
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Wait waits for the end of the process, or reports false after d.
 func (p *Process) Wait(d time.Duration) bool {
 	select {
