Test the request path against faults at each step, alone and in pairs

Change: the second attempt is not hedged; a refusal in the own share pauses the target for 2 ms instead of asking it again at once; tables of 28 faults and their pairs, claims under lost and late writes. Conclusion: no false not_run, double run or wrong body in them.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -142,6 +142,7 @@
 	case answered:
 		t.succeeded(took, now)
 	case refused:
+		t.shareAfter.Store(now + int64(shareBackoff))
 		t.spareAfter.Store(now + int64(spareBackoff))
 	case leaving:
 		t.isLeaving.Store(true)
--- /dev/null
+++ b/internal/router/fault_test.go
@@ -0,0 +1,380 @@
+package router
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+
+	"tarragonhead.example/tarragonhead/internal/messenger"
+)
+
+// misbehaving is a target that does one thing wrong at one step of a request.
+type misbehaving struct {
+	step     string
+	listener net.Listener
+
+	mu sync.Mutex
+	// ran counts the whole requests read that were not refused, by id; touched
+	// has the ids of those of which at least a byte may have been read.
+	ran     map[string]int
+	touched int
+	wrong   bool
+}
+
+// wholeBody is what a target answers to request id.
+func wholeBody(id string) string { return strings.Repeat("body of "+id+"\n", 50) }
+
+func startMisbehaving(c *qt.C, step string) *misbehaving {
+	ip := "127.0.0.1"
+	if step == "connect refused" {
+		// Tests that run at the same time don't get this address's free ports.
+		ip = "127.0.0.2"
+	}
+	l, err := net.Listen("tcp", ip+":0")
+	c.Assert(err, qt.IsNil)
+	m := &misbehaving{step: step, listener: l, ran: map[string]int{}}
+	c.Cleanup(func() { _ = l.Close() })
+	if step == "connect refused" {
+		_ = l.Close()
+		return m
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go m.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return m
+}
+
+func (m *misbehaving) serve(conn *net.TCPConn) {
+	defer conn.Close()
+	switch m.step {
+	case "connect closed":
+		return
+	case "connect reset":
+		_ = conn.SetLinger(0)
+		return
+	case "write stopped":
+		_ = conn.SetReadBuffer(4096)
+		time.Sleep(time.Second)
+		return
+	case "write cut":
+		n, _ := io.ReadFull(conn, make([]byte, 100))
+		m.touch(n)
+		return
+	}
+	r := bufio.NewReader(conn)
+	for m.answer(conn, r) {
+	}
+}
+
+func (m *misbehaving) touch(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n > 0 {
+		m.touched++
+	}
+}
+
+// answer reads one request and answers it. It reports whether the connection
+// stays open.
+func (m *misbehaving) answer(conn *net.TCPConn, r *bufio.Reader) bool {
+	var request fasthttp.Request
+	if err := request.Read(r); err != nil {
+		return false
+	}
+	id := string(request.Header.Peek(RequestIDHeader))
+	if m.step == "refused" || m.step == "leaving" {
+		status := map[string]int{"refused": 429, "leaving": 503}[m.step]
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 %d X\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, RequestIDHeader, id, AdmissionHeader, m.step)
+		return err == nil
+	}
+	m.mu.Lock()
+	m.ran[id]++
+	m.mu.Unlock()
+	body := wholeBody(id)
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", RequestIDHeader, id, len(body), body)
+	answer := whole
+	hang := false
+	switch m.step {
+	case "wait closed":
+		answer = ""
+	case "wait reset":
+		_ = conn.SetLinger(0)
+		answer = ""
+	case "wait hanging":
+		answer, hang = "", true
+	case "header cut":
+		answer = whole[:30]
+	case "header hanging":
+		answer, hang = whole[:30], true
+	case "header garbage":
+		answer = "\x00\x01garbage\r\n\r\n"
+	case "header too large":
+		answer = "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*responseBuffer) + "\r\n\r\n"
+	case "header of another":
+		answer = strings.ReplaceAll(whole, id, "another-request-"+strconv.Itoa(len(id)))
+	case "header without id":
+		answer = strings.Replace(whole, RequestIDHeader, "X-Other", 1)
+	case "header switching":
+		answer = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+	case "header false admission":
+		answer = strings.Replace(whole, "Content-Length", AdmissionHeader+": refused\r\nContent-Length", 1)
+	case "header refusal of another":
+		answer = "HTTP/1.1 429 X\r\n" + RequestIDHeader + ": another\r\n" + AdmissionHeader + ": refused\r\nContent-Length: 0\r\n\r\n"
+	case "body cut":
+		answer = whole[:len(whole)-20]
+	case "body hanging":
+		answer, hang = whole[:len(whole)-20], true
+	case "body without length":
+		answer = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n%s", RequestIDHeader, id, body[:40])
+	case "body chunks cut":
+		answer = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", RequestIDHeader, id)
+	case "body chunks":
+		answer = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", RequestIDHeader, id, len(body), body)
+	case "body extra":
+		answer = whole + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
+	case "interim":
+		answer = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + whole
+	case "failing":
+		answer = strings.Replace(whole, "200 OK", "500 X", 1)
+	}
+	_, err := io.WriteString(conn, answer)
+	if hang {
+		time.Sleep(500 * time.Millisecond)
+	}
+	return err == nil && answer == whole
+}
+
+func newTestRouter(o Options, routes ...*messenger.Route) *Router {
+	o.Self, o.Domain, o.PanicOnViolation = "d0", "a", true
+	o.Registry, o.Log = prometheus.NewRegistry(), &log.Logger{Level: log.PanicLevel}
+	r := New(o)
+	r.SetMembers([]string{"d0"})
+	r.Update(&messenger.RoutingTable{Shard: "a", Epoch: 1, Version: 1, Routes: routes})
+	return r
+}
+
+func route(addr, task string) *messenger.Route {
+	return &messenger.Route{Service: "s", Task: task, Addr: addr, Domain: "a", Slots: 8, Connections: 64}
+}
+
+type call struct {
+	method, path, id, key, timeout string
+	headers                        map[string]string
+	body                           string
+}
+
+// do handles one request without a network between caller and router.
+func do(r *Router, cl call) *fasthttp.RequestCtx {
+	ctx := &fasthttp.RequestCtx{}
+	var request fasthttp.Request
+	request.Header.SetMethod(cl.method)
+	if cl.path == "" {
+		cl.path = "/v1/services/s/x"
+	}
+	request.SetRequestURI(cl.path)
+	for name, value := range map[string]string{RequestIDHeader: cl.id, IdempotencyKeyHeader: cl.key, TimeoutHeader: cl.timeout} {
+		if value != "" {
+			request.Header.Set(name, value)
+		}
+	}
+	for name, value := range cl.headers {
+		request.Header.Set(name, value)
+	}
+	request.SetBodyString(cl.body)
+	ctx.Init(&request, nil, nil)
+	r.Handle(ctx)
+	return ctx
+}
+
+func resultOf(ctx *fasthttp.RequestCtx) string {
+	if status := ctx.Response.StatusCode(); status < 400 {
+		return "ok"
+	}
+	body := string(ctx.Response.Body())
+	for _, name := range resultNames {
+		if strings.Contains(body, `"result":"`+name+`"`) {
+			return name
+		}
+	}
+	return "?"
+}
+
+// faultResults has the result of a POST and of a GET to a target that always
+// misbehaves at one step.
+var faultResults = map[string]struct{ post, get string }{
+	"none":                      {"ok", "ok"},
+	"connect refused":           {NotRun, NotRun},
+	"connect closed":            {OutcomeUnknown, OutcomeUnknown},
+	"connect reset":             {OutcomeUnknown, OutcomeUnknown},
+	"write stopped":             {OutcomeUnknown, OutcomeUnknown},
+	"write cut":                 {OutcomeUnknown, OutcomeUnknown},
+	"wait closed":               {OutcomeUnknown, OutcomeUnknown},
+	"wait reset":                {OutcomeUnknown, OutcomeUnknown},
+	"wait hanging":              {OutcomeUnknown, OutcomeUnknown},
+	"header cut":                {OutcomeUnknown, OutcomeUnknown},
+	"header hanging":            {OutcomeUnknown, OutcomeUnknown},
+	"header garbage":            {OutcomeUnknown, OutcomeUnknown},
+	"header too large":          {OutcomeUnknown, OutcomeUnknown},
+	"header of another":         {OutcomeUnknown, OutcomeUnknown},
+	"header without id":         {OutcomeUnknown, OutcomeUnknown},
+	"header switching":          {OutcomeUnknown, OutcomeUnknown},
+	"header false admission":    {OutcomeUnknown, OutcomeUnknown},
+	"header refusal of another": {OutcomeUnknown, OutcomeUnknown},
+	"body cut":                  {OutcomeUnknown, OutcomeUnknown},
+	"body hanging":              {OutcomeUnknown, OutcomeUnknown},
+	"body without length":       {OutcomeUnknown, OutcomeUnknown},
+	"body chunks cut":           {OutcomeUnknown, OutcomeUnknown},
+	"body chunks":               {"ok", "ok"},
+	"body extra":                {"ok", "ok"},
+	"interim":                   {"ok", "ok"},
+	"failing":                   {FailedByTarget, FailedByTarget},
+	"refused":                   {NotRun, NotRun},
+	"leaving":                   {NotRun, NotRun},
+}
+
+// A connection reset before the daemon writes is an error of the write with no
+// byte sent, so that both results are true.
+var alsoNotRun = map[string]bool{"connect reset": true, "connect closed": true}
+
+func TestFaultAtEachStep(t *testing.T) {
+	for step, want := range faultResults {
+		t.Run(step, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			for method, result := range map[string]string{"POST": want.post, "GET": want.get} {
+				m := startMisbehaving(c, step)
+				r := newTestRouter(Options{}, route(m.listener.Addr().String(), "t"))
+				body := ""
+				if method == "POST" && strings.HasPrefix(step, "write") {
+					body = strings.Repeat("x", 3<<20)
+				}
+				ctx := do(r, call{method: method, id: "id-" + method, timeout: "300", body: body})
+				got := resultOf(ctx)
+				if alsoNotRun[step] && got == NotRun {
+					got = OutcomeUnknown
+				}
+				c.Check(got, qt.Equals, result, qt.Commentf("%s: %s", method, ctx.Response.Body()))
+				m.check(c, method, "id-"+method, ctx)
+			}
+		})
+	}
+}
+
+// check asserts what holds whatever the target does.
+func (m *misbehaving) check(c *qt.C, method, id string, ctx *fasthttp.RequestCtx) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c.Check(string(ctx.Response.Header.Peek(RequestIDHeader)), qt.Equals, id)
+	if method == "POST" {
+		c.Check(m.ran[id] <= 1, qt.IsTrue, qt.Commentf("ran %d times", m.ran[id]))
+	}
+	switch resultOf(ctx) {
+	case "ok":
+		c.Check(string(ctx.Response.Body()), qt.Equals, wholeBody(id))
+	case NotRun:
+		c.Check(m.ran[id], qt.Equals, 0)
+		c.Check(m.touched, qt.Equals, 0)
+	}
+}
+
+// Faults come in pairs: one target does the first and another the second.
+func TestFaultsInPairs(t *testing.T) {
+	for first := range faultResults {
+		for second := range faultResults {
+			if strings.Contains(first, "hanging") && strings.Contains(second, "hanging") {
+				continue
+			}
+			t.Run(first+" and "+second, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				a, b := startMisbehaving(c, first), startMisbehaving(c, second)
+				r := newTestRouter(Options{}, route(a.listener.Addr().String(), "a"), route(b.listener.Addr().String(), "b"))
+				for i := range 6 {
+					method := []string{"POST", "GET"}[i%2]
+					id := fmt.Sprintf("pair-%d", i)
+					ctx := do(r, call{method: method, id: id, timeout: "60"})
+					a.check(c, "", id, ctx)
+					b.check(c, "", id, ctx)
+					if method == "POST" {
+						c.Check(a.ran[id]+b.ran[id] <= 1, qt.IsTrue, qt.Commentf("ran twice"))
+					}
+				}
+			})
+		}
+	}
+}
+
+// An idle connection that the target closed must be noticed before a byte of
+// a non-idempotent request is sent on it.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	server := &fasthttp.Server{IdleTimeout: 20 * time.Millisecond, Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.SetBytesV(RequestIDHeader, ctx.Request.Header.Peek(RequestIDHeader))
+	}}
+	go func() { _ = server.Serve(l) }()
+	r := newTestRouter(Options{}, route(l.Addr().String(), "t"))
+	for range 5 {
+		ctx := do(r, call{method: "POST"})
+		c.Check(resultOf(ctx), qt.Equals, "ok", qt.Commentf("%s", ctx.Response.Body()))
+		time.Sleep(60 * time.Millisecond)
+	}
+}
+
+// A response that arrives after its request timed out must not answer the next
+// request on the same connection.
+func TestLateResponseIsNotGivenToTheNextRequest(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		id := string(ctx.Request.Header.Peek(RequestIDHeader))
+		if strings.HasPrefix(id, "late") {
+			time.Sleep(60 * time.Millisecond)
+		}
+		ctx.Response.Header.Set(RequestIDHeader, id)
+		ctx.SetBodyString(wholeBody(id))
+	}}
+	go func() { _ = server.Serve(l) }()
+	r := newTestRouter(Options{}, route(l.Addr().String(), "t"))
+	for i := range 20 {
+		late := do(r, call{method: "POST", id: fmt.Sprintf("late-%d", i), timeout: "20"})
+		c.Check(resultOf(late), qt.Equals, OutcomeUnknown)
+		time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+		id := fmt.Sprintf("next-%d", i)
+		next := do(r, call{method: "POST", id: id})
+		c.Check(string(next.Response.Body()), qt.Equals, wholeBody(id))
+	}
+}
+
+// A connection that can't be made in time leaves the request not run.
+func TestSlowConnectIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	r := newTestRouter(Options{Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}, route("127.0.0.1:1", "t"))
+	ctx := do(r, call{method: "POST", timeout: "50"})
+	c.Check(resultOf(ctx), qt.Equals, NotRun)
+}
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -121,7 +121,8 @@
 // hedgeDelay returns after which time a request of the service is hedged, zero
 // for never.
 func (f *flight) hedgeDelay() time.Duration {
-	if !f.idempotent || f.class != latencyCritical || f.service.latency.count.Load() < hedgeSamples {
+	// The second attempt of a hedge has no timer and is not hedged itself.
+	if f.hedge.timer == nil || !f.idempotent || f.class != latencyCritical || f.service.latency.count.Load() < hedgeSamples {
 		return 0
 	}
 	return max(f.service.latency.high(), hedgeLeast)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,13 +58,17 @@
 	services atomic.Pointer[map[string]*service]
 }
 
+func init() {
+	// Without the pool each id costs a system call. The setting must not change
+	// while ids are made.
+	uuid.EnableRandPool()
+}
+
 // New returns a router that knows no targets.
 func New(o Options) *Router {
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
-	// Without the pool each id costs a system call.
-	uuid.EnableRandPool()
 	r := &Router{
 		options: o, metrics: newMetrics(o.Registry), budget: newBudget(), start: time.Now(),
 		tables: map[string]*messenger.RoutingTable{}, targets: map[targetKey]*target{},
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -13,6 +13,9 @@
 	// spareBackoff is how long a target is not asked for spare slots after it
 	// refused. It bounds the refusals of one target to 100 a second and daemon.
 	spareBackoff = 10 * time.Millisecond
+	// shareBackoff is the same for the slots of the own share, which others use
+	// when this daemon didn't.
+	shareBackoff = 2 * time.Millisecond
 	// A target that can't be reached is tried again after downFirst, then after
 	// twice as long each time, up to downMost.
 	downFirst = 50 * time.Millisecond
@@ -37,10 +40,10 @@
 	share, limit atomic.Int64
 	outstanding  atomic.Int64
 	isLeaving    atomic.Bool
-	// spareAfter and downUntil are times of the router's clock.
-	spareAfter, downUntil atomic.Int64
-	failures              atomic.Int64
-	latency               mean
+	// shareAfter, spareAfter and downUntil are times of the router's clock.
+	shareAfter, spareAfter, downUntil atomic.Int64
+	failures                          atomic.Int64
+	latency                           mean
 }
 
 // mean is an exponentially weighted mean in nanoseconds that loses its weight
@@ -85,7 +88,7 @@
 // acquire takes a slot of the share, or a spare one. It reports whether the
 // request may be sent; release must follow.
 func (t *target) acquire(now int64, isSpare bool) bool {
-	if t.isLeaving.Load() || now < t.downUntil.Load() {
+	if t.isLeaving.Load() || now < t.downUntil.Load() || now < t.shareAfter.Load() {
 		return false
 	}
 	most := t.share.Load()
