Count over process faults; keep a dead store from using up the claims' rate

Cause: nothing showed that requests keep their promises while processes die. Change: a load tool that checks each response and counts from the runners' records; a run with kill -9 of two runners and two daemons, SIGSTOP of a daemon for 8 s, SIGTERM of one and a store stopped for 5 s; claims are refused at once while the store does not answer but for one that tries, and background writes are at most 4 at a time.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,6 +27,9 @@
 	// maxOpen bounds the claims whose outcome is not stored yet; with
 	// responses of at most 64 KB they take up to 16 MB.
 	maxOpen = 256
+	// maxBackground keeps the outcomes that wait for a store that is down from
+	// using up the rate of the claims once it is back.
+	maxBackground = 4
 	// storeTimeout bounds one attempt to write an outcome.
 	storeTimeout = 2 * time.Second
 	// answerWait is how long a response waits for its outcome to be stored.
@@ -110,8 +114,13 @@
 	claims  *prometheus.CounterVec
 	open    prometheus.Gauge
 	leases  leases
-	// writers are the goroutines that store outcomes.
-	writers sync.WaitGroup
+	// writers are the goroutines that store outcomes; background bounds the
+	// calls that they make at the same time.
+	writers    sync.WaitGroup
+	background chan struct{}
+	// isFailing is set while the store does not answer; isProbing while a
+	// claim tries whether it does again.
+	isFailing, isProbing atomic.Bool
 
 	mu sync.Mutex
 	// local has the claims of this daemon whose outcome is not stored yet.
@@ -121,7 +130,7 @@
 // New returns a claimer without claims.
 func New(o Options) *Claimer {
 	c := &Claimer{
-		options: o, local: map[string]*Claim{},
+		options: o, local: map[string]*Claim{}, background: make(chan struct{}, maxBackground),
 		claims: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tarragond_claims_total", Help: "Claims of idempotency keys by what came of them."}, []string{"result"}),
 		open:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "tarragond_claims_open", Help: "Claims whose outcome is not stored yet."}),
 	}
@@ -167,7 +176,17 @@
 			}
 			continue
 		}
+		isProbe, err := c.admit()
+		if err != nil {
+			claim.settle(Outcome{State: Released})
+			c.leave(claim)
+			c.claims.WithLabelValues("unavailable").Inc()
+			return nil, nil, err
+		}
 		outcome, err := c.create(ctx, claim)
+		if isProbe {
+			c.isProbing.Store(false)
+		}
 		if err != nil || outcome != nil {
 			return nil, outcome, err
 		}
@@ -224,6 +243,30 @@
 	return &holding.outcome, nil
 }
 
+// admit refuses a claim at once while the store does not answer, but for one
+// that tries it. It reports whether the claim is that one.
+func (c *Claimer) admit() (bool, error) {
+	if !c.isFailing.Load() {
+		return false, nil
+	}
+	if c.isProbing.CompareAndSwap(false, true) {
+		return true, nil
+	}
+	return false, &UnavailableError{errors.New("the store does not answer")}
+}
+
+// note keeps whether the store answers.
+func (c *Claimer) note(err error) {
+	var unavailable *storeclient.UnavailableError
+	var limit *storeclient.LimitError
+	switch {
+	case errors.As(err, &unavailable):
+		c.isFailing.Store(true)
+	case !errors.As(err, &limit):
+		c.isFailing.Store(false)
+	}
+}
+
 // create writes the claim. Both results are nil when the claim is held.
 func (c *Claimer) create(ctx context.Context, claim *Claim) (*Outcome, error) {
 	outcome, err := c.tryCreate(ctx, claim)
@@ -344,10 +387,12 @@
 	for range 2 {
 		lease, err := c.leases.get(ctx)
 		if err != nil {
+			c.note(err)
 			// Only the lease may have been granted; no claim was written.
 			return 0, errors.New("lease: " + err.Error())
 		}
 		revision, err := c.options.Store.CompareAndSwap(ctx, claim.key, value, expected, lease)
+		c.note(err)
 		var ended *storeclient.LeaseError
 		if !errors.As(err, &ended) {
 			return revision, err
--- a/internal/claimer/outcome.go
+++ b/internal/claimer/outcome.go
@@ -54,28 +54,40 @@
 // known in this process, so that repeats here get the outcome.
 func (cl *Claim) persist() {
 	c := cl.claimer
-	defer c.leave(cl)
 	r := cl.record
 	r.Outcome = cl.outcome
+	cl.retry(func(ctx context.Context) error {
+		_, err := c.write(ctx, cl, r, cl.revision)
+		var conflict *storeclient.ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		// An earlier write whose response was lost may be this conflict.
+		found, _, err := c.read(ctx, cl.key)
+		if err == nil && found != nil && !cl.isOwn(found) {
+			c.violated("one_holder", cl.key+" is held by "+found.Holder)
+		}
+		return err
+	})
+}
+
+// retry calls f until it succeeds, and then forgets the claim here.
+func (cl *Claim) retry(f func(ctx context.Context) error) {
+	c := cl.claimer
+	defer c.leave(cl)
 	pause := retryFirst
 	for begun := time.Now(); time.Since(begun) < retention; {
-		ctx, cancel := context.WithTimeout(storeclient.WithClass(context.Background(), storeclient.ClassClaim), storeTimeout)
-		revision, err := c.write(ctx, cl, r, cl.revision)
-		var conflict *storeclient.ConflictError
-		if errors.As(err, &conflict) {
-			// An earlier write whose response was lost may be this conflict.
-			var found *record
-			if found, revision, err = c.read(ctx, cl.key); err == nil && !cl.isOwn(found) {
-				cancel()
-				if found != nil {
-					c.violated("one_holder", cl.key+" is held by "+found.Holder)
-				}
-				return
-			}
+		isFirst := pause == retryFirst
+		if !isFirst {
+			c.background <- struct{}{}
 		}
+		ctx, cancel := context.WithTimeout(storeclient.WithClass(context.Background(), storeclient.ClassClaim), storeTimeout)
+		err := f(ctx)
 		cancel()
+		if !isFirst {
+			<-c.background
+		}
 		if err == nil {
-			cl.revision = revision
 			return
 		}
 		c.options.Log.Debug().Err(err).Str("key", cl.key).Msg("claimer: outcome not stored yet")
@@ -91,30 +103,22 @@
 // resolve releases a claim whose write had no response.
 func (cl *Claim) resolve() {
 	c := cl.claimer
-	defer c.leave(cl)
-	pause := retryFirst
-	for begun := time.Now(); time.Since(begun) < retention; {
-		ctx, cancel := context.WithTimeout(storeclient.WithClass(context.Background(), storeclient.ClassClaim), storeTimeout)
+	released := cl.record
+	released.Outcome = Outcome{State: Released}
+	cl.retry(func(ctx context.Context) error {
 		found, revision, err := c.read(ctx, cl.key)
-		if err == nil {
-			r := cl.record
-			r.Outcome = Outcome{State: Released}
-			switch {
-			case found != nil && found.Nonce != cl.record.Nonce && found.Outcome.State != Released,
-				found != nil && found.Nonce == cl.record.Nonce && found.Outcome.State == Released:
-				cancel()
-				return
-			}
-			// The first write may still arrive. A further released entry in its
-			// place makes it fail.
-			_, err = c.write(ctx, cl, r, revision)
-		}
-		cancel()
 		if err != nil {
-			time.Sleep(pause)
-			pause = min(2*pause, retryMost)
+			return err
 		}
-	}
+		if found != nil && found.Nonce != cl.record.Nonce && found.Outcome.State != Released ||
+			found != nil && found.Nonce == cl.record.Nonce && found.Outcome.State == Released {
+			return nil
+		}
+		// The first write may still arrive. A further released entry in its
+		// place makes it fail.
+		_, err = c.write(ctx, cl, released, revision)
+		return err
+	})
 }
 
 func (c *Claimer) violated(invariant, detail string) {
--- a/standins/launcher/launcher.go
+++ b/standins/launcher/launcher.go
@@ -35,6 +35,10 @@
 	Daemons int
 	// TimeScale multiplies the run time of tasks.
 	TimeScale float64
+	// Records is the directory for the runners' records; empty keeps none.
+	Records string
+	// DaemonArgs are further arguments of each daemon.
+	DaemonArgs []string
 }
 
 // Process is one started process.
@@ -149,6 +153,7 @@
 	if seed.IsValid() {
 		args = append(args, "--peer", seed.String())
 	}
+	args = append(args, s.options.DaemonArgs...)
 	process, err := s.start(id, "tarragond", args...)
 	if err != nil {
 		return nil, err
@@ -165,6 +170,9 @@
 	}
 	command := exec.Command(filepath.Join(s.options.Binaries, binary), args...)
 	command.Stdout, command.Stderr = output, output
+	if s.options.Records != "" {
+		command.Env = append(os.Environ(), "STANDIN_RECORDS="+s.options.Records)
+	}
 	// The processes end with the one that started them, however it ends.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
--- /dev/null
+++ b/standins/loader/faults.go
@@ -0,0 +1,223 @@
+package loader
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/standins/launcher"
+	"tarragonhead.example/tarragonhead/standins/runner"
+)
+
+// FaultOptions are the settings of a run with process faults.
+type FaultOptions struct {
+	// Binaries is the directory with the programs, Directory one for logs and
+	// records.
+	Binaries, Directory string
+	Workload            declarer.Workload
+	Replicas            int
+	// Rate is the number of requests a second, Requests their number.
+	Rate     float64
+	Requests int
+	// Pause is how long a daemon is stopped, longer than its lease; StoreDown
+	// how long the store is.
+	Pause, StoreDown time.Duration
+	Seed             uint64
+	Log              func(format string, args ...any)
+}
+
+// FaultReport is the result of a run with process faults.
+type FaultReport struct {
+	Verdict
+	// CutByStop counts the requests to the daemon that was stopped gracefully
+	// that broke.
+	CutByStop int
+	// Steps are the faults that took place.
+	Steps []string
+}
+
+// scenario is a run with faults in progress.
+type scenario struct {
+	options FaultOptions
+	system  *launcher.System
+	ready   []atomic.Bool
+	report  FaultReport
+	// stopped is the number of the daemon that was stopped gracefully.
+	stopped int
+}
+
+// RunFaults starts a system, sends requests to it, and meanwhile kills
+// a runner and a daemon, pauses a daemon past its lease, stops the store, and
+// stops a daemon gracefully.
+func RunFaults(o FaultOptions) (FaultReport, error) {
+	s := &scenario{options: o}
+	records := o.Directory + "/records"
+	if err := os.MkdirAll(records, 0o755); err != nil {
+		return s.report, err
+	}
+	w := o.Workload
+	w.Services, w.Jobs, w.Watchers = w.Services[:1], nil, nil
+	w.Services[0].Replicas = o.Replicas
+	var err error
+	s.system, err = launcher.Start(launcher.Options{
+		Binaries: o.Binaries, Logs: o.Directory, Workload: w, Scale: 0.05, TimeScale: 1, Records: records,
+		DaemonArgs: []string{"--panic-on-violation", "--stop-delay", "1s"},
+	})
+	if err != nil {
+		return s.report, err
+	}
+	defer s.system.Stop()
+	if err := s.declare(w); err != nil {
+		return s.report, err
+	}
+	s.ready = make([]atomic.Bool, len(s.system.Daemons))
+	stop := make(chan struct{})
+	var checks sync.WaitGroup
+	for i := range s.ready {
+		s.ready[i].Store(true)
+		checks.Go(func() { s.checkReady(i, stop) })
+	}
+	load := s.loadWithFaults(w.Services[0].Name)
+	close(stop)
+	checks.Wait()
+	// Requests that no caller waits for may still run.
+	time.Sleep(time.Second)
+	runs, err := runner.ReadRecords(records)
+	if err != nil {
+		return s.report, err
+	}
+	outcomes := load.Outcomes()
+	s.report.Verdict = Judge(outcomes, runs)
+	for _, oc := range outcomes {
+		if oc.Daemon == s.stopped && oc.Result == Broken {
+			s.report.CutByStop++
+		}
+	}
+	return s.report, nil
+}
+
+func (s *scenario) declare(w declarer.Workload) error {
+	data, err := yaml.Marshal(w)
+	if err != nil {
+		return errors.Wrap(err, "workload")
+	}
+	file := s.options.Directory + "/workload.yaml"
+	if err := os.WriteFile(file, data, 0o644); err != nil {
+		return err
+	}
+	if _, err := s.system.Control("declare", file); err != nil {
+		return err
+	}
+	records := s.options.Directory + "/records"
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		started, err := runner.ReadAnnouncements(records)
+		if err == nil && len(started) >= s.options.Replicas {
+			break
+		}
+		if time.Now().After(deadline) {
+			return errors.Errorf("%d of %d runners have started: %v", len(started), s.options.Replicas, err)
+		}
+	}
+	// Routing tables and members reach every daemon by gossip.
+	time.Sleep(5 * time.Second)
+	return nil
+}
+
+// checkReady polls a daemon's readiness as the load balancer does.
+func (s *scenario) checkReady(daemon int, stop chan struct{}) {
+	client := &http.Client{Timeout: 500 * time.Millisecond}
+	for {
+		response, err := client.Get(fmt.Sprintf("http://%s/readyz", s.system.Daemons[daemon].Control))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		s.ready[daemon].Store(err == nil && response.StatusCode == http.StatusOK)
+		select {
+		case <-stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (s *scenario) loadWithFaults(service string) *Load {
+	o := s.options
+	daemons := []netip.AddrPort{}
+	for _, d := range s.system.Daemons {
+		daemons = append(daemons, d.Traffic)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.inject()
+	}()
+	load := Run(Options{
+		Daemons: daemons, IsReady: func(i int) bool { return s.ready[i].Load() }, Service: service, Requests: o.Requests, Connections: 64, Rate: o.Rate,
+		Posts: 0.5, Keyed: 0.2, Repeats: 0.2, Timeout: 2 * time.Second, Lines: 40, Tag: "f", Seed: o.Seed,
+	})
+	<-done
+	return load
+}
+
+// inject makes the faults, spread over the time of the load.
+func (s *scenario) inject() {
+	o := s.options
+	daemons := s.system.Daemons
+	last := len(daemons) - 1
+	s.stopped = last - 2
+	total := time.Duration(float64(o.Requests) / o.Rate * float64(time.Second))
+	gap := max(500*time.Millisecond, (total-o.Pause-o.StoreDown)/8)
+	step := func(name string, f func() error) {
+		time.Sleep(gap)
+		if err := f(); err != nil {
+			name += ": " + err.Error()
+		}
+		o.Log("%s", name)
+		s.report.Steps = append(s.report.Steps, name)
+	}
+	step("kill -9 of a runner", func() error { return s.killRunner(0) })
+	step("kill -9 of daemon "+daemons[last].Name, func() error { return daemons[last].Signal(syscall.SIGKILL) })
+	step(fmt.Sprintf("SIGSTOP of daemon %s for %s", daemons[last-1].Name, o.Pause), func() error {
+		return pause(daemons[last-1].Process, o.Pause)
+	})
+	step("SIGTERM of daemon "+daemons[s.stopped].Name, func() error {
+		if err := daemons[s.stopped].Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		if !daemons[s.stopped].Wait(20 * time.Second) {
+			return errors.New("not ended after 20 s")
+		}
+		return nil
+	})
+	step(fmt.Sprintf("store stopped for %s", o.StoreDown), func() error { return pause(s.system.StoreProcess, o.StoreDown) })
+	step("kill -9 of a second runner", func() error { return s.killRunner(1) })
+	step("kill -9 of daemon "+daemons[0].Name, func() error { return daemons[0].Signal(syscall.SIGKILL) })
+}
+
+func pause(p *launcher.Process, d time.Duration) error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.Sleep(d)
+	return p.Signal(syscall.SIGCONT)
+}
+
+func (s *scenario) killRunner(n int) error {
+	started, err := runner.ReadAnnouncements(s.options.Directory + "/records")
+	if err != nil {
+		return err
+	}
+	if n >= len(started) {
+		return errors.Errorf("no runner %d", n)
+	}
+	return syscall.Kill(started[n].PID, syscall.SIGKILL)
+}
