--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -112,9 +112,9 @@
 	return New(Options{Store: m.store(), Holder: holder, IsAlive: isAlive, Registry: prometheus.NewRegistry(), Log: &log.Logger{Level: log.PanicLevel}, PanicOnViolation: true})
 }
 
-func within(d time.Duration) context.Context {
-	//nolint:govet // the context ends by itself
-	ctx, _ := context.WithTimeout(context.Background(), d)
+func within(c *qt.C, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	c.Cleanup(cancel)
 	return ctx
 }
 
@@ -131,12 +131,12 @@
 		var all sync.WaitGroup
 		for i := range 30 {
 			all.Go(func() {
-				claim, outcome, err := claimers[i%3].Claim(within(5*time.Second), "s", fmt.Sprint(key), 1)
+				claim, outcome, err := claimers[i%3].Claim(within(c, 5*time.Second), "s", fmt.Sprint(key), 1)
 				c.Check(err, qt.IsNil)
 				if claim != nil {
 					claims.Add(1)
 					time.Sleep(5 * time.Millisecond)
-					claim.Complete(within(time.Second), done)
+					claim.Complete(within(c, time.Second), done)
 					return
 				}
 				if c.Check(outcome, qt.IsNotNil) {
@@ -155,12 +155,12 @@
 func TestClaimOfDeadHolder(t *testing.T) {
 	c := qt.New(t)
 	m := newMemory()
-	claim, _, err := newClaimer(m, "dead", nil).Claim(within(time.Second), "s", "k", 1)
+	claim, _, err := newClaimer(m, "dead", nil).Claim(within(c, time.Second), "s", "k", 1)
 	c.Assert(err, qt.IsNil)
 	c.Assert(claim, qt.IsNotNil)
 	other := newClaimer(m, "other", func(holder string) bool { return holder != "dead" })
 	for range 3 {
-		again, outcome, err := other.Claim(within(time.Second), "s", "k", 1)
+		again, outcome, err := other.Claim(within(c, time.Second), "s", "k", 1)
 		c.Check(again, qt.IsNil)
 		c.Check(outcome, qt.IsNil)
 		var undecided *UndecidedError
@@ -175,10 +175,10 @@
 	m := newMemory()
 	a, b := newClaimer(m, "a", nil), newClaimer(m, "b", nil)
 	for _, cl := range []*Claimer{a, a, b, a} {
-		claim, _, err := cl.Claim(within(time.Second), "s", "k", 1)
+		claim, _, err := cl.Claim(within(c, time.Second), "s", "k", 1)
 		c.Assert(err, qt.IsNil)
 		c.Assert(claim, qt.IsNotNil)
-		claim.Release(within(time.Second))
+		claim.Release(within(c, time.Second))
 	}
 }
 
@@ -187,14 +187,14 @@
 	c := qt.New(t)
 	m := newMemory()
 	a, b := newClaimer(m, "a", nil), newClaimer(m, "b", nil)
-	claim, _, err := a.Claim(within(time.Second), "s", "k", 1)
+	claim, _, err := a.Claim(within(c, time.Second), "s", "k", 1)
 	c.Assert(err, qt.IsNil)
 	for _, cl := range []*Claimer{a, b} {
-		_, _, err := cl.Claim(within(time.Second), "s", "k", 2)
+		_, _, err := cl.Claim(within(c, time.Second), "s", "k", 2)
 		var other *MismatchError
 		c.Check(errors.As(err, &other), qt.IsTrue, qt.Commentf("%v", err))
 	}
-	claim.Complete(within(time.Second), done)
+	claim.Complete(within(c, time.Second), done)
 }
 
 // No claim without the store.
@@ -203,22 +203,22 @@
 	m := newMemory()
 	m.isDown = true
 	a := newClaimer(m, "a", nil)
-	_, _, err := a.Claim(within(time.Second), "s", "k", 1)
+	_, _, err := a.Claim(within(c, time.Second), "s", "k", 1)
 	var unavailable *UnavailableError
 	c.Check(errors.As(err, &unavailable), qt.IsTrue, qt.Commentf("%v", err))
 	m.set(func() { m.isDown = false })
-	claim, _, err := a.Claim(within(time.Second), "s", "k", 1)
+	claim, _, err := a.Claim(within(c, time.Second), "s", "k", 1)
 	c.Assert(err, qt.IsNil)
 	// The outcome of a request that ran while the store went down is kept and
 	// stored afterwards; a repeat here gets it meanwhile.
 	m.set(func() { m.isDown = true })
-	claim.Complete(within(20*time.Millisecond), done)
-	_, outcome, err := a.Claim(within(time.Second), "s", "k", 1)
+	claim.Complete(within(c, 20*time.Millisecond), done)
+	_, outcome, err := a.Claim(within(c, time.Second), "s", "k", 1)
 	c.Assert(err, qt.IsNil)
 	c.Check(*outcome, qt.DeepEquals, done)
 	m.set(func() { m.isDown = false })
-	a.Wait(within(5 * time.Second))
-	_, outcome, err = newClaimer(m, "b", nil).Claim(within(time.Second), "s", "k", 1)
+	a.Wait(within(c, 5 * time.Second))
+	_, outcome, err = newClaimer(m, "b", nil).Claim(within(c, time.Second), "s", "k", 1)
 	c.Assert(err, qt.IsNil)
 	c.Check(*outcome, qt.DeepEquals, done)
 }
@@ -238,12 +238,12 @@
 			_, err := a.leases.get(context.Background())
 			c.Assert(err, qt.IsNil)
 			prepare(m)
-			claim, _, err := a.Claim(within(time.Second), "s", "k", 1)
+			claim, _, err := a.Claim(within(c, time.Second), "s", "k", 1)
 			c.Assert(claim, qt.IsNil)
 			var unavailable *UnavailableError
 			c.Assert(errors.As(err, &unavailable), qt.IsTrue)
-			a.Wait(within(5 * time.Second))
-			claim, _, err = b.Claim(within(time.Second), "s", "k", 1)
+			a.Wait(within(c, 5 * time.Second))
+			claim, _, err = b.Claim(within(c, time.Second), "s", "k", 1)
 			c.Assert(err, qt.IsNil)
 			c.Assert(claim, qt.IsNotNil)
 			m.set(func() {
@@ -251,8 +251,8 @@
 					apply()
 				}
 			})
-			claim.Complete(within(time.Second), done)
-			_, outcome, err := a.Claim(within(time.Second), "s", "k", 1)
+			claim.Complete(within(c, time.Second), done)
+			_, outcome, err := a.Claim(within(c, time.Second), "s", "k", 1)
 			c.Assert(err, qt.IsNil)
 			c.Check(*outcome, qt.DeepEquals, done)
 		})
@@ -264,12 +264,12 @@
 	c := qt.New(t)
 	m := newMemory()
 	a := newClaimer(m, "a", nil)
-	claim, _, err := a.Claim(within(time.Second), "s", "k", 1)
+	claim, _, err := a.Claim(within(c, time.Second), "s", "k", 1)
 	c.Assert(err, qt.IsNil)
 	m.set(func() { m.loseNext = 1 })
-	claim.Complete(within(time.Second), done)
-	a.Wait(within(5 * time.Second))
-	_, outcome, err := newClaimer(m, "b", nil).Claim(within(time.Second), "s", "k", 1)
+	claim.Complete(within(c, time.Second), done)
+	a.Wait(within(c, 5 * time.Second))
+	_, outcome, err := newClaimer(m, "b", nil).Claim(within(c, time.Second), "s", "k", 1)
 	c.Assert(err, qt.IsNil)
 	c.Check(*outcome, qt.DeepEquals, done)
 }
@@ -279,11 +279,11 @@
 	c := qt.New(t)
 	a := newClaimer(newMemory(), "a", nil)
 	for i := range maxOpen {
-		claim, _, err := a.Claim(within(time.Second), "s", fmt.Sprint(i), 1)
+		claim, _, err := a.Claim(within(c, time.Second), "s", fmt.Sprint(i), 1)
 		c.Assert(err, qt.IsNil)
 		c.Assert(claim, qt.IsNotNil)
 	}
-	_, _, err := a.Claim(within(time.Second), "s", "more", 1)
+	_, _, err := a.Claim(within(c, time.Second), "s", "more", 1)
 	var unavailable *UnavailableError
 	c.Check(errors.As(err, &unavailable), qt.IsTrue)
 }
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -72,14 +72,15 @@
 		head: bytes.Clone(f.head), body: bytes.Clone(f.body), span: f.span,
 	}
 	h.mu.Unlock()
-	if !f.router.budget.take() {
-		s.metrics.budgetDenied.Inc()
-		return
-	}
 	t := s.chooseShare(s.router.now(), first)
 	if t == nil {
 		return
 	}
+	if !f.router.budget.take() {
+		t.release()
+		s.metrics.budgetDenied.Inc()
+		return
+	}
 	h.mu.Lock()
 	isLate := !h.isArmed || h.generation != generation
 	if !isLate {
