--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -46,7 +47,7 @@
 	controller *controller.Controller
 	gossip     *gossiper.Gossiper
 	router     *router.Router
-	peers      *http.Client
+	dial       func(addr string) messenger.Peer
 	registry   *prometheus.Registry
 	violations *prometheus.CounterVec
 	// stopping is set from the first stop signal on; readiness then fails.
@@ -67,43 +68,58 @@
 	if err != nil {
 		return nil, err
 	}
+	caller := dispatcher.NewCaller()
+	return assemble(c, output, registry, platform{
+		store: storeclient.Limit(storeclient.HTTP(c.store), storeclient.DefaultRates), worker: caller.Worker,
+		instances: func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) },
+	})
+}
+
+// platform is what a daemon uses of the platform.
+type platform struct {
+	store     storeclient.Store
+	worker    func(addr netip.AddrPort) dispatcher.Worker
+	instances func(ctx context.Context) ([]dispatcher.Instance, error)
+}
+
+// assemble puts the parts of a daemon together.
+func assemble(s checked, output io.Writer, registry *prometheus.Registry, p platform) (*Server, error) {
 	charts, err := scheduler.LoadCharts()
 	if err != nil {
 		return nil, err
 	}
 	logger := &log.Logger{Level: log.ParseLevel(s.LogLevel), Writer: &log.IOWriter{Writer: output}, TimeFormat: time.RFC3339Nano}
 	d := &Server{
-		settings: c, log: logger, registry: registry, owners: map[string]*messenger.ShardOwner{}, fetching: map[string]bool{},
-		store: storeclient.Limit(storeclient.HTTP(c.store), storeclient.DefaultRates),
-		// Messages between daemons are small; without compression their
-		// headers are too.
-		peers: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		settings: s, log: logger, registry: registry, owners: map[string]*messenger.ShardOwner{}, fetching: map[string]bool{},
+		store: p.store,
 		violations: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{Name: "tarragond_invariant_violations_total", Help: "Violations of an invariant of the design, by its number."},
 			[]string{"invariant"}),
 	}
+	// Messages between daemons are small; without compression their headers
+	// are too.
+	peers := &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	d.dial = func(addr string) messenger.Peer { return messenger.NewPeerProtobufClient("http://"+addr, peers) }
 	promauto.With(registry).NewGaugeFunc(prometheus.GaugeOpts{Name: "tarragond_ready", Help: "1 if /readyz answers that the daemon is ready, else 0."}, func() float64 {
 		if d.unreadiness() == "" {
 			return 1
 		}
 		return 0
 	})
-	caller := dispatcher.NewCaller()
-	instances := func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) }
 	d.config = configurer.New(configurer.Options{
 		Store: d.store, Log: logger, Registry: registry, Violated: d.violated,
 		Owning: func() bool { return d.controller.Epoch() > 0 },
 	})
-	d.router = router.New(router.Options{Domain: c.Domain, Log: logger})
+	d.router = router.New(router.Options{Domain: s.Domain, Log: logger})
 	d.controller = controller.New(controller.Options{
-		Self: c.ID, Control: c.control, Domain: c.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
-		Worker: caller.Worker, Log: logger, Instances: instances,
+		Self: s.ID, Control: s.control, Domain: s.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
+		Worker: p.worker, Log: logger, Instances: p.instances,
 	})
-	self := &messenger.Member{Id: c.ID, Domain: c.Domain, ControlAddr: c.control.String(), TrafficAddr: c.traffic.String(), Incarnation: uint64(time.Now().UnixNano())}
+	self := &messenger.Member{Id: s.ID, Domain: s.Domain, ControlAddr: s.control.String(), TrafficAddr: s.traffic.String(), Incarnation: uint64(time.Now().UnixNano())}
 	d.gossip = gossiper.New(gossiper.Options{
-		Self: self, Seeds: c.peers, Dial: d.dial, Complete: d.completeDigest, Received: d.receiveDigest, Log: logger, Registry: registry,
-		Preferred: func() string { return d.ownerAddress(c.Domain) }, Rand: rand.New(rand.NewPCG(self.Incarnation, 0)),
+		Self: self, Seeds: s.peers, Dial: func(addr string) messenger.Peer { return d.dial(addr) }, Complete: d.completeDigest, Received: d.receiveDigest, Log: logger, Registry: registry,
+		Preferred: func() string { return d.ownerAddress(s.Domain) }, Rand: rand.New(rand.NewPCG(self.Incarnation, 0)),
 		Instances: func(ctx context.Context) ([]netip.AddrPort, error) {
-			list, err := instances(ctx)
+			list, err := p.instances(ctx)
 			return daemonAddresses(list), err
 		},
 	})
@@ -126,10 +142,9 @@
 func (d *Server) violated(invariant int, problem string) {
 	d.violations.WithLabelValues(strconv.Itoa(invariant)).Inc()
 	d.log.Error().Int("invariant", invariant).Str("problem", problem).Msg("server: invariant violated")
-}
-
-func (d *Server) dial(addr string) messenger.Peer {
-	return messenger.NewPeerProtobufClient("http://"+addr, d.peers)
+	if d.settings.PanicOnViolation {
+		panic(fmt.Sprintf("invariant %d: %s", invariant, problem))
+	}
 }
 
 // Run serves until ctx ends, then finishes the requests in progress and gives
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -25,6 +25,8 @@
 	// DrainTimeout bounds how long a stop waits for requests in progress; the
 	// empty string stands for 30s.
 	DrainTimeout string
+	// PanicOnViolation makes a violated invariant panic, for tests.
+	PanicOnViolation bool
 }
 
 // addressRange says which addresses are accepted.
@@ -48,6 +50,7 @@
 	app.Flag("peer", "Control address of another daemon; may be repeated.").StringsVar(&s.Peers)
 	app.Flag("log-level", "Least level to log: debug, info, warn or error.").Default("info").StringVar(&s.LogLevel)
 	app.Flag("drain-timeout", "How long a stop waits for requests in progress, 0s to 10m.").Default(defaultDrainTimeout.String()).StringVar(&s.DrainTimeout)
+	app.Flag("panic-on-violation", "Panic when an invariant is violated; for tests.").BoolVar(&s.PanicOnViolation)
 }
 
 // SettingError says what is wrong with one setting.
