Add the command converge, which measures how fast changes are in force

Change: the launcher can give each daemon its own address of the store and restart a daemon; converge puts a fault-injecting stand-in in front of the store for each daemon and makes changes through random daemons.

--- /dev/null
+++ b/standins/cmd/converge/main.go
@@ -0,0 +1,138 @@
+// Command converge measures how long accepted configuration changes take until
+// they are in force on every daemon, while the store misbehaves and daemons are
+// restarted.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/standins/launcher"
+)
+
+type settings struct {
+	workload string
+	daemons  int
+	changes  int
+	seed     uint64
+}
+
+func main() {
+	var s settings
+	app := kingpin.New("converge", "Measures how long configuration changes take to be in force on every daemon.")
+	app.Flag("workload", "Workload file.").Default("workloads/tricahue.yaml").ExistingFileVar(&s.workload)
+	app.Flag("daemons", "Daemons a domain, 3 or more.").Default("3").IntVar(&s.daemons)
+	app.Flag("changes", "Changes to make, 1 or more.").Default("200").IntVar(&s.changes)
+	app.Flag("seed", "Seed of the order of daemons, changes and faults.").Default("1").Uint64Var(&s.seed)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := run(s); err != nil {
+		fmt.Fprintln(os.Stderr, "converge failed:", err)
+		os.Exit(1)
+	}
+}
+
+// bench is a running system with what is measured.
+type bench struct {
+	settings
+	system   *launcher.System
+	proxies  map[string]*proxy
+	watchers []*watcher
+	rand     *rand.Rand
+	report   *report
+	// text is the workload file's content.
+	text []byte
+	// revision is that of the last accepted change.
+	revision uint64
+}
+
+func run(s settings) error {
+	if s.daemons < 3 || s.changes < 1 {
+		return errors.Errorf("--daemons: got %d, want 3 or more; --changes: got %d, want 1 or more", s.daemons, s.changes)
+	}
+	text, err := os.ReadFile(s.workload)
+	if err != nil {
+		return err
+	}
+	w, err := declarer.Parse(text)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "tarragonhead-converge-")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("building and logging in %s\n", dir)
+	if err := launcher.Build(dir); err != nil {
+		return err
+	}
+	b := &bench{settings: s, proxies: map[string]*proxy{}, rand: rand.New(rand.NewPCG(s.seed, 0)), report: newReport(), text: text}
+	// No workers: the configuration alone is measured.
+	for i := range w.Platform.Domains {
+		w.Platform.Domains[i].Workers = 1
+	}
+	b.system, err = launcher.Start(launcher.Options{
+		Binaries: dir, Logs: dir, Workload: w, Scale: 0.01, Daemons: s.daemons, TimeScale: 1,
+		StoreFor: func(daemon string, store netip.AddrPort) (netip.AddrPort, error) {
+			p, err := newProxy(store, s.seed+uint64(len(b.proxies)))
+			if err != nil {
+				return netip.AddrPort{}, err
+			}
+			b.proxies[daemon] = p
+			return p.addr, nil
+		},
+	})
+	if err != nil {
+		return err
+	}
+	defer b.system.Stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, d := range b.system.Daemons {
+		w := newWatcher(d)
+		b.watchers = append(b.watchers, w)
+		go w.run(ctx)
+	}
+	if err := b.measure(ctx); err != nil {
+		return err
+	}
+	return b.report.print(b)
+}
+
+// measure makes the changes one after the other, each under one kind of fault.
+func (b *bench) measure(ctx context.Context) error {
+	if err := b.declare(ctx); err != nil {
+		return err
+	}
+	for i := range b.changes {
+		f := scenarios[i%len(scenarios)]
+		if err := b.change(ctx, i, f); err != nil {
+			return errors.Wrapf(err, "change %d, %s", i, f.name)
+		}
+	}
+	return b.startWithoutStore(ctx)
+}
+
+// startWithoutStore restarts a daemon while no daemon reaches the store: it
+// has to take the configuration from its peers.
+func (b *bench) startWithoutStore(ctx context.Context) error {
+	b.setModes(cutOff, func(string) bool { return true })
+	defer b.setModes(passing, func(string) bool { return true })
+	d := b.system.Daemons[b.rand.IntN(len(b.system.Daemons))]
+	begun := time.Now()
+	if err := b.system.Restart(d); err != nil {
+		return err
+	}
+	if err := waitReady(ctx, d.Control); err != nil {
+		return errors.Wrapf(err, "%s after a restart without the store", d.Name)
+	}
+	b.report.withoutStore = time.Since(begun)
+	return nil
+}
--- /dev/null
+++ b/standins/cmd/converge/watch.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"tarragonhead.example/tarragonhead/internal/messenger"
+	"tarragonhead.example/tarragonhead/standins/launcher"
+)
+
+// pollInterval bounds the error of a measured time.
+const pollInterval = 10 * time.Millisecond
+
+// watcher polls the revision in force on one daemon.
+type watcher struct {
+	daemon *launcher.Daemon
+	client messenger.Operator
+
+	mu sync.Mutex
+	// highest is the highest revision seen; it includes earlier runs of a
+	// restarted daemon.
+	highest uint64
+	seenAt  map[uint64]time.Time
+	falls   int
+	polls   int
+	changed chan struct{}
+}
+
+func newWatcher(d *launcher.Daemon) *watcher {
+	return &watcher{
+		daemon: d, client: messenger.NewOperatorProtobufClient("http://"+d.Control.String(), &http.Client{Timeout: time.Second}),
+		seenAt: map[uint64]time.Time{}, changed: make(chan struct{}),
+	}
+}
+
+func (w *watcher) run(ctx context.Context) {
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for {
+		if doc, err := w.client.GetConfig(ctx, &messenger.FetchConfigRequest{}); err == nil && doc.Revision > 0 {
+			w.saw(doc.Revision)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (w *watcher) saw(revision uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.polls++
+	now := time.Now()
+	if revision < w.highest {
+		w.falls++
+		return
+	}
+	for r := w.highest + 1; r <= revision; r++ {
+		w.seenAt[r] = now
+	}
+	if revision > w.highest {
+		w.highest = revision
+		close(w.changed)
+		w.changed = make(chan struct{})
+	}
+}
+
+// wait returns when a revision was seen, or false at the end of ctx.
+func (w *watcher) wait(ctx context.Context, revision uint64) (time.Time, bool) {
+	for {
+		w.mu.Lock()
+		at, seen := w.seenAt[revision]
+		changed := w.changed
+		w.mu.Unlock()
+		if seen {
+			return at, true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return time.Time{}, false
+		}
+	}
+}
--- a/standins/launcher/launcher.go
+++ b/standins/launcher/launcher.go
@@ -35,6 +35,9 @@
 	Daemons int
 	// TimeScale multiplies the run time of tasks.
 	TimeScale float64
+	// StoreFor returns the address at which a daemon reaches the store, given
+	// the store's own; nil for the store's own.
+	StoreFor func(daemon string, store netip.AddrPort) (netip.AddrPort, error)
 }
 
 // Process is one started process.
@@ -63,6 +66,7 @@
 	Domain  string
 	Traffic netip.AddrPort
 	Control netip.AddrPort
+	args    []string
 }
 
 // System is a started system.
@@ -144,8 +148,14 @@
 }
 
 func (s *System) startDaemon(id, domain string, seed netip.AddrPort) (*Daemon, error) {
-	traffic, control := nextAddr(), nextAddr()
-	args := []string{"--id", id, "--domain", domain, "--traffic", traffic.String(), "--control", control.String(), "--store", s.Store.String()}
+	traffic, control, store := nextAddr(), nextAddr(), s.Store
+	if s.options.StoreFor != nil {
+		var err error
+		if store, err = s.options.StoreFor(id, store); err != nil {
+			return nil, err
+		}
+	}
+	args := []string{"--id", id, "--domain", domain, "--traffic", traffic.String(), "--control", control.String(), "--store", store.String()}
 	if seed.IsValid() {
 		args = append(args, "--peer", seed.String())
 	}
@@ -153,11 +163,27 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{process, domain, traffic, control}
+	d := &Daemon{process, domain, traffic, control, args}
 	s.Daemons = append(s.Daemons, d)
 	return d, nil
 }
 
+// Restart kills a daemon and starts it again with the same settings.
+func (s *System) Restart(d *Daemon) error {
+	if err := d.Signal(syscall.SIGKILL); err != nil {
+		return errors.Wrap(err, d.Name)
+	}
+	if !d.Wait(startTimeout) {
+		return errors.Errorf("%s did not end", d.Name)
+	}
+	process, err := s.start(d.Name, "tarragond", d.args...)
+	if err != nil {
+		return err
+	}
+	d.Process = process
+	return waitLive(d.Control)
+}
+
 func (s *System) start(name, binary string, args ...string) (*Process, error) {
 	output, err := os.OpenFile(filepath.Join(s.options.Logs, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
