--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -41,12 +41,6 @@
 // maxBodyBytes is the largest request body that a caller may send.
 const maxBodyBytes = 4 << 20
 
-// violations counts broken invariants of the shards that this process owned.
-var violations = promauto.NewCounter(prometheus.CounterOpts{
-	Name: "tarragon_shard_invariant_violations_total",
-	Help: "Broken invariants in the state of owned shards.",
-})
-
 // Server is one daemon.
 type Server struct {
 	settings   checked
@@ -58,7 +52,7 @@
 	router     *router.Router
 	claimer    *claimer.Claimer
 	tracer     *tracer.Tracer
-	peers      *http.Client
+	dial       func(addr string) messenger.Peer
 	registry   *prometheus.Registry
 	violations *prometheus.CounterVec
 	// stopping is set from the first stop signal on; readiness then fails.
@@ -79,51 +73,68 @@
 	if err != nil {
 		return nil, err
 	}
+	caller := dispatcher.NewCaller()
+	return assemble(c, output, registry, platform{
+		store: storeclient.Limit(storeclient.HTTP(c.store), storeclient.DefaultRates), worker: caller.Worker,
+		instances: func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) },
+	})
+}
+
+// platform is what a daemon uses of the platform.
+type platform struct {
+	store     storeclient.Store
+	worker    func(addr netip.AddrPort) dispatcher.Worker
+	instances func(ctx context.Context) ([]dispatcher.Instance, error)
+}
+
+// assemble puts the parts of a daemon together.
+func assemble(s checked, output io.Writer, registry *prometheus.Registry, p platform) (*Server, error) {
 	charts, err := scheduler.LoadCharts()
 	if err != nil {
 		return nil, err
 	}
 	logger := &log.Logger{Level: log.ParseLevel(s.LogLevel), Writer: &log.IOWriter{Writer: output}, TimeFormat: time.RFC3339Nano}
 	d := &Server{
-		settings: c, log: logger, registry: registry, owners: map[string]*messenger.ShardOwner{}, fetching: map[string]bool{},
-		store: storeclient.Limit(storeclient.HTTP(c.store), storeclient.DefaultRates),
-		peers: &http.Client{Timeout: peerTimeout},
+		settings: s, log: logger, registry: registry, owners: map[string]*messenger.ShardOwner{}, fetching: map[string]bool{},
+		store: p.store,
 		violations: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{Name: "tarragond_invariant_violations_total", Help: "Violations of an invariant of the design, by its number."},
 			[]string{"invariant"}),
 	}
-	if d.tracer, err = tracer.New(tracer.Options{File: s.TraceFile, Ratio: c.traceRatio, Service: "tarragond " + s.ID}); err != nil {
+	if d.tracer, err = tracer.New(tracer.Options{File: s.TraceFile, Ratio: s.traceRatio, Service: "tarragond " + s.ID}); err != nil {
 		return nil, err
 	}
+	// Messages between daemons are small; without compression their headers
+	// are too.
+	peers := &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	d.dial = func(addr string) messenger.Peer { return messenger.NewPeerProtobufClient("http://"+addr, peers) }
 	promauto.With(registry).NewGaugeFunc(prometheus.GaugeOpts{Name: "tarragond_ready", Help: "1 if /readyz answers that the daemon is ready, else 0."}, func() float64 {
 		if d.unreadiness() == "" {
 			return 1
 		}
 		return 0
 	})
-	caller := dispatcher.NewCaller()
-	instances := func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) }
 	d.config = configurer.New(configurer.Options{
 		Store: d.store, Log: logger, Registry: registry, Violated: d.violated,
 		Owning: func() bool { return len(d.controller.Owned()) > 0 },
 	})
 	incarnation := uint64(time.Now().UnixNano())
 	d.claimer = claimer.New(claimer.Options{
-		Store: d.store, Holder: holder(c.ID, incarnation), IsAlive: d.isHolderAlive, Registry: registry, Log: logger, PanicOnViolation: s.PanicOnViolation,
+		Store: d.store, Holder: holder(s.ID, incarnation), IsAlive: d.isHolderAlive, Registry: registry, Log: logger, PanicOnViolation: s.PanicOnViolation,
 	})
 	d.router = router.New(router.Options{
-		Self: c.ID, Domain: c.Domain, Costs: c.costs, Claimer: d.claimer, Tracer: d.tracer, Registry: registry, Log: logger, PanicOnViolation: s.PanicOnViolation,
+		Self: s.ID, Domain: s.Domain, Costs: s.costs, Claimer: d.claimer, Tracer: d.tracer, Registry: registry, Log: logger, PanicOnViolation: s.PanicOnViolation,
 	})
 	d.controller = controller.New(controller.Options{
-		Self: c.ID, Control: c.control, Domain: c.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
-		Worker: caller.Worker, Peer: d.ownerPeer, IsPresent: d.isPresent, Log: logger, Instances: instances,
+		Self: s.ID, Control: s.control, Domain: s.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
+		Worker: p.worker, Peer: d.ownerPeer, IsPresent: d.isPresent, Log: logger, Instances: p.instances,
 		Violated: func(err error) { d.violated(invariantOf(err), err.Error()) },
 	})
-	self := &messenger.Member{Id: c.ID, Domain: c.Domain, ControlAddr: c.control.String(), TrafficAddr: c.traffic.String(), Incarnation: incarnation}
+	self := &messenger.Member{Id: s.ID, Domain: s.Domain, ControlAddr: s.control.String(), TrafficAddr: s.traffic.String(), Incarnation: incarnation}
 	d.gossip = gossiper.New(gossiper.Options{
-		Self: self, Seeds: c.peers, Dial: d.dial, Complete: d.completeDigest, Received: d.receiveDigest, Log: logger, Registry: registry,
-		Preferred: func() string { return d.ownerAddress(c.Domain) }, Rand: rand.New(rand.NewPCG(self.Incarnation, 0)),
+		Self: self, Seeds: s.peers, Dial: func(addr string) messenger.Peer { return d.dial(addr) }, Complete: d.completeDigest, Received: d.receiveDigest, Log: logger, Registry: registry,
+		Preferred: func() string { return d.ownerAddress(s.Domain) }, Rand: rand.New(rand.NewPCG(self.Incarnation, 0)),
 		Instances: func(ctx context.Context) ([]netip.AddrPort, error) {
-			list, err := instances(ctx)
+			list, err := p.instances(ctx)
 			return daemonAddresses(list), err
 		},
 	})
@@ -156,10 +167,9 @@
 func (d *Server) violated(invariant int, problem string) {
 	d.violations.WithLabelValues(strconv.Itoa(invariant)).Inc()
 	d.log.Error().Int("invariant", invariant).Str("problem", problem).Msg("server: invariant violated")
-}
-
-func (d *Server) dial(addr string) messenger.Peer {
-	return messenger.NewPeerProtobufClient("http://"+addr, d.peers)
+	if d.settings.PanicOnViolation {
+		panic(fmt.Sprintf("invariant %d: %s", invariant, problem))
+	}
 }
 
 // Run serves until ctx ends, then finishes the requests in progress and gives
--- a/standins/loader/overhead.go
+++ b/standins/loader/overhead.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,9 +17,11 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"tarragonhead.example/tarragonhead/internal/gossiper"
 	"tarragonhead.example/tarragonhead/internal/messenger"
 )
 
@@ -123,6 +126,7 @@
 	addrs     map[string]string
 	control   netip.AddrPort
 	peer      *http.Server
+	endPeer   context.CancelFunc
 }
 
 const benchService = "bench"
@@ -140,7 +144,12 @@
 	if err != nil {
 		return err
 	}
-	b.peer = &http.Server{Handler: messenger.NewPeerServer(&tablePeer{addr: l.Addr().String(), target: b.addrs[pathStraight]}), ReadHeaderTimeout: time.Second}
+	peer := newTablePeer(l.Addr().String(), b.addrs[pathStraight])
+	// Without a heartbeat that advances the daemon would drop the peer.
+	var running context.Context
+	running, b.endPeer = context.WithCancel(context.Background())
+	go peer.gossip.Run(running)
+	b.peer = &http.Server{Handler: messenger.NewPeerServer(peer), ReadHeaderTimeout: time.Second}
 	go func() { _ = b.peer.Serve(l) }()
 	return b.startDaemon(l.Addr().String())
 }
@@ -206,6 +215,7 @@
 		_ = p.Wait()
 	}
 	if b.peer != nil {
+		b.endPeer()
 		_ = b.peer.Close()
 	}
 }
@@ -296,16 +306,30 @@
 // tablePeer plays a daemon that owns a shard with one runner.
 type tablePeer struct {
 	messenger.Peer
-	addr, target string
+	gossip *gossiper.Gossiper
+	target string
+}
+
+func newTablePeer(addr, target string) *tablePeer {
+	return &tablePeer{target: target, gossip: gossiper.New(gossiper.Options{
+		Self: &messenger.Member{Id: "table", Domain: "a", ControlAddr: addr, Incarnation: 1},
+		Dial: func(addr string) messenger.Peer {
+			return messenger.NewPeerProtobufClient("http://"+addr, http.DefaultClient)
+		},
+		Complete: func(d, _ *messenger.Digest) {
+			d.OwnersHash = 1
+			d.Owners = []*messenger.ShardOwner{{Shard: benchService, Member: "table", Epoch: 1, RoutesVersion: 1}}
+		},
+		Received:  func(*messenger.Digest, string) {},
+		Preferred: func() string { return "" },
+		Log:       &log.Logger{Level: log.ErrorLevel},
+		Rand:      rand.New(rand.NewPCG(1, 1)),
+	})}
 }
 
 // Exchange implements messenger.Peer.
-func (p *tablePeer) Exchange(context.Context, *messenger.Digest) (*messenger.Digest, error) {
-	return &messenger.Digest{
-		From:    "table",
-		Members: []*messenger.Member{{Id: "table", Domain: "a", ControlAddr: p.addr, Incarnation: 1, Heartbeat: uint64(time.Now().UnixNano())}},
-		Owners:  []*messenger.ShardOwner{{Shard: benchService, Member: "table", Epoch: 1, RoutesVersion: 1}},
-	}, nil
+func (p *tablePeer) Exchange(_ context.Context, d *messenger.Digest) (*messenger.Digest, error) {
+	return p.gossip.Answer(d), nil
 }
 
 // FetchRoutes implements messenger.Peer.
