--- a/internal/interpreter/chart.go
+++ b/internal/interpreter/chart.go
@@ -151,3 +151,9 @@
 	}
 	return to, nil
 }
+
+// Accepts reports whether s has a transition on event.
+func (c *Chart) Accepts(s State, event string) bool {
+	_, ok := c.next[key{s, Event(event)}]
+	return ok
+}
--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -2,15 +2,12 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/interpreter"
 )
 
-func interpreterEvent(e string) interpreter.Event { return interpreter.Event(e) }
-
 // Apply applies one change. The error is an InvariantError, or a
 // TransitionError of a chart, and the state is then unchanged.
 func (c *Core) Apply(ch Change) error {
@@ -18,13 +15,13 @@
 	case ch.JobAccepted != nil:
 		return c.applyJob(*ch.JobAccepted)
 	case ch.TaskAdded != nil:
-		return c.addTask(ch.TaskAdded.Task)
+		return c.applyTaskAdded(ch.TaskAdded.Task)
 	case ch.AttemptPlaced != nil:
 		return c.applyPlacement(*ch.AttemptPlaced)
 	case ch.AttemptMoved != nil:
 		return c.applyAttemptMove(*ch.AttemptMoved)
 	case ch.TaskParked != nil:
-		return c.applyTaskMove(TaskMoved{ch.TaskParked.Task, "park", ch.TaskParked.Reason})
+		return c.applyTaskMove(TaskMoved{Task: ch.TaskParked.Task, Event: "park", Reason: ch.TaskParked.Reason})
 	case ch.TaskMoved != nil:
 		return c.applyTaskMove(*ch.TaskMoved)
 	case ch.ReservationSet != nil:
@@ -36,41 +33,98 @@
 	case ch.WorkerChanged != nil:
 		return c.applyWorker(*ch.WorkerChanged)
 	case ch.JobCancelled != nil:
-		if j := c.jobs[ch.JobCancelled.JobID]; j != nil {
-			j.Ended = true
-		}
+		return c.applyJobCancelled(*ch.JobCancelled)
+	case ch.JobParked != nil:
+		return c.applyJobParked(*ch.JobParked)
+	case ch.TotalsSet != nil:
+		return c.applyTotals(*ch.TotalsSet)
+	}
+	return c.applySetting(ch)
+}
+
+func (c *Core) applySetting(ch Change) error {
+	switch {
+	case ch.HorizonSet != nil:
+		c.horizons[ch.HorizonSet.Class] = ch.HorizonSet.Length
+	case ch.DomainSet != nil:
+		c.domainOut, c.domainAt = ch.DomainSet.Out, ch.DomainSet.At
+	case ch.AllowanceSet != nil && ch.AllowanceSet.Reset:
+		delete(c.allowances, ch.AllowanceSet.Team)
+	case ch.AllowanceSet != nil:
+		c.allowances[ch.AllowanceSet.Team] = ch.AllowanceSet.Amount
+	default:
+		return &InvariantError{Problem: "a change without a field that is set"}
 	}
 	return nil
 }
 
-func (c *Core) applyJob(ch JobAccepted) error {
-	if c.jobs[ch.Job.ID] != nil {
-		return &InvariantError{Invariant: 2, Problem: "job " + ch.Job.ID + " accepted twice"}
+func (c *Core) addTask(t *Task) {
+	c.tasks[t.ID] = t
+	if c.byOwner[t.Owner] == nil {
+		c.byOwner[t.Owner] = map[TaskID]*Task{}
 	}
-	c.jobs[ch.Job.ID] = &Job{Job: ch.Job, Submitted: ch.At}
-	for i := range ch.Job.Tasks {
-		t := Task{
-			ID: jobTaskID(ch.Job.ID, i), Class: declarer.ClassBatch, Owner: ch.Job.ID, Team: ch.Job.Team, Kind: ch.Job.Kind,
-			Declared: ch.Job.Resources, RunTime: ch.Job.RunTime, Urgent: ch.Job.Urgent, Submitted: ch.At, State: Pending,
-		}
-		if ch.Job.Deadline > 0 {
-			t.Deadline = ch.At.Add(ch.Job.Deadline)
-		}
-		c.tasks[t.ID] = &t
+	c.byOwner[t.Owner][t.ID] = t
+	if t.State == Pending {
+		c.queue.addTask(t)
 	}
-	return nil
 }
 
-func (c *Core) addTask(t Task) error {
-	if c.tasks[t.ID] != nil {
-		return &InvariantError{Invariant: 2, Task: t.ID, Problem: "task added twice"}
+func (c *Core) removeTask(t *Task) {
+	delete(c.tasks, t.ID)
+	delete(c.byOwner[t.Owner], t.ID)
+	if len(c.byOwner[t.Owner]) == 0 {
+		delete(c.byOwner, t.Owner)
 	}
-	c.tasks[t.ID] = &t
+}
+
+// setState moves a task to a state and in or out of the queue.
+func (c *Core) setState(t *Task, s interpreter.State) {
+	if t.State == Pending && s != Pending {
+		c.queue.removeTask(t)
+	}
+	was := t.State
+	t.State = s
+	if s == Pending && was != Pending {
+		c.queue.addTask(t)
+	}
+}
+
+func (c *Core) applyTaskAdded(t Task) error {
+	if c.tasks[t.ID] != nil || t.State != Pending {
+		return &InvariantError{Invariant: 2, Task: t.ID, Problem: "task added twice or in state " + string(t.State)}
+	}
+	c.addTask(&t)
 	return nil
 }
 
+// untouched returns the job of which id names an untouched task.
+func (c *Core) untouched(id TaskID) (*Job, int) {
+	name, n, ok := jobTaskIndex(id)
+	if j := c.jobs[name]; ok && j != nil && j.Untouched.Has(IndexRange{n, 1}) {
+		return j, n
+	}
+	return nil, 0
+}
+
+// touch makes an untouched task a task of its own.
+func (c *Core) touch(j *Job, n int) *Task {
+	t := j.task(n)
+	j.Untouched = j.Untouched.Remove(IndexRange{n, 1})
+	c.queue.setJob(j)
+	c.addTask(&t)
+	return &t
+}
+
 func (c *Core) applyPlacement(ch AttemptPlaced) error {
 	t, w := c.tasks[ch.Task], c.workers[ch.Worker]
+	var job *Job
+	index := 0
+	if t == nil {
+		if job, index = c.untouched(ch.Task); job != nil {
+			untouched := job.task(index)
+			t = &untouched
+		}
+	}
 	if t == nil || w == nil {
 		return &InvariantError{Invariant: 2, Task: ch.Task, Worker: ch.Worker, Problem: "placement of an unknown task or on an unknown worker"}
 	}
@@ -84,12 +138,14 @@
 	if reserved := w.Reserved.Add(ch.Reserved); !reserved.FitsIn(w.Capacity) || ch.Reserved.IsNegative() {
 		return &InvariantError{Invariant: 1, Task: ch.Task, Worker: ch.Worker, Problem: fmt.Sprintf("reservation %v over capacity %v", reserved, w.Capacity)}
 	}
-	t.State, t.Attempt, t.Worker, t.Reserved, t.Reason, t.Checkpoint = next, ch.Attempt, ch.Worker, ch.Reserved, ch.Reason, ""
-	w.Reserved = w.Reserved.Add(ch.Reserved)
-	if c.onWorker[w.ID] == nil {
-		c.onWorker[w.ID] = map[TaskID]*Task{}
+	if job != nil {
+		t = c.touch(job, index)
 	}
-	c.onWorker[w.ID][t.ID] = t
+	c.setState(t, next)
+	t.Attempt, t.Worker, t.Reserved, t.Reason = ch.Attempt, ch.Worker, ch.Reserved, ch.Reason
+	t.Resumed, t.Checkpoint = t.Checkpoint, ""
+	t.Evicting = false
+	c.hold(t)
 	return nil
 }
 
@@ -98,33 +154,63 @@
 	if t == nil || t.Attempt != ch.Attempt || !Holds(t.State) {
 		return &InvariantError{Invariant: 2, Task: ch.Task, Problem: fmt.Sprintf("event %s for attempt %d, which is not current", ch.Event, ch.Attempt)}
 	}
-	next, err := c.options.Charts.Task.Next(t.State, interpreterEvent(ch.Event))
+	next, err := c.options.Charts.Task.Next(t.State, interpreter.Event(ch.Event))
 	if err != nil {
 		return err
 	}
-	t.State = next
+	switch ch.Event {
+	case "stop":
+		t.Cancelling = true
+	case "checkpoint":
+		t.Evictions++
+	case "evict":
+		t.Evicting = true
+		if t.State != Checkpointing {
+			t.Evictions++
+		}
+	}
 	if ch.Reason != "" {
 		t.Reason = ch.Reason
 	}
-	if !Holds(next) {
-		c.release(t)
-	}
 	if ch.Checkpoint != "" {
 		t.Checkpoint = ch.Checkpoint
+	} else if ch.Event == "refused" {
+		t.Checkpoint = t.Resumed
 	}
-	if ch.Outcome == OutcomeFailed {
-		t.Failures++
+	c.noteOutcome(t, ch.Outcome)
+	if !Holds(next) {
+		t.Resumed = ""
+		t.NotBefore = ch.NotBefore
+		c.release(t)
 	}
+	c.setState(t, next)
 	c.finish(t)
 	return nil
 }
 
-// release gives a task's resources back to its worker.
-func (c *Core) release(t *Task) {
-	w := c.workers[t.Worker]
-	w.Reserved = w.Reserved.Sub(t.Reserved)
-	delete(c.onWorker[t.Worker], t.ID)
-	t.Worker, t.Reserved = "", declarer.Resources{}
+// noteOutcome keeps the evidence for and against the task's worker and job.
+func (c *Core) noteOutcome(t *Task, o Outcome) {
+	w, j := c.workers[t.Worker], c.jobs[t.Owner]
+	switch o {
+	case OutcomeFailed:
+		t.Failures++
+		w.FailedOwners = addEvidence(w.FailedOwners, t.Owner)
+		if j != nil && t.Class == declarer.ClassBatch {
+			j.FailedOn = addEvidence(j.FailedOn, w.ID)
+		}
+	case OutcomeCompleted:
+		w.FailedOwners = nil
+		if j != nil && t.Class == declarer.ClassBatch {
+			j.FailedOn = nil
+		}
+	}
+}
+
+func addEvidence(list []string, name string) []string {
+	if len(list) >= maxEvidence || slices.Contains(list, name) {
+		return list
+	}
+	return append(slices.Clone(list), name)
 }
 
 // finish forgets a task in a final state and counts it in its job.
@@ -132,7 +218,8 @@
 	if !c.options.Charts.Task.IsFinal(t.State) {
 		return
 	}
-	delete(c.tasks, t.ID)
+	c.removeTask(t)
+	c.unmatched = c.unmatched || t.Class != declarer.ClassBatch
 	j := c.jobs[t.Owner]
 	if t.Class != declarer.ClassBatch || j == nil {
 		return
@@ -144,103 +231,43 @@
 		j.Failed++
 	case Cancelled:
 		j.Cancelled++
-	case HandedAway:
-		j.HandedOver++
 	}
+	c.unsent[j.Job.ID] = true
 }
 
 func (c *Core) applyTaskMove(ch TaskMoved) error {
+	if ch.TransferID != "" {
+		return c.applyTransferEnd(ch)
+	}
 	t := c.tasks[ch.Task]
 	if t == nil || Holds(t.State) {
 		return &InvariantError{Invariant: 2, Task: ch.Task, Problem: "event " + ch.Event + " for a task that is unknown or has an attempt"}
 	}
-	next, err := c.options.Charts.Task.Next(t.State, interpreterEvent(ch.Event))
+	next, err := c.options.Charts.Task.Next(t.State, interpreter.Event(ch.Event))
 	if err != nil {
 		return err
 	}
-	t.State, t.Reason = next, ch.Reason
+	t.Reason = ch.Reason
+	c.setState(t, next)
 	c.finish(t)
 	return nil
 }
 
 func (c *Core) applyReservation(ch ReservationSet) error {
-	t := c.current(ch.Task, ch.Attempt)
-	if t == nil {
+	t := c.tasks[ch.Task]
+	if t == nil || t.Attempt != ch.Attempt || !Holds(t.State) {
 		return &InvariantError{Invariant: 2, Task: ch.Task, Problem: "reservation for an attempt that is not current"}
 	}
 	w := c.workers[t.Worker]
 	if reserved := w.Reserved.Sub(t.Reserved).Add(ch.Reserved); !reserved.FitsIn(w.Capacity) || ch.Reserved.IsNegative() {
 		return &InvariantError{Invariant: 1, Task: ch.Task, Worker: w.ID, Problem: fmt.Sprintf("reservation %v over capacity %v", reserved, w.Capacity)}
 	}
-	w.Reserved = w.Reserved.Sub(t.Reserved).Add(ch.Reserved)
-	t.Reserved = ch.Reserved
-	return nil
-}
-
-func (c *Core) applyHandOver(ch HandedOver) error {
-	if err := c.applyTaskMove(TaskMoved{ch.Task, "hand_over", "handed over to " + ch.ToShard}); err != nil {
-		return err
-	}
-	t := c.tasks[ch.Task]
-	t.TransferID, t.ToShard = ch.TransferID, ch.ToShard
-	return nil
-}
-
-func (c *Core) applyTakeOver(ch TakenOver) error {
-	if c.takenOver[ch.TransferID] {
-		return &InvariantError{Invariant: 3, Task: ch.Task.ID, Problem: "transfer " + ch.TransferID + " taken over twice"}
-	}
-	t := ch.Task
-	t.State, t.TransferID, t.ToShard, t.Worker, t.Reserved = Pending, "", "", "", declarer.Resources{}
-	if err := c.addTask(t); err != nil {
-		return err
-	}
-	c.takenOver[ch.TransferID] = true
-	return nil
-}
-
-func (c *Core) applyWorker(ch WorkerChanged) error {
-	w := c.workers[ch.Worker.ID]
-	if ch.Event == "" {
-		added := ch.Worker
-		added.Reserved = declarer.Resources{}
-		if w != nil {
-			return &InvariantError{Invariant: 1, Worker: w.ID, Problem: "worker added twice"}
-		}
-		c.workers[added.ID] = &added
-		return nil
-	}
-	if w == nil {
-		return &InvariantError{Invariant: 1, Worker: ch.Worker.ID, Problem: "event " + ch.Event + " for an unknown worker"}
+	known := c.attempts[t.ID]
+	c.release(t)
+	t.Worker, t.Reserved = w.ID, ch.Reserved
+	c.hold(t)
+	if known != nil {
+		c.attempts[t.ID] = known
 	}
-	next, err := c.options.Charts.Worker.Next(w.State, interpreterEvent(ch.Event))
-	if err != nil {
-		return err
-	}
-	w.State = next
 	return nil
 }
-
-func replicaID(service, domain string, n int) TaskID {
-	return TaskID(fmt.Sprintf("service/%s/%s/%d", service, domain, n))
-}
-
-func jobTaskID(job string, n int) TaskID { return TaskID(fmt.Sprintf("job/%s/%d", job, n)) }
-
-func (c *Core) sortedTasks() []*Task {
-	tasks := make([]*Task, 0, len(c.tasks))
-	for _, id := range slices.Sorted(maps.Keys(c.tasks)) {
-		tasks = append(tasks, c.tasks[id])
-	}
-	return tasks
-}
-
-func (c *Core) tasksOn(worker string) []*Task {
-	tasks := make([]*Task, 0, len(c.onWorker[worker]))
-	for _, id := range slices.Sorted(maps.Keys(c.onWorker[worker])) {
-		tasks = append(tasks, c.onWorker[worker][id])
-	}
-	return tasks
-}
-
-func (c *Core) workerIDs() []string { return slices.Sorted(maps.Keys(c.workers)) }
--- /dev/null
+++ b/internal/scheduler/apply_work.go
@@ -0,0 +1,277 @@
+package scheduler
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/interpreter"
+)
+
+func (c *Core) applyJob(ch JobAccepted) error {
+	if c.jobs[ch.Job.ID] != nil {
+		return &InvariantError{Invariant: 2, Problem: "job " + ch.Job.ID + " accepted twice"}
+	}
+	j := &Job{Job: ch.Job, Submitted: ch.At, Home: c.options.Shard}
+	if ch.Job.Tasks > 0 {
+		j.Untouched = Ranges{{0, ch.Job.Tasks}}
+	}
+	c.jobs[ch.Job.ID] = j
+	c.queue.setJob(j)
+	return nil
+}
+
+// applyJobCancelled ends a job and cancels its tasks without an attempt.
+func (c *Core) applyJobCancelled(ch JobEnded) error {
+	j := c.jobs[ch.JobID]
+	if j == nil {
+		j = &Job{Job: declarer.BatchJob{ID: ch.JobID}, Home: ch.Home}
+		c.jobs[ch.JobID] = j
+	}
+	j.Ended = true
+	j.Cancelled += j.Untouched.Len()
+	j.Untouched = nil
+	c.queue.setJob(j)
+	c.unsent[ch.JobID] = true
+	for _, t := range sortedValues(c.byOwner[ch.JobID]) {
+		if t.Class == declarer.ClassBatch && !Holds(t.State) {
+			t.Reason = ch.Reason
+			c.setState(t, Cancelled)
+			c.finish(t)
+		}
+	}
+	return nil
+}
+
+func (c *Core) applyJobParked(ch JobParked) error {
+	j := c.jobs[ch.JobID]
+	if j == nil {
+		return &InvariantError{Invariant: 3, Problem: "job " + ch.JobID + " parked, which is unknown"}
+	}
+	j.Parked = ch.Reason
+	if ch.Reason == "" {
+		j.FailedOn = nil
+	}
+	c.queue.setJob(j)
+	return nil
+}
+
+func (c *Core) applyTotals(ch TotalsSet) error {
+	j := c.jobs[ch.JobID]
+	if j == nil {
+		return &InvariantError{Invariant: 3, Problem: "totals for job " + ch.JobID + ", which is unknown"}
+	}
+	for i, r := range j.Remote {
+		if r.Shard == ch.Counts.Shard {
+			j.Remote[i] = mergeCounts(r, ch.Counts)
+			return nil
+		}
+	}
+	j.Remote = append(j.Remote, ch.Counts)
+	slices.SortFunc(j.Remote, func(a, b RemoteCounts) int { return strings.Compare(a.Shard, b.Shard) })
+	return nil
+}
+
+// mergeCounts keeps the larger counts, since a late report has smaller ones.
+func mergeCounts(a, b RemoteCounts) RemoteCounts {
+	return RemoteCounts{a.Shard, max(a.Done, b.Done), max(a.Failed, b.Failed), max(a.Cancelled, b.Cancelled), a.Ended || b.Ended}
+}
+
+// transferName is the id of transfer number n: ids of one source and
+// destination are consecutive, so that the destination needs to keep only a
+// few of them.
+func transferName(from, to string, n uint64) string {
+	return from + "/" + to + "/" + strconv.FormatUint(n, 10)
+}
+
+func parseTransfer(id string) (from string, n uint64, ok bool) {
+	parts := strings.Split(id, "/")
+	if len(parts) != 3 {
+		return "", 0, false
+	}
+	n, err := strconv.ParseUint(parts[2], 10, 64)
+	return parts[0] + "/" + parts[1], n, err == nil && n > 0
+}
+
+// numbers is a set of numbers that starts at 1 and has few gaps.
+type numbers struct {
+	// through is the number up to which all are in the set.
+	through uint64
+	above   map[uint64]bool
+}
+
+func (s *numbers) has(n uint64) bool { return s != nil && (n <= s.through || s.above[n]) }
+
+func (s *numbers) add(n uint64) {
+	s.above[n] = true
+	for s.above[s.through+1] {
+		s.through++
+		delete(s.above, s.through)
+	}
+}
+
+// HasTakenOver reports whether a transfer has been taken over here. The driver
+// confirms an offer only if it has.
+func (c *Core) HasTakenOver(transfer string) bool {
+	from, n, ok := parseTransfer(transfer)
+	return ok && c.taken[from].has(n)
+}
+
+func (c *Core) applyHandOver(ch HandedOver) error {
+	from, n, ok := parseTransfer(ch.TransferID)
+	if !ok || c.transfers[ch.TransferID] != nil || n <= c.sent[from] {
+		return &InvariantError{Invariant: 3, Task: ch.Task, Problem: "transfer id " + ch.TransferID + " is malformed or used before"}
+	}
+	t := c.tasks[ch.Task]
+	if ch.Count > 0 {
+		j, first := c.untouched(ch.Task)
+		if j == nil || !j.Untouched.Has(IndexRange{first, ch.Count}) {
+			return &InvariantError{Invariant: 3, Task: ch.Task, Problem: "hand-over of tasks that are not untouched"}
+		}
+		many := j.task(first)
+		many.Count = ch.Count
+		j.Untouched = j.Untouched.Remove(IndexRange{first, ch.Count})
+		c.queue.setJob(j)
+		t = &many
+	}
+	if t == nil || Holds(t.State) {
+		return &InvariantError{Invariant: 3, Task: ch.Task, Problem: "hand-over of a task that is unknown or has an attempt"}
+	}
+	next, err := c.options.Charts.Task.Next(t.State, "hand_over")
+	if err != nil {
+		return err
+	}
+	if ch.Count == 0 {
+		c.setState(t, next)
+		c.removeTask(t)
+	}
+	t.State, t.TransferID, t.ToShard, t.Reason = next, ch.TransferID, ch.ToShard, "handed over to "+ch.ToShard
+	c.transfers[ch.TransferID], c.sent[from] = t, n
+	if j := c.jobs[t.Owner]; j != nil && !slices.Contains(j.Sent, ch.ToShard) {
+		j.Sent = append(slices.Clone(j.Sent), ch.ToShard)
+	}
+	return nil
+}
+
+func (c *Core) applyTransferEnd(ch TaskMoved) error {
+	t := c.transfers[ch.TransferID]
+	if t == nil {
+		return &InvariantError{Invariant: 3, Task: ch.Task, Problem: "transfer " + ch.TransferID + " is unknown"}
+	}
+	next, err := c.options.Charts.Task.Next(t.State, interpreter.Event(ch.Event))
+	if err != nil {
+		return err
+	}
+	t.State = next
+	delete(c.transfers, ch.TransferID)
+	if j := c.jobs[t.Owner]; j != nil && t.Class == declarer.ClassBatch {
+		j.HandedOver += max(t.Count, 1)
+	}
+	return nil
+}
+
+func (c *Core) applyTakeOver(ch TakenOver) error {
+	from, n, ok := parseTransfer(ch.TransferID)
+	if !ok || c.taken[from].has(n) {
+		return &InvariantError{Invariant: 3, Task: ch.Task.ID, Problem: "transfer " + ch.TransferID + " is malformed or taken over twice"}
+	}
+	t := ch.Task
+	_, first, named := jobTaskIndex(t.ID)
+	j := c.jobs[t.Owner]
+	whole := IndexRange{first, max(t.Count, 1)}
+	if c.tasks[t.ID] != nil || (j != nil && j.Untouched.Overlaps(whole)) || t.Class != declarer.ClassBatch || !named {
+		return &InvariantError{Invariant: 2, Task: t.ID, Problem: "task taken over that is here or is not of a job"}
+	}
+	if c.taken[from] == nil {
+		c.taken[from] = &numbers{above: map[uint64]bool{}}
+	}
+	c.taken[from].add(n)
+	j = c.jobOf(&t)
+	j.TakenOver += whole.Count
+	c.unsent[t.Owner] = true
+	switch {
+	case j.Ended:
+		j.Cancelled += whole.Count
+	case t.Count > 0:
+		j.Untouched = j.Untouched.Add(whole)
+		c.queue.setJob(j)
+	default:
+		t.State, t.TransferID, t.ToShard, t.Worker, t.Reserved = Pending, "", "", "", declarer.Resources{}
+		c.addTask(&t)
+	}
+	return nil
+}
+
+// jobOf returns the job of a task that was taken over.
+func (c *Core) jobOf(t *Task) *Job {
+	j := c.jobs[t.Owner]
+	if j == nil {
+		j = &Job{Home: t.Home}
+		c.jobs[t.Owner] = j
+	}
+	if j.Job.Kind == "" {
+		j.Submitted = t.Submitted
+		j.Job = declarer.BatchJob{ID: t.Owner, Team: t.Team, Kind: t.Kind, Resources: t.Declared, RunTime: t.RunTime, Urgent: t.Urgent}
+		if !t.Deadline.IsZero() {
+			j.Job.Deadline = t.Deadline.Sub(t.Submitted)
+		}
+	}
+	return j
+}
+
+func (c *Core) applyWorker(ch WorkerChanged) error {
+	w := c.workers[ch.Worker.ID]
+	c.view.stale = true
+	c.queue.changed = true
+	if ch.Event == "" {
+		if w != nil {
+			return &InvariantError{Invariant: 1, Worker: w.ID, Problem: "worker added twice"}
+		}
+		added := ch.Worker
+		added.Reserved = declarer.Resources{}
+		c.workers[added.ID] = &added
+		c.setWorkerState(&added, added.State)
+		return nil
+	}
+	if w == nil {
+		return &InvariantError{Invariant: 1, Worker: ch.Worker.ID, Problem: "event " + ch.Event + " for an unknown worker"}
+	}
+	if ch.Event == updateWorker {
+		if !w.Reserved.FitsIn(ch.Worker.Capacity) {
+			return &InvariantError{Invariant: 1, Worker: w.ID, Problem: "capacity below what is reserved"}
+		}
+		w.Rack, w.Addr, w.Capacity = ch.Worker.Rack, ch.Worker.Addr, ch.Worker.Capacity
+		return nil
+	}
+	next, err := c.options.Charts.Worker.Next(w.State, interpreter.Event(ch.Event))
+	if err != nil {
+		return err
+	}
+	if next == Gone && len(c.onWorker[w.ID]) > 0 {
+		return &InvariantError{Invariant: 2, Worker: w.ID, Problem: "worker forgotten with attempts on it"}
+	}
+	c.setWorkerState(w, next)
+	switch ch.Event {
+	case "clear":
+		w.Probes, w.ProbeAt, w.FailedOwners = 0, ch.Worker.ProbeAt, nil
+	case "quarantine":
+		w.Probes, w.ProbeAt = w.Probes+1, ch.Worker.ProbeAt
+	case "forget":
+		delete(c.workers, w.ID)
+		delete(c.onWorker, w.ID)
+	}
+	return nil
+}
+
+func (c *Core) setWorkerState(w *Worker, s interpreter.State) {
+	w.State = s
+	delete(c.excluded, w.ID)
+	delete(c.leaving, w.ID)
+	switch s {
+	case Quarantined, Probing:
+		c.excluded[w.ID] = true
+	case Leaving:
+		c.leaving[w.ID] = true
+	}
+}
--- a/internal/scheduler/change.go
+++ b/internal/scheduler/change.go
@@ -21,6 +21,10 @@
 	WorkerChanged  *WorkerChanged  `cbor:"10,keyasint,omitempty"`
 	JobCancelled   *JobEnded       `cbor:"11,keyasint,omitempty"`
 	HorizonSet     *HorizonSet     `cbor:"12,keyasint,omitempty"`
+	JobParked      *JobParked      `cbor:"13,keyasint,omitempty"`
+	TotalsSet      *TotalsSet      `cbor:"14,keyasint,omitempty"`
+	DomainSet      *DomainSet      `cbor:"15,keyasint,omitempty"`
+	AllowanceSet   *AllowanceSet   `cbor:"16,keyasint,omitempty"`
 }
 
 // JobAccepted adds a batch job with all of its tasks pending.
@@ -52,6 +56,8 @@
 	Checkpoint string  `cbor:"4,keyasint,omitempty"`
 	Reason     string  `cbor:"5,keyasint,omitempty"`
 	Outcome    Outcome `cbor:"6,keyasint,omitempty"`
+	// NotBefore is the earliest time of the next attempt, zero for any.
+	NotBefore time.Time `cbor:"7,keyasint,omitzero"`
 }
 
 // TaskParked takes a task out of the queue with a reason.
@@ -65,6 +71,8 @@
 	Task   TaskID `cbor:"1,keyasint"`
 	Event  string `cbor:"2,keyasint"`
 	Reason string `cbor:"3,keyasint,omitempty"`
+	// TransferID names a task that is being handed over; empty for others.
+	TransferID string `cbor:"4,keyasint,omitempty"`
 }
 
 // ReservationSet changes what a running attempt reserves.
@@ -81,6 +89,9 @@
 	Task       TaskID `cbor:"1,keyasint"`
 	TransferID string `cbor:"2,keyasint"`
 	ToShard    string `cbor:"3,keyasint"`
+	// Count gives that many untouched tasks of a job, of which Task is the
+	// first; zero for a single task.
+	Count int `cbor:"4,keyasint,omitempty"`
 }
 
 // TakenOver adds a task that another shard has handed over. Each transfer is
@@ -97,10 +108,40 @@
 	Reason string `cbor:"3,keyasint,omitempty"`
 }
 
-// JobEnded marks a job that accepts no more attempts.
+// JobEnded marks a job that accepts no more attempts. Its tasks without an
+// attempt are cancelled.
 type JobEnded struct {
 	JobID  string `cbor:"1,keyasint"`
 	Reason string `cbor:"2,keyasint,omitempty"`
+	// Home is the home shard of a job that this shard doesn't know yet.
+	Home string `cbor:"3,keyasint,omitempty"`
+}
+
+// JobParked takes a job out of the queue with a reason, or puts it back when
+// the reason is empty.
+type JobParked struct {
+	JobID  string `cbor:"1,keyasint"`
+	Reason string `cbor:"2,keyasint,omitempty"`
+}
+
+// TotalsSet keeps the counts of a job that another shard reported.
+type TotalsSet struct {
+	JobID  string       `cbor:"1,keyasint"`
+	Counts RemoteCounts `cbor:"2,keyasint"`
+}
+
+// DomainSet takes the shard's domain out of service or brings it back.
+type DomainSet struct {
+	Out bool      `cbor:"1,keyasint,omitempty"`
+	At  time.Time `cbor:"2,keyasint"`
+}
+
+// AllowanceSet replaces the part of a team's quota that this domain may spend.
+// A change with Reset goes back to the split by the configuration.
+type AllowanceSet struct {
+	Team   string             `cbor:"1,keyasint"`
+	Amount declarer.Resources `cbor:"2,keyasint,omitzero"`
+	Reset  bool               `cbor:"3,keyasint,omitempty"`
 }
 
 // HorizonSet extends for how long after this record the leases of a class may
--- a/internal/scheduler/charts.go
+++ b/internal/scheduler/charts.go
@@ -55,6 +55,7 @@
 	Probing     interpreter.State = "probing"
 	Leaving     interpreter.State = "leaving"
 	Lost        interpreter.State = "lost"
+	Gone        interpreter.State = "gone"
 )
 
 // Holds reports whether a task in state s holds a reservation on a worker.
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -19,6 +19,11 @@
 	StartRefused  *StartRefused
 	Offered       *TransferOffered
 	Confirmed     *TransferConfirmed
+	Totals        *TotalsReported
+	TotalsKept    *TotalsConfirmed
+	Peer          *PeerReport
+	Allowance     *AllowanceGiven
+	Released      *JobReleased
 	Tick          *Tick
 }
 
@@ -32,8 +37,43 @@
 // JobSubmitted asks for a batch job to be accepted. A known id changes nothing.
 type JobSubmitted struct{ Job declarer.BatchJob }
 
-// JobCancelled asks for every task of a job to end.
-type JobCancelled struct{ JobID string }
+// JobCancelled asks for every task of a job to end. Home is set when the home
+// shard of the job asks for the tasks that it has handed over.
+type JobCancelled struct{ JobID, Home string }
+
+// JobReleased asks for a parked job to be tried again.
+type JobReleased struct{ JobID string }
+
+// TotalsReported gives the counts of a job in another shard to its home.
+type TotalsReported struct {
+	JobID  string
+	Counts RemoteCounts
+}
+
+// TotalsConfirmed reports that the home shard has committed these counts.
+type TotalsConfirmed struct {
+	JobID  string
+	Counts RemoteCounts
+}
+
+// PeerReport tells the other shards what one shard runs.
+type PeerReport struct {
+	Shard string
+	// Revision is that of the configuration that the shard has confirmed.
+	Revision uint64
+	// Replicas counts the running replicas of each service.
+	Replicas map[string]int
+	// Watchers are the watchers that the shard has an attempt of.
+	Watchers []string
+}
+
+// AllowanceGiven replaces the part of a team's quota that the domain may
+// spend, as agreed through the store.
+type AllowanceGiven struct {
+	Team   string
+	Amount declarer.Resources
+	Reset  bool
+}
 
 // WorkerSeen reports a worker that a session has reached.
 type WorkerSeen struct {
@@ -43,7 +83,10 @@
 	Capacity declarer.Resources
 }
 
-// WorkerLost reports that every lease on a worker has run out.
+// WorkerLost reports that a worker has not been reached for the length of a
+// lease, counted from the last renewal or start that was sent, whether or not
+// it was answered. A worker that this owner has never reached may still hold
+// leases of an earlier owner; the core waits for the horizon there.
 type WorkerLost struct{ ID string }
 
 // WorkerLeaving reports that a worker takes no new work.
@@ -58,6 +101,9 @@
 	Ended []EndedAttempt
 	// MeasuredAt is when the usage was measured; it lags behind the report.
 	MeasuredAt time.Time
+	// RequestedAt is the owner's time at which the request for this report was
+	// sent. The zero value proves nothing about attempts that are not listed.
+	RequestedAt time.Time
 }
 
 // RunningAttempt is one attempt as the worker reports it.
@@ -103,6 +149,10 @@
 	Task    TaskID
 	Attempt uint64
 	Reason  string
+	// Withdrawn is set when the command was never sent. Any other refusal may
+	// answer a second copy of a command that the worker has carried out, so
+	// the core waits for a report that proves that the attempt doesn't run.
+	Withdrawn bool
 }
 
 // TransferOffered reports a task that another shard has handed over.
@@ -116,60 +166,3 @@
 
 // Tick lets time pass.
 type Tick struct{}
-
-// Command is one output of the core, to be carried out after the changes of
-// the same step are committed. Exactly one field is set.
-type Command struct {
-	Start      *StartTask
-	Stop       *StopTask
-	Checkpoint *CheckpointTask
-	Throttle   *ThrottleTask
-	HandOver   *HandOverTask
-}
-
-// StartTask starts an attempt on a worker.
-type StartTask struct {
-	Worker     string
-	Task       TaskID
-	Attempt    uint64
-	Class      declarer.Class
-	Kind       string
-	Service    string
-	Reserved   declarer.Resources
-	RunTime    time.Duration
-	Checkpoint string
-	// ConfirmedAt is when the read of the configuration that allows this
-	// start began.
-	ConfirmedAt time.Time
-}
-
-// StopTask stops an attempt.
-type StopTask struct {
-	Worker  string
-	Task    TaskID
-	Attempt uint64
-}
-
-// CheckpointTask stops an attempt after it has written a checkpoint.
-type CheckpointTask struct {
-	Worker  string
-	Task    TaskID
-	Attempt uint64
-}
-
-// ThrottleTask limits an attempt's use of processors.
-type ThrottleTask struct {
-	Worker  string
-	Task    TaskID
-	Attempt uint64
-	// Share is the share of the reserved processors that the attempt may use,
-	// above 0 and at most 1.
-	Share float64
-}
-
-// HandOverTask offers a task to another domain's shard.
-type HandOverTask struct {
-	TransferID string
-	ToShard    string
-	Task       Task
-}
--- /dev/null
+++ b/internal/scheduler/fakes_test.go
@@ -0,0 +1,290 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
+)
+
+// renew sends a renewal or, while the worker does not answer, a request for
+// its status that extends no lease.
+func (s *site) renew(x *fakeWorker) {
+	w := s.w
+	ses := s.sessions[x.id]
+	if ses == nil {
+		ses = &fakeSession{answered: w.now, leaseSent: w.now}
+		s.sessions[x.id] = ses
+		s.step(Event{WorkerSeen: &WorkerSeen{ID: x.id, Rack: "r", Capacity: x.capacity}})
+	}
+	if w.now.UnixMilli()%1000 != 0 {
+		return
+	}
+	lease := LeaseLength
+	switch quiet := w.now.Sub(ses.answered); {
+	case quiet < 3*time.Second:
+		ses.leaseSent = w.now
+	case !ses.lost && w.now.Sub(ses.leaseSent) > lengthened(LeaseLength):
+		ses.lost = true
+		s.step(Event{WorkerLost: &WorkerLost{x.id}})
+		lease = 0
+	default:
+		lease = 0
+	}
+	sent, epoch, core, muted := w.now, s.epoch, s.core, s.muted
+	if x.unreachable || x.dead {
+		return
+	}
+	w.send(func() {
+		report, ok := x.renew(w, epoch, sent, lease)
+		if !ok || muted || x.unreachable {
+			return
+		}
+		w.send(func() {
+			if s.core != core || w.now.Before(s.pausedUntil) {
+				return
+			}
+			ses.answered, ses.lost = w.now, false
+			r := report
+			s.step(Event{Report: &r})
+		})
+	})
+	// Attempts whose end is committed are forgotten by the worker.
+	for name, e := range x.ended {
+		if t := s.shadow.tasks[e.Task]; len(s.group) == 0 && (t == nil || t.Attempt != e.Attempt || !Holds(t.State)) && !x.unreachable {
+			delete(x.ended, name)
+		}
+	}
+}
+
+func (x *fakeWorker) renew(w *world, epoch uint64, sent time.Time, lease time.Duration) (WorkerReport, bool) {
+	if x.dead || epoch < x.epoch {
+		return WorkerReport{}, false
+	}
+	x.epoch = epoch
+	x.advance(w)
+	r := WorkerReport{Worker: x.id, RequestedAt: sent, MeasuredAt: w.now}
+	for _, id := range slices.Sorted(maps.Keys(x.running)) {
+		run := x.running[id]
+		if end := sent.Add(lease); lease > 0 && end.After(run.ends) {
+			run.ends = end
+		}
+		r.Running = append(r.Running, RunningAttempt{Task: id, Attempt: run.start.Attempt})
+	}
+	for _, name := range slices.Sorted(maps.Keys(x.ended)) {
+		r.Ended = append(r.Ended, x.ended[name])
+	}
+	return r, true
+}
+
+// advance ends what is complete and what has lost its lease.
+func (x *fakeWorker) advance(w *world) {
+	for _, id := range slices.Sorted(maps.Keys(x.running)) {
+		r := x.running[id]
+		if end := w.now.Add(LeaseLength); w.now.Before(x.keptUntil) && end.After(r.ends) {
+			r.ends = end
+		}
+		switch {
+		case !w.now.Before(r.ends):
+			x.finish(id, OutcomeExpired)
+		case r.outcome != "":
+			x.finish(id, r.outcome)
+		case !x.slow && r.start.Class == declarer.ClassBatch && w.now.Sub(r.begun) >= r.start.RunTime:
+			x.finish(id, OutcomeCompleted)
+		}
+	}
+}
+
+func (x *fakeWorker) finish(id TaskID, o Outcome) {
+	r := x.running[id]
+	if r == nil {
+		return
+	}
+	delete(x.running, id)
+	e := EndedAttempt{Task: id, Attempt: r.start.Attempt, Outcome: o}
+	name := fmt.Sprintf("%s#%d", id, r.start.Attempt)
+	if o == OutcomeCheckpointed {
+		e.Checkpoint = name
+	}
+	x.ended[name] = e
+}
+
+// carryOut sends one command, with the check that a session makes before it
+// writes a start.
+func (s *site) carryOut(k Command, epoch uint64) {
+	w := s.w
+	to := func(worker string, f func(*fakeWorker)) {
+		x := s.workers[worker]
+		if x == nil || x.unreachable || x.dead {
+			return
+		}
+		w.send(func() {
+			if !x.unreachable && !x.dead && epoch >= x.epoch {
+				x.epoch = epoch
+				f(x)
+			}
+		})
+	}
+	switch {
+	case k.Start != nil:
+		s.sendStart(*k.Start, epoch)
+	case k.Stop != nil:
+		to(k.Stop.Worker, func(x *fakeWorker) { x.end(k.Stop.Task, k.Stop.Attempt, OutcomeStopped) })
+	case k.Checkpoint != nil:
+		to(k.Checkpoint.Worker, func(x *fakeWorker) { x.end(k.Checkpoint.Task, k.Checkpoint.Attempt, OutcomeCheckpointed) })
+	default:
+		s.toPeer(k)
+	}
+}
+
+func (x *fakeWorker) end(id TaskID, attempt uint64, o Outcome) {
+	if r := x.running[id]; r != nil && r.start.Attempt == attempt {
+		x.finish(id, o)
+	}
+}
+
+func (s *site) sendStart(k StartTask, epoch uint64) {
+	w := s.w
+	core := s.core
+	answer := func(withdrawn bool) {
+		if s.core == core {
+			s.step(Event{StartRefused: &StartRefused{Task: k.Task, Attempt: k.Attempt, Reason: "test", Withdrawn: withdrawn}})
+		}
+	}
+	if w.now.Sub(k.ConfirmedAt) > ConfigMaxAge {
+		answer(true)
+		return
+	}
+	x, sent := s.workers[k.Worker], w.now
+	if ses := s.sessions[k.Worker]; ses != nil {
+		ses.leaseSent = sent
+	}
+	if x.unreachable || x.dead {
+		return
+	}
+	w.send(func() {
+		if x.unreachable || x.dead {
+			return
+		}
+		if !x.start(w, k, epoch, sent) && !s.muted {
+			w.send(func() { answer(false) })
+		}
+	})
+}
+
+func (x *fakeWorker) start(w *world, k StartTask, epoch uint64, sent time.Time) bool {
+	if epoch < x.epoch || w.now.Sub(sent) > StartValidity || k.Attempt <= x.attempts[k.Task] || x.refuse {
+		x.refuse = false
+		return false
+	}
+	x.epoch = epoch
+	if out, ok := w.outAt[x.domain]; ok && w.now.Sub(out) > ConfigMaxAge+StartValidity {
+		w.fail(errors.Errorf("%s started %s after its domain was taken out", k.Task, w.now.Sub(out)))
+	}
+	x.attempts[k.Task] = k.Attempt
+	if k.Checkpoint != "" {
+		w.consumed[k.Checkpoint]++
+	}
+	r := &fakeRun{start: k, ends: sent.Add(LeaseLength), begun: w.now}
+	if x.failAll {
+		r.outcome = OutcomeFailed
+	}
+	x.running[k.Task] = r
+	return true
+}
+
+// toPeer carries messages between shards.
+func (s *site) toPeer(k Command) {
+	w := s.w
+	if w.holdPeers {
+		return
+	}
+	at := func(domain string, f func(*site)) {
+		for _, o := range w.sites {
+			if o.domain == domain {
+				w.send(func() {
+					if !w.now.Before(o.pausedUntil) && !w.holdPeers {
+						f(o)
+					}
+				})
+			}
+		}
+	}
+	switch {
+	case k.HandOver != nil:
+		at(k.HandOver.ToShard, func(o *site) {
+			o.step(Event{Offered: &TransferOffered{k.HandOver.TransferID, k.HandOver.Task}})
+			o.commit()
+			if o.shadow.HasTakenOver(k.HandOver.TransferID) {
+				w.send(func() { s.step(Event{Confirmed: &TransferConfirmed{k.HandOver.TransferID}}) })
+			}
+		})
+	case k.Cancel != nil:
+		at(k.Cancel.ToShard, func(o *site) { o.step(Event{Cancelled: &JobCancelled{k.Cancel.JobID, k.Cancel.Home}}) })
+	case k.Totals != nil:
+		at(k.Totals.ToShard, func(o *site) {
+			o.step(Event{Totals: &TotalsReported{k.Totals.JobID, k.Totals.Counts}})
+			o.commit()
+			if len(o.group) == 0 {
+				w.send(func() { s.step(Event{TotalsKept: &TotalsConfirmed{k.Totals.JobID, k.Totals.Counts}}) })
+			}
+		})
+	case k.Peer != nil:
+		at(k.Peer.ToShard, func(o *site) { o.step(Event{Peer: &k.Peer.Report}) })
+	}
+}
+
+// configure is an accepted change of the configuration.
+func (w *world) configure(change func(*declarer.Config)) {
+	next := *w.config
+	change(&next)
+	next.Revision++
+	w.stale, w.config = w.config, &next
+	for _, d := range next.Domains {
+		if !next.IsOut(d) {
+			delete(w.outAt, d)
+		} else if _, known := w.outAt[d]; !known {
+			w.outAt[d] = w.now
+		}
+	}
+}
+
+// settled reports whether all declared work runs and all jobs have ended.
+func (w *world) settled() bool {
+	ended := map[string]int{}
+	for _, s := range w.sites {
+		if len(s.group) > 0 || len(s.core.transfers) > 0 {
+			return false
+		}
+		for _, svc := range w.config.Services {
+			for i := range w.config.ReplicasIn(svc, s.domain) {
+				if t := s.core.tasks[replicaID(svc.Name, s.domain, i)]; t == nil || t.State != Running {
+					return false
+				}
+			}
+		}
+		for id, j := range s.core.jobs {
+			ended[id] += j.Done + j.Failed + j.Cancelled
+		}
+	}
+	watchers := 0
+	for _, s := range w.sites {
+		for id, j := range s.core.jobs {
+			if j.Home != s.domain {
+				continue
+			}
+			totals := j.Totals()
+			if ended[id] != j.Job.Tasks || totals.Done+totals.Failed+totals.Cancelled != j.Job.Tasks {
+				return false
+			}
+		}
+		if t := s.core.tasks["watcher/eye"]; t != nil && t.State == Running {
+			watchers++
+		}
+	}
+	return watchers == len(w.config.Watchers)
+}
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -3,74 +3,153 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
 )
 
-// Snapshot is the whole committed state of a shard.
+// Snapshot is the whole committed state of a shard. It shares no memory that
+// the core changes, so that it can be encoded while the core goes on.
 type Snapshot struct {
-	Tasks     []Task   `cbor:"1,keyasint"`
-	Jobs      []Job    `cbor:"2,keyasint"`
-	Workers   []Worker `cbor:"3,keyasint"`
-	TakenOver []string `cbor:"4,keyasint"`
+	Tasks      []Task           `cbor:"1,keyasint"`
+	Jobs       []Job            `cbor:"2,keyasint"`
+	Workers    []Worker         `cbor:"3,keyasint"`
+	TakenOver  []TakenTransfers `cbor:"4,keyasint"`
+	Transfers  []Task           `cbor:"5,keyasint,omitempty"`
+	Sent       []SentTransfers  `cbor:"6,keyasint,omitempty"`
+	Allowances []AllowanceSet   `cbor:"7,keyasint,omitempty"`
+	Horizons   []HorizonSet     `cbor:"8,keyasint,omitempty"`
+	DomainOut  bool             `cbor:"9,keyasint,omitempty"`
+	DomainAt   time.Time        `cbor:"10,keyasint,omitzero"`
+}
+
+// TakenTransfers are the numbers of the transfers taken over on one path: all
+// up to Through, and those in Above.
+type TakenTransfers struct {
+	Path    string   `cbor:"1,keyasint"`
+	Through uint64   `cbor:"2,keyasint"`
+	Above   []uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// SentTransfers is the number of the last transfer on one path.
+type SentTransfers struct {
+	Path string `cbor:"1,keyasint"`
+	Last uint64 `cbor:"2,keyasint"`
 }
 
 // Snapshot copies the state, in a fixed order.
 func (c *Core) Snapshot() Snapshot {
-	var s Snapshot
-	for _, t := range c.sortedTasks() {
-		s.Tasks = append(s.Tasks, *t)
+	s := Snapshot{Tasks: c.Tasks(), Jobs: c.Jobs(), Workers: c.Workers(), DomainOut: c.domainOut, DomainAt: c.domainAt}
+	for _, path := range slices.Sorted(maps.Keys(c.taken)) {
+		n := c.taken[path]
+		s.TakenOver = append(s.TakenOver, TakenTransfers{path, n.through, slices.Sorted(maps.Keys(n.above))})
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		s.Jobs = append(s.Jobs, *c.jobs[id])
+	for _, id := range slices.Sorted(maps.Keys(c.transfers)) {
+		s.Transfers = append(s.Transfers, *c.transfers[id])
 	}
-	for _, id := range c.workerIDs() {
-		s.Workers = append(s.Workers, *c.workers[id])
+	for _, path := range slices.Sorted(maps.Keys(c.sent)) {
+		s.Sent = append(s.Sent, SentTransfers{path, c.sent[path]})
+	}
+	for _, team := range slices.Sorted(maps.Keys(c.allowances)) {
+		s.Allowances = append(s.Allowances, AllowanceSet{Team: team, Amount: c.allowances[team]})
+	}
+	for _, class := range slices.Sorted(maps.Keys(c.horizons)) {
+		s.Horizons = append(s.Horizons, HorizonSet{class, c.horizons[class]})
 	}
-	s.TakenOver = slices.Sorted(maps.Keys(c.takenOver))
 	return s
 }
 
-// Restore replaces the state by a snapshot.
+// Restore replaces the state by a snapshot. The error is an InvariantError and
+// the state is then unchanged.
 func (c *Core) Restore(s Snapshot) error {
 	fresh := New(c.options)
 	for _, w := range s.Workers {
 		w.Reserved = declarer.Resources{}
 		fresh.workers[w.ID] = &w
+		fresh.setWorkerState(&w, w.State)
 	}
+	fresh.view.stale = true
 	for _, j := range s.Jobs {
+		j.Untouched, j.Remote = slices.Clone(j.Untouched), slices.Clone(j.Remote)
 		fresh.jobs[j.Job.ID] = &j
-	}
-	for _, id := range s.TakenOver {
-		fresh.takenOver[id] = true
+		fresh.queue.setJob(&j)
 	}
 	for _, t := range s.Tasks {
-		fresh.tasks[t.ID] = &t
-		if !Holds(t.State) {
-			continue
+		if err := fresh.restoreTask(&t); err != nil {
+			return err
 		}
-		w := fresh.workers[t.Worker]
-		if w == nil {
-			return &InvariantError{Invariant: 1, Task: t.ID, Worker: t.Worker, Problem: "snapshot has a task on an unknown worker"}
-		}
-		w.Reserved = w.Reserved.Add(t.Reserved)
-		if !w.Reserved.FitsIn(w.Capacity) {
-			return &InvariantError{Invariant: 1, Task: t.ID, Worker: t.Worker, Problem: "snapshot is over the worker's capacity"}
-		}
-		if fresh.onWorker[w.ID] == nil {
-			fresh.onWorker[w.ID] = map[TaskID]*Task{}
-		}
-		fresh.onWorker[w.ID][t.ID] = &t
 	}
+	for _, t := range s.Transfers {
+		fresh.transfers[t.TransferID] = &t
+	}
+	fresh.restoreSettings(s)
 	*c = *fresh
 	return nil
 }
 
-// Tasks returns a copy of every task that is not final, by id.
-func (c *Core) Tasks() []Task { return c.Snapshot().Tasks }
+func (c *Core) restoreTask(t *Task) error {
+	if !Holds(t.State) {
+		c.addTask(t)
+		return nil
+	}
+	w := c.workers[t.Worker]
+	if w == nil {
+		return &InvariantError{Invariant: 1, Task: t.ID, Worker: t.Worker, Problem: "snapshot has a task on an unknown worker"}
+	}
+	if !w.Reserved.Add(t.Reserved).FitsIn(w.Capacity) {
+		return &InvariantError{Invariant: 1, Task: t.ID, Worker: t.Worker, Problem: "snapshot is over the worker's capacity"}
+	}
+	c.addTask(t)
+	c.hold(t)
+	return nil
+}
+
+func (c *Core) restoreSettings(s Snapshot) {
+	for _, n := range s.TakenOver {
+		above := make(map[uint64]bool, len(n.Above))
+		for _, a := range n.Above {
+			above[a] = true
+		}
+		c.taken[n.Path] = &numbers{n.Through, above}
+	}
+	for _, n := range s.Sent {
+		c.sent[n.Path] = n.Last
+	}
+	for _, a := range s.Allowances {
+		c.allowances[a.Team] = a.Amount
+	}
+	for _, h := range s.Horizons {
+		c.horizons[h.Class] = h.Length
+	}
+	c.domainOut, c.domainAt = s.DomainOut, s.DomainAt
+}
+
+// Tasks returns a copy of every task that is not final, untouched or being
+// handed over, by id.
+func (c *Core) Tasks() []Task {
+	tasks := make([]Task, 0, len(c.tasks))
+	for _, id := range slices.Sorted(maps.Keys(c.tasks)) {
+		tasks = append(tasks, *c.tasks[id])
+	}
+	return tasks
+}
 
 // Jobs returns a copy of every job, by id.
-func (c *Core) Jobs() []Job { return c.Snapshot().Jobs }
+func (c *Core) Jobs() []Job {
+	jobs := make([]Job, 0, len(c.jobs))
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := *c.jobs[id]
+		j.Untouched, j.Remote = slices.Clone(j.Untouched), slices.Clone(j.Remote)
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
 
 // Workers returns a copy of every worker, by id.
-func (c *Core) Workers() []Worker { return c.Snapshot().Workers }
+func (c *Core) Workers() []Worker {
+	workers := make([]Worker, 0, len(c.workers))
+	for _, id := range c.workerIDs() {
+		workers = append(workers, *c.workers[id])
+	}
+	return workers
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
@@ -25,8 +27,8 @@
 	RunTime  time.Duration      `cbor:"7,keyasint,omitempty"`
 	Urgent   bool               `cbor:"8,keyasint,omitempty"`
 	// Deadline is the zero time for none.
-	Deadline  time.Time         `cbor:"9,keyasint"`
-	Submitted time.Time         `cbor:"10,keyasint"`
+	Deadline  time.Time         `cbor:"9,keyasint,omitzero"`
+	Submitted time.Time         `cbor:"10,keyasint,omitzero"`
 	State     interpreter.State `cbor:"11,keyasint"`
 	// Attempt is the number of the last attempt; it only grows.
 	Attempt uint64 `cbor:"12,keyasint,omitempty"`
@@ -34,7 +36,7 @@
 	// state holds no reservation.
 	Worker string `cbor:"13,keyasint,omitempty"`
 	// Reserved is what the current attempt holds of Worker's capacity.
-	Reserved declarer.Resources `cbor:"14,keyasint"`
+	Reserved declarer.Resources `cbor:"14,keyasint,omitzero"`
 	// Checkpoint is consumed by the next attempt; it is empty while one runs.
 	Checkpoint string `cbor:"15,keyasint,omitempty"`
 	// Evictions counts attempts that were ended in favour of other work.
@@ -46,6 +48,86 @@
 	// TransferID is set from the hand-over to its confirmation.
 	TransferID string `cbor:"19,keyasint,omitempty"`
 	ToShard    string `cbor:"20,keyasint,omitempty"`
+	// Home is the shard that accepted the task's job.
+	Home string `cbor:"21,keyasint,omitempty"`
+	// NotBefore is the earliest time of the next attempt, zero for any.
+	NotBefore time.Time `cbor:"22,keyasint,omitzero"`
+	// Cancelling is set when the task must not run again after its attempt.
+	Cancelling bool `cbor:"23,keyasint,omitempty"`
+	// Evicting is set when the attempt is being stopped in favour of other
+	// work, and the task goes back to the queue.
+	Evicting bool `cbor:"24,keyasint,omitempty"`
+	// Count is the number of tasks in a transfer of untouched tasks, of which
+	// ID names the first; zero for a single task.
+	Count int `cbor:"25,keyasint,omitempty"`
+	// Resumed is the checkpoint that the current attempt has consumed. It
+	// becomes Checkpoint again only if the attempt is proven not to have
+	// started.
+	Resumed string `cbor:"26,keyasint,omitempty"`
+}
+
+// Job is the state of a batch job in one shard. The tasks accepted (Job.Tasks
+// at home, zero elsewhere) plus TakenOver always equal the untouched, current
+// and ended ones.
+type Job struct {
+	Job       declarer.BatchJob `cbor:"1,keyasint"`
+	Submitted time.Time         `cbor:"2,keyasint,omitzero"`
+	// Done, Failed and Cancelled count the tasks that ended in this shard;
+	// HandedOver counts the tasks that other shards have taken over.
+	Done       int `cbor:"3,keyasint,omitempty"`
+	Failed     int `cbor:"4,keyasint,omitempty"`
+	Cancelled  int `cbor:"5,keyasint,omitempty"`
+	HandedOver int `cbor:"6,keyasint,omitempty"`
+	// Ended is set when the job accepts no more attempts.
+	Ended bool `cbor:"7,keyasint,omitempty"`
+	// Home is the shard that accepted the job.
+	Home string `cbor:"8,keyasint,omitempty"`
+	// TakenOver counts the tasks taken over from other shards.
+	TakenOver int `cbor:"9,keyasint,omitempty"`
+	// Untouched are the indexes of tasks that never had an attempt here.
+	Untouched Ranges `cbor:"10,keyasint,omitempty"`
+	// Parked is the reason why the job gets no attempts, empty for none.
+	Parked string `cbor:"11,keyasint,omitempty"`
+	// FailedOn are distinct workers on which the job failed since it last
+	// succeeded, at most maxEvidence.
+	FailedOn []string `cbor:"12,keyasint,omitempty"`
+	// Sent are the shards to which tasks have been handed over.
+	Sent []string `cbor:"13,keyasint,omitempty"`
+	// Remote are the counts that other shards reported to the home shard.
+	Remote []RemoteCounts `cbor:"14,keyasint,omitempty"`
+}
+
+// RemoteCounts are the ended tasks of a job in a shard other than its home.
+// Counts only grow.
+type RemoteCounts struct {
+	Shard     string `cbor:"1,keyasint"`
+	Done      int    `cbor:"2,keyasint,omitempty"`
+	Failed    int    `cbor:"3,keyasint,omitempty"`
+	Cancelled int    `cbor:"4,keyasint,omitempty"`
+	// Ended is set when the shard knows that the job is cancelled.
+	Ended bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Totals returns the ended tasks of the job over all shards, as far as they
+// have reported.
+func (j *Job) Totals() RemoteCounts {
+	t := RemoteCounts{Done: j.Done, Failed: j.Failed, Cancelled: j.Cancelled, Ended: j.Ended}
+	for _, r := range j.Remote {
+		t.Done, t.Failed, t.Cancelled = t.Done+r.Done, t.Failed+r.Failed, t.Cancelled+r.Cancelled
+	}
+	return t
+}
+
+// task returns the untouched task with an index.
+func (j *Job) task(n int) Task {
+	t := Task{
+		ID: jobTaskID(j.Job.ID, n), Class: declarer.ClassBatch, Owner: j.Job.ID, Team: j.Job.Team, Kind: j.Job.Kind,
+		Declared: j.Job.Resources, RunTime: j.Job.RunTime, Urgent: j.Job.Urgent, Submitted: j.Submitted, State: Pending, Home: j.Home,
+	}
+	if j.Job.Deadline > 0 {
+		t.Deadline = j.Submitted.Add(j.Job.Deadline)
+	}
+	return t
 }
 
 // Worker is a worker of the shard's domain.
@@ -57,9 +139,19 @@
 	State    interpreter.State  `cbor:"5,keyasint"`
 	// Reserved is the sum over the worker's attempts; it never exceeds
 	// Capacity.
-	Reserved declarer.Resources `cbor:"6,keyasint"`
+	Reserved declarer.Resources `cbor:"6,keyasint,omitzero"`
+	// FailedOwners are distinct jobs, services and watchers that failed here
+	// since the last success, at most maxEvidence.
+	FailedOwners []string `cbor:"7,keyasint,omitempty"`
+	// Probes counts failed probes since the worker was last live.
+	Probes int `cbor:"8,keyasint,omitempty"`
+	// ProbeAt is when the next probe of a quarantined worker is due.
+	ProbeAt time.Time `cbor:"9,keyasint,omitzero"`
 }
 
+// maxEvidence bounds the distinct failures kept for one job or worker.
+const maxEvidence = 8
+
 // InvariantError reports a change that would break an invariant of the state.
 // The state is left unchanged.
 type InvariantError struct {
@@ -73,3 +165,20 @@
 func (e *InvariantError) Error() string {
 	return fmt.Sprintf("scheduler: invariant %d: task %q, worker %q: %s", e.Invariant, e.Task, e.Worker, e.Problem)
 }
+
+func replicaID(service, domain string, n int) TaskID {
+	return TaskID("service/" + service + "/" + domain + "/" + strconv.Itoa(n))
+}
+
+func jobTaskID(job string, n int) TaskID { return TaskID("job/" + job + "/" + strconv.Itoa(n)) }
+
+// jobTaskIndex returns the job and the index that a task id names.
+func jobTaskIndex(id TaskID) (job string, n int, ok bool) {
+	s, found := strings.CutPrefix(string(id), "job/")
+	at := strings.LastIndexByte(s, '/')
+	if !found || at < 0 {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(s[at+1:])
+	return s[:at], n, err == nil
+}
