--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -139,6 +139,8 @@
 	// asked is when the last checkpoint command was given, and since when the
 	// first was.
 	asked, since time.Time
+	// probe is set when the attempt tests a quarantined worker.
+	probe bool
 }
 
 // New returns an empty core.
--- a/internal/scheduler/matrix_test.go
+++ b/internal/scheduler/matrix_test.go
@@ -256,8 +256,17 @@
 	}
 }
 
+// align lets time pass up to a second at which sessions renew leases, so that
+// larger steps don't miss them.
+func (w *world) align() {
+	for w.now.UnixMilli()%1000 != 0 && w.problem == nil {
+		w.advance(step)
+	}
+}
+
 // coarse lets a long time pass in larger steps.
 func (w *world) coarse(d time.Duration) {
+	w.align()
 	for end := w.now.Add(d); w.now.Before(end) && w.problem == nil; {
 		w.advance(2 * time.Second)
 	}
@@ -271,21 +280,30 @@
 	if len(w.config.DomainsOut) > 0 {
 		w.out(false)
 	}
-	for _, s := range w.sites {
-		if j := s.core.jobs["j"]; j != nil && j.Parked != "" {
-			s.step(Event{Released: &JobReleased{"j"}})
-		}
-	}
+	w.release()
 	w.run(20 * time.Second)
+	w.align()
 	for i := 0; i < 4000 && w.problem == nil && !w.settled(); i++ {
+		w.release()
 		w.advance(2 * time.Second)
 	}
 	if w.problem == nil && !w.settled() {
-		w.fail(fmt.Errorf("not settled: east %+v %+v, west %+v %+v", w.sites[0].core.Tasks(), w.sites[0].core.Jobs(), w.sites[1].core.Tasks(), w.sites[1].core.Jobs()))
+		w.fail(fmt.Errorf("not settled: %s%s", w.sites[0], w.sites[1]))
 	}
 	return w.problem
 }
 
+// release is an operator who releases what is parked.
+func (w *world) release() {
+	for _, s := range w.sites {
+		for id, j := range s.core.jobs {
+			if j.Parked != "" {
+				s.step(Event{Released: &JobReleased{id}})
+			}
+		}
+	}
+}
+
 // faults are what can go wrong at any moment.
 var faults = map[string]func(*world){
 	"process killed": func(w *world) { w.east().own() },
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/placer"
 )
 
@@ -109,11 +110,22 @@
 	}
 }
 
-// placeProbes gives each probing worker without attempts one batch task.
+// runsBatch reports whether a worker has an attempt of a batch task. Services
+// that ran on it before its quarantine go on.
+func (c *Core) runsBatch(worker string) bool {
+	for _, t := range c.onWorker[worker] {
+		if t.Class == declarer.ClassBatch {
+			return true
+		}
+	}
+	return false
+}
+
+// placeProbes gives each probing worker without batch attempts one batch task.
 func (c *Core) placeProbes(p *pass) {
 	for _, id := range slices.Sorted(maps.Keys(c.excluded)) {
 		w := c.workers[id]
-		if w.State != Probing || len(c.onWorker[id]) > 0 || p.full() {
+		if w.State != Probing || c.runsBatch(id) || p.full() {
 			continue
 		}
 		v := &placer.View{Workers: []placer.Worker{c.slot(w)}}
@@ -128,7 +140,9 @@
 			}
 			if choice, err := c.choose(&t, v); err == nil {
 				choice.Reason = "probe of a quarantined worker; " + choice.Reason
-				c.start(p, &t, choice)
+				if c.start(p, &t, choice) {
+					c.attempt(&t).probe = true
+				}
 				break
 			}
 		}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -176,7 +176,7 @@
 	case t.State == Checkpointing && now.Sub(a.asked) >= repeatAfter:
 		a.asked = now
 		c.command(Command{Checkpoint: &CheckpointTask{t.Worker, t.ID, t.Attempt}})
-	case t.State == Running && c.excluded[t.Worker] && now.Sub(a.started) >= probeSuccess:
+	case t.State == Running && a.probe && now.Sub(a.started) >= probeSuccess:
 		c.moveWorker(t.Worker, "clear", "a probe runs")
 	}
 }
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -160,6 +160,18 @@
 	s.sessions = map[string]*fakeSession{}
 }
 
+// String names the tasks and jobs of a shard with their states.
+func (s *site) String() string {
+	out := s.domain + ":"
+	for _, t := range s.core.Tasks() {
+		out += fmt.Sprintf(" %s=%s/%d@%s", t.ID, t.State, t.Attempt, t.Worker)
+	}
+	for _, j := range s.core.Jobs() {
+		out += fmt.Sprintf(" %s={parked:%q untouched:%v done:%d cancelled:%d away:%d remote:%v}", j.Job.ID, j.Parked, j.Untouched, j.Done, j.Cancelled, j.HandedOver, j.Remote)
+	}
+	return out + "\n"
+}
+
 func (w *world) fail(err error) {
 	if w.problem == nil {
 		w.problem = errors.WithMessagef(err, "at %s", w.now.Sub(epochStart))
