--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -16,10 +16,6 @@
 	if o.inFlight != nil {
 		return
 	}
-	if now.Sub(o.horizonSet) >= horizonLengths["batch"]/3 {
-		o.next.changes = append(o.next.changes, horizonChanges()...)
-		o.horizonSet = now
-	}
 	if o.next.isEmpty() {
 		return
 	}
@@ -129,8 +125,8 @@
 // send gives a command to the session of its worker. A start that can't be
 // sent is withdrawn.
 func (o *owner) send(c scheduler.Command) {
-	if c.HandOver != nil {
-		o.offer(*c.HandOver)
+	if c.HandOver != nil || c.Cancel != nil || c.Totals != nil || c.Peer != nil {
+		o.sendToShard(c)
 		return
 	}
 	s := o.sessions[workerOf(c)]
