--- a/internal/controller/session.go
+++ b/internal/controller/session.go
@@ -52,7 +52,7 @@
 		switch {
 		case err == nil:
 			s.renewed, pending, lost = begun, nil, false
-			s.post(scheduler.Event{Report: report(status)})
+			s.post(scheduler.Event{Report: report(status, begun)})
 		case !lost && time.Since(s.renewed) > time.Duration(float64(leaseLength)*(1+clockError)):
 			lost = true
 			s.post(scheduler.Event{WorkerLost: &scheduler.WorkerLost{ID: s.id}})
@@ -65,8 +65,8 @@
 	}
 }
 
-func report(s dispatcher.Status) *scheduler.WorkerReport {
-	r := &scheduler.WorkerReport{Worker: s.Worker, MeasuredAt: s.MeasuredAt}
+func report(s dispatcher.Status, requested time.Time) *scheduler.WorkerReport {
+	r := &scheduler.WorkerReport{Worker: s.Worker, MeasuredAt: s.MeasuredAt, RequestedAt: requested}
 	for _, a := range s.Running {
 		r.Running = append(r.Running, scheduler.RunningAttempt{Task: scheduler.TaskID(a.Task), Attempt: a.Attempt, Usage: a.Usage, Slowdown: a.Slowdown, Load: a.Load, Addr: a.Addr})
 	}
@@ -92,7 +92,7 @@
 
 func (s *session) start(ctx context.Context, c *scheduler.StartTask) {
 	if time.Since(c.ConfirmedAt) > scheduler.ConfigMaxAge {
-		s.post(scheduler.Event{StartRefused: &scheduler.StartRefused{Task: c.Task, Attempt: c.Attempt, Reason: "configuration not confirmed lately"}})
+		s.post(scheduler.Event{StartRefused: &scheduler.StartRefused{Task: c.Task, Attempt: c.Attempt, Reason: "configuration not confirmed lately", Withdrawn: true}})
 		return
 	}
 	err := s.worker.Start(ctx, dispatcher.StartRequest{
--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -36,6 +36,8 @@
 		return c.applyJobCancelled(*ch.JobCancelled)
 	case ch.JobParked != nil:
 		return c.applyJobParked(*ch.JobParked)
+	case ch.JobForgotten != nil:
+		return c.applyJobForgotten(ch.JobForgotten.JobID)
 	case ch.TotalsSet != nil:
 		return c.applyTotals(*ch.TotalsSet)
 	}
--- a/internal/scheduler/apply_work.go
+++ b/internal/scheduler/apply_work.go
@@ -57,6 +57,26 @@
 	return nil
 }
 
+func (c *Core) applyJobForgotten(id string) error {
+	j := c.jobs[id]
+	if j == nil || !c.isComplete(j) {
+		return &InvariantError{Invariant: 3, Problem: "job " + id + " forgotten, which is unknown or not complete"}
+	}
+	delete(c.jobs, id)
+	return nil
+}
+
+// isComplete reports whether every task of a job that came to this shard has
+// ended or gone on and, at its home, whether all have ended.
+func (c *Core) isComplete(j *Job) bool {
+	ended := j.Done + j.Failed + j.Cancelled + j.HandedOver
+	if j.Home != c.options.Shard {
+		return ended == j.TakenOver
+	}
+	t := j.Totals()
+	return ended == j.Job.Tasks+j.TakenOver && t.Done+t.Failed+t.Cancelled == j.Job.Tasks
+}
+
 func (c *Core) applyTotals(ch TotalsSet) error {
 	j := c.jobs[ch.JobID]
 	if j == nil {
--- /dev/null
+++ b/internal/scheduler/bench_test.go
@@ -0,0 +1,156 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/placer"
+)
+
+var benchSizes = [][2]int{{50, 50}, {125, 2000}, {500, 8000}, {1000, 16100}}
+
+// loaded returns a core with workers and running tasks, a fifth of them of
+// services.
+func loaded(tb testing.TB, workers, tasks int) *Core {
+	c := New(Options{Shard: "east", Domain: "east", Charts: charts, Policy: placer.FirstFit()})
+	now := epochStart
+	cfg := &declarer.Config{Revision: 1, Preset: declarer.Maintenance, Domains: []string{"east"}}
+	for i := range 340 {
+		cfg.Teams = append(cfg.Teams, declarer.Team{Name: fmt.Sprintf("team-%d", i), Weight: 1})
+	}
+	services := 20
+	for i := range services {
+		cfg.Services = append(cfg.Services, declarer.Service{Name: fmt.Sprintf("service-%d", i), Team: "team-0", Replicas: max(1, tasks/5/services), Resources: declarer.Resources{MilliCPU: 1000, MemoryMB: 1000}})
+	}
+	for i := range workers {
+		c.Step(now, Event{WorkerSeen: &WorkerSeen{ID: fmt.Sprintf("worker-%d", i), Rack: fmt.Sprintf("rack-%d", i/8), Capacity: declarer.Resources{MilliCPU: 64000, MemoryMB: 250000}}})
+	}
+	c.Step(now, Event{Config: &ConfigConfirmed{Config: cfg, At: now}})
+	for i, left := 0, tasks-tasks/5; left > 0; i, left = i+1, left-20 {
+		c.Step(now, Event{Submitted: &JobSubmitted{Job: benchJob(fmt.Sprintf("load-%d", i), i, min(left, 20))}})
+	}
+	for range 200 {
+		now = now.Add(step)
+		c.Step(now, Event{Config: &ConfigConfirmed{Config: cfg, At: now}})
+		c.Step(now, Event{Tick: &Tick{}})
+	}
+	running := 0
+	for _, t := range c.tasks {
+		if t.State == Starting {
+			running++
+			if err := c.Apply(Change{AttemptMoved: &AttemptMoved{Task: t.ID, Attempt: t.Attempt, Event: "started"}}); err != nil {
+				tb.Fatal(err)
+			}
+		}
+	}
+	if running < tasks*9/10 {
+		tb.Fatalf("%d of %d tasks run", running, tasks)
+	}
+	return c
+}
+
+func benchJob(id string, n, tasks int) declarer.BatchJob {
+	return declarer.BatchJob{ID: id, Team: fmt.Sprintf("team-%d", n%340), Kind: fmt.Sprintf("kind-%d", n%20), Tasks: tasks, Resources: declarer.Resources{MilliCPU: 500, MemoryMB: 500}, RunTime: time.Hour}
+}
+
+func forSizes(b *testing.B, run func(b *testing.B, c *Core)) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", size[0], size[1]), func(b *testing.B) {
+			c := loaded(b, size[0], size[1])
+			b.ReportAllocs()
+			b.ResetTimer()
+			run(b, c)
+		})
+	}
+}
+
+// BenchmarkStart takes one task of its own job through its life: accepted and
+// placed in one step, reported as running with all of its worker's attempts,
+// reported as completed, and one tick.
+func BenchmarkStart(b *testing.B) {
+	forSizes(b, func(b *testing.B, c *Core) {
+		now := c.now
+		for i := range b.N {
+			now = now.Add(20 * time.Millisecond)
+			c.Step(now, Event{Config: &ConfigConfirmed{Config: c.config, At: now}})
+			id := fmt.Sprintf("job-%d", i)
+			_, commands := c.Step(now, Event{Submitted: &JobSubmitted{Job: benchJob(id, i, 1)}})
+			if len(commands) == 0 {
+				b.Fatal("not started")
+			}
+			start := commands[len(commands)-1].Start
+			r := &WorkerReport{Worker: start.Worker}
+			for _, t := range c.onWorker[start.Worker] {
+				r.Running = append(r.Running, RunningAttempt{Task: t.ID, Attempt: t.Attempt})
+			}
+			c.Step(now, Event{Report: r})
+			c.Step(now, Event{Report: &WorkerReport{Worker: start.Worker, Ended: []EndedAttempt{{Task: start.Task, Attempt: start.Attempt, Outcome: OutcomeCompleted}}}})
+			c.Step(now, Event{Tick: &Tick{}})
+		}
+	})
+}
+
+// BenchmarkPlace is the one step that accepts a job and starts its task.
+func BenchmarkPlace(b *testing.B) {
+	forSizes(b, func(b *testing.B, c *Core) {
+		now := c.now
+		for i := range b.N {
+			_, commands := c.Step(now, Event{Submitted: &JobSubmitted{Job: benchJob(fmt.Sprintf("job-%d", i), i, 1)}})
+			b.StopTimer()
+			if len(commands) == 0 {
+				b.Fatal("not started")
+			}
+			start := commands[len(commands)-1].Start
+			c.Step(now, Event{Report: &WorkerReport{Worker: start.Worker, Ended: []EndedAttempt{{Task: start.Task, Attempt: start.Attempt, Outcome: OutcomeCompleted}}}})
+			b.StartTimer()
+		}
+	})
+}
+
+// BenchmarkApply applies one change: the attempts of one task begin and end in
+// turn.
+func BenchmarkApply(b *testing.B) {
+	forSizes(b, func(b *testing.B, c *Core) {
+		if err := c.Apply(Change{JobAccepted: &JobAccepted{benchJob("job", 0, 1), c.now}}); err != nil {
+			b.Fatal(err)
+		}
+		attempt := uint64(0)
+		for i := range b.N {
+			ch := Change{AttemptMoved: &AttemptMoved{Task: "job/job/0", Attempt: attempt, Event: "ended"}}
+			if i%2 == 0 {
+				attempt++
+				ch = Change{AttemptPlaced: &AttemptPlaced{Task: "job/job/0", Attempt: attempt, Worker: "worker-0", Reserved: declarer.Resources{}}}
+			}
+			if err := c.Apply(ch); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkSnapshotRestore copies the state, encodes it, decodes it and
+// restores it.
+func BenchmarkSnapshotRestore(b *testing.B) {
+	forSizes(b, func(b *testing.B, c *Core) {
+		size := 0
+		for range b.N {
+			data, err := ledgerCoding.Marshal(c.Snapshot())
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(data)
+			var s Snapshot
+			if err := cbor.Unmarshal(data, &s); err != nil {
+				b.Fatal(err)
+			}
+			if err := New(c.options).Restore(s); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(size), "bytes")
+	})
+}
--- a/internal/scheduler/change.go
+++ b/internal/scheduler/change.go
@@ -25,6 +25,7 @@
 	TotalsSet      *TotalsSet      `cbor:"14,keyasint,omitempty"`
 	DomainSet      *DomainSet      `cbor:"15,keyasint,omitempty"`
 	AllowanceSet   *AllowanceSet   `cbor:"16,keyasint,omitempty"`
+	JobForgotten   *JobForgotten   `cbor:"17,keyasint,omitempty"`
 }
 
 // JobAccepted adds a batch job with all of its tasks pending.
@@ -124,6 +125,11 @@
 	Reason string `cbor:"2,keyasint,omitempty"`
 }
 
+// JobForgotten drops a job that is complete.
+type JobForgotten struct {
+	JobID string `cbor:"1,keyasint"`
+}
+
 // TotalsSet keeps the counts of a job that another shard reported.
 type TotalsSet struct {
 	JobID  string       `cbor:"1,keyasint"`
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -127,6 +127,8 @@
 	lastPlace  time.Time
 	// unsent has the jobs of other shards with counts to report.
 	unsent map[string]bool
+	// completeAt is when this owner first saw that a job is complete.
+	completeAt map[string]time.Time
 }
 
 // attempt is what an owner knows of a current attempt.
@@ -156,7 +158,7 @@
 		},
 		soft: soft{
 			attempts: map[TaskID]*attempt{}, reached: map[string]bool{}, reports: map[string]time.Time{}, lost: map[string]bool{}, peers: map[string]PeerReport{},
-			horizon: map[declarer.Class]time.Time{}, speed: map[string]time.Duration{}, unsent: map[string]bool{}, explainer: newExplainer(),
+			horizon: map[declarer.Class]time.Time{}, speed: map[string]time.Duration{}, unsent: map[string]bool{}, completeAt: map[string]time.Time{}, explainer: newExplainer(),
 		},
 	}
 }
@@ -179,7 +181,7 @@
 	case e.Config != nil:
 		c.confirmConfig(now, *e.Config)
 	case e.Submitted != nil:
-		c.acceptJob(now, e.Submitted.Job)
+		c.acceptJob(now, *e.Submitted)
 	case e.Cancelled != nil:
 		c.cancelJob(*e.Cancelled)
 	case e.Released != nil:
@@ -219,7 +221,7 @@
 	c.probeWorkers(now)
 	c.drain(now)
 	c.reconcileAgain(now)
-	c.forgetWorkers(now)
+	c.forget(now)
 	if c.options.Interference != nil {
 		c.options.Interference(c, now, nil)
 	}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -35,7 +35,14 @@
 }
 
 // JobSubmitted asks for a batch job to be accepted. A known id changes nothing.
-type JobSubmitted struct{ Job declarer.BatchJob }
+type JobSubmitted struct {
+	Job declarer.BatchJob
+	// Claimed is when the id was first claimed for this shard, zero for just
+	// now. A job that is complete is forgotten after jobRetention; an unknown
+	// job whose id is older than half of that is refused, since it may have
+	// run.
+	Claimed time.Time
+}
 
 // JobCancelled asks for every task of a job to end. Home is set when the home
 // shard of the job asks for the tasks that it has handed over.
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -12,10 +12,18 @@
 // reportInterval is how often reports to other shards are repeated.
 const reportInterval = time.Second
 
-func (c *Core) acceptJob(now time.Time, j declarer.BatchJob) {
+// jobRetention is how long a job is remembered after it is complete.
+const jobRetention = 24 * time.Hour
+
+func (c *Core) acceptJob(now time.Time, e JobSubmitted) {
+	j := e.Job
 	if c.jobs[j.ID] != nil {
 		return
 	}
+	if age := now.Sub(e.Claimed); !e.Claimed.IsZero() && age > jobRetention/2 {
+		c.explain(Explanation{Action: "submission_refused", Job: j.ID, Reason: "first submitted too long ago to tell whether it has run", Figures: []Figure{{"age_seconds", age.Seconds()}}})
+		return
+	}
 	if c.record(Change{JobAccepted: &JobAccepted{j, c.stamp()}}) {
 		c.place(now)
 	}
@@ -40,6 +48,23 @@
 	}
 }
 
+// forgetJobs drops the jobs that have been complete for long.
+func (c *Core) forgetJobs(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		if j := c.jobs[id]; c.unsent[id] || !c.isComplete(j) {
+			continue
+		}
+		since, known := c.completeAt[id]
+		switch {
+		case !known:
+			c.completeAt[id] = now
+		case now.Sub(since) >= jobRetention:
+			delete(c.completeAt, id)
+			c.record(Change{JobForgotten: &JobForgotten{id}})
+		}
+	}
+}
+
 // parkJob takes a job out of the queue.
 func (c *Core) parkJob(j *Job, reason string, figures ...Figure) {
 	if j.Parked != "" || j.Ended {
--- a/internal/scheduler/matrix_test.go
+++ b/internal/scheduler/matrix_test.go
@@ -19,7 +19,7 @@
 func (w *world) east() *site { return w.sites[0] }
 
 func (w *world) submit(id string, tasks int) {
-	w.east().step(Event{Submitted: &JobSubmitted{declarer.BatchJob{
+	w.east().step(Event{Submitted: &JobSubmitted{Job: declarer.BatchJob{
 		ID: id, Team: "two", Kind: "k", Tasks: tasks, Resources: declarer.Resources{MilliCPU: 500, MemoryMB: 50}, RunTime: 3 * time.Second,
 	}}})
 }
@@ -281,7 +281,7 @@
 		w.out(false)
 	}
 	w.release()
-	w.run(20 * time.Second)
+	w.until(w.settled, 20*time.Second)
 	w.align()
 	for i := 0; i < 4000 && w.problem == nil && !w.settled(); i++ {
 		w.release()
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -77,19 +77,17 @@
 // placeTeams gives each start to the team with the smallest weighted dominant
 // share that has work which can start.
 func (c *Core) placeTeams(p *pass, lanes map[string]*lane) {
-	at := make(map[string]int, len(lanes))
 	var teams []string
-	for name, l := range lanes {
-		if len(l.entries) > 0 {
-			teams = append(teams, name)
-		}
+	for name := range lanes {
+		teams = append(teams, name)
 	}
 	slices.Sort(teams)
+	at := make(map[string]int, len(teams))
 	for len(teams) > 0 && !p.full() {
 		best := c.poorest(teams)
 		name := teams[best]
 		l, i := lanes[name], at[teams[best]]
-		if i >= len(l.entries) {
+		if l == nil || i >= len(l.entries) {
 			teams = slices.Delete(teams, best, best+1)
 			continue
 		}
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -131,7 +131,7 @@
 		v := &placer.View{Workers: []placer.Worker{c.slot(w)}}
 		for _, team := range slices.Sorted(maps.Keys(c.queue.ordinary)) {
 			l := c.queue.ordinary[team]
-			if len(l.entries) == 0 {
+			if l == nil || len(l.entries) == 0 {
 				continue
 			}
 			t := l.entries[0].head()
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -157,6 +157,17 @@
 	if !q.lane(e).remove(e) {
 		q.delayed.remove(e)
 	}
+	q.dropEmpty(t.Team)
+}
+
+// dropEmpty forgets the lanes of a team without work, so that a pass costs
+// time only for the teams that wait.
+func (q *queue) dropEmpty(team string) {
+	for _, lanes := range [...]map[string]*lane{q.urgent, q.ordinary} {
+		if l := lanes[team]; l != nil && len(l.entries) == 0 {
+			delete(lanes, team)
+		}
+	}
 }
 
 // wake moves the delayed tasks that are due to their lanes.
@@ -189,4 +200,5 @@
 	}
 	delete(q.queuedJobs, j.Job.ID)
 	q.lane(e).remove(e)
+	q.dropEmpty(j.Job.Team)
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -325,12 +325,13 @@
 // forgetAfter is how long a lost worker is remembered.
 const forgetAfter = time.Hour
 
-// forgetWorkers drops workers that are lost for good, at most once a minute.
-func (c *Core) forgetWorkers(now time.Time) {
+// forget drops what has ended for good, at most once a minute.
+func (c *Core) forget(now time.Time) {
 	if now.Sub(c.forgotten) < time.Minute {
 		return
 	}
 	c.forgotten = now
+	c.forgetJobs(now)
 	for _, id := range c.workerIDs() {
 		since := c.reports[id]
 		if since.IsZero() {
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -64,6 +64,10 @@
 	muted, holdConfig                  bool
 	// withheld are commands whose commit has no answer yet.
 	withheld []Command
+	// checked and checkedAt tell the state that has been checked last: it
+	// changes only with the ledger.
+	checked   *Core
+	checkedAt int
 	// zombie are commands of a paused owner that it has yet to send.
 	zombie []func()
 }
@@ -381,12 +385,18 @@
 		if w.problem != nil {
 			return
 		}
+		if s.core == s.checked && len(s.ledger) == s.checkedAt && len(s.group) == 0 {
+			continue
+		}
+		s.checked, s.checkedAt = s.core, len(s.ledger)
 		if err := s.core.Check(); err != nil {
 			w.fail(err)
 		}
 		if len(s.group) == 0 && s.pausedUntil.IsZero() && !reflect.DeepEqual(s.core.Snapshot(), s.shadow.Snapshot()) {
 			w.fail(errors.Errorf("%s: the replay differs from the live core:\n%+v\n%+v", s.domain, s.shadow.Snapshot(), s.core.Snapshot()))
 		}
+	}
+	for _, s := range w.sites {
 		for id, x := range s.workers {
 			used := declarer.Resources{}
 			for task, r := range x.running {
