--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -47,7 +47,7 @@
 func (c *Core) applySetting(ch Change) error {
 	switch {
 	case ch.HorizonSet != nil:
-		c.horizons[ch.HorizonSet.Class] = ch.HorizonSet.Length
+		// The ledger keeps the horizons: they bind the owner, not the work.
 	case ch.DomainSet != nil:
 		c.domainOut, c.domainAt = ch.DomainSet.Out, ch.DomainSet.At
 	case ch.AllowanceSet != nil && ch.AllowanceSet.Reset:
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -14,6 +14,8 @@
 	Cancelled     *JobCancelled
 	WorkerSeen    *WorkerSeen
 	WorkerLost    *WorkerLost
+	Unreachable   *WorkerUnreachable
+	Caretaking    *Caretaking
 	WorkerLeaving *WorkerLeaving
 	Report        *WorkerReport
 	StartRefused  *StartRefused
@@ -90,11 +92,22 @@
 	Capacity declarer.Resources
 }
 
-// WorkerLost reports that a worker has not been reached for the length of a
-// lease, counted from the last renewal or start that was sent, whether or not
-// it was answered. A worker that this owner has never reached may still hold
-// leases of an earlier owner; the core waits for the horizon there.
-type WorkerLost struct{ ID string }
+// WorkerLost reports that every lease on a worker has run out, or every lease
+// of one class.
+type WorkerLost struct {
+	ID string
+	// Class is empty for all classes.
+	Class declarer.Class
+}
+
+// WorkerUnreachable reports a worker that gives no answer, while its leases
+// may still run.
+type WorkerUnreachable struct{ ID string }
+
+// Caretaking tells that the owner belongs to another domain, since the shard's
+// own daemons are gone. Waiting batch tasks go to the shards in To, and
+// nothing starts here.
+type Caretaking struct{ To []string }
 
 // WorkerLeaving reports that a worker takes no new work.
 type WorkerLeaving struct{ ID string }
@@ -109,7 +122,8 @@
 	// MeasuredAt is when the usage was measured; it lags behind the report.
 	MeasuredAt time.Time
 	// RequestedAt is the owner's time at which the request for this report was
-	// sent. The zero value proves nothing about attempts that are not listed.
+	// sent. The zero value proves nothing about attempts that are not listed;
+	// the driver then settles them itself.
 	RequestedAt time.Time
 }
 
@@ -156,9 +170,10 @@
 	Task    TaskID
 	Attempt uint64
 	Reason  string
-	// Withdrawn is set when the command was never sent. Any other refusal may
-	// answer a second copy of a command that the worker has carried out, so
-	// the core waits for a report that proves that the attempt doesn't run.
+	// Withdrawn is set when it is certain that the attempt does not run and
+	// never will: the command was not sent, or was sent once and refused. Any
+	// other refusal may answer a second copy of a command that was carried
+	// out, so the core waits for a report that settles it.
 	Withdrawn bool
 }
 
--- a/internal/scheduler/fakes_test.go
+++ b/internal/scheduler/fakes_test.go
@@ -17,23 +17,20 @@
 	w := s.w
 	ses := s.sessions[x.id]
 	if ses == nil {
-		ses = &fakeSession{answered: w.now, leaseSent: w.now}
+		ses = &fakeSession{answered: w.now, leaseSent: w.now, opened: w.now}
 		s.sessions[x.id] = ses
 		s.step(Event{WorkerSeen: &WorkerSeen{ID: x.id, Rack: "r", Capacity: x.capacity}})
 	}
 	if w.now.UnixMilli()%1000 != 0 {
 		return
 	}
-	lease := LeaseLength
-	switch quiet := w.now.Sub(ses.answered); {
-	case quiet <= coarseStep:
-		ses.leaseSent = w.now
-	case !ses.lost && w.now.Sub(ses.leaseSent) > lengthened(LeaseLength):
-		ses.lost = true
-		s.step(Event{WorkerLost: &WorkerLost{x.id}})
-		lease = 0
-	default:
-		lease = 0
+	lease := time.Duration(0)
+	quiet := w.now.Sub(ses.answered)
+	if ses.reached && quiet <= coarseStep {
+		lease, ses.leaseSent = leaseLength, w.now
+	}
+	if quiet > coarseStep {
+		s.expire(x.id, ses)
 	}
 	sent, epoch, core, muted := w.now, s.epoch, s.core, s.muted
 	if x.unreachable || x.dead {
@@ -48,7 +45,7 @@
 			if s.core != core || w.now.Before(s.pausedUntil) {
 				return
 			}
-			ses.answered, ses.lost = w.now, false
+			ses.answered, ses.reached, ses.lost = w.now, true, nil
 			r := report
 			s.step(Event{Report: &r})
 		})
@@ -61,6 +58,33 @@
 	}
 }
 
+// leaseLength and the horizons are those of a driver.
+const leaseLength = 10 * time.Second
+
+var horizons = map[declarer.Class]time.Duration{
+	declarer.ClassBatch: 15 * time.Minute, declarer.ClassWatcher: 15 * time.Minute, declarer.ClassService: 2 * time.Hour,
+}
+
+// expire tells the core that a worker gives no answer, and of each class when
+// its leases have run out. A worker that this owner has not reached may hold
+// leases that an earlier owner renewed up to the horizon.
+func (s *site) expire(worker string, ses *fakeSession) {
+	if ses.lost == nil {
+		ses.lost = map[declarer.Class]bool{}
+		s.step(Event{Unreachable: &WorkerUnreachable{worker}})
+	}
+	for _, class := range []declarer.Class{declarer.ClassBatch, declarer.ClassService, declarer.ClassWatcher} {
+		end := ses.leaseSent.Add(lengthened(leaseLength))
+		if !ses.reached && s.epoch > 1 {
+			end = ses.opened.Add(lengthened(leaseLength + horizons[class]))
+		}
+		if !ses.lost[class] && s.w.now.After(end) {
+			ses.lost[class] = true
+			s.step(Event{WorkerLost: &WorkerLost{worker, class}})
+		}
+	}
+}
+
 func (x *fakeWorker) renew(w *world, epoch uint64, sent time.Time, lease time.Duration) (WorkerReport, bool) {
 	if x.dead || epoch < x.epoch {
 		return WorkerReport{}, false
@@ -87,7 +111,7 @@
 func (x *fakeWorker) advance(w *world) {
 	for _, id := range x.runningIDs() {
 		r := x.running[id]
-		if end := w.now.Add(LeaseLength); w.now.Before(x.keptUntil) && end.After(r.ends) {
+		if end := w.now.Add(leaseLength); w.now.Before(x.keptUntil) && end.After(r.ends) {
 			r.ends = end
 		}
 		switch {
@@ -198,7 +222,7 @@
 	if k.Checkpoint != "" {
 		w.consumed[k.Checkpoint]++
 	}
-	r := &fakeRun{start: k, ends: sent.Add(LeaseLength), begun: w.now}
+	r := &fakeRun{start: k, ends: sent.Add(leaseLength), begun: w.now}
 	if x.failAll {
 		r.outcome = OutcomeFailed
 	}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -160,9 +160,6 @@
 	for _, id := range slices.Sorted(maps.Keys(c.unsent)) {
 		c.sendCounts(id)
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.transfers)) {
-		c.offer(c.transfers[id])
-	}
 	c.sendPeerReport()
 }
 
--- a/internal/scheduler/matrix_test.go
+++ b/internal/scheduler/matrix_test.go
@@ -214,8 +214,8 @@
 	}},
 	"starting exhaust": {reach: func(w *world) {
 		failFour(w)
+		w.until(w.targetIn(Starting), 20*time.Second)
 		w.east().muted = true
-		w.until(w.targetIn(Starting), 10*time.Second)
 	}},
 	"running exhaust": {reach: func(w *world) { failFour(w); w.until(w.targetIn(Running), 20*time.Second) }},
 	"unknown exhaust": {reach: func(w *world) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -168,7 +168,10 @@
 }
 
 func (c *Core) choose(t *Task, v *placer.View) (placer.Choice, error) {
-	r := placer.Request{Task: string(t.ID), Kind: t.Kind, Class: t.Class, Team: t.Team, Owner: t.Owner, Declared: t.Declared}
+	r := placer.Request{Task: string(t.ID), Kind: t.Kind, Class: t.Class, Team: t.Team, Owner: t.Owner, Declared: t.Declared, Urgent: t.Urgent, Waiting: c.now.Sub(t.Submitted)}
+	if j := c.jobs[t.Owner]; j != nil && t.Class == declarer.ClassBatch {
+		r.Avoid = j.FailedOn
+	}
 	if c.options.Prepare != nil {
 		c.options.Prepare(c, t, &r)
 	}
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/placer"
 )
 
 func (c *Core) team(name string) *declarer.Team {
@@ -83,7 +84,7 @@
 	if t.Urgent || c.usage.batchCPU == 0 {
 		return ""
 	}
-	p := parametersOf(c.config.Preset)
+	p := placer.ParametersOf(c.config.Preset)
 	total := float64(c.view.milliCPU)
 	if after := float64(c.usage.batchCPU + t.Declared.MilliCPU); after > p.BatchShare*total {
 		return fmt.Sprintf("batch would reserve %.0f milli_cpu, over its share of %.0f%% of %.0f", after, 100*p.BatchShare, total)
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -18,7 +18,6 @@
 	Transfers  []Task           `cbor:"5,keyasint,omitempty"`
 	Sent       []SentTransfers  `cbor:"6,keyasint,omitempty"`
 	Allowances []AllowanceSet   `cbor:"7,keyasint,omitempty"`
-	Horizons   []HorizonSet     `cbor:"8,keyasint,omitempty"`
 	DomainOut  bool             `cbor:"9,keyasint,omitempty"`
 	DomainAt   time.Time        `cbor:"10,keyasint,omitzero"`
 }
@@ -53,9 +52,6 @@
 	for _, team := range slices.Sorted(maps.Keys(c.allowances)) {
 		s.Allowances = append(s.Allowances, AllowanceSet{Team: team, Amount: c.allowances[team]})
 	}
-	for _, class := range slices.Sorted(maps.Keys(c.horizons)) {
-		s.Horizons = append(s.Horizons, HorizonSet{class, c.horizons[class]})
-	}
 	return s
 }
 
@@ -118,9 +114,6 @@
 	for _, a := range s.Allowances {
 		c.allowances[a.Team] = a.Amount
 	}
-	for _, h := range s.Horizons {
-		c.horizons[h.Class] = h.Length
-	}
 	c.domainOut, c.domainAt = s.DomainOut, s.DomainAt
 }
 
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -75,10 +75,11 @@
 }
 
 type fakeSession struct {
-	leaseSent, answered time.Time
-	lost                bool
-	// acknowledged are ended attempts whose end is committed.
-	acknowledged []string
+	opened, leaseSent, answered time.Time
+	// reached is set once the worker has answered, and lost while it gives no
+	// answer, with the classes whose leases have run out.
+	reached bool
+	lost    map[declarer.Class]bool
 }
 
 type fakeWorker struct {
@@ -279,6 +280,12 @@
 	}
 	s.step(Event{Tick: &Tick{}})
 	s.commit()
+	if w.now.UnixMilli()%1000 == 0 && len(s.group) == 0 {
+		for _, id := range slices.Sorted(maps.Keys(s.core.transfers)) {
+			t := s.core.transfers[id]
+			s.toPeer(Command{HandOver: &HandOverTask{id, t.ToShard, *t}})
+		}
+	}
 }
 
 func (s *site) step(e Event) {
@@ -309,9 +316,6 @@
 		s.withheld = commands
 		return
 	}
-	for _, ses := range s.sessions {
-		ses.acknowledged = nil
-	}
 	for _, k := range commands {
 		s.carryOut(k, s.epoch)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,19 +4,25 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/valyala/fasthttp"
 
+	"tarragonhead.example/tarragonhead/internal/claimer"
 	"tarragonhead.example/tarragonhead/internal/configurer"
 	"tarragonhead.example/tarragonhead/internal/controller"
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
@@ -26,8 +32,12 @@
 	"tarragonhead.example/tarragonhead/internal/router"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
+	"tarragonhead.example/tarragonhead/internal/tracer"
 )
 
+// peerTimeout bounds a call to another daemon.
+const peerTimeout = 2 * time.Second
+
 // maxBodyBytes is the largest request body that a caller may send.
 const maxBodyBytes = 4 << 20
 
@@ -40,52 +50,126 @@
 	controller *controller.Controller
 	gossip     *gossiper.Gossiper
 	router     *router.Router
-	peers      *http.Client
+	claimer    *claimer.Claimer
+	tracer     *tracer.Tracer
+	dial       func(addr string) messenger.Peer
+	registry   *prometheus.Registry
+	violations *prometheus.CounterVec
 	// stopping is set from the first stop signal on; readiness then fails.
 	stopping atomic.Bool
 
 	mu sync.Mutex
 	// owners has the highest epoch seen of each shard.
 	owners map[string]*messenger.ShardOwner
-	// addresses has the control address of each member seen.
-	addresses map[string]string
+	// fetching has what is being fetched from a peer now.
+	fetching map[string]bool
 }
 
-// New checks the settings and returns a daemon that isn't running. The error
-// is a SettingsError when settings are not accepted.
-func New(s Settings, output io.Writer) (*Server, error) {
+// New checks the settings and returns a daemon that isn't running. It logs to
+// output and registers its metrics with registry. The error is a SettingsError
+// when settings are not accepted.
+func New(s Settings, output io.Writer, registry *prometheus.Registry) (*Server, error) {
 	c, err := s.check()
 	if err != nil {
 		return nil, err
 	}
+	caller := dispatcher.NewCaller()
+	return assemble(c, output, registry, platform{
+		store: storeclient.Limit(storeclient.HTTP(c.store), storeclient.DefaultRates), worker: caller.Worker,
+		instances: func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) },
+	})
+}
+
+// platform is what a daemon uses of the platform.
+type platform struct {
+	store     storeclient.Store
+	worker    func(addr netip.AddrPort) dispatcher.Worker
+	instances func(ctx context.Context) ([]dispatcher.Instance, error)
+}
+
+// assemble puts the parts of a daemon together.
+func assemble(s checked, output io.Writer, registry *prometheus.Registry, p platform) (*Server, error) {
 	charts, err := scheduler.LoadCharts()
 	if err != nil {
 		return nil, err
 	}
 	logger := &log.Logger{Level: log.ParseLevel(s.LogLevel), Writer: &log.IOWriter{Writer: output}, TimeFormat: time.RFC3339Nano}
 	d := &Server{
-		settings: c, log: logger, owners: map[string]*messenger.ShardOwner{}, addresses: map[string]string{},
-		store: storeclient.Limit(storeclient.HTTP(c.store), storeclient.DefaultRates),
-		peers: &http.Client{Timeout: 2 * time.Second},
+		settings: s, log: logger, registry: registry, owners: map[string]*messenger.ShardOwner{}, fetching: map[string]bool{},
+		store: p.store,
+		violations: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{Name: "tarragond_invariant_violations_total", Help: "Violations of an invariant of the design, by its number."},
+			[]string{"invariant"}),
 	}
-	caller := dispatcher.NewCaller()
-	d.config = configurer.New(configurer.Options{Store: d.store, Log: logger})
-	d.router = router.New(router.Options{Domain: c.Domain, Log: logger})
+	if d.tracer, err = tracer.New(tracer.Options{File: s.TraceFile, Ratio: s.traceRatio, Service: "tarragond " + s.ID}); err != nil {
+		return nil, err
+	}
+	// Messages between daemons are small; without compression their headers
+	// are too.
+	peers := &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	d.dial = func(addr string) messenger.Peer { return messenger.NewPeerProtobufClient("http://"+addr, peers) }
+	promauto.With(registry).NewGaugeFunc(prometheus.GaugeOpts{Name: "tarragond_ready", Help: "1 if /readyz answers that the daemon is ready, else 0."}, func() float64 {
+		if d.unreadiness() == "" {
+			return 1
+		}
+		return 0
+	})
+	d.config = configurer.New(configurer.Options{
+		Store: d.store, Log: logger, Registry: registry, Violated: d.violated,
+		Owning: func() bool { return len(d.controller.Owned()) > 0 },
+	})
+	incarnation := uint64(time.Now().UnixNano())
+	d.claimer = claimer.New(claimer.Options{
+		Store: d.store, Holder: holder(s.ID, incarnation), IsAlive: d.isHolderAlive, Registry: registry, Log: logger, PanicOnViolation: s.PanicOnViolation,
+	})
+	d.router = router.New(router.Options{
+		Self: s.ID, Domain: s.Domain, Costs: s.costs, Claimer: d.claimer, Tracer: d.tracer, Registry: registry, Log: logger, PanicOnViolation: s.PanicOnViolation,
+	})
 	d.controller = controller.New(controller.Options{
-		Self: c.ID, Control: c.control, Domain: c.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
-		Worker: caller.Worker, Log: logger,
-		Instances: func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) },
+		Self: s.ID, Control: s.control, Domain: s.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
+		Worker: p.worker, Peer: d.ownerPeer, IsPresent: d.isPresent, Log: logger, Instances: p.instances,
+		Violated: func(err error) { d.violated(invariantOf(err), err.Error()) },
 	})
-	self := &messenger.Member{Id: c.ID, Domain: c.Domain, ControlAddr: c.control.String(), TrafficAddr: c.traffic.String(), Incarnation: uint64(time.Now().UnixNano())}
+	self := &messenger.Member{Id: s.ID, Domain: s.Domain, ControlAddr: s.control.String(), TrafficAddr: s.traffic.String(), Incarnation: incarnation}
 	d.gossip = gossiper.New(gossiper.Options{
-		Self: self, Seeds: c.peers, Dial: d.dial, Complete: d.completeDigest, Received: d.receiveDigest, Log: logger,
-		Preferred: func() string { return d.ownerAddress(c.Domain) }, Rand: rand.New(rand.NewPCG(self.Incarnation, 0)),
+		Self: self, Seeds: s.peers, Dial: func(addr string) messenger.Peer { return d.dial(addr) }, Complete: d.completeDigest, Received: d.receiveDigest, Log: logger, Registry: registry,
+		Preferred: func() string { return d.ownerAddress(s.Domain) }, Rand: rand.New(rand.NewPCG(self.Incarnation, 0)),
+		Instances: func(ctx context.Context) ([]netip.AddrPort, error) {
+			list, err := p.instances(ctx)
+			return daemonAddresses(list), err
+		},
 	})
 	return d, nil
 }
 
-func (d *Server) dial(addr string) messenger.Peer {
-	return messenger.NewPeerProtobufClient("http://"+addr, d.peers)
+// daemonAddresses returns the control addresses of the daemons in the
+// platform's list that are not leaving.
+func daemonAddresses(list []dispatcher.Instance) []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, in := range list {
+		if in.Role == dispatcher.RoleDaemon && !in.Leaving {
+			addrs = append(addrs, in.Addr)
+		}
+	}
+	return addrs
+}
+
+// invariantOf returns the number of the invariant that err reports, zero if it
+// names none.
+func invariantOf(err error) int {
+	var broken *scheduler.InvariantError
+	if errors.As(err, &broken) {
+		return broken.Invariant
+	}
+	return 0
+}
+
+// violated records that an invariant does not hold.
+func (d *Server) violated(invariant int, problem string) {
+	d.violations.WithLabelValues(strconv.Itoa(invariant)).Inc()
+	d.log.Error().Int("invariant", invariant).Str("problem", problem).Msg("server: invariant violated")
+	if d.settings.PanicOnViolation {
+		panic(fmt.Sprintf("invariant %d: %s", invariant, problem))
+	}
 }
 
 // Run serves until ctx ends, then finishes the requests in progress and gives
@@ -100,7 +184,7 @@
 		return err
 	}
 	controlServer := &http.Server{Handler: d.controlHandler(), ReadHeaderTimeout: 5 * time.Second}
-	trafficServer := &fasthttp.Server{Handler: d.router.Handle, MaxRequestBodySize: maxBodyBytes, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	trafficServer := d.trafficServer()
 	failed := make(chan error, 2)
 	go func() { failed <- controlServer.Serve(control) }()
 	go func() { failed <- trafficServer.Serve(traffic) }()
@@ -110,6 +194,7 @@
 	parts.Go(func() { d.config.Run(running) })
 	parts.Go(func() { d.gossip.Run(running) })
 	parts.Go(func() { d.publishRoutes(running) })
+	parts.Go(func() { d.spreadChanges(running) })
 	owning, release := context.WithCancel(running)
 	defer release()
 	parts.Go(func() { d.controller.Run(owning) })
@@ -121,18 +206,67 @@
 	}
 	d.log.Info().Msg("server: stopping")
 	d.stopping.Store(true)
+	d.router.Drain()
+	parts.Go(func() { d.gossip.Leave(running) })
 	release()
-	draining, stop := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+	// Callers and the load balancer go elsewhere before the listener closes.
+	time.Sleep(d.settings.stopDelay)
+	_ = traffic.Close()
+	d.router.Refuse()
+	draining, stop := context.WithTimeout(context.Background(), d.settings.drainTimeout)
 	defer stop()
 	err = trafficServer.ShutdownWithContext(draining)
+	d.claimer.Wait(draining)
 	cancel()
 	parts.Wait()
+	if traceErr := d.tracer.Close(draining); traceErr != nil {
+		d.log.Warn().Err(traceErr).Msg("server: spans not written")
+	}
 	controlServer.Close()
 	d.log.Info().Msg("server: stopped")
 	return errors.Wrap(err, "drain")
 }
 
+// maxHeaderBytes is the largest request header that a caller may send.
+const maxHeaderBytes = 16 << 10
+
+func (d *Server) trafficServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: d.router.Handle, ErrorHandler: router.HandleError, MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes,
+		ReadTimeout: time.Minute, IdleTimeout: 2 * time.Minute, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: quiet{},
+	}
+}
+
+// quiet drops fasthttp's own log lines, which are about broken connections of
+// callers.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// holder names one run of a daemon.
+func holder(id string, incarnation uint64) string { return fmt.Sprintf("%s/%d", id, incarnation) }
+
+// isHolderAlive reports whether the membership view has the holder of a claim.
+func (d *Server) isHolderAlive(name string) bool {
+	return slices.ContainsFunc(d.gossip.View(), func(m *messenger.Member) bool { return holder(m.Id, m.Incarnation) == name })
+}
+
+// onceListener can be closed twice: by the stop of the daemon and by the
+// server's own shutdown.
+type onceListener struct {
+	net.Listener
+	once sync.Once
+	err  error
+}
+
+// Close closes the listener the first time and returns the same error later.
+func (l *onceListener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
 func listen(addr netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr.String())
-	return l, errors.Wrapf(err, "listen on %s", addr)
+	return &onceListener{Listener: l}, errors.Wrapf(err, "listen on %s", addr)
 }
