Test horizons by class, late reports, late totals and hanging checkpoints

Cause: with the mechanism broken on a scratch copy, four faults were not seen: an old report of a lost worker, the class of lost leases, an early stop of replicas, late totals. The fakes also let a second attempt replace a running one on the same worker. Change: tests for each of them, and the fake worker reports a second attempt.

--- a/internal/scheduler/behaviour_test.go
+++ b/internal/scheduler/behaviour_test.go
@@ -37,16 +37,22 @@
 // TestUrgentStartsInTime guards against urgent work that waits for batch work,
 // also when the victims' checkpoints are slow or lost.
 func TestUrgentStartsInTime(t *testing.T) {
-	for name, muted := range map[string]bool{"checkpoints work": false, "reports are lost": true} {
+	for name, fault := range map[string]func(*world){
+		"checkpoints work": func(*world) {},
+		"reports are lost": func(w *world) { w.dropUntil = w.now.Add(2 * time.Second) },
+		"checkpoints hang": func(w *world) {
+			for _, x := range w.east().workers {
+				x.stuck = true
+			}
+		},
+	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
 			w := started(t, 2)
 			w.config.Preset = declarer.Maintenance
 			w.submitJob(declarer.BatchJob{ID: "bulk", Team: "one", Tasks: 40, Resources: declarer.Resources{MilliCPU: 1000, MemoryMB: 900}})
 			w.run(5 * time.Second)
-			if muted {
-				w.dropUntil = w.now.Add(2 * time.Second)
-			}
+			fault(w)
 			begun := w.now
 			w.submitJob(declarer.BatchJob{ID: "now", Team: "two", Tasks: 3, Urgent: true, Resources: declarer.Resources{MilliCPU: 3000, MemoryMB: 100}})
 			running := func() bool {
@@ -83,6 +89,10 @@
 	}
 	w.run(4 * time.Second)
 	begun := w.now
+	// The other domain starts its replica late.
+	west := w.sites[1]
+	west.holdConfig = true
+	w.later(10*time.Second, func() { west.holdConfig = false })
 	w.out(true)
 	replicas := 0
 	w.until(func() bool {
@@ -278,3 +288,46 @@
 	c.Assert(w.east().core.jobs["once"], quicktest.IsNil)
 	c.Assert(w.east().core.Explain(Query{Job: "once"})[0].Action, quicktest.Equals, "submission_refused")
 }
+
+// TestClassesKeepTheirHorizons guards against a service replica that is started
+// again while an owner that is cut off still renews its lease, because the
+// leases of batch work on the same worker have run out.
+func TestClassesKeepTheirHorizons(t *testing.T) {
+	c := quicktest.New(t)
+	w := started(t, 2)
+	replica := replicaID("web", "east", 0)
+	x := w.east().workers[w.east().core.tasks[replica].Worker]
+	x.unreachable, x.replicasUntil = true, w.now.Add(time.Hour)
+	w.east().own()
+	w.coarse(50 * time.Minute)
+	noProblem(t, w)
+	c.Assert(w.east().core.tasks[replica].State, quicktest.Equals, Unknown)
+	w.coarse(80 * time.Minute)
+	noProblem(t, w)
+	c.Assert(w.east().core.tasks[replica].State, quicktest.Equals, Running)
+}
+
+// TestLateReportOfLostWorker guards against a report from before the loss of a
+// worker that brings it back.
+func TestLateReportOfLostWorker(t *testing.T) {
+	c := quicktest.New(t)
+	w := started(t, 2)
+	core, before := w.east().core, w.now.Add(-time.Millisecond)
+	core.Step(w.now, Event{WorkerLost: &WorkerLost{ID: "east-0"}})
+	core.Step(w.now, Event{Report: &WorkerReport{Worker: "east-0", RequestedAt: before}})
+	c.Assert(core.workers["east-0"].State, quicktest.Equals, Lost)
+	core.Step(w.now, Event{Report: &WorkerReport{Worker: "east-0", RequestedAt: w.now.Add(time.Millisecond)}})
+	c.Assert(core.workers["east-0"].State, quicktest.Equals, Live)
+}
+
+// TestTotalsDoNotFall guards against a late report with smaller counts that
+// replaces a newer one.
+func TestTotalsDoNotFall(t *testing.T) {
+	c := quicktest.New(t)
+	w := started(t, 2)
+	w.submitJob(declarer.BatchJob{ID: "j", Team: "two", Tasks: 9, Resources: declarer.Resources{MilliCPU: 500, MemoryMB: 10}})
+	for _, done := range []int{5, 3} {
+		w.east().step(Event{Totals: &TotalsReported{"j", RemoteCounts{Shard: "west", Done: done}}})
+	}
+	c.Assert(w.east().core.jobs["j"].Totals().Done, quicktest.Equals, 5)
+}
--- a/internal/scheduler/fakes_test.go
+++ b/internal/scheduler/fakes_test.go
@@ -111,7 +111,8 @@
 func (x *fakeWorker) advance(w *world) {
 	for _, id := range x.runningIDs() {
 		r := x.running[id]
-		if end := w.now.Add(leaseLength); w.now.Before(x.keptUntil) && end.After(r.ends) {
+		kept := w.now.Before(x.keptUntil) || r.start.Class == declarer.ClassService && w.now.Before(x.replicasUntil)
+		if end := w.now.Add(leaseLength); kept && end.After(r.ends) {
 			r.ends = end
 		}
 		switch {
@@ -168,7 +169,11 @@
 	case k.Stop != nil:
 		to(k.Stop.Worker, func(x *fakeWorker) { x.end(k.Stop.Task, k.Stop.Attempt, OutcomeStopped) })
 	case k.Checkpoint != nil:
-		to(k.Checkpoint.Worker, func(x *fakeWorker) { x.end(k.Checkpoint.Task, k.Checkpoint.Attempt, OutcomeCheckpointed) })
+		to(k.Checkpoint.Worker, func(x *fakeWorker) {
+			if !x.stuck {
+				x.end(k.Checkpoint.Task, k.Checkpoint.Attempt, OutcomeCheckpointed)
+			}
+		})
 	default:
 		s.toPeer(k)
 	}
@@ -218,6 +223,9 @@
 	if out, ok := w.outAt[x.domain]; ok && w.now.Sub(out) > ConfigMaxAge+StartValidity {
 		w.fail(errors.Errorf("%s started %s after its domain was taken out", k.Task, w.now.Sub(out)))
 	}
+	if old := x.running[k.Task]; old != nil {
+		w.fail(errors.Errorf("%s: attempt %d started on %s while attempt %d runs there", k.Task, k.Attempt, x.id, old.start.Attempt))
+	}
 	x.attempts[k.Task] = k.Attempt
 	if k.Checkpoint != "" {
 		w.consumed[k.Checkpoint]++
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -63,7 +63,10 @@
 	if i, ok := c.view.slots[w.ID]; ok && !c.view.stale {
 		slot := &c.view.Workers[i]
 		slot.Reserved = w.Reserved
-		if at := slices.Index(slot.Running, runningOf(t)); at >= 0 {
+		// Other fields of an entry, such as a measured load, change while it
+		// runs.
+		same := func(r placer.Running) bool { return r.Kind == t.Kind && r.Class == t.Class && r.Reserved == t.Reserved }
+		if at := slices.IndexFunc(slot.Running, same); at >= 0 {
 			slot.Running = slices.Delete(slot.Running, at, at+1)
 		}
 	}
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -93,8 +93,11 @@
 	unreachable, dead, failAll, slow bool
 	// refuse and forget are faults of one start.
 	refuse bool
-	// keptUntil is up to when an owner that is cut off renews the leases.
-	keptUntil time.Time
+	// stuck workers write no checkpoint.
+	stuck bool
+	// keptUntil is up to when an owner that is cut off renews the leases, and
+	// replicasUntil those of services.
+	keptUntil, replicasUntil time.Time
 }
 
 type fakeRun struct {
