--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/committer"
+	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 )
@@ -16,6 +17,10 @@
 	if o.inFlight != nil {
 		return
 	}
+	if now.Sub(o.horizonSet) >= horizonLengths[declarer.ClassBatch]/3 {
+		o.next.changes = append(o.next.changes, horizonChanges()...)
+		o.horizonSet = now
+	}
 	if o.next.isEmpty() {
 		return
 	}
@@ -134,7 +139,7 @@
 		return
 	}
 	if c.Start != nil {
-		o.handle(scheduler.Event{StartRefused: &scheduler.StartRefused{Task: c.Start.Task, Attempt: c.Start.Attempt, Reason: "worker takes no commands"}})
+		o.handle(scheduler.Event{StartRefused: &scheduler.StartRefused{Task: c.Start.Task, Attempt: c.Start.Attempt, Reason: "worker takes no commands", Withdrawn: true}})
 	}
 }
 
--- a/internal/controller/session.go
+++ b/internal/controller/session.go
@@ -308,7 +308,7 @@
 // carried it out; a report that is sent after the command's validity tells.
 func (s *session) start(ctx context.Context, c *scheduler.StartTask) {
 	withdraw := func(reason string) {
-		s.post(input{from: s, event: scheduler.Event{StartRefused: &scheduler.StartRefused{Task: c.Task, Attempt: c.Attempt, Reason: reason}}})
+		s.post(input{from: s, event: scheduler.Event{StartRefused: &scheduler.StartRefused{Task: c.Task, Attempt: c.Attempt, Reason: reason, Withdrawn: true}}})
 	}
 	sent := time.Now()
 	if age := sent.Sub(c.ConfirmedAt); age > scheduler.ConfigMaxAge {
--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -36,6 +36,8 @@
 		return c.applyJobCancelled(*ch.JobCancelled)
 	case ch.JobParked != nil:
 		return c.applyJobParked(*ch.JobParked)
+	case ch.JobForgotten != nil:
+		return c.applyJobForgotten(ch.JobForgotten.JobID)
 	case ch.TotalsSet != nil:
 		return c.applyTotals(*ch.TotalsSet)
 	}
@@ -45,7 +47,7 @@
 func (c *Core) applySetting(ch Change) error {
 	switch {
 	case ch.HorizonSet != nil:
-		c.horizons[ch.HorizonSet.Class] = ch.HorizonSet.Length
+		// The ledger keeps the horizons: they bind the owner, not the work.
 	case ch.DomainSet != nil:
 		c.domainOut, c.domainAt = ch.DomainSet.Out, ch.DomainSet.At
 	case ch.AllowanceSet != nil && ch.AllowanceSet.Reset:
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -18,8 +18,6 @@
 	// StartValidity is how long a worker may carry out a start command after
 	// it was written.
 	StartValidity = time.Second
-	// LeaseLength is the length of a lease on a worker.
-	LeaseLength = 10 * time.Second
 	// clockError is the most by which the rate of a clock may be off.
 	clockError = 0.01
 )
@@ -74,7 +72,6 @@
 	// sent has, for each destination, the number of the last transfer to it.
 	sent       map[string]uint64
 	allowances map[string]declarer.Resources
-	horizons   map[declarer.Class]time.Duration
 	// domainOut is set from a DomainSet that takes the domain out of service
 	// until one that brings it back; domainAt is when the last was decided.
 	domainOut bool
@@ -102,14 +99,9 @@
 	config      *declarer.Config
 	confirmedAt time.Time
 	attempts    map[TaskID]*attempt
-	// reached has the workers that have reported to this owner.
-	reached map[string]bool
 	// reports has the time before which a report of a worker is out of date.
 	reports map[string]time.Time
-	// lost has the lost workers on which tasks are left.
-	lost    map[string]bool
 	peers   map[string]PeerReport
-	horizon map[declarer.Class]time.Time
 	claims  []claim
 	speed   map[string]time.Duration
 	explainer
@@ -125,10 +117,10 @@
 	lastSent   time.Time
 	forgotten  time.Time
 	lastPlace  time.Time
-	// isCaretaker is set when the owner belongs to another domain.
-	isCaretaker bool
 	// unsent has the jobs of other shards with counts to report.
 	unsent map[string]bool
+	// completeAt is when this owner first saw that a job is complete.
+	completeAt map[string]time.Time
 }
 
 // attempt is what an owner knows of a current attempt.
@@ -152,13 +144,13 @@
 		state: state{
 			tasks: map[TaskID]*Task{}, transfers: map[string]*Task{}, jobs: map[string]*Job{}, workers: map[string]*Worker{},
 			taken: map[string]*numbers{}, sent: map[string]uint64{}, allowances: map[string]declarer.Resources{},
-			horizons: map[declarer.Class]time.Duration{}, onWorker: map[string]map[TaskID]*Task{}, byOwner: map[string]map[TaskID]*Task{},
+			onWorker: map[string]map[TaskID]*Task{}, byOwner: map[string]map[TaskID]*Task{},
 			excluded: map[string]bool{}, leaving: map[string]bool{},
 			queue: newQueue(), view: view{slots: map[string]int{}}, usage: usage{teams: map[string]declarer.Resources{}},
 		},
 		soft: soft{
-			attempts: map[TaskID]*attempt{}, reached: map[string]bool{}, reports: map[string]time.Time{}, lost: map[string]bool{}, peers: map[string]PeerReport{},
-			horizon: map[declarer.Class]time.Time{}, speed: map[string]time.Duration{}, unsent: map[string]bool{}, explainer: newExplainer(),
+			attempts: map[TaskID]*attempt{}, reports: map[string]time.Time{}, peers: map[string]PeerReport{},
+			speed: map[string]time.Duration{}, unsent: map[string]bool{}, completeAt: map[string]time.Time{}, explainer: newExplainer(),
 		},
 	}
 }
@@ -181,7 +173,7 @@
 	case e.Config != nil:
 		c.confirmConfig(now, *e.Config)
 	case e.Submitted != nil:
-		c.acceptJob(now, e.Submitted.Job)
+		c.acceptJob(now, *e.Submitted)
 	case e.Cancelled != nil:
 		c.cancelJob(*e.Cancelled)
 	case e.Released != nil:
@@ -189,11 +181,11 @@
 	case e.WorkerSeen != nil:
 		c.seeWorker(*e.WorkerSeen)
 	case e.WorkerLost != nil:
-		c.loseWorker(now, *e.WorkerLost)
+		c.loseWorker(e.WorkerLost.ID, e.WorkerLost.Class)
 	case e.Unreachable != nil:
-		c.missWorker(now, e.Unreachable.ID)
+		c.missWorker(e.Unreachable.ID)
 	case e.Caretaking != nil:
-		c.caretake(e.Caretaking.To)
+		c.handOverPending(e.Caretaking.To)
 	case e.WorkerLeaving != nil:
 		c.moveWorker(e.WorkerLeaving.ID, "leave", "listed as leaving")
 	case e.Report != nil:
@@ -220,12 +212,10 @@
 // tick does what depends on time. Its cost does not depend on the number of
 // tasks unless the domain is being drained.
 func (c *Core) tick(now time.Time) {
-	c.extendHorizons(now)
-	c.expireLost(now)
 	c.probeWorkers(now)
 	c.drain(now)
 	c.reconcileAgain(now)
-	c.forgetWorkers(now)
+	c.forget(now)
 	if c.options.Interference != nil {
 		c.options.Interference(c, now, nil)
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -39,7 +39,7 @@
 // mayStart reports whether tasks may start now: the configuration has been
 // confirmed lately and the domain is in service.
 func (c *Core) mayStart(now time.Time) bool {
-	return c.config != nil && now.Sub(c.confirmedAt) <= ConfigMaxAge && !c.config.IsOut(c.options.Domain) && !c.domainOut && !c.isCaretaker
+	return c.config != nil && now.Sub(c.confirmedAt) <= ConfigMaxAge && !c.config.IsOut(c.options.Domain) && !c.domainOut
 }
 
 // place starts pending tasks where the policy puts them.
@@ -77,19 +77,17 @@
 // placeTeams gives each start to the team with the smallest weighted dominant
 // share that has work which can start.
 func (c *Core) placeTeams(p *pass, lanes map[string]*lane) {
-	at := make(map[string]int, len(lanes))
 	var teams []string
-	for name, l := range lanes {
-		if len(l.entries) > 0 {
-			teams = append(teams, name)
-		}
+	for name := range lanes {
+		teams = append(teams, name)
 	}
 	slices.Sort(teams)
+	at := make(map[string]int, len(teams))
 	for len(teams) > 0 && !p.full() {
 		best := c.poorest(teams)
 		name := teams[best]
 		l, i := lanes[name], at[teams[best]]
-		if i >= len(l.entries) {
+		if l == nil || i >= len(l.entries) {
 			teams = slices.Delete(teams, best, best+1)
 			continue
 		}
@@ -170,7 +168,10 @@
 }
 
 func (c *Core) choose(t *Task, v *placer.View) (placer.Choice, error) {
-	r := placer.Request{Task: string(t.ID), Kind: t.Kind, Class: t.Class, Team: t.Team, Owner: t.Owner, Declared: t.Declared}
+	r := placer.Request{Task: string(t.ID), Kind: t.Kind, Class: t.Class, Team: t.Team, Owner: t.Owner, Declared: t.Declared, Urgent: t.Urgent, Waiting: c.now.Sub(t.Submitted)}
+	if j := c.jobs[t.Owner]; j != nil && t.Class == declarer.ClassBatch {
+		r.Avoid = j.FailedOn
+	}
 	if c.options.Prepare != nil {
 		c.options.Prepare(c, t, &r)
 	}
--- a/internal/scheduler/transfer.go
+++ b/internal/scheduler/transfer.go
@@ -12,7 +12,7 @@
 	if c.HasTakenOver(e.TransferID) {
 		return
 	}
-	if err := c.checkOffer(e); err != nil {
+	if err := c.CheckOffer(e); err != nil {
 		c.explain(Explanation{Action: "transfer_refused", Task: e.Task.ID, Job: e.Task.Owner, Reason: err.Error()})
 		return
 	}
@@ -21,8 +21,12 @@
 	}
 }
 
-// checkOffer refuses what a faulty or older peer may send.
-func (c *Core) checkOffer(e TransferOffered) error {
+// CheckOffer refuses what a faulty or older peer may send. The error is an
+// InvariantError; the driver must not confirm such an offer.
+func (c *Core) CheckOffer(e TransferOffered) error {
+	if c.HasTakenOver(e.TransferID) {
+		return nil
+	}
 	problem := ""
 	_, first, named := jobTaskIndex(e.Task.ID)
 	j := c.jobs[e.Task.Owner]
