--- a/internal/committer/codec.go
+++ b/internal/committer/codec.go
@@ -19,6 +19,10 @@
 	decoding = must(cbor.DecOptions{ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode())
 )
 
+// The encoder makes its state at its first use; made here, it belongs to no
+// test's bubble of virtual time.
+var _ = compressor.EncodeAll(nil, nil)
+
 func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/committer"
@@ -78,7 +77,8 @@
 	endServing context.CancelFunc
 	background sync.WaitGroup
 	sessionsUp sync.WaitGroup
-	transfers  pond.Pool
+	// transfers has a place for each hand-over call at one time.
+	transfers chan struct{}
 
 	inputs    chan input
 	committed chan error
@@ -142,7 +142,7 @@
 		shard: s, core: core, ledger: ledger, life: life, lost: lost,
 		inputs: make(chan input, 1024), committed: make(chan error, 1), doubts: make(chan bool, 1),
 		sessions: map[string]*session{}, attempts: map[string]map[scheduler.TaskID]*placed{}, runners: map[scheduler.TaskID]*messenger.Route{},
-		asking: map[string]bool{},
+		asking: map[string]bool{}, transfers: make(chan struct{}, transferCalls),
 	}
 	o.serving, o.endServing = context.WithCancel(life)
 	return o
@@ -198,7 +198,6 @@
 			o.attemptsOn(t.Worker)[t.ID] = &placed{attempt: t.Attempt}
 		}
 	}
-	o.transfers = pond.NewPool(transferCalls, pond.WithContext(o.serving))
 	for _, t := range s.Tasks {
 		if t.State == scheduler.HandingOver {
 			o.offer(scheduler.HandOverTask{TransferID: t.TransferID, ToShard: t.ToShard, Task: t})
@@ -225,7 +224,6 @@
 	defer func() {
 		o.endServing()
 		o.sessionsUp.Wait()
-		o.transfers.StopAndWait()
 	}()
 	o.background.Go(o.watchInstances)
 	t := time.NewTicker(groupInterval)
--- a/internal/controller/transfer.go
+++ b/internal/controller/transfer.go
@@ -22,18 +22,25 @@
 // that confirms it. It is called once the hand-over is committed, and after a
 // replay.
 func (o *owner) offer(h scheduler.HandOverTask) {
-	o.transfers.Submit(func() {
-		err := o.sendTransfer(h)
-		if err == nil {
-			o.post(input{event: scheduler.Event{Confirmed: &scheduler.TransferConfirmed{TransferID: h.TransferID}}})
-			return
-		}
-		o.shard.controller.options.Log.Debug().Err(err).Str("shard", o.shard.name).Str("transfer", h.TransferID).Msg("transfer: not confirmed")
-		time.AfterFunc(transferPause, func() {
-			if o.serving.Err() == nil {
-				o.offer(h)
+	o.background.Go(func() {
+		for o.serving.Err() == nil {
+			select {
+			case o.transfers <- struct{}{}:
+			case <-o.serving.Done():
+				return
+			}
+			err := o.sendTransfer(h)
+			<-o.transfers
+			if err == nil {
+				o.post(input{event: scheduler.Event{Confirmed: &scheduler.TransferConfirmed{TransferID: h.TransferID}}})
+				return
 			}
-		})
+			o.shard.controller.options.Log.Debug().Err(err).Str("shard", o.shard.name).Str("transfer", h.TransferID).Msg("transfer: not confirmed")
+			select {
+			case <-o.serving.Done():
+			case <-time.After(transferPause):
+			}
+		}
 	})
 }
 
--- a/standins/worker/worker.go
+++ b/standins/worker/worker.go
@@ -268,3 +268,6 @@
 	defer w.mu.Unlock()
 	w.advance(time.Now())
 }
+
+// Domain returns the worker's failure domain.
+func (w *Worker) Domain() string { return w.options.Domain }
