--- a/standins/launcher/launcher.go
+++ b/standins/launcher/launcher.go
@@ -110,7 +110,8 @@
 	id := fmt.Sprintf("%s-w%d", domain, n)
 	rack := fmt.Sprintf("%s-rack-%d", domain, n/max(1, p.WorkersPerRack))
 	process, err := s.start(id, "standin", "worker", "--listen", "127.0.0.1:0", "--store", s.Store.String(), "--id", id, "--domain", domain, "--rack", rack,
-		"--milli-cpu", fmt.Sprint(p.Worker.MilliCPU), "--memory-mb", fmt.Sprint(p.Worker.MemoryMB), "--time-scale", fmt.Sprint(s.options.TimeScale))
+		"--milli-cpu", fmt.Sprint(p.Worker.MilliCPU), "--memory-mb", fmt.Sprint(p.Worker.MemoryMB), "--time-scale", fmt.Sprint(s.options.TimeScale),
+		"--record", filepath.Join(s.options.Logs, id+".record"))
 	if err != nil {
 		return err
 	}
