--- a/standins/rehearser/recovery_test.go
+++ b/standins/rehearser/recovery_test.go
@@ -203,9 +203,13 @@
 		old.StoreDown.Store(true)
 		begun := time.Now()
 		takeover(c, s, "a", old, 10*time.Second)
+		// New work must not be placed on the worker that gives no answer.
+		s.Submit("a", job("k", 3, 10*time.Second))
+		_, ok := Until(30*time.Second, func() bool { return completed(s, "a", "k") == 3 })
+		c.Assert(ok, quicktest.IsTrue)
 		time.Sleep(10 * time.Minute)
-		c.Assert(count(s), quicktest.Equals, 3)
-		_, ok := Until(10*time.Minute, func() bool { return count(s) == 6 })
+		c.Assert(count(s), quicktest.Equals, 6)
+		_, ok = Until(10*time.Minute, func() bool { return count(s) == 9 })
 		c.Assert(ok, quicktest.IsTrue)
 		c.Logf("placed again %s after the cut", time.Since(begun))
 	})
@@ -307,3 +311,72 @@
 	}
 	return n
 }
+
+// TestDomainOut guards against a start more than 3 s after a domain was taken
+// out of service, when the commit of the start or the start itself is late.
+func TestDomainOut(t *testing.T) {
+	for name, f := range map[string]storekeeper.Fault{
+		"store as usual": {Mode: storekeeper.Slow},
+		"commit late":    {Mode: storekeeper.Slow, Prefix: "ledger/", Op: "compare_and_swap", Delay: 5 * time.Second, Count: 1},
+		"answer lost":    {Mode: storekeeper.Lost, Prefix: "ledger/"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rehearsal(t, one, func(c *quicktest.C, s *System) {
+				begin(c, s, "a", 1, time.Second)
+				finish(c, s, "a", 1, 20*time.Second)
+				s.Store.AddFault(f)
+				go s.Submit("a", job("late", 9, time.Second))
+				time.Sleep(400 * time.Millisecond)
+				c.Assert(s.SetOut("a"), quicktest.IsNil)
+				out := time.Now()
+				time.Sleep(8 * time.Second)
+				s.Store.ClearFaults()
+				time.Sleep(time.Minute)
+				for _, r := range s.Records() {
+					c.Assert(r.Start.Sub(out) < 3*time.Second, quicktest.IsTrue, quicktest.Commentf("started %s after", r.Start.Sub(out)))
+				}
+			})
+		})
+	}
+}
+
+// TestMovedWorker guards against a task that is started again while the
+// process at the worker's former address still runs it under its lease.
+func TestMovedWorker(t *testing.T) {
+	rehearsal(t, one, func(c *quicktest.C, s *System) {
+		begin(c, s, "a", 3, 20*time.Second)
+		s.Move("a-w0")
+		finish(c, s, "a", 3, 2*time.Minute)
+		c.Assert(count(s), quicktest.Equals, 6)
+	})
+}
+
+// TestLeavingRoutes guards against a routing table without the runners that
+// are leaving, or that doesn't mark them.
+func TestLeavingRoutes(t *testing.T) {
+	o := one
+	o.Services = []declarer.Service{{Name: "web", Team: "team", Replicas: 8, Resources: size}}
+	rehearsal(t, o, func(c *quicktest.C, s *System) {
+		routes := func() (all, leaving int) {
+			owner := s.Owner("a")
+			if owner == nil {
+				return 0, 0
+			}
+			for _, r := range owner.Controller.Routes("a").GetRoutes() {
+				all++
+				if r.Leaving {
+					leaving++
+				}
+			}
+			return all, leaving
+		}
+		_, ok := Until(20*time.Second, func() bool { all, _ := routes(); return all == 8 })
+		c.Assert(ok, quicktest.IsTrue)
+		s.Store.SetLeaving("a-w0", true)
+		took, ok := Until(10*time.Second, func() bool { _, leaving := routes(); return leaving == 4 })
+		c.Assert(ok, quicktest.IsTrue)
+		c.Logf("leaving after %s", took)
+		all, _ := routes()
+		c.Assert(all >= 8, quicktest.IsTrue)
+	})
+}
--- a/standins/rehearser/rehearser.go
+++ b/standins/rehearser/rehearser.go
@@ -44,8 +44,6 @@
 type System struct {
 	options Options
 	Store   *storekeeper.Store
-	workers map[netip.AddrPort]*worker.Worker
-	names   map[netip.AddrPort]string
 	charts  scheduler.Charts
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -53,6 +51,10 @@
 
 	mu      sync.Mutex
 	daemons []*Daemon
+	workers map[netip.AddrPort]*worker.Worker
+	names   map[netip.AddrPort]string
+	// retired has the addresses that workers have moved away from.
+	retired map[netip.AddrPort]bool
 }
 
 // Daemon is the controller of one daemon with its links.
@@ -82,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &System{options: o, Store: storekeeper.New(time.Second), workers: map[netip.AddrPort]*worker.Worker{}, names: map[netip.AddrPort]string{}, charts: charts}
+	s := &System{options: o, Store: storekeeper.New(time.Second), workers: map[netip.AddrPort]*worker.Worker{}, names: map[netip.AddrPort]string{}, retired: map[netip.AddrPort]bool{}, charts: charts}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	for d, domain := range o.Domains {
 		for i := range o.Workers {
@@ -105,21 +107,56 @@
 
 func (s *System) startWorker(domain string, addr netip.AddrPort) {
 	id := fmt.Sprintf("%s-w%d", domain, len(s.workers))
-	s.workers[addr] = worker.New(worker.Options{ID: id, Domain: domain, Capacity: s.options.Capacity, TimeScale: 1, UsageLag: 2 * time.Second})
+	s.workers[addr] = worker.New(worker.Options{ID: id, Domain: domain, Capacity: s.options.Capacity, TimeScale: 1, UsageLag: 2 * time.Second, StartRunner: startRunner})
 	s.names[addr] = id
 }
 
+// startRunner stands for a runner that nobody calls.
+func startRunner(string) (netip.AddrPort, func(), error) {
+	return netip.MustParseAddrPort("10.255.0.1:1"), func() {}, nil
+}
+
+// Move lets a worker be listed and reached at a second address, behind which
+// is a process that knows nothing. The first one runs on, unlisted, until its
+// leases end.
+func (s *System) Move(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for addr, name := range s.names {
+		if name != id || s.retired[addr] {
+			continue
+		}
+		s.retired[addr] = true
+		old := s.workers[addr]
+		next := netip.AddrPortFrom(addr.Addr(), addr.Port()+1)
+		s.workers[next] = worker.New(worker.Options{ID: id, Domain: old.Domain(), Capacity: s.options.Capacity, TimeScale: 1, StartRunner: startRunner})
+		s.names[next] = id
+		return
+	}
+}
+
+// SetOut takes a domain out of service.
+func (s *System) SetOut(domain string) error {
+	_, err := s.Daemons()[0].config.Propose(s.ctx, configurer.Change{ID: "out " + domain, Edit: func(c *declarer.Config) error {
+		c.DomainsOut = []string{domain}
+		return nil
+	}})
+	return err
+}
+
 // live lets the workers' time pass and keeps them listed.
 func (s *System) live() {
 	t := time.NewTicker(200 * time.Millisecond)
 	defer t.Stop()
 	for n := 0; ; n++ {
+		s.mu.Lock()
 		for addr, w := range s.workers {
 			w.Advance()
-			if n%5 == 0 {
+			if n%5 == 0 && !s.retired[addr] {
 				s.Store.Register(dispatcher.Instance{ID: s.names[addr], Domain: w.Domain(), Role: dispatcher.RoleWorker, Addr: addr, Capacity: s.options.Capacity})
 			}
 		}
+		s.mu.Unlock()
 		select {
 		case <-s.ctx.Done():
 			return
@@ -211,7 +248,10 @@
 }
 
 func (d *Daemon) reach(addr netip.AddrPort) dispatcher.Worker {
-	w := d.system.workers[addr].Client(d.Link(d.system.names[addr]))
+	s := d.system
+	s.mu.Lock()
+	w := s.workers[addr].Client(d.Link(s.names[addr]))
+	s.mu.Unlock()
 	dead := func() error {
 		d.wait()
 		if d.dead.Load() {
@@ -373,9 +413,15 @@
 
 // Records returns what every worker recorded.
 func (s *System) Records() []worker.Attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var records []worker.Attempt
-	for _, w := range s.workers {
-		records = append(records, w.Recorded()...)
+	for addr, w := range s.workers {
+		for _, r := range w.Recorded() {
+			// Two processes of one worker are told apart.
+			r.Worker = addr.String()
+			records = append(records, r)
+		}
 	}
 	return records
 }
