--- a/standins/rehearser/recovery_test.go
+++ b/standins/rehearser/recovery_test.go
@@ -176,15 +176,18 @@
 		cut := time.Now()
 		s.Store.AddFault(storekeeper.Fault{Mode: storekeeper.Down})
 		time.Sleep(40 * time.Minute)
+		ended := 0
 		for _, r := range s.Records() {
 			if r.End.IsZero() {
 				continue
 			}
+			ended++
 			after := r.End.Sub(cut)
 			c.Logf("ended %s after the cut", after)
 			// The last record is at most a third of the horizon old.
 			c.Assert(after > 9*time.Minute && after <= 15*time.Minute, quicktest.IsTrue)
 		}
+		c.Assert(ended, quicktest.Equals, 3)
 		s.Store.ClearFaults()
 	})
 }
@@ -257,12 +260,58 @@
 	}
 }
 
+// TestLostWorker guards against a worker's tasks that are started again while
+// their leases run, or that never are, because renewals without an answer go
+// on to extend them.
+func TestLostWorker(t *testing.T) {
+	for name, cut := range map[string]func(*worker.Link){
+		"requests lost": func(l *worker.Link) { l.Down.Store(true) },
+		"answers lost":  func(l *worker.Link) { l.Mute.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			rehearsal(t, one, func(c *quicktest.C, s *System) {
+				begin(c, s, "a", 3, time.Hour)
+				time.Sleep(time.Minute)
+				cut(s.Owner("a").Link("a-w0"))
+				took, ok := Until(30*time.Second, func() bool { return count(s) == 6 })
+				c.Assert(ok && took > 8*time.Second && took < 18*time.Second, quicktest.IsTrue, quicktest.Commentf("placed again after %s", took))
+				c.Logf("%s: placed again after %s", name, took)
+			})
+		})
+	}
+}
+
+// TestLostStarts guards against starts whose fate is guessed: one without an
+// answer may have been carried out or not.
+func TestLostStarts(t *testing.T) {
+	for name, cut := range map[string]func(*worker.Link, bool){
+		"requests lost": func(l *worker.Link, on bool) { l.Down.Store(on) },
+		"answers lost":  func(l *worker.Link, on bool) { l.Mute.Store(on) },
+	} {
+		for _, lasting := range []time.Duration{1500 * time.Millisecond, 4 * time.Second, 30 * time.Second} {
+			t.Run(fmt.Sprintf("%s for %s", name, lasting), func(t *testing.T) {
+				rehearsal(t, one, func(c *quicktest.C, s *System) {
+					begin(c, s, "a", 1, time.Second)
+					finish(c, s, "a", 1, 20*time.Second)
+					owner := s.Owner("a")
+					cut(owner.Link("a-w0"), true)
+					s.Submit("a", job("k", 9, time.Minute))
+					time.Sleep(lasting)
+					cut(owner.Link("a-w0"), false)
+					_, ok := Until(3*time.Minute, func() bool { return completed(s, "a", "k") == 9 })
+					c.Assert(ok, quicktest.IsTrue)
+				})
+			})
+		}
+	}
+}
+
 // TestLostDomain guards against work that stays behind, or runs twice, when
 // every daemon of a domain is gone and answers to transfers are lost.
 func TestLostDomain(t *testing.T) {
 	for name, mute := range map[string]bool{"answers": false, "answers lost for a while": true} {
 		t.Run(name, func(t *testing.T) {
-			rehearsal(t, Options{Domains: []string{"a", "b"}, Workers: 3, Daemons: 2}, func(c *quicktest.C, s *System) {
+			rehearsal(t, Options{Domains: []string{"a", "b", "c"}, Workers: 3, Daemons: 1}, func(c *quicktest.C, s *System) {
 				begin(c, s, "a", 30, 30*time.Second)
 				begun := time.Now()
 				for _, d := range s.Daemons() {
@@ -279,9 +328,9 @@
 				for _, d := range s.Daemons() {
 					d.PeersMute.Store(false)
 				}
-				_, ok := Until(5*time.Minute, func() bool { return inState(s, "b", "pending", "starting", "running") > 0 })
+				_, ok := Until(5*time.Minute, func() bool { return len(s.Report("b").Tasks)+len(s.Report("c").Tasks) > 0 })
 				c.Assert(ok, quicktest.IsTrue)
-				_, ok = Until(10*time.Minute, func() bool { return len(s.Report("a").Tasks)+len(s.Report("b").Tasks) == 0 })
+				_, ok = Until(10*time.Minute, func() bool { return len(s.Report("a").Tasks)+len(s.Report("b").Tasks)+len(s.Report("c").Tasks) == 0 })
 				c.Assert(ok, quicktest.IsTrue)
 				c.Assert(whole(s), quicktest.Equals, 30)
 				j := s.Report("a").Jobs[0]
