--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -163,7 +163,7 @@
 		waiting = append(waiting, o.inFlight.waiting...)
 	}
 	for _, w := range waiting {
-		w <- &NotOwnerError{o.shard.name}
+		w <- &UndecidedError{&NotOwnerError{o.shard.name}}
 	}
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"slices"
 	"sync"
@@ -30,6 +31,17 @@
 
 func (e *NotOwnerError) Error() string { return "this daemon does not own shard " + e.Shard }
 
+// UndecidedError reports a call of which it isn't known whether its change was
+// or will be committed. Repeating the call is safe.
+type UndecidedError struct{ Err error }
+
+func (e *UndecidedError) Error() string {
+	return fmt.Sprintf("it is not known whether the change was committed: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UndecidedError) Unwrap() error { return e.Err }
+
 // NotAcceptedError reports a call that changed nothing.
 type NotAcceptedError struct {
 	Shard  string
@@ -136,7 +148,7 @@
 	case err := <-k.done:
 		return err
 	case <-ctx.Done():
-		return ctx.Err()
+		return &UndecidedError{ctx.Err()}
 	}
 }
 
--- a/internal/dispatcher/protocol.go
+++ b/internal/dispatcher/protocol.go
@@ -94,9 +94,13 @@
 	Leaving  bool               `json:"leaving,omitempty"`
 }
 
+// The roles of instances in the platform's list. The address of a worker is
+// that of its API, the address of a daemon its control address.
+const (
+	RoleWorker = "worker"
+	RoleDaemon = "daemon"
+)
+
 // EpochHeader carries the highest epoch that a worker has seen in its refusal
 // of a lower one.
 const EpochHeader = "Epoch"
-
-// RoleWorker marks a worker in the platform's list.
-const RoleWorker = "worker"
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -2,12 +2,20 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
 )
 
-// Settings are a daemon's settings, before they are checked.
+// Settings are a daemon's settings as they were given. They are checked as a
+// whole, so that every error is reported at once.
 type Settings struct {
 	ID       string
 	Domain   string
@@ -16,19 +24,72 @@
 	Store    string
 	Peers    []string
 	LogLevel string
-	// DrainTimeout bounds how long a stop waits for requests in progress.
-	DrainTimeout time.Duration
+	// DrainTimeout bounds how long a stop waits for requests in progress; the
+	// empty string stands for 30s.
+	DrainTimeout string
+	// StopDelay is how long a stopping daemon still accepts connections, so
+	// that the load balancer sees the failed readiness check first; the empty
+	// string stands for 2s.
+	StopDelay string
+	// DomainCosts has the one-way latency to other domains, such as
+	// howrah=1.5ms.
+	DomainCosts map[string]string
+	// TraceFile receives spans as JSON lines; empty turns tracing off.
+	TraceFile string
+	// TraceRatio is the share of requests without a trace context that is
+	// sampled; the empty string stands for 0.
+	TraceRatio string
+	// PanicOnViolation makes a violated invariant panic, for tests.
+	PanicOnViolation bool
+}
+
+// addressRange says which addresses are accepted.
+const addressRange = "a numeric IP address and a port from 1 to 65535, such as 10.1.2.3:7001"
+
+const (
+	defaultDrainTimeout = 30 * time.Second
+	maxDrainTimeout     = 10 * time.Minute
+	defaultStopDelay    = 2 * time.Second
+	maxStopDelay        = time.Minute
+	maxDomainCost       = time.Second
+)
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// Register adds the settings' flags to app. None is required by the parser:
+// check reports what is missing together with all other errors.
+func (s *Settings) Register(app *kingpin.Application) {
+	app.Flag("id", "Name of this daemon; no other daemon has it.").StringVar(&s.ID)
+	app.Flag("domain", "Failure domain of this daemon.").StringVar(&s.Domain)
+	app.Flag("traffic", "Address for callers, such as 10.1.2.3:7000.").StringVar(&s.Traffic)
+	app.Flag("control", "Address for peers, operators and metrics; peers call this address.").StringVar(&s.Control)
+	app.Flag("store", "Address of the platform's key-value service.").StringVar(&s.Store)
+	app.Flag("peer", "Control address of another daemon; may be repeated.").StringsVar(&s.Peers)
+	app.Flag("log-level", "Least level to log: debug, info, warn or error.").Default("info").StringVar(&s.LogLevel)
+	app.Flag("drain-timeout", "How long a stop waits for requests in progress, 0s to 10m.").Default(defaultDrainTimeout.String()).StringVar(&s.DrainTimeout)
+	app.Flag("stop-delay", "How long a stopping daemon still accepts connections after its readiness check fails, 0s to 1m.").Default(defaultStopDelay.String()).StringVar(&s.StopDelay)
+	app.Flag("domain-cost", "One-way latency to another domain, such as howrah=1.5ms; may be repeated.").StringMapVar(&s.DomainCosts)
+	app.Flag("trace-file", "File that receives spans as JSON lines; no tracing without it.").StringVar(&s.TraceFile)
+	app.Flag("trace-ratio", "Share of requests without a trace context that is sampled, 0 to 1.").Default("0").StringVar(&s.TraceRatio)
+	app.Flag("panic-on-violation", "Panic when an invariant is violated; for tests.").BoolVar(&s.PanicOnViolation)
 }
 
 // SettingError says what is wrong with one setting.
 type SettingError struct {
+	// Setting is the name of the flag without its dashes, or the name of an
+	// environment variable.
 	Setting string
 	Value   string
-	Want    string
+	// Want is the accepted range.
+	Want string
 }
 
 func (e *SettingError) Error() string {
-	return fmt.Sprintf("--%s: got %q, want %s", e.Setting, e.Value, e.Want)
+	name := e.Setting
+	if name == strings.ToLower(name) {
+		name = "--" + name
+	}
+	return fmt.Sprintf("%s: got %q, want %s", name, e.Value, e.Want)
 }
 
 // SettingsError lists every setting that isn't accepted.
@@ -42,44 +103,132 @@
 	return strings.Join(lines, "\n")
 }
 
+// CheckEnvironment returns a SettingsError with each variable that starts with
+// the given prefix and is no setting of app. A misspelt variable would
+// otherwise be ignored silently.
+func CheckEnvironment(app *kingpin.Application, prefix string, environment []string) error {
+	e := &SettingsError{}
+	var known []string
+	for _, f := range app.Model().Flags {
+		if f.Envar != "" {
+			known = append(known, f.Envar)
+		}
+	}
+	for _, v := range environment {
+		name, value, _ := strings.Cut(v, "=")
+		if strings.HasPrefix(name, prefix) && !slices.Contains(known, name) {
+			e.Problems = append(e.Problems, &SettingError{name, value, "one of the variables " + strings.Join(known, ", ")})
+		}
+	}
+	return e.orNil()
+}
+
+func (e *SettingsError) orNil() error {
+	if len(e.Problems) == 0 {
+		return nil
+	}
+	return e
+}
+
 // checked are the settings in the types that the parts take.
 type checked struct {
 	Settings
 	traffic, control, store netip.AddrPort
 	peers                   []netip.AddrPort
+	costs                   map[string]time.Duration
+	stopDelay               time.Duration
+	traceRatio              float64
+	drainTimeout            time.Duration
+}
+
+func (e *SettingsError) fail(setting, value, want string) {
+	e.Problems = append(e.Problems, &SettingError{setting, value, want})
+}
+
+func (e *SettingsError) address(setting, value string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil || a.Port() == 0 {
+		e.fail(setting, value, addressRange)
+		return netip.AddrPort{}
+	}
+	return a
+}
+
+// Check returns a SettingsError with every problem of the settings.
+func (s Settings) Check() error {
+	_, err := s.check()
+	return err
 }
 
 func (s Settings) check() (checked, error) {
-	c := checked{Settings: s}
+	c := checked{Settings: s, drainTimeout: defaultDrainTimeout, stopDelay: defaultStopDelay}
 	e := &SettingsError{}
-	fail := func(setting, value, want string) {
-		e.Problems = append(e.Problems, &SettingError{setting, value, want})
+	if !declarer.IsName(s.ID) {
+		e.fail("id", s.ID, "a name that no other daemon has: "+declarer.NameRange)
+	}
+	if !declarer.IsName(s.Domain) {
+		e.fail("domain", s.Domain, "the name of this daemon's failure domain: "+declarer.NameRange)
+	}
+	c.traffic, c.control, c.store = e.address("traffic", s.Traffic), e.address("control", s.Control), e.address("store", s.Store)
+	for _, p := range s.Peers {
+		c.peers = append(c.peers, e.address("peer", p))
+	}
+	if s.LogLevel != "" && !slices.Contains(logLevels, s.LogLevel) {
+		e.fail("log-level", s.LogLevel, "one of "+strings.Join(logLevels, ", "))
 	}
-	address := func(setting, value string) netip.AddrPort {
-		a, err := netip.ParseAddrPort(value)
-		if err != nil || a.Port() == 0 {
-			fail(setting, value, "a numeric IP address and a port from 1 to 65535, such as 127.0.0.1:7000")
+	if s.DrainTimeout != "" {
+		var err error
+		if c.drainTimeout, err = time.ParseDuration(s.DrainTimeout); err != nil || c.drainTimeout < 0 || c.drainTimeout > maxDrainTimeout {
+			e.fail("drain-timeout", s.DrainTimeout, "a duration from 0s to 10m, such as 30s")
 		}
-		return a
 	}
-	if s.ID == "" {
-		fail("id", s.ID, "a name that no other daemon has")
+	c.checkRequests(e)
+	c.checkTogether(e)
+	return c, e.orNil()
+}
+
+// checkRequests checks the settings of the request path.
+func (c *checked) checkRequests(e *SettingsError) {
+	var err error
+	if c.StopDelay != "" {
+		if c.stopDelay, err = time.ParseDuration(c.StopDelay); err != nil || c.stopDelay < 0 || c.stopDelay > maxStopDelay {
+			e.fail("stop-delay", c.StopDelay, "a duration from 0s to 1m, such as 2s")
+		}
+	}
+	if c.TraceRatio != "" {
+		if c.traceRatio, err = strconv.ParseFloat(c.TraceRatio, 64); err != nil || !(c.traceRatio >= 0 && c.traceRatio <= 1) {
+			e.fail("trace-ratio", c.TraceRatio, "a number from 0 to 1")
+		}
 	}
-	if s.Domain == "" {
-		fail("domain", s.Domain, "the name of this daemon's failure domain")
+	c.costs = map[string]time.Duration{}
+	for _, domain := range slices.Sorted(maps.Keys(c.DomainCosts)) {
+		d, err := time.ParseDuration(c.DomainCosts[domain])
+		if err != nil || d < 0 || d > maxDomainCost {
+			e.fail("domain-cost", domain+"="+c.DomainCosts[domain], "a domain and its one-way latency from 0s to 1s, such as howrah=1.5ms")
+		}
+		c.costs[domain] = d
 	}
-	c.traffic, c.control, c.store = address("traffic", s.Traffic), address("control", s.Control), address("store", s.Store)
-	if c.traffic == c.control && s.Traffic != "" {
-		fail("control", s.Control, "an address other than that of --traffic")
+}
+
+// checkTogether finds settings that contradict each other.
+func (c *checked) checkTogether(e *SettingsError) {
+	if c.control.IsValid() && c.control.Addr().IsUnspecified() {
+		e.fail("control", c.Control, "an address that peers can call, not one for every interface")
 	}
-	for _, p := range s.Peers {
-		c.peers = append(c.peers, address("peer", p))
+	if c.control.IsValid() && c.traffic.Port() == c.control.Port() &&
+		(c.traffic == c.control || (c.traffic.IsValid() && c.traffic.Addr().IsUnspecified())) {
+		e.fail("control", c.Control, "an address other than that of --traffic")
 	}
-	if s.DrainTimeout < 0 || s.DrainTimeout > 10*time.Minute {
-		fail("drain-timeout", s.DrainTimeout.String(), "0s to 10m")
+	if c.store.IsValid() && (c.store == c.control || c.store == c.traffic) {
+		e.fail("store", c.Store, "an address other than those of --traffic and --control")
 	}
-	if len(e.Problems) > 0 {
-		return checked{}, e
+	for i, p := range c.peers {
+		switch {
+		case !p.IsValid():
+		case p == c.control || p == c.traffic || p == c.store:
+			e.fail("peer", p.String(), "the control address of another daemon, not an address of --control, --traffic or --store")
+		case slices.Contains(c.peers[:i], p):
+			e.fail("peer", p.String(), "each peer once")
+		}
 	}
-	return c, nil
 }
--- a/standins/cmd/demo/main.go
+++ b/standins/cmd/demo/main.go
@@ -17,6 +17,7 @@
 	"tarragonhead.example/tarragonhead/internal/router"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 	"tarragonhead.example/tarragonhead/standins/launcher"
+	"tarragonhead.example/tarragonhead/standins/measurer"
 	"tarragonhead.example/tarragonhead/standins/runner"
 )
 
@@ -72,7 +73,7 @@
 	step("started the store, %d workers and %d daemons", len(system.Workers), len(system.Daemons))
 	scaled := scale(w, s.scale)
 	file := dir + "/workload.yaml"
-	if err := writeWorkload(file, scaled); err != nil {
+	if err := measurer.WriteWorkload(file, scaled); err != nil {
 		return err
 	}
 	if err := operate(system, file, scaled); err != nil {
@@ -195,7 +196,7 @@
 	if len(w.Services) == 0 {
 		return n, nil
 	}
-	answered := 0
+	answered, bad := 0, 0
 	for i := range n {
 		d := system.Daemons[i%len(system.Daemons)]
 		id := fmt.Sprintf("demo-%d", i)
@@ -205,7 +206,7 @@
 		err := fasthttp.DoTimeout(request, response, 10*time.Second)
 		if err == nil && response.StatusCode() == fasthttp.StatusOK && string(response.Body()) == runner.Answer(id, 3) {
 			answered++
-		} else if i < 5 {
+		} else if bad++; bad < 5 {
 			step("request %s: status %d, %v: %s", id, response.StatusCode(), err, response.Body())
 		}
 		fasthttp.ReleaseRequest(request)
--- a/standins/launcher/launcher.go
+++ b/standins/launcher/launcher.go
@@ -35,6 +35,13 @@
 	Daemons int
 	// TimeScale multiplies the run time of tasks.
 	TimeScale float64
+	// Records is the directory for the runners' records; empty keeps none.
+	Records string
+	// DaemonArgs are further arguments of each daemon.
+	DaemonArgs []string
+	// StoreFor returns the address at which a daemon reaches the store, given
+	// the store's own; nil for the store's own.
+	StoreFor func(daemon string, store netip.AddrPort) (netip.AddrPort, error)
 }
 
 // Process is one started process.
@@ -47,6 +54,9 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.command.Process.Signal(s) }
 
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Wait waits for the end of the process, or reports false after d.
 func (p *Process) Wait(d time.Duration) bool {
 	select {
@@ -63,6 +73,7 @@
 	Domain  string
 	Traffic netip.AddrPort
 	Control netip.AddrPort
+	args    []string
 }
 
 // System is a started system.
@@ -145,20 +156,43 @@
 }
 
 func (s *System) startDaemon(id, domain string, seed netip.AddrPort) (*Daemon, error) {
-	traffic, control := nextAddr(), nextAddr()
-	args := []string{"--id", id, "--domain", domain, "--traffic", traffic.String(), "--control", control.String(), "--store", s.Store.String()}
+	traffic, control, store := nextAddr(), nextAddr(), s.Store
+	if s.options.StoreFor != nil {
+		var err error
+		if store, err = s.options.StoreFor(id, store); err != nil {
+			return nil, err
+		}
+	}
+	args := []string{"--id", id, "--domain", domain, "--traffic", traffic.String(), "--control", control.String(), "--store", store.String()}
 	if seed.IsValid() {
 		args = append(args, "--peer", seed.String())
 	}
+	args = append(args, s.options.DaemonArgs...)
 	process, err := s.start(id, "tarragond", args...)
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{process, domain, traffic, control}
+	d := &Daemon{process, domain, traffic, control, args}
 	s.Daemons = append(s.Daemons, d)
 	return d, nil
 }
 
+// Restart kills a daemon and starts it again with the same settings.
+func (s *System) Restart(d *Daemon) error {
+	if err := d.Signal(syscall.SIGKILL); err != nil {
+		return errors.Wrap(err, d.Name)
+	}
+	if !d.Wait(startTimeout) {
+		return errors.Errorf("%s did not end", d.Name)
+	}
+	process, err := s.start(d.Name, "tarragond", d.args...)
+	if err != nil {
+		return err
+	}
+	d.Process = process
+	return waitLive(d.Control)
+}
+
 func (s *System) start(name, binary string, args ...string) (*Process, error) {
 	output, err := os.OpenFile(filepath.Join(s.options.Logs, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -166,6 +200,9 @@
 	}
 	command := exec.Command(filepath.Join(s.options.Binaries, binary), args...)
 	command.Stdout, command.Stderr = output, output
+	if s.options.Records != "" {
+		command.Env = append(os.Environ(), "STANDIN_RECORDS="+s.options.Records)
+	}
 	// The processes end with the one that started them, however it ends.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
