--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -17,7 +17,13 @@
 		o.offer(*c.HandOver)
 		return
 	}
-	o.transfers.Submit(func() {
+	o.background.Go(func() {
+		select {
+		case o.transfers <- struct{}{}:
+		case <-o.serving.Done():
+			return
+		}
+		defer func() { <-o.transfers }()
 		ctx, cancel := context.WithTimeout(o.serving, transferLimit)
 		defer cancel()
 		var err error
