--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -66,31 +66,24 @@
 		h.mu.Unlock()
 		return
 	}
-	generation, first, s := h.generation, h.first, f.service
-	second := &flight{
-		router: f.router, service: s, id: bytes.Clone(f.id), class: f.class, deadline: f.deadline, idempotent: true, isHead: f.isHead,
-		head: bytes.Clone(f.head), body: bytes.Clone(f.body), span: f.span,
-	}
-	h.mu.Unlock()
-	t := s.chooseShare(s.router.now(), first)
+	generation, s := h.generation, f.service
+	t := s.chooseShare(s.router.now(), h.first)
 	if t == nil {
+		h.mu.Unlock()
 		return
 	}
 	if !f.router.budget.take() {
+		h.mu.Unlock()
 		t.release()
 		s.metrics.budgetDenied.Inc()
 		return
 	}
-	h.mu.Lock()
-	isLate := !h.isArmed || h.generation != generation
-	if !isLate {
-		h.isSent = true
+	h.isSent = true
+	second := &flight{
+		router: f.router, service: s, id: bytes.Clone(f.id), class: f.class, deadline: f.deadline, idempotent: true, isHead: f.isHead,
+		head: bytes.Clone(f.head), body: bytes.Clone(f.body), span: f.span,
 	}
 	h.mu.Unlock()
-	if isLate {
-		t.release()
-		return
-	}
 	s.metrics.hedges.Inc()
 	response := fasthttp.AcquireResponse()
 	kind, _ := second.exchange(t, response)
--- /dev/null
+++ b/internal/server/requests_test.go
@@ -0,0 +1,176 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+
+	"tarragonhead.example/tarragonhead/internal/messenger"
+	"tarragonhead.example/tarragonhead/internal/router"
+)
+
+// freeAddr returns an address that was free a moment ago.
+func freeAddr(c *qt.C) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startServer runs a daemon without a store, with one runner that takes 300 ms
+// for each request.
+func startServer(c *qt.C) (d *Server, stop func(), ended chan error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	target := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.SetBytesV(router.RequestIDHeader, ctx.Request.Header.Peek(router.RequestIDHeader))
+		time.Sleep(300 * time.Millisecond)
+		ctx.SetBodyString("answer")
+	}}
+	go func() { _ = target.Serve(l) }()
+	d, err = New(Settings{
+		ID: "d0", Domain: "a", Traffic: freeAddr(c), Control: freeAddr(c), Store: freeAddr(c), LogLevel: "error",
+		DrainTimeout: 10 * time.Second, StopDelay: 200 * time.Millisecond, PanicOnViolation: true,
+	}, io.Discard)
+	c.Assert(err, qt.IsNil)
+	d.router.Update(&messenger.RoutingTable{Shard: "b", Epoch: 1, Version: 1, Routes: []*messenger.Route{
+		{Service: "s", Task: "t", Addr: l.Addr().String(), Domain: "a", Slots: 8, Connections: 64},
+	}})
+	ctx, stop := context.WithCancel(context.Background())
+	c.Cleanup(stop)
+	ended = make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	for range 100 {
+		if conn, err := net.Dial("tcp", d.settings.Traffic); err == nil {
+			_ = conn.Close()
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return d, stop, ended
+}
+
+// roundTrip sends raw text on conn and returns the response's status, body and
+// whether it closes the connection.
+func roundTrip(conn net.Conn, text string) (int, string, bool, error) {
+	if _, err := io.WriteString(conn, text); err != nil {
+		return 0, "", false, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, "", false, err
+	}
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), response.Close, err
+}
+
+const plainRequest = "GET /v1/services/s/x HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// Input that the HTTP server refuses must get the same JSON body, naming the
+// field, and the right status.
+func TestRefusedInput(t *testing.T) {
+	c := qt.New(t)
+	d, _, _ := startServer(c)
+	tests := map[string]struct {
+		text   string
+		status int
+		want   string
+	}{
+		"body":      {fmt.Sprintf("POST /v1/services/s/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", maxBodyBytes+1), 413, `"reason":"body: `},
+		"headers":   {"GET /v1/services/s/x HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 2*maxHeaderBytes) + "\r\n\r\n", 431, `"reason":"headers: `},
+		"malformed": {"GET\r\n\r\n", 400, `"result":"bad_request"`},
+		"timeout":   {"GET /v1/services/s/x HTTP/1.1\r\nHost: x\r\nRequest-Timeout-Ms: -1\r\n\r\n", 400, `"reason":"Request-Timeout-Ms: `},
+	}
+	for name, test := range tests {
+		c.Run(name, func(c *qt.C) {
+			conn, err := net.Dial("tcp", d.settings.Traffic)
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			status, body, _, err := roundTrip(conn, test.text)
+			c.Assert(err, qt.IsNil)
+			c.Check(status, qt.Equals, test.status)
+			c.Check(body, qt.Contains, test.want)
+			c.Check(body, qt.Contains, `"request_id":"`)
+		})
+	}
+}
+
+// A stopping daemon must fail its readiness check, finish the requests in
+// progress, and answer later ones as not run.
+func TestGracefulStop(t *testing.T) {
+	c := qt.New(t)
+	d, stop, ended := startServer(c)
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", d.settings.Traffic)
+		c.Assert(err, qt.IsNil)
+		return conn
+	}
+	type answer struct {
+		status int
+		body   string
+		closes bool
+		err    error
+	}
+	send := func(conn net.Conn) chan answer {
+		done := make(chan answer, 1)
+		go func() {
+			status, body, closes, err := roundTrip(conn, plainRequest)
+			done <- answer{status, body, closes, err}
+		}()
+		return done
+	}
+	before := send(dial())
+	late := dial()
+	firstOnLate := send(late)
+	time.Sleep(50 * time.Millisecond)
+	stop()
+	time.Sleep(50 * time.Millisecond)
+	response, err := http.Get("http://" + d.settings.Control + "/readyz")
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	// During the delay the daemon still accepts and serves.
+	during := send(dial())
+	for _, a := range []answer{<-before, <-firstOnLate, <-during} {
+		c.Check(a, qt.Equals, answer{200, "answer", true, nil})
+	}
+	c.Check(<-ended, qt.IsNil)
+	_, err = net.Dial("tcp", d.settings.Traffic)
+	c.Check(err, qt.IsNotNil)
+}
+
+// Once the daemon no longer listens, a request on an open connection is
+// refused as not run.
+func TestStoppedDaemonRefuses(t *testing.T) {
+	c := qt.New(t)
+	d, _, _ := startServer(c)
+	d.router.Drain()
+	d.router.Refuse()
+	conn, err := net.Dial("tcp", d.settings.Traffic)
+	c.Assert(err, qt.IsNil)
+	status, body, closes, err := roundTrip(conn, plainRequest)
+	c.Assert(err, qt.IsNil)
+	c.Check(status, qt.Equals, 503)
+	c.Check(body, qt.Contains, `"result":"not_run"`)
+	c.Check(closes, qt.IsTrue)
+}
+
+// Settings of the request path are checked as a whole.
+func TestRequestSettings(t *testing.T) {
+	_, err := New(Settings{
+		ID: "d", Domain: "a", Traffic: "127.0.0.1:1", Control: "127.0.0.1:2", Store: "127.0.0.1:3",
+		StopDelay: -1, TraceRatio: 2, DomainCosts: map[string]string{"b": "far"},
+	}, io.Discard)
+	for _, name := range []string{"--stop-delay", "--trace-ratio", "--domain-cost"} {
+		qt.Check(t, err, qt.ErrorMatches, "(?s).*"+name+": got .*")
+	}
+}
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"os"
 	"strings"
 
@@ -32,7 +33,7 @@
 	provider   *sdk.TracerProvider
 	tracer     trace.Tracer
 	propagator propagation.TraceContext
-	isRatioSet bool
+	ratio      float64
 	file       io.Closer
 }
 
@@ -51,10 +52,11 @@
 	}
 	provider := sdk.NewTracerProvider(
 		sdk.WithBatcher(exporter),
-		sdk.WithSampler(sdk.ParentBased(sdk.TraceIDRatioBased(o.Ratio))),
+		// maySample has decided about the requests without a parent.
+		sdk.WithSampler(sdk.ParentBased(sdk.AlwaysSample())),
 		sdk.WithResource(resource.NewSchemaless(attribute.String("service.name", o.Service))),
 	)
-	return &Tracer{provider: provider, tracer: provider.Tracer("tarragonhead"), isRatioSet: o.Ratio > 0, file: file}, nil
+	return &Tracer{provider: provider, tracer: provider.Tracer("tarragonhead"), ratio: o.Ratio, file: file}, nil
 }
 
 // Close writes the remaining spans.
@@ -98,11 +100,11 @@
 	return &Span{t, ctx, span}
 }
 
-// maySample decides without an allocation for the requests whose parent isn't
-// sampled.
+// maySample decides without an allocation: a request with a parent is sampled
+// if the parent is, another one by the ratio.
 func (t *Tracer) maySample(traceparent []byte) bool {
 	if len(traceparent) != traceparentBytes {
-		return t.isRatioSet
+		return rand.Float64() < t.ratio
 	}
 	return strings.IndexByte("13579bdf", traceparent[flagsAt+1]) >= 0
 }
