--- a/internal/configurer/run_test.go
+++ b/internal/configurer/run_test.go
@@ -50,12 +50,17 @@
 				conf := run(t, s, test.owning)
 				time.Sleep(3 * time.Second)
 				c.Assert(conf.revision(), qt.Equals, uint64(2))
+				_, before := conf.Current()
 				s.setBroken(test.broken)
 				time.Sleep(time.Second)
 				s.overtake()
 				time.Sleep(test.within)
 				synctest.Wait()
 				c.Assert(conf.revision(), qt.Equals, uint64(3))
+				if name == "by the watch while reads fail" {
+					_, at := conf.Current()
+					c.Assert(at.Equal(before), qt.IsTrue, qt.Commentf("a watch confirms nothing"))
+				}
 			})
 		})
 	}
@@ -128,7 +133,11 @@
 		s.overtake()
 		time.Sleep(2 * time.Second)
 		c.Assert(fresh.revision(), qt.Equals, uint64(3))
-		// An older peer changes nothing.
+		// Whoever brings an older configuration, it changes nothing.
+		older, err := fresh.join(mustHead(c, head), head, func(string) ([]byte, error) { return work, nil })
+		c.Assert(err, qt.IsNil)
+		fresh.apply(older, time.Now(), "test")
+		c.Assert(fresh.revision(), qt.Equals, uint64(3))
 		c.Assert(fresh.Adopt(head, work), qt.IsNil)
 		c.Assert(fresh.revision(), qt.Equals, uint64(3))
 	})
@@ -168,3 +177,9 @@
 	c.Assert(err, qt.IsNil)
 	return work
 }
+
+func mustHead(c *qt.C, data []byte) declarer.Head {
+	h, err := declarer.DecodeHead(data)
+	c.Assert(err, qt.IsNil)
+	return h
+}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -9,7 +9,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/twitchtv/twirp"
 
-	"tarragonhead.example/tarragonhead/internal/controller"
 	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/messenger"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
@@ -44,14 +43,29 @@
 	return ""
 }
 
-// publishRoutes gives this daemon's own router the table of the owned shard.
+// routingMembers are the daemons that share the slots of the targets.
+func (d *Server) routingMembers() []string {
+	var ids []string
+	for _, m := range d.gossip.View() {
+		if !m.Leaving {
+			ids = append(ids, m.Id)
+		}
+	}
+	return ids
+}
+
+// publishRoutes gives this daemon's own router the tables of the owned
+// shards and the membership view.
 func (d *Server) publishRoutes(ctx context.Context) {
 	t := time.NewTicker(100 * time.Millisecond)
 	defer t.Stop()
 	for {
-		if table := d.controller.Routes(); table != nil {
-			d.router.Update(table)
+		for _, shard := range d.controller.Owned() {
+			if table := d.controller.Routes(shard); table != nil {
+				d.router.Update(table)
+			}
 		}
+		d.router.SetMembers(d.routingMembers())
 		select {
 		case <-ctx.Done():
 			return
@@ -73,7 +87,7 @@
 
 // FetchRoutes implements messenger.Peer.
 func (d *Server) FetchRoutes(_ context.Context, r *messenger.FetchRoutesRequest) (*messenger.RoutingTable, error) {
-	if t := d.controller.Routes(); t != nil && t.Shard == r.Shard {
+	if t := d.controller.Routes(r.Shard); t != nil {
 		return t, nil
 	}
 	return nil, twirp.NotFoundError("this daemon does not own shard " + r.Shard)
@@ -85,29 +99,15 @@
 	if err != nil {
 		return nil, operatorError(err)
 	}
-	if err := d.checkShard(r.Shard); err != nil {
-		return nil, err
-	}
-	if err := d.controller.Submit(ctx, j); err != nil {
+	if err := d.controller.Submit(ctx, r.Shard, j); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.SubmitResponse{Shard: r.Shard}, nil
 }
 
-// checkShard refuses a call for a shard that this daemon never owns.
-func (d *Server) checkShard(shard string) error {
-	if shard != d.controller.Shard() {
-		return operatorError(&controller.NotOwnerError{Shard: shard})
-	}
-	return nil
-}
-
 // Cancel implements messenger.Peer.
 func (d *Server) Cancel(ctx context.Context, r *messenger.CancelRequest) (*messenger.CancelResponse, error) {
-	if err := d.checkShard(r.Shard); err != nil {
-		return nil, err
-	}
-	if err := d.controller.Cancel(ctx, r.JobId); err != nil {
+	if err := d.controller.Cancel(ctx, r.Shard, r.JobId); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.CancelResponse{}, nil
@@ -119,7 +119,7 @@
 	if err := cbor.Unmarshal(r.Task, &t); err != nil {
 		return nil, twirp.InvalidArgumentError("task", err.Error())
 	}
-	if err := d.controller.TakeOver(ctx, scheduler.TransferOffered{TransferID: r.TransferId, Task: t}); err != nil {
+	if err := d.controller.TakeOver(ctx, r.ToShard, scheduler.TransferOffered{TransferID: r.TransferId, Task: t}); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.HandOverResponse{Accepted: true}, nil
@@ -127,12 +127,12 @@
 
 // Inspect implements messenger.Peer.
 func (d *Server) Inspect(ctx context.Context, r *messenger.InspectRequest) (*messenger.InspectResponse, error) {
-	report, err := d.controller.Inspect(ctx)
+	report, err := d.controller.Inspect(ctx, r.Shard)
 	if err == nil && r.Kind != "" {
 		report, err = explain(report, r.Kind, r.Id)
 	}
 	if err != nil {
 		return nil, operatorError(err)
 	}
-	return &messenger.InspectResponse{Shard: d.controller.Shard(), Epoch: d.controller.Epoch(), Report: report}, nil
+	return &messenger.InspectResponse{Shard: r.Shard, Epoch: d.controller.Epoch(r.Shard), Report: report}, nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/valyala/fasthttp"
 
+	"tarragonhead.example/tarragonhead/internal/claimer"
 	"tarragonhead.example/tarragonhead/internal/configurer"
 	"tarragonhead.example/tarragonhead/internal/controller"
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
@@ -30,6 +32,7 @@
 	"tarragonhead.example/tarragonhead/internal/router"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
+	"tarragonhead.example/tarragonhead/internal/tracer"
 )
 
 // peerTimeout bounds a call to another daemon.
@@ -38,6 +41,12 @@
 // maxBodyBytes is the largest request body that a caller may send.
 const maxBodyBytes = 4 << 20
 
+// violations counts broken invariants of the shards that this process owned.
+var violations = promauto.NewCounter(prometheus.CounterOpts{
+	Name: "tarragon_shard_invariant_violations_total",
+	Help: "Broken invariants in the state of owned shards.",
+})
+
 // Server is one daemon.
 type Server struct {
 	settings   checked
@@ -48,6 +57,8 @@
 	gossip     *gossiper.Gossiper
 	router     *router.Router
 	dial       func(addr string) messenger.Peer
+	claimer    *claimer.Claimer
+	tracer     *tracer.Tracer
 	registry   *prometheus.Registry
 	violations *prometheus.CounterVec
 	// stopping is set from the first stop signal on; readiness then fails.
@@ -99,6 +110,9 @@
 	// are too.
 	peers := &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
 	d.dial = func(addr string) messenger.Peer { return messenger.NewPeerProtobufClient("http://"+addr, peers) }
+	if d.tracer, err = tracer.New(tracer.Options{File: s.TraceFile, Ratio: s.traceRatio, Service: "tarragond " + s.ID}); err != nil {
+		return nil, err
+	}
 	promauto.With(registry).NewGaugeFunc(prometheus.GaugeOpts{Name: "tarragond_ready", Help: "1 if /readyz answers that the daemon is ready, else 0."}, func() float64 {
 		if d.unreadiness() == "" {
 			return 1
@@ -107,14 +121,21 @@
 	})
 	d.config = configurer.New(configurer.Options{
 		Store: d.store, Log: logger, Registry: registry, Violated: d.violated,
-		Owning: func() bool { return d.controller.Epoch() > 0 },
+		Owning: func() bool { return len(d.controller.Owned()) > 0 },
+	})
+	incarnation := uint64(time.Now().UnixNano())
+	d.claimer = claimer.New(claimer.Options{
+		Store: d.store, Holder: holder(s.ID, incarnation), IsAlive: d.isHolderAlive, Registry: registry, Log: logger, PanicOnViolation: s.PanicOnViolation,
+	})
+	d.router = router.New(router.Options{
+		Self: s.ID, Domain: s.Domain, Costs: s.costs, Claimer: d.claimer, Tracer: d.tracer, Registry: registry, Log: logger, PanicOnViolation: s.PanicOnViolation,
 	})
-	d.router = router.New(router.Options{Domain: s.Domain, Log: logger})
 	d.controller = controller.New(controller.Options{
 		Self: s.ID, Control: s.control, Domain: s.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
-		Worker: p.worker, Log: logger, Instances: p.instances,
+		Worker: p.worker, Peer: d.ownerPeer, IsPresent: d.isPresent, Log: logger, Instances: p.instances,
+		Violated: func(err error) { d.violated(invariantOf(err), err.Error()) },
 	})
-	self := &messenger.Member{Id: s.ID, Domain: s.Domain, ControlAddr: s.control.String(), TrafficAddr: s.traffic.String(), Incarnation: uint64(time.Now().UnixNano())}
+	self := &messenger.Member{Id: s.ID, Domain: s.Domain, ControlAddr: s.control.String(), TrafficAddr: s.traffic.String(), Incarnation: incarnation}
 	d.gossip = gossiper.New(gossiper.Options{
 		Self: self, Seeds: s.peers, Dial: func(addr string) messenger.Peer { return d.dial(addr) }, Complete: d.completeDigest, Received: d.receiveDigest, Log: logger, Registry: registry,
 		Preferred: func() string { return d.ownerAddress(s.Domain) }, Rand: rand.New(rand.NewPCG(self.Incarnation, 0)),
@@ -138,6 +159,16 @@
 	return addrs
 }
 
+// invariantOf returns the number of the invariant that err reports, zero if it
+// names none.
+func invariantOf(err error) int {
+	var broken *scheduler.InvariantError
+	if errors.As(err, &broken) {
+		return broken.Invariant
+	}
+	return 0
+}
+
 // violated records that an invariant does not hold.
 func (d *Server) violated(invariant int, problem string) {
 	d.violations.WithLabelValues(strconv.Itoa(invariant)).Inc()
@@ -159,7 +190,7 @@
 		return err
 	}
 	controlServer := &http.Server{Handler: d.controlHandler(), ReadHeaderTimeout: 5 * time.Second}
-	trafficServer := &fasthttp.Server{Handler: d.router.Handle, MaxRequestBodySize: maxBodyBytes, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	trafficServer := d.trafficServer()
 	failed := make(chan error, 2)
 	go func() { failed <- controlServer.Serve(control) }()
 	go func() { failed <- trafficServer.Serve(traffic) }()
@@ -181,19 +212,67 @@
 	}
 	d.log.Info().Msg("server: stopping")
 	d.stopping.Store(true)
+	d.router.Drain()
 	parts.Go(func() { d.gossip.Leave(running) })
 	release()
+	// Callers and the load balancer go elsewhere before the listener closes.
+	time.Sleep(d.settings.stopDelay)
+	_ = traffic.Close()
+	d.router.Refuse()
 	draining, stop := context.WithTimeout(context.Background(), d.settings.drainTimeout)
 	defer stop()
 	err = trafficServer.ShutdownWithContext(draining)
+	d.claimer.Wait(draining)
 	cancel()
 	parts.Wait()
+	if traceErr := d.tracer.Close(draining); traceErr != nil {
+		d.log.Warn().Err(traceErr).Msg("server: spans not written")
+	}
 	controlServer.Close()
 	d.log.Info().Msg("server: stopped")
 	return errors.Wrap(err, "drain")
 }
 
+// maxHeaderBytes is the largest request header that a caller may send.
+const maxHeaderBytes = 16 << 10
+
+func (d *Server) trafficServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: d.router.Handle, ErrorHandler: router.HandleError, MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes,
+		ReadTimeout: time.Minute, IdleTimeout: 2 * time.Minute, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: quiet{},
+	}
+}
+
+// quiet drops fasthttp's own log lines, which are about broken connections of
+// callers.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// holder names one run of a daemon.
+func holder(id string, incarnation uint64) string { return fmt.Sprintf("%s/%d", id, incarnation) }
+
+// isHolderAlive reports whether the membership view has the holder of a claim.
+func (d *Server) isHolderAlive(name string) bool {
+	return slices.ContainsFunc(d.gossip.View(), func(m *messenger.Member) bool { return holder(m.Id, m.Incarnation) == name })
+}
+
+// onceListener can be closed twice: by the stop of the daemon and by the
+// server's own shutdown.
+type onceListener struct {
+	net.Listener
+	once sync.Once
+	err  error
+}
+
+// Close closes the listener the first time and returns the same error later.
+func (l *onceListener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
 func listen(addr netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr.String())
-	return l, errors.Wrapf(err, "listen on %s", addr)
+	return &onceListener{Listener: l}, errors.Wrapf(err, "listen on %s", addr)
 }
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -25,6 +27,18 @@
 	// DrainTimeout bounds how long a stop waits for requests in progress; the
 	// empty string stands for 30s.
 	DrainTimeout string
+	// StopDelay is how long a stopping daemon still accepts connections, so
+	// that the load balancer sees the failed readiness check first; the empty
+	// string stands for 2s.
+	StopDelay string
+	// DomainCosts has the one-way latency to other domains, such as
+	// howrah=1.5ms.
+	DomainCosts map[string]string
+	// TraceFile receives spans as JSON lines; empty turns tracing off.
+	TraceFile string
+	// TraceRatio is the share of requests without a trace context that is
+	// sampled; the empty string stands for 0.
+	TraceRatio string
 	// PanicOnViolation makes a violated invariant panic, for tests.
 	PanicOnViolation bool
 }
@@ -35,6 +49,9 @@
 const (
 	defaultDrainTimeout = 30 * time.Second
 	maxDrainTimeout     = 10 * time.Minute
+	defaultStopDelay    = 2 * time.Second
+	maxStopDelay        = time.Minute
+	maxDomainCost       = time.Second
 )
 
 var logLevels = []string{"debug", "info", "warn", "error"}
@@ -50,6 +67,10 @@
 	app.Flag("peer", "Control address of another daemon; may be repeated.").StringsVar(&s.Peers)
 	app.Flag("log-level", "Least level to log: debug, info, warn or error.").Default("info").StringVar(&s.LogLevel)
 	app.Flag("drain-timeout", "How long a stop waits for requests in progress, 0s to 10m.").Default(defaultDrainTimeout.String()).StringVar(&s.DrainTimeout)
+	app.Flag("stop-delay", "How long a stopping daemon still accepts connections after its readiness check fails, 0s to 1m.").Default(defaultStopDelay.String()).StringVar(&s.StopDelay)
+	app.Flag("domain-cost", "One-way latency to another domain, such as howrah=1.5ms; may be repeated.").StringMapVar(&s.DomainCosts)
+	app.Flag("trace-file", "File that receives spans as JSON lines; no tracing without it.").StringVar(&s.TraceFile)
+	app.Flag("trace-ratio", "Share of requests without a trace context that is sampled, 0 to 1.").Default("0").StringVar(&s.TraceRatio)
 	app.Flag("panic-on-violation", "Panic when an invariant is violated; for tests.").BoolVar(&s.PanicOnViolation)
 }
 
@@ -114,6 +135,9 @@
 	Settings
 	traffic, control, store netip.AddrPort
 	peers                   []netip.AddrPort
+	costs                   map[string]time.Duration
+	stopDelay               time.Duration
+	traceRatio              float64
 	drainTimeout            time.Duration
 }
 
@@ -137,7 +161,7 @@
 }
 
 func (s Settings) check() (checked, error) {
-	c := checked{Settings: s, drainTimeout: defaultDrainTimeout}
+	c := checked{Settings: s, drainTimeout: defaultDrainTimeout, stopDelay: defaultStopDelay}
 	e := &SettingsError{}
 	if !declarer.IsName(s.ID) {
 		e.fail("id", s.ID, "a name that no other daemon has: "+declarer.NameRange)
@@ -158,10 +182,34 @@
 			e.fail("drain-timeout", s.DrainTimeout, "a duration from 0s to 10m, such as 30s")
 		}
 	}
+	c.checkRequests(e)
 	c.checkTogether(e)
 	return c, e.orNil()
 }
 
+// checkRequests checks the settings of the request path.
+func (c *checked) checkRequests(e *SettingsError) {
+	var err error
+	if c.StopDelay != "" {
+		if c.stopDelay, err = time.ParseDuration(c.StopDelay); err != nil || c.stopDelay < 0 || c.stopDelay > maxStopDelay {
+			e.fail("stop-delay", c.StopDelay, "a duration from 0s to 1m, such as 2s")
+		}
+	}
+	if c.TraceRatio != "" {
+		if c.traceRatio, err = strconv.ParseFloat(c.TraceRatio, 64); err != nil || !(c.traceRatio >= 0 && c.traceRatio <= 1) {
+			e.fail("trace-ratio", c.TraceRatio, "a number from 0 to 1")
+		}
+	}
+	c.costs = map[string]time.Duration{}
+	for _, domain := range slices.Sorted(maps.Keys(c.DomainCosts)) {
+		d, err := time.ParseDuration(c.DomainCosts[domain])
+		if err != nil || d < 0 || d > maxDomainCost {
+			e.fail("domain-cost", domain+"="+c.DomainCosts[domain], "a domain and its one-way latency from 0s to 1s, such as howrah=1.5ms")
+		}
+		c.costs[domain] = d
+	}
+}
+
 // checkTogether finds settings that contradict each other.
 func (c *checked) checkTogether(e *SettingsError) {
 	if c.control.IsValid() && c.control.Addr().IsUnspecified() {
