--- a/internal/configurer/propose_test.go
+++ b/internal/configurer/propose_test.go
@@ -72,6 +72,10 @@
 			revision, err := conf.Propose(context.Background(), ch)
 			c.Logf("%s: %d, %v", name, revision, err)
 			s.plan = nil
+			var undecided *UndecidedError
+			if len(plan) < 2 {
+				c.Assert(errors.As(err, &undecided), qt.IsFalse, qt.Commentf("one fault must be settled"))
+			}
 			checkOutcome(c, s, ch, revision, err)
 			_, err = conf.read(context.Background())
 			c.Assert(err, qt.IsNil)
--- a/standins/cmd/converge/main.go
+++ b/standins/cmd/converge/main.go
@@ -23,6 +23,7 @@
 	daemons  int
 	changes  int
 	seed     uint64
+	noPeers  bool
 }
 
 func main() {
@@ -32,6 +33,7 @@
 	app.Flag("daemons", "Daemons a domain, 3 or more.").Default("3").IntVar(&s.daemons)
 	app.Flag("changes", "Changes to make, 1 or more.").Default("200").IntVar(&s.changes)
 	app.Flag("seed", "Seed of the order of daemons, changes and faults.").Default("1").Uint64Var(&s.seed)
+	app.Flag("no-peers", "Start the daemons without peers in their settings.").BoolVar(&s.noPeers)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := run(s); err != nil {
 		fmt.Fprintln(os.Stderr, "converge failed:", err)
@@ -79,7 +81,7 @@
 		w.Platform.Domains[i].Workers = 1
 	}
 	b.system, err = launcher.Start(launcher.Options{
-		Binaries: dir, Logs: dir, Workload: w, Scale: 0.01, Daemons: s.daemons, TimeScale: 1,
+		Binaries: dir, Logs: dir, Workload: w, Scale: 0.01, Daemons: s.daemons, TimeScale: 1, NoPeers: s.noPeers,
 		StoreFor: func(daemon string, store netip.AddrPort) (netip.AddrPort, error) {
 			p, err := newProxy(store, s.seed+uint64(len(b.proxies)))
 			if err != nil {
--- a/standins/launcher/launcher.go
+++ b/standins/launcher/launcher.go
@@ -35,6 +35,9 @@
 	Daemons int
 	// TimeScale multiplies the run time of tasks.
 	TimeScale float64
+	// NoPeers gives the daemons no peers in their settings, so that they find
+	// each other by the platform's list alone.
+	NoPeers bool
 	// StoreFor returns the address at which a daemon reaches the store, given
 	// the store's own; nil for the store's own.
 	StoreFor func(daemon string, store netip.AddrPort) (netip.AddrPort, error)
@@ -156,7 +159,7 @@
 		}
 	}
 	args := []string{"--id", id, "--domain", domain, "--traffic", traffic.String(), "--control", control.String(), "--store", store.String()}
-	if seed.IsValid() {
+	if seed.IsValid() && !s.options.NoPeers {
 		args = append(args, "--peer", seed.String())
 	}
 	process, err := s.start(id, "tarragond", args...)
@@ -165,6 +168,7 @@
 	}
 	d := &Daemon{process, domain, traffic, control, args}
 	s.Daemons = append(s.Daemons, d)
+	go s.list(d, process)
 	return d, nil
 }
 
@@ -181,6 +185,7 @@
 		return err
 	}
 	d.Process = process
+	go s.list(d, process)
 	return waitLive(d.Control)
 }
 
--- /dev/null
+++ b/standins/launcher/list.go
@@ -0,0 +1,32 @@
+package launcher
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"tarragonhead.example/tarragonhead/internal/dispatcher"
+)
+
+// listInterval is the time between renewals of a daemon's entry in the
+// platform's list, which forgets an instance after 15 s.
+const listInterval = 3 * time.Second
+
+// list keeps a daemon in the platform's list for as long as its process runs.
+func (s *System) list(d *Daemon, p *Process) {
+	body, err := json.Marshal(dispatcher.Instance{ID: p.Name, Domain: d.Domain, Role: dispatcher.RoleDaemon, Addr: d.Control})
+	if err != nil {
+		panic(err)
+	}
+	client := &http.Client{Timeout: time.Second}
+	for {
+		response, err := client.Post("http://"+s.Store.String()+"/v1/instances", "application/json", bytes.NewReader(body))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		if p.Wait(listInterval) {
+			return
+		}
+	}
+}
