Show the operators' commands in the demo, and check its settings as a whole

The demo now also switches the preset, takes a failure domain out of service and brings it back, and waits until the domain runs nothing and then runs work again.

--- a/standins/cmd/demo/main.go
+++ b/standins/cmd/demo/main.go
@@ -43,9 +43,30 @@
 	}
 }
 
+// check reports every setting that is out of its range.
+func (s settings) check() error {
+	var problems []string
+	if !(s.scale > 0 && s.scale <= 1) {
+		problems = append(problems, fmt.Sprintf("--scale: got %g, want above 0 and at most 1", s.scale))
+	}
+	if s.daemons < 0 || s.daemons > 64 {
+		problems = append(problems, fmt.Sprintf("--daemons: got %d, want 0 to 64", s.daemons))
+	}
+	if s.requests < 0 || s.requests > 1_000_000 {
+		problems = append(problems, fmt.Sprintf("--requests: got %d, want 0 to 1000000", s.requests))
+	}
+	if s.timeout < time.Second || s.timeout > time.Hour {
+		problems = append(problems, fmt.Sprintf("--timeout: got %s, want 1s to 1h", s.timeout))
+	}
+	if len(problems) > 0 {
+		return errors.New(strings.Join(problems, "\n"))
+	}
+	return nil
+}
+
 func run(s settings) error {
-	if s.scale <= 0 || s.scale > 1 {
-		return errors.Errorf("--scale: got %g, want above 0 and at most 1", s.scale)
+	if err := s.check(); err != nil {
+		return err
 	}
 	data, err := os.ReadFile(s.workload)
 	if err != nil {
@@ -111,6 +132,8 @@
 type progress struct {
 	services, watchers, jobs int
 	done                     int
+	// running counts the running tasks of each shard.
+	running map[string]int
 }
 
 func observe(system *launcher.System, w declarer.Workload, s settings) error {
@@ -137,6 +160,12 @@
 		return err
 	}
 	step("%d tasks of %d jobs are done", want.done, want.jobs)
+	if err := showTools(system, w); err != nil {
+		return err
+	}
+	if err := moveDomain(system, w, deadline, want); err != nil {
+		return err
+	}
 	output, err := system.Control("status")
 	if err != nil {
 		return err
@@ -149,6 +178,62 @@
 	return nil
 }
 
+// showTools runs the commands that only look, and one request.
+func showTools(system *launcher.System, w declarer.Workload) error {
+	commands := [][]string{{"config", "show"}}
+	for _, j := range w.Jobs[:min(1, len(w.Jobs))] {
+		commands = append(commands, []string{"explain", "job", j.ID})
+	}
+	for _, s := range w.Services[:min(1, len(w.Services))] {
+		commands = append(commands, []string{"request", s.Name, "report?lines=2"})
+	}
+	for _, c := range commands {
+		output, err := system.Control(c...)
+		if err != nil {
+			return err
+		}
+		step("tarragonctl %s\n%s", strings.Join(c, " "), indent(output))
+	}
+	return nil
+}
+
+func indent(text string) string {
+	return "    " + strings.ReplaceAll(strings.TrimSpace(text), "\n", "\n    ")
+}
+
+// moveDomain takes the last failure domain out of service and brings it back.
+func moveDomain(system *launcher.System, w declarer.Workload, deadline time.Time, want progress) error {
+	domains := w.Platform.Domains
+	if len(domains) < 2 {
+		return nil
+	}
+	last := domains[len(domains)-1].Name
+	for _, c := range []struct {
+		args []string
+		// empty says whether the domain runs nothing afterwards.
+		empty bool
+	}{
+		{[]string{"preset", string(declarer.Maintenance)}, false},
+		{[]string{"domain", "out", last}, true},
+		{[]string{"domain", "in", last}, false},
+		{[]string{"preset", string(declarer.OrdinaryDay)}, false},
+	} {
+		output, err := system.Control(c.args...)
+		if err != nil {
+			return err
+		}
+		step("tarragonctl %s: %s", strings.Join(c.args, " "), strings.TrimSpace(output))
+		err = waitFor(system, deadline, strings.Join(c.args, " "), func(p progress) bool {
+			return p.services == want.services && p.watchers == want.watchers && (p.running[last] == 0) == c.empty
+		})
+		if err != nil {
+			return err
+		}
+		step("%d replicas and %d watchers are running, %s runs work: %t", want.services, want.watchers, last, !c.empty)
+	}
+	return nil
+}
+
 func waitFor(system *launcher.System, deadline time.Time, what string, reached func(progress) bool) error {
 	for {
 		p, err := inspect(system)
@@ -163,7 +248,7 @@
 }
 
 func inspect(system *launcher.System) (progress, error) {
-	var p progress
+	p := progress{running: map[string]int{}}
 	output, err := system.Control("status", "--json")
 	if err != nil {
 		return p, err
@@ -174,6 +259,9 @@
 	}
 	for _, r := range status.Shards {
 		for _, t := range r.Tasks {
+			if t.State == scheduler.Running {
+				p.running[r.Shard]++
+			}
 			switch {
 			case t.State != scheduler.Running:
 			case t.Class == declarer.ClassService:
