--- a/internal/declarer/check.go
+++ b/internal/declarer/check.go
@@ -38,7 +38,7 @@
 type checker struct{ problems []*FieldError }
 
 func (c *checker) fail(field, format string, args ...any) {
-	c.problems = append(c.problems, &FieldError{Field: field, Problem: fmt.Sprintf(format, args...)})
+	c.problems = append(c.problems, &FieldError{Field: field, Problem: shorten(fmt.Sprintf(format, args...))})
 }
 
 func (c *checker) err(document string) error {
--- a/internal/declarer/declarer_test.go
+++ b/internal/declarer/declarer_test.go
@@ -74,6 +74,41 @@
 	}
 }
 
+// TestHostileFiles guards against a file that keeps the daemon busy: 100,000
+// opening brackets took the parser a minute. The largest accepted file has to
+// be parsed in reasonable time too.
+func TestHostileFiles(t *testing.T) {
+	whole := readWorkload(t, "hooghly.yaml")
+	var services strings.Builder
+	for i := range 3000 {
+		fmt.Fprintf(&services, "  - {name: s%d, team: cellarlog, replicas: 1, resources: {milli_cpu: 1, memory_mb: 1}}\n", i)
+	}
+	tests := map[string]struct{ text, want string }{
+		"brackets in a line":   {"teams: " + strings.Repeat("[", 100_000), "(?s).*syntax: non-empty line 1 has 100007 bytes.*"},
+		"brackets on lines":    {"teams: " + strings.Repeat("[\n", 100_000), "(?s).*syntax: non-empty line 65 is nested too deeply.*"},
+		"brackets, other ends": {"teams: " + strings.Repeat("{a: \r", 100_000), "(?s).*syntax: non-empty line 65 is nested too deeply.*"},
+		"sequences":            {strings.Repeat("- ", 400), "(?s).*syntax: non-empty line 1 is nested too deeply.*"},
+		"large":                {strings.Repeat("# comment\n", 100_000), "(?s).*size: got 1000000 bytes, want at most 524288"},
+		"many services":        {strings.Replace(whole, "services:\n", "services:\n"+services.String(), 1), ""},
+		"long value":           {"user: " + strings.Repeat("x", 900), "(?s).{0,1300}"},
+		"error in a long line": {"usr: " + strings.Repeat("x", 900), "(?s).*unknown field.{0,700}"},
+		"many problems":        {strings.Replace(whole, "services:\n", "services:\n"+strings.ReplaceAll(services.String(), "cpu: 1", "cpu: 0"), 1), "(?s)workload has 3000 problems.{0,20000}and 2950 more"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			begun := time.Now()
+			_, err := Parse([]byte(test.text))
+			c.Assert(time.Since(begun) < 10*time.Second, qt.IsTrue)
+			if test.want == "" {
+				c.Assert(err, qt.IsNil)
+				return
+			}
+			c.Assert(err, qt.ErrorMatches, test.want)
+		})
+	}
+}
+
 // TestEveryProblemAtOnce guards against a file that has to be corrected one
 // error at a time.
 func TestEveryProblemAtOnce(t *testing.T) {
--- a/internal/declarer/workload.go
+++ b/internal/declarer/workload.go
@@ -57,18 +57,70 @@
 func (e *InvalidError) Error() string {
 	lines := make([]string, 0, len(e.Problems)+1)
 	lines = append(lines, fmt.Sprintf("%s has %d problems", e.Document, len(e.Problems)))
-	for _, p := range e.Problems {
+	shown := e.Problems[:min(len(e.Problems), maxShownProblems)]
+	for _, p := range shown {
 		lines = append(lines, "  "+p.Error())
 	}
+	if more := len(e.Problems) - len(shown); more > 0 {
+		lines = append(lines, fmt.Sprintf("  and %d more", more))
+	}
 	return strings.Join(lines, "\n")
 }
 
+const (
+	// maxFileBytes bounds a workload file; 340 teams and a few hundred
+	// services take under 100 KB.
+	maxFileBytes = 512 << 10
+	// maxLineBytes, maxIndentation and maxBrackets bound the nesting: the
+	// parser takes a minute for 100,000 opening brackets.
+	maxLineBytes   = 1000
+	maxIndentation = 64
+	maxBrackets    = 64
+	// maxMessageBytes bounds the text of a problem, which may quote the file.
+	maxMessageBytes = 600
+	// maxShownProblems bounds the message of a file with very many.
+	maxShownProblems = 50
+)
+
+// file checks that a file is small and flat enough to be parsed.
+func (c *checker) file(data []byte) {
+	if len(data) > maxFileBytes {
+		c.fail("size", "got %d bytes, want at most %d", len(data), maxFileBytes)
+		return
+	}
+	open := 0
+	for i, line := range bytes.FieldsFunc(data, func(r rune) bool { return r == '\n' || r == '\r' }) {
+		text := bytes.TrimLeft(line, " \t-?:")
+		open += bytes.Count(line, []byte("[")) + bytes.Count(line, []byte("{")) - bytes.Count(line, []byte("]")) - bytes.Count(line, []byte("}"))
+		switch {
+		case len(line) > maxLineBytes:
+			c.fail("syntax", "non-empty line %d has %d bytes, want at most %d", i+1, len(line), maxLineBytes)
+			return
+		case len(line)-len(text) > maxIndentation || open > maxBrackets:
+			c.fail("syntax", "non-empty line %d is nested too deeply, want at most %d columns and %d open brackets", i+1, maxIndentation, maxBrackets)
+			return
+		}
+	}
+}
+
+func shorten(s string) string {
+	if len(s) > maxMessageBytes {
+		return strings.ToValidUTF8(s[:maxMessageBytes], "") + " ..."
+	}
+	return s
+}
+
 // Parse reads and checks a workload file. The error is an InvalidError when
 // the file is well formed but its content is not accepted.
 func Parse(data []byte) (Workload, error) {
+	c := &checker{}
+	if c.file(data); len(c.problems) > 0 {
+		return Workload{}, c.err("workload")
+	}
 	var w Workload
 	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField()).Decode(&w); err != nil {
-		return Workload{}, &InvalidError{Document: "workload", Problems: []*FieldError{{Field: "syntax", Problem: err.Error()}}}
+		c.fail("syntax", "%s", err.Error())
+		return Workload{}, c.err("workload")
 	}
 	if err := w.check(); err != nil {
 		return Workload{}, err
