Keep bursts of changes and submissions from the confirming reads' rate

Cause: proposals and the job index shared the store class of the reads that confirm the configuration; without a confirmation for 2 s nothing starts.

Change: a daemon makes one proposal at a time and reads for it in the class read; the job index is written in the class of claims.

Ruled out: a higher rate of the class config, which a burst would use up too.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -37,6 +37,8 @@
 type Configurer struct {
 	options Options
 	metrics metrics
+	// proposing is held by the proposal in progress.
+	proposing chan struct{}
 
 	mu sync.Mutex
 	// held only ever moves to a higher revision; nil before the first.
@@ -66,7 +68,7 @@
 
 // New returns a configurer that holds no configuration yet.
 func New(o Options) *Configurer {
-	c := &Configurer{options: o, changed: make(chan struct{})}
+	c := &Configurer{options: o, proposing: make(chan struct{}, 1), changed: make(chan struct{})}
 	f := promauto.With(o.Registry)
 	c.metrics = metrics{
 		revision: f.NewGaugeFunc(prometheus.GaugeOpts{Name: "tarragond_config_revision", Help: "Revision of the configuration in force, 0 for none."}, func() float64 {
--- a/internal/configurer/propose.go
+++ b/internal/configurer/propose.go
@@ -92,7 +92,7 @@
 // otherwise what kept the change from being written. Except for an
 // UndecidedError nothing was changed.
 func (c *Configurer) Propose(ctx context.Context, ch Change) (uint64, error) {
-	revision, err := c.propose(storeclient.WithClass(ctx, storeclient.ClassConfig), ch)
+	revision, err := c.proposeInTurn(ctx, ch)
 	result := "accepted"
 	var undecided *UndecidedError
 	var conflict *ConflictError
@@ -110,6 +110,19 @@
 	return revision, err
 }
 
+// proposeInTurn makes one proposal at a time. With the reads in a class of
+// their own, a burst of changes leaves the reads that confirm the
+// configuration their rate.
+func (c *Configurer) proposeInTurn(ctx context.Context, ch Change) (uint64, error) {
+	select {
+	case c.proposing <- struct{}{}:
+		defer func() { <-c.proposing }()
+	case <-ctx.Done():
+		return 0, errors.Wrap(ctx.Err(), "other changes are being made; nothing was changed")
+	}
+	return c.propose(storeclient.WithClass(ctx, storeclient.ClassRead), ch)
+}
+
 func (c *Configurer) propose(ctx context.Context, ch Change) (uint64, error) {
 	if err := declarer.CheckChange(ch.ID, ch.Operator, ch.Summary); err != nil {
 		return 0, err
@@ -179,7 +192,7 @@
 // written afterwards, so a failure changes nothing that is in force.
 func (c *Configurer) putWork(ctx context.Context, hash string, work []byte) error {
 	key := workPrefix + hash
-	_, err := c.options.Store.CompareAndSwap(ctx, key, work, 0, 0)
+	_, err := c.options.Store.CompareAndSwap(storeclient.WithClass(ctx, storeclient.ClassConfig), key, work, 0, 0)
 	var exists *storeclient.ConflictError
 	if err == nil || errors.As(err, &exists) {
 		return nil
@@ -202,7 +215,7 @@
 	mayHaveApplied := false
 	var cause error
 	for pause := settlePause; ; pause = min(2*pause, settlePauseMost) {
-		_, err := c.options.Store.CompareAndSwap(ctx, configKey, p.next.head, p.base.revision, 0)
+		_, err := c.options.Store.CompareAndSwap(storeclient.WithClass(ctx, storeclient.ClassConfig), configKey, p.next.head, p.base.revision, 0)
 		var lost *storeclient.ConflictError
 		var limited *storeclient.LimitError
 		switch {
--- a/internal/configurer/run_test.go
+++ b/internal/configurer/run_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
 // run starts a configurer and stops it at the end of the test.
@@ -143,6 +146,39 @@
 	})
 }
 
+// TestBurstOfChanges guards against changes that use up the rate of the reads
+// that confirm the configuration: above 2 s nothing starts.
+func TestBurstOfChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := seeded(t)
+		conf := newConfigurer(s)
+		conf.options.Store = storeclient.Limit(s.store(), storeclient.DefaultRates)
+		ctx, cancel := context.WithCancel(t.Context())
+		go conf.Run(ctx)
+		time.Sleep(time.Second)
+		var operators sync.WaitGroup
+		for i := range 8 {
+			operators.Go(func() {
+				for r := range 400 {
+					id := fmt.Sprintf("op%d-%d", i, r)
+					_, _ = conf.Propose(ctx, Change{ID: id, Operator: id, Summary: id, Edit: declareService(10*i + r)})
+				}
+			})
+		}
+		worst := time.Duration(0)
+		for range 3000 {
+			time.Sleep(10 * time.Millisecond)
+			_, at := conf.Current()
+			worst = max(worst, time.Since(at))
+		}
+		cancel()
+		operators.Wait()
+		t.Logf("oldest confirmation during the burst: %s; %d changes accepted in 30 s", worst, len(s.heads(c)))
+		c.Assert(worst < 2*time.Second, qt.IsTrue)
+	})
+}
+
 // TestDamagedDocuments guards against a configuration that is taken over in
 // part or without its work.
 func TestDamagedDocuments(t *testing.T) {
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, operatorError(err)
 	}
-	entry, existed, err := d.indexJob(storeclient.WithClass(ctx, storeclient.ClassConfig), j, hash, config)
+	entry, existed, err := d.indexJob(ctx, j, hash, config)
 	if err != nil {
 		return nil, operatorError(err)
 	}
@@ -94,11 +94,14 @@
 	if err != nil {
 		return jobEntry{}, false, err
 	}
-	lease, err := d.store.Grant(ctx, jobRetention)
+	// The entry is written like a claim, so that a burst of submissions
+	// doesn't take the rate of the reads that confirm the configuration.
+	writing := storeclient.WithClass(ctx, storeclient.ClassClaim)
+	lease, err := d.store.Grant(writing, jobRetention)
 	if err != nil {
 		return jobEntry{}, false, err
 	}
-	if _, err = d.store.CompareAndSwap(ctx, jobKey(j.ID), value, 0, lease); err == nil {
+	if _, err = d.store.CompareAndSwap(writing, jobKey(j.ID), value, 0, lease); err == nil {
 		return entry, false, nil
 	}
 	found, readErr := d.readBackJob(ctx, j.ID)
@@ -147,7 +150,7 @@
 	if !declarer.IsName(r.JobId) {
 		return nil, operatorError(invalid("job_id", "got %q, want %s", r.JobId, declarer.NameRange))
 	}
-	entry, err := d.readJob(storeclient.WithClass(ctx, storeclient.ClassConfig), r.JobId)
+	entry, err := d.readJob(ctx, r.JobId)
 	var missing *storeclient.NotFoundError
 	if errors.As(err, &missing) {
 		return nil, twirp.NotFoundError("job_id: no job " + r.JobId + " was submitted in the last 30 days; nothing was changed")
