--- a/internal/server/jobs_test.go
+++ b/internal/server/jobs_test.go
@@ -291,6 +291,15 @@
 	_, err = d.SubmitJob(t.Context(), job(func(j *declarer.BatchJob) { j.Tasks = 3 }))
 	c.Assert(code(err), qt.Equals, twirp.AlreadyExists)
 	c.Assert(o.shards, qt.HasLen, 2)
+
+	adopt(c, d, nil)
+	inWest := job(func(j *declarer.BatchJob) { j.ID, j.Domain = "other", "west" })
+	_, err = d.SubmitJob(t.Context(), inWest)
+	c.Assert(err, qt.IsNil)
+	adopt(c, d, []string{"west"})
+	again, err = d.SubmitJob(t.Context(), inWest)
+	c.Assert(err, qt.IsNil, qt.Commentf("a job that was accepted is not checked again"))
+	c.Assert(again.Existed, qt.IsTrue)
 }
 
 // TestForwardedAnswers guards against an answer of the owner that is passed on
