--- a/internal/placer/policy.go
+++ b/internal/placer/policy.go
@@ -13,6 +13,28 @@
 type View struct {
 	// Workers take new work. No worker's Reserved exceeds its Capacity.
 	Workers []Worker
+
+	totals *totals
+}
+
+// totals are sums over a view, in thousandths of a core.
+type totals struct{ capacity, reserved, batch int64 }
+
+func (v *View) sums() *totals {
+	if v.totals == nil {
+		v.totals = &totals{}
+		for i := range v.Workers {
+			w := &v.Workers[i]
+			v.totals.capacity += w.Capacity.MilliCPU
+			v.totals.reserved += w.Reserved.MilliCPU
+			for _, t := range w.Running {
+				if t.Class == declarer.ClassBatch {
+					v.totals.batch += t.Reserved.MilliCPU
+				}
+			}
+		}
+	}
+	return v.totals
 }
 
 // Worker is one candidate.
@@ -22,6 +44,10 @@
 	Capacity declarer.Resources
 	Reserved declarer.Resources
 	Running  []Running
+
+	// predicted has the expected slowdown of each of Running, nil until it is
+	// needed.
+	predicted []float64
 }
 
 // Running is a task on a candidate.
@@ -29,6 +55,9 @@
 	Kind     string
 	Class    declarer.Class
 	Reserved declarer.Resources
+	// Load is the share of a service's slots in use as last measured, zero
+	// when not known.
+	Load float64
 }
 
 // Reserve adds a placement to the view.
@@ -37,7 +66,15 @@
 		w := &v.Workers[i]
 		if w.ID == worker {
 			w.Reserved = w.Reserved.Add(r)
-			w.Running = append(w.Running, Running{kind, class, r})
+			w.Running = append(w.Running, Running{Kind: kind, Class: class, Reserved: r})
+			w.predicted = nil
+			break
+		}
+	}
+	if v.totals != nil {
+		v.totals.reserved += r.MilliCPU
+		if class == declarer.ClassBatch {
+			v.totals.batch += r.MilliCPU
 		}
 	}
 }
--- /dev/null
+++ b/standins/experimenter/variant.go
@@ -0,0 +1,49 @@
+package experimenter
+
+import (
+	"tarragonhead.example/tarragonhead/internal/placer"
+	"tarragonhead.example/tarragonhead/internal/scheduler"
+)
+
+// Variant is one policy to compare.
+type Variant struct {
+	Name string
+	// Configure sets what the variant needs in the options of a core.
+	Configure func(o *scheduler.Options, seed uint64)
+}
+
+// FirstFit places by declared size on the first worker with room.
+func FirstFit() Variant {
+	return Variant{"first_fit", func(o *scheduler.Options, _ uint64) { o.Policy = placer.FirstFit() }}
+}
+
+// BestFitDeclared places by declared size on the tightest worker.
+func BestFitDeclared() Variant {
+	return Variant{"best_fit_declared", func(o *scheduler.Options, _ uint64) { o.Policy = placer.BestFit() }}
+}
+
+func variants() []Variant {
+	return []Variant{FirstFit(), BestFitDeclared()}
+}
+
+// Policies returns the names of all variants.
+func Policies() []string {
+	var names []string
+	for _, v := range variants() {
+		names = append(names, v.Name)
+	}
+	return names
+}
+
+// DefaultPolicies returns the names of the variants that the goals compare.
+func DefaultPolicies() []string { return Policies() }
+
+// VariantOf returns the variant with a name; that without one places nothing.
+func VariantOf(name string) Variant {
+	for _, v := range variants() {
+		if v.Name == name {
+			return v
+		}
+	}
+	return Variant{Name: name, Configure: func(*scheduler.Options, uint64) {}}
+}
