--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -6,12 +6,9 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/twitchtv/twirp"
 
-	"tarragonhead.example/tarragonhead/internal/configurer"
-	"tarragonhead.example/tarragonhead/internal/controller"
 	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/messenger"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
@@ -21,101 +18,54 @@
 	mux := http.NewServeMux()
 	mux.Handle(messenger.PeerPathPrefix, messenger.NewPeerServer(d))
 	mux.Handle(messenger.OperatorPathPrefix, messenger.NewOperatorServer(d))
-	mux.Handle("/metrics", promhttp.Handler())
+	mux.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{Registry: d.registry}))
 	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", d.ready)
 	return mux
 }
 
 func (d *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if reason := d.unreadiness(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+	}
+}
+
+// unreadiness says why the load balancer should send no callers here, "" if it
+// should.
+func (d *Server) unreadiness() string {
 	config, _ := d.config.Current()
 	switch {
 	case d.stopping.Load():
-		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return "stopping"
 	case config == nil:
-		http.Error(w, "no configuration", http.StatusServiceUnavailable)
-	}
-}
-
-// completeDigest adds the versions that this daemon holds.
-func (d *Server) completeDigest(g *messenger.Digest) {
-	if config, _ := d.config.Current(); config != nil {
-		g.ConfigRevision = config.Revision
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if t := d.controller.Routes(); t != nil {
-		d.owners[t.Shard] = &messenger.ShardOwner{Shard: t.Shard, Member: d.settings.ID, Epoch: t.Epoch, RoutesVersion: t.Version}
-	}
-	for _, o := range d.owners {
-		g.Owners = append(g.Owners, o)
+		return "no configuration: neither the store nor a peer has given one"
 	}
+	return ""
 }
 
-// receiveDigest fetches what a peer has newer.
-func (d *Server) receiveDigest(g *messenger.Digest) {
-	d.mu.Lock()
-	for _, m := range g.Members {
-		d.addresses[m.Id] = m.ControlAddr
-	}
-	var stale []*messenger.ShardOwner
-	for _, o := range g.Owners {
-		known := d.owners[o.Shard]
-		if known == nil || o.Epoch > known.Epoch || (o.Epoch == known.Epoch && o.RoutesVersion > known.RoutesVersion) {
-			d.owners[o.Shard] = o
-		}
-		epoch, version := d.router.Version(o.Shard)
-		if o.Epoch > epoch || (o.Epoch == epoch && o.RoutesVersion > version) {
-			stale = append(stale, o)
+// routingMembers are the daemons that share the slots of the targets.
+func (d *Server) routingMembers() []string {
+	var ids []string
+	for _, m := range d.gossip.View() {
+		if !m.Leaving {
+			ids = append(ids, m.Id)
 		}
 	}
-	from := d.addresses[g.From]
-	d.mu.Unlock()
-	for _, o := range stale {
-		go d.fetchRoutes(o)
-	}
-	if config, _ := d.config.Current(); from != "" && g.ConfigRevision > 0 && (config == nil || config.Revision < g.ConfigRevision) {
-		go d.fetchConfig(from)
-	}
-}
-
-func (d *Server) fetchRoutes(o *messenger.ShardOwner) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	d.mu.Lock()
-	addr := d.addresses[o.Member]
-	d.mu.Unlock()
-	if addr == "" {
-		return
-	}
-	table, err := d.dial(addr).FetchRoutes(ctx, &messenger.FetchRoutesRequest{Shard: o.Shard})
-	if err != nil {
-		d.log.Debug().Err(err).Str("shard", o.Shard).Msg("routes: not fetched")
-		return
-	}
-	d.router.Update(table)
-}
-
-func (d *Server) fetchConfig(addr string) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	doc, err := d.dial(addr).FetchConfig(ctx, &messenger.FetchConfigRequest{})
-	if err == nil && len(doc.Document) > 0 {
-		err = d.config.Adopt(doc.Document)
-	}
-	if err != nil {
-		d.log.Debug().Err(err).Msg("config: not fetched from a peer")
-	}
+	return ids
 }
 
-// publishRoutes gives this daemon's own router the table of the owned shard.
+// publishRoutes gives this daemon's own router the tables of the owned
+// shards and the membership view.
 func (d *Server) publishRoutes(ctx context.Context) {
 	t := time.NewTicker(100 * time.Millisecond)
 	defer t.Stop()
 	for {
-		if table := d.controller.Routes(); table != nil {
-			d.router.Update(table)
+		for _, shard := range d.controller.Owned() {
+			if table := d.controller.Routes(shard); table != nil {
+				d.router.Update(table)
+			}
 		}
+		d.router.SetMembers(d.routingMembers())
 		select {
 		case <-ctx.Done():
 			return
@@ -124,37 +74,20 @@
 	}
 }
 
-// ownerAddress returns the control address of a shard's owner, "" if unknown.
-func (d *Server) ownerAddress(shard string) string {
-	if d.controller.Epoch() > 0 && shard == d.controller.Shard() {
-		return d.settings.control.String()
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if o := d.owners[shard]; o != nil {
-		return d.addresses[o.Member]
-	}
-	return ""
-}
-
 // Exchange implements messenger.Peer.
 func (d *Server) Exchange(_ context.Context, g *messenger.Digest) (*messenger.Digest, error) {
-	d.gossip.Receive(g)
-	return d.gossip.Digest(), nil
+	return d.gossip.Answer(g), nil
 }
 
 // FetchConfig implements messenger.Peer.
-func (d *Server) FetchConfig(context.Context, *messenger.FetchConfigRequest) (*messenger.ConfigDocument, error) {
-	revision, data, err := d.config.Encode()
-	if err != nil {
-		return nil, twirp.InternalErrorWith(err)
-	}
-	return &messenger.ConfigDocument{Revision: revision, Document: data}, nil
+func (d *Server) FetchConfig(_ context.Context, r *messenger.FetchConfigRequest) (*messenger.ConfigDocument, error) {
+	revision, head, work := d.config.Encode(r.WorkHash)
+	return &messenger.ConfigDocument{Revision: revision, Head: head, Work: work}, nil
 }
 
 // FetchRoutes implements messenger.Peer.
 func (d *Server) FetchRoutes(_ context.Context, r *messenger.FetchRoutesRequest) (*messenger.RoutingTable, error) {
-	if t := d.controller.Routes(); t != nil && t.Shard == r.Shard {
+	if t := d.controller.Routes(r.Shard); t != nil {
 		return t, nil
 	}
 	return nil, twirp.NotFoundError("this daemon does not own shard " + r.Shard)
@@ -162,11 +95,11 @@
 
 // Submit implements messenger.Peer.
 func (d *Server) Submit(ctx context.Context, r *messenger.SubmitRequest) (*messenger.SubmitResponse, error) {
-	var j declarer.BatchJob
-	if err := cbor.Unmarshal(r.Job, &j); err != nil {
-		return nil, twirp.InvalidArgumentError("job", err.Error())
+	j, err := declarer.DecodeJob(r.Job)
+	if err != nil {
+		return nil, operatorError(err)
 	}
-	if err := d.controller.Submit(ctx, j); err != nil {
+	if err := d.controller.Submit(ctx, r.Shard, j); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.SubmitResponse{Shard: r.Shard}, nil
@@ -174,7 +107,7 @@
 
 // Cancel implements messenger.Peer.
 func (d *Server) Cancel(ctx context.Context, r *messenger.CancelRequest) (*messenger.CancelResponse, error) {
-	if err := d.controller.Cancel(ctx, r.JobId); err != nil {
+	if err := d.controller.Cancel(ctx, r.Shard, scheduler.JobCancelled{JobID: r.JobId, Home: r.Home}); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.CancelResponse{}, nil
@@ -186,39 +119,40 @@
 	if err := cbor.Unmarshal(r.Task, &t); err != nil {
 		return nil, twirp.InvalidArgumentError("task", err.Error())
 	}
-	if err := d.controller.TakeOver(ctx, scheduler.TransferOffered{TransferID: r.TransferId, Task: t}); err != nil {
+	if err := d.controller.TakeOver(ctx, r.ToShard, scheduler.TransferOffered{TransferID: r.TransferId, Task: t}); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.HandOverResponse{Accepted: true}, nil
 }
 
-// Inspect implements messenger.Peer.
-func (d *Server) Inspect(ctx context.Context, _ *messenger.InspectRequest) (*messenger.InspectResponse, error) {
-	report, err := d.controller.Inspect(ctx)
-	if err != nil {
+// Report implements messenger.Peer.
+func (d *Server) Report(ctx context.Context, r *messenger.ShardReport) (*messenger.ShardReportResponse, error) {
+	var e scheduler.Event
+	if len(r.Totals) > 0 {
+		e.Totals = &scheduler.TotalsReported{}
+		if err := cbor.Unmarshal(r.Totals, e.Totals); err != nil {
+			return nil, twirp.InvalidArgumentError("totals", err.Error())
+		}
+	} else {
+		e.Peer = &scheduler.PeerReport{}
+		if err := cbor.Unmarshal(r.Peer, e.Peer); err != nil {
+			return nil, twirp.InvalidArgumentError("peer", err.Error())
+		}
+	}
+	if err := d.controller.Deliver(ctx, r.ToShard, e); err != nil {
 		return nil, operatorError(err)
 	}
-	return &messenger.InspectResponse{Shard: d.controller.Shard(), Epoch: d.controller.Epoch(), Report: report}, nil
+	return &messenger.ShardReportResponse{}, nil
 }
 
-// operatorError gives an error the Twirp code that tells what to do about it.
-func operatorError(err error) error {
-	var invalid *declarer.InvalidError
-	var conflict *configurer.ConflictError
-	var undecided *configurer.UndecidedError
-	var notOwner *controller.NotOwnerError
-	var coded twirp.Error
-	switch {
-	case errors.As(err, &coded):
-		return err
-	case errors.As(err, &invalid):
-		return twirp.NewError(twirp.InvalidArgument, err.Error())
-	case errors.As(err, &conflict):
-		return twirp.NewError(twirp.Aborted, err.Error())
-	case errors.As(err, &undecided):
-		return twirp.NewError(twirp.Unknown, err.Error())
-	case errors.As(err, &notOwner):
-		return twirp.NewError(twirp.FailedPrecondition, err.Error())
+// Inspect implements messenger.Peer.
+func (d *Server) Inspect(ctx context.Context, r *messenger.InspectRequest) (*messenger.InspectResponse, error) {
+	report, err := d.controller.Inspect(ctx, r.Shard)
+	if err == nil && r.Kind != "" {
+		report, err = explain(report, r.Kind, r.Id)
+	}
+	if err != nil {
+		return nil, operatorError(err)
 	}
-	return twirp.NewError(twirp.Unavailable, err.Error())
+	return &messenger.InspectResponse{Shard: r.Shard, Epoch: d.controller.Epoch(r.Shard), Report: report}, nil
 }
