--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -36,7 +36,7 @@
 			err = o.sendPeerReport(ctx, *c.Peer)
 		}
 		if err != nil {
-			o.shard.controller.options.Log.Debug().Err(err).Str("shard", o.shard.name).Msg("peers: command not confirmed")
+			o.shard.controller.options.Log.Debug().Err(err).Str("shard", o.shard.name).Msg("transfer: message to another shard not confirmed")
 		}
 	})
 }
--- a/internal/server/requests_test.go
+++ b/internal/server/requests_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
 	"tarragonhead.example/tarragonhead/internal/messenger"
@@ -40,8 +41,8 @@
 	go func() { _ = target.Serve(l) }()
 	d, err = New(Settings{
 		ID: "d0", Domain: "a", Traffic: freeAddr(c), Control: freeAddr(c), Store: freeAddr(c), LogLevel: "error",
-		DrainTimeout: 10 * time.Second, StopDelay: 200 * time.Millisecond, PanicOnViolation: true,
-	}, io.Discard)
+		DrainTimeout: "10s", StopDelay: "200ms", PanicOnViolation: true,
+	}, io.Discard, prometheus.NewRegistry())
 	c.Assert(err, qt.IsNil)
 	d.router.Update(&messenger.RoutingTable{Shard: "b", Epoch: 1, Version: 1, Routes: []*messenger.Route{
 		{Service: "s", Task: "t", Addr: l.Addr().String(), Domain: "a", Slots: 8, Connections: 64},
@@ -168,8 +169,8 @@
 func TestRequestSettings(t *testing.T) {
 	_, err := New(Settings{
 		ID: "d", Domain: "a", Traffic: "127.0.0.1:1", Control: "127.0.0.1:2", Store: "127.0.0.1:3",
-		StopDelay: -1, TraceRatio: 2, DomainCosts: map[string]string{"b": "far"},
-	}, io.Discard)
+		StopDelay: "-1s", TraceRatio: "2", DomainCosts: map[string]string{"b": "far"},
+	}, io.Discard, prometheus.NewRegistry())
 	for _, name := range []string{"--stop-delay", "--trace-ratio", "--domain-cost"} {
 		qt.Check(t, err, qt.ErrorMatches, "(?s).*"+name+": got .*")
 	}
