--- a/standins/launcher/recovery_test.go
+++ b/standins/launcher/recovery_test.go
@@ -23,6 +23,8 @@
     - {name: b, workers: 3, entry_instances: 2}
   worker: {milli_cpu: 8000, memory_mb: 8000}
   workers_per_rack: 8
+  runner_slots: 8
+  runner_connections: 64
 teams:
   - {name: team, quota: {milli_cpu: 96000, memory_mb: 96000}, weight: 1}
 services:
--- a/standins/rehearser/rehearser.go
+++ b/standins/rehearser/rehearser.go
@@ -97,11 +97,14 @@
 			s.StartDaemon(fmt.Sprintf("%s-d%d", domain, i), domain)
 		}
 	}
-	_, err = s.Daemons()[0].config.Propose(s.ctx, configurer.Change{ID: "rehearsal", Edit: func(c *declarer.Config) error {
+	_, err = s.Daemons()[0].config.Propose(s.ctx, configurer.Change{ID: "rehearsal", Operator: "rehearser", Summary: "declare the work", Edit: func(c *declarer.Config) error {
 		c.Domains, c.Services = o.Domains, o.Services
 		c.Teams = []declarer.Team{{Name: "team", Weight: 1}}
 		return nil
 	}})
+	if err != nil {
+		s.Stop()
+	}
 	return s, err
 }
 
@@ -137,7 +140,7 @@
 
 // SetOut takes a domain out of service.
 func (s *System) SetOut(domain string) error {
-	_, err := s.Daemons()[0].config.Propose(s.ctx, configurer.Change{ID: "out " + domain, Edit: func(c *declarer.Config) error {
+	_, err := s.Daemons()[0].config.Propose(s.ctx, configurer.Change{ID: "out-" + domain, Operator: "rehearser", Summary: "take out " + domain, Edit: func(c *declarer.Config) error {
 		c.DomainsOut = []string{domain}
 		return nil
 	}})
@@ -307,6 +310,12 @@
 		}
 		return whole.CompareAndSwap(ctx, key, value, expected, lease)
 	}
+	s.Watch = func(ctx context.Context, key string, after uint64) (storeclient.Entry, error) {
+		if err := cut("watch", key); err != nil {
+			return storeclient.Entry{}, err
+		}
+		return whole.Watch(ctx, key, after)
+	}
 	s.Grant = func(ctx context.Context, ttl time.Duration) (storeclient.LeaseID, error) {
 		if err := cut("grant", ""); err != nil {
 			return 0, err
--- a/standins/storekeeper/fault.go
+++ b/standins/storekeeper/fault.go
@@ -127,6 +127,20 @@
 			}
 			return revision, nil
 		},
+		Watch: func(ctx context.Context, key string, after uint64) (storeclient.Entry, error) {
+			for {
+				f := s.begin(storeclient.ClassOf(ctx).String(), "watch", key)
+				if f.Mode == Down || f.Mode == Lost {
+					return storeclient.Entry{}, &storeclient.UnavailableError{Op: "watch", Key: key, Err: errors.New("injected")}
+				}
+				if e, ok := s.wait(ctx, key, after, 10*time.Second); ok {
+					return storeclient.Entry{Key: key, Value: e.value, Revision: e.revision}, nil
+				}
+				if ctx.Err() != nil {
+					return storeclient.Entry{}, ctx.Err()
+				}
+			}
+		},
 		Grant: func(ctx context.Context, ttl time.Duration) (storeclient.LeaseID, error) {
 			id, _, err := clientCall(func(effect func()) error { return do(ctx, "grant", "", effect) }, func() (uint64, bool) { return s.grant(ttl), true })
 			return storeclient.LeaseID(id), err
--- a/standins/storekeeper/http.go
+++ b/standins/storekeeper/http.go
@@ -1,6 +1,7 @@
 package storekeeper
 
 import (
+	"context"
 	"encoding/json"
 	"strconv"
 	"strings"
@@ -72,7 +73,7 @@
 		s.handleKey(ctx, key)
 	case "watch":
 		wait := time.Duration(number(ctx, "wait_ms")) * time.Millisecond
-		e, ok := s.wait(key, number(ctx, "after"), wait)
+		e, ok := s.wait(context.Background(), key, number(ctx, "after"), wait)
 		respond(ctx, e, ok, fasthttp.StatusNotModified)
 	case "grant":
 		ttl := time.Duration(number(ctx, "ttl_ms")) * time.Millisecond
--- a/standins/storekeeper/store.go
+++ b/standins/storekeeper/store.go
@@ -3,6 +3,7 @@
 package storekeeper
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -107,7 +108,7 @@
 
 // wait returns the entry once its revision is above after, or false at the end
 // of the wait.
-func (s *Store) wait(key string, after uint64, d time.Duration) (entry, bool) {
+func (s *Store) wait(ctx context.Context, key string, after uint64, d time.Duration) (entry, bool) {
 	end := time.NewTimer(d)
 	defer end.Stop()
 	for {
@@ -121,6 +122,8 @@
 		}
 		select {
 		case <-changed:
+		case <-ctx.Done():
+			return entry{}, false
 		case <-end.C:
 			return entry{}, false
 		}
