--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/committer"
+	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 )
@@ -16,7 +17,7 @@
 	if o.inFlight != nil {
 		return
 	}
-	if now.Sub(o.horizonSet) >= horizonLengths["batch"]/3 {
+	if now.Sub(o.horizonSet) >= horizonLengths[declarer.ClassBatch]/3 {
 		o.next.changes = append(o.next.changes, horizonChanges()...)
 		o.horizonSet = now
 	}
@@ -129,8 +130,8 @@
 // send gives a command to the session of its worker. A start that can't be
 // sent is withdrawn.
 func (o *owner) send(c scheduler.Command) {
-	if c.HandOver != nil {
-		o.offer(*c.HandOver)
+	if c.HandOver != nil || c.Cancel != nil || c.Totals != nil || c.Peer != nil {
+		o.sendToShard(c)
 		return
 	}
 	s := o.sessions[workerOf(c)]
@@ -138,7 +139,7 @@
 		return
 	}
 	if c.Start != nil {
-		o.handle(scheduler.Event{StartRefused: &scheduler.StartRefused{Task: c.Start.Task, Attempt: c.Start.Attempt, Reason: "worker takes no commands"}})
+		o.handle(scheduler.Event{StartRefused: &scheduler.StartRefused{Task: c.Start.Task, Attempt: c.Start.Attempt, Reason: "worker takes no commands", Withdrawn: true}})
 	}
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -163,10 +163,14 @@
 }
 
 // Cancel cancels a job; it returns after the commit.
-func (c *Controller) Cancel(ctx context.Context, shard, id string) error {
-	return c.do(ctx, shard, func(*owner) (*scheduler.Event, error) {
-		return &scheduler.Event{Cancelled: &scheduler.JobCancelled{JobID: id}}, nil
-	})
+func (c *Controller) Cancel(ctx context.Context, shard string, e scheduler.JobCancelled) error {
+	return c.Deliver(ctx, shard, scheduler.Event{Cancelled: &e})
+}
+
+// Deliver gives an event of another shard or of an operator to a shard; it
+// returns after the commit.
+func (c *Controller) Deliver(ctx context.Context, shard string, e scheduler.Event) error {
+	return c.do(ctx, shard, func(*owner) (*scheduler.Event, error) { return &e, nil })
 }
 
 // TakeOver accepts a task from another shard; it returns after the commit. A
@@ -176,9 +180,8 @@
 		if err := o.checkRoom(); err != nil {
 			return nil, err
 		}
-		// A task that comes back waits until its way out is confirmed.
-		if t, ok := o.core.Lookup(offer.Task.ID); ok && t.State == scheduler.HandingOver {
-			return nil, &NotAcceptedError{shard, "task " + string(t.ID) + " is being handed over"}
+		if err := o.core.CheckOffer(offer); err != nil {
+			return nil, &NotAcceptedError{shard, err.Error()}
 		}
 		return &scheduler.Event{Offered: &offer}, nil
 	})
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -77,7 +77,7 @@
 	endServing context.CancelFunc
 	background sync.WaitGroup
 	sessionsUp sync.WaitGroup
-	// transfers has a place for each hand-over call at one time.
+	// transfers has a place for each call to another shard at one time.
 	transfers chan struct{}
 
 	inputs    chan input
@@ -198,10 +198,8 @@
 			o.attemptsOn(t.Worker)[t.ID] = &placed{attempt: t.Attempt}
 		}
 	}
-	for _, t := range s.Tasks {
-		if t.State == scheduler.HandingOver {
-			o.offer(scheduler.HandOverTask{TransferID: t.TransferID, ToShard: t.ToShard, Task: t})
-		}
+	for _, t := range s.Transfers {
+		o.offer(scheduler.HandOverTask{TransferID: t.TransferID, ToShard: t.ToShard, Task: t})
 	}
 	for _, w := range s.Workers {
 		o.asking[w.ID] = true
--- a/internal/controller/transfer.go
+++ b/internal/controller/transfer.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// transferCalls bounds the hand-over calls of a shard at any time.
+	// transferCalls bounds the calls to other shards at any time.
 	transferCalls = 32
 	transferPause = time.Second
 	transferLimit = 2 * time.Second
--- a/standins/launcher/launcher.go
+++ b/standins/launcher/launcher.go
@@ -39,6 +39,9 @@
 	Records string
 	// DaemonArgs are further arguments of each daemon.
 	DaemonArgs []string
+	// NoPeers gives the daemons no peers in their settings, so that they find
+	// each other by the platform's list alone.
+	NoPeers bool
 	// StoreFor returns the address at which a daemon reaches the store, given
 	// the store's own; nil for the store's own.
 	StoreFor func(daemon string, store netip.AddrPort) (netip.AddrPort, error)
@@ -164,7 +167,7 @@
 		}
 	}
 	args := []string{"--id", id, "--domain", domain, "--traffic", traffic.String(), "--control", control.String(), "--store", store.String()}
-	if seed.IsValid() {
+	if seed.IsValid() && !s.options.NoPeers {
 		args = append(args, "--peer", seed.String())
 	}
 	args = append(args, s.options.DaemonArgs...)
@@ -174,6 +177,7 @@
 	}
 	d := &Daemon{process, domain, traffic, control, args}
 	s.Daemons = append(s.Daemons, d)
+	go s.list(d, process)
 	return d, nil
 }
 
@@ -190,6 +194,7 @@
 		return err
 	}
 	d.Process = process
+	go s.list(d, process)
 	return waitLive(d.Control)
 }
 
