Compute each team's share once in a pass over the queue

Cause: a tick with a job of each of 340 teams waiting took 15 ms at 125 workers, since each try compared the shares of all teams and looked each team up in the configuration. Change: the shares are kept for the pass and renewed for the team that started something; weights and quotas are indexed when the configuration changes.

--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -154,3 +154,25 @@
 		b.ReportMetric(float64(size), "bytes")
 	})
 }
+
+// BenchmarkFullPass is one tick while a job of each of 340 teams waits and the
+// domain has no room for any of them.
+func BenchmarkFullPass(b *testing.B) {
+	forSizes(b, func(b *testing.B, c *Core) {
+		now := c.now
+		for i := range 340 {
+			j := benchJob(fmt.Sprintf("wait-%d", i), i, 50)
+			j.Resources.MilliCPU = 60000 + int64(i)
+			if err := c.Apply(Change{JobAccepted: &JobAccepted{j, now}}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ResetTimer()
+		for range b.N {
+			now = now.Add(step)
+			c.Step(now, Event{Config: &ConfigConfirmed{Config: c.config, At: now}})
+			c.queue.changed = true
+			c.Step(now, Event{Tick: &Tick{}})
+		}
+	})
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -98,7 +98,10 @@
 	begun       time.Time
 	config      *declarer.Config
 	confirmedAt time.Time
-	attempts    map[TaskID]*attempt
+	// weights and parts are the teams' weights and quotas in this domain.
+	weights  map[string]int
+	parts    map[string]declarer.Resources
+	attempts map[TaskID]*attempt
 	// reports has the time before which a report of a worker is out of date.
 	reports map[string]time.Time
 	peers   map[string]PeerReport
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -74,26 +75,40 @@
 	}
 }
 
+// waitingTeam is a team with work in a lane.
+type waitingTeam struct {
+	name string
+	// share is the dominant share by weight, and at the next entry to try.
+	share float64
+	at    int
+}
+
 // placeTeams gives each start to the team with the smallest weighted dominant
-// share that has work which can start.
+// share that has work which can start. The first by name wins among equals.
 func (c *Core) placeTeams(p *pass, lanes map[string]*lane) {
-	var teams []string
+	teams := make([]waitingTeam, 0, len(lanes))
 	for name := range lanes {
-		teams = append(teams, name)
+		teams = append(teams, waitingTeam{name: name, share: c.share(name)})
 	}
-	slices.Sort(teams)
-	at := make(map[string]int, len(teams))
+	slices.SortFunc(teams, func(a, b waitingTeam) int { return cmp.Compare(a.name, b.name) })
 	for len(teams) > 0 && !p.full() {
-		best := c.poorest(teams)
-		name := teams[best]
-		l, i := lanes[name], at[teams[best]]
-		if l == nil || i >= len(l.entries) {
+		best := 0
+		for i := range teams {
+			if teams[i].share < teams[best].share {
+				best = i
+			}
+		}
+		t := &teams[best]
+		l := lanes[t.name]
+		if l == nil || t.at >= len(l.entries) {
 			teams = slices.Delete(teams, best, best+1)
 			continue
 		}
-		e := l.entries[i]
-		if !c.try(p, e) && i < len(l.entries) && l.entries[i] == e {
-			at[name]++
+		e := l.entries[t.at]
+		if c.try(p, e) {
+			t.share = c.share(t.name)
+		} else if t.at < len(l.entries) && l.entries[t.at] == e {
+			t.at++
 		}
 	}
 }
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -7,13 +7,17 @@
 	"tarragonhead.example/tarragonhead/internal/placer"
 )
 
-func (c *Core) team(name string) *declarer.Team {
-	for i := range c.config.Teams {
-		if c.config.Teams[i].Name == name {
-			return &c.config.Teams[i]
+// takeTeams indexes the teams of a new configuration and splits their quotas
+// over the domains in service in equal parts.
+func (c *Core) takeTeams() {
+	parts := int64(len(c.config.DomainsIn()))
+	c.weights, c.parts = map[string]int{}, map[string]declarer.Resources{}
+	for _, t := range c.config.Teams {
+		c.weights[t.Name] = max(t.Weight, 1)
+		if t.Quota != (declarer.Resources{}) && parts > 0 {
+			c.parts[t.Name] = declarer.Resources{MilliCPU: t.Quota.MilliCPU / parts, MemoryMB: t.Quota.MemoryMB / parts, Accelerators: t.Quota.Accelerators / parts}
 		}
 	}
-	return nil
 }
 
 // Allowance returns the part of a team's quota that this domain may spend, and
@@ -23,14 +27,8 @@
 	if a, ok := c.allowances[name]; ok {
 		return a, true
 	}
-	if c.config == nil {
-		return declarer.Resources{}, false
-	}
-	t, parts := c.team(name), int64(len(c.config.DomainsIn()))
-	if t == nil || t.Quota == (declarer.Resources{}) || parts == 0 {
-		return declarer.Resources{}, false
-	}
-	return declarer.Resources{MilliCPU: t.Quota.MilliCPU / parts, MemoryMB: t.Quota.MemoryMB / parts, Accelerators: t.Quota.Accelerators / parts}, true
+	a, ok := c.parts[name]
+	return a, ok
 }
 
 func (c *Core) keepAllowance(e AllowanceGiven) {
@@ -54,21 +52,9 @@
 	return after.MilliCPU <= a.MilliCPU && after.MemoryMB <= a.MemoryMB && (after.Accelerators <= a.Accelerators || t.Declared.Accelerators == 0)
 }
 
-// poorest returns the index of the team with the smallest dominant share of
-// the domain by weight. The first of equals wins; names are sorted.
-func (c *Core) poorest(teams []string) int {
-	best, least := 0, 0.0
-	for i, name := range teams {
-		weight := 1
-		if t := c.team(name); t != nil {
-			weight = max(t.Weight, 1)
-		}
-		share := c.usage.teams[name].DominantShare(c.view.total) / float64(weight)
-		if i == 0 || share < least {
-			best, least = i, share
-		}
-	}
-	return best
+// share returns a team's dominant share of the domain by weight.
+func (c *Core) share(team string) float64 {
+	return c.usage.teams[team].DominantShare(c.view.total) / float64(max(c.weights[team], 1))
 }
 
 // refusal returns why a task may not start now whatever room there is, or "".
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -28,6 +28,7 @@
 	}
 	c.config, c.configAt = e.Config, now
 	c.queue.changed = true
+	c.takeTeams()
 	c.setDomain()
 	c.reconcile(now)
 }
