--- a/internal/scheduler/caretaking.go
+++ b/internal/scheduler/lookup.go
@@ -1,9 +1,14 @@
 package scheduler
 
-// Lookup returns a copy of a task that is not final, untouched or being handed
-// over.
+// Lookup returns a copy of a task that has been placed or is being handed over
+// and is not final.
 func (c *Core) Lookup(id TaskID) (Task, bool) {
 	t := c.tasks[id]
+	for _, moving := range c.transfers {
+		if moving.ID == id {
+			t = moving
+		}
+	}
 	if t == nil {
 		return Task{}, false
 	}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -107,7 +107,7 @@
 
 // Cancel implements messenger.Peer.
 func (d *Server) Cancel(ctx context.Context, r *messenger.CancelRequest) (*messenger.CancelResponse, error) {
-	if err := d.controller.Cancel(ctx, r.Shard, r.JobId); err != nil {
+	if err := d.controller.Cancel(ctx, r.Shard, scheduler.JobCancelled{JobID: r.JobId, Home: r.Home}); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.CancelResponse{}, nil
@@ -125,6 +125,26 @@
 	return &messenger.HandOverResponse{Accepted: true}, nil
 }
 
+// Report implements messenger.Peer.
+func (d *Server) Report(ctx context.Context, r *messenger.ShardReport) (*messenger.ShardReportResponse, error) {
+	var e scheduler.Event
+	if len(r.Totals) > 0 {
+		e.Totals = &scheduler.TotalsReported{}
+		if err := cbor.Unmarshal(r.Totals, e.Totals); err != nil {
+			return nil, twirp.InvalidArgumentError("totals", err.Error())
+		}
+	} else {
+		e.Peer = &scheduler.PeerReport{}
+		if err := cbor.Unmarshal(r.Peer, e.Peer); err != nil {
+			return nil, twirp.InvalidArgumentError("peer", err.Error())
+		}
+	}
+	if err := d.controller.Deliver(ctx, r.ToShard, e); err != nil {
+		return nil, operatorError(err)
+	}
+	return &messenger.ShardReportResponse{}, nil
+}
+
 // Inspect implements messenger.Peer.
 func (d *Server) Inspect(ctx context.Context, r *messenger.InspectRequest) (*messenger.InspectResponse, error) {
 	report, err := d.controller.Inspect(ctx, r.Shard)
