--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/committer"
-	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 )
@@ -17,10 +16,6 @@
 	if o.inFlight != nil {
 		return
 	}
-	if now.Sub(o.horizonSet) >= horizonLengths[declarer.ClassBatch]/3 {
-		o.next.changes = append(o.next.changes, horizonChanges()...)
-		o.horizonSet = now
-	}
 	if o.next.isEmpty() {
 		return
 	}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -94,11 +94,10 @@
 	// runners has the reported runner of each service task.
 	runners map[scheduler.TaskID]*messenger.Route
 	// asking has the predecessor's workers that haven't been asked yet.
-	asking     map[string]bool
-	begun      time.Time
-	inherited  map[declarer.Class]time.Time
-	horizonSet time.Time
-	compacted  time.Time
+	asking    map[string]bool
+	begun     time.Time
+	inherited map[declarer.Class]time.Time
+	compacted time.Time
 	// overLimit is set while the state is too large for a snapshot.
 	overLimit   bool
 	homePresent time.Time
@@ -175,8 +174,11 @@
 	}
 	for _, ch := range changes {
 		o.horizon.extend(ch.HorizonSet.Class, begun, ch.HorizonSet.Length)
+		if err := o.core.Apply(ch); err != nil {
+			return err
+		}
 	}
-	o.begun, o.horizonSet, o.compacted = time.Now(), begun, time.Now()
+	o.begun, o.compacted = time.Now(), time.Now()
 	o.inherited = inheritedLeases(o.ledger, recorded, released, o.begun)
 	if o.ledger.Uncovered() >= snapshotEvery {
 		if err := o.compact(o.core.Snapshot()); err != nil {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -98,10 +98,15 @@
 	begun       time.Time
 	config      *declarer.Config
 	confirmedAt time.Time
-	attempts    map[TaskID]*attempt
+	// weights and parts are the teams' weights and quotas in this domain.
+	weights  map[string]int
+	parts    map[string]declarer.Resources
+	attempts map[TaskID]*attempt
 	// reports has the time before which a report of a worker is out of date.
 	reports map[string]time.Time
 	peers   map[string]PeerReport
+	// horizon has when the horizon of a class was recorded last.
+	horizon map[declarer.Class]time.Time
 	claims  []claim
 	speed   map[string]time.Duration
 	explainer
@@ -117,6 +122,8 @@
 	lastSent   time.Time
 	forgotten  time.Time
 	lastPlace  time.Time
+	// isCaretaker is set when the owner belongs to another domain.
+	isCaretaker bool
 	// unsent has the jobs of other shards with counts to report.
 	unsent map[string]bool
 	// completeAt is when this owner first saw that a job is complete.
@@ -149,7 +156,7 @@
 			queue: newQueue(), view: view{slots: map[string]int{}}, usage: usage{teams: map[string]declarer.Resources{}},
 		},
 		soft: soft{
-			attempts: map[TaskID]*attempt{}, reports: map[string]time.Time{}, peers: map[string]PeerReport{},
+			attempts: map[TaskID]*attempt{}, reports: map[string]time.Time{}, peers: map[string]PeerReport{}, horizon: map[declarer.Class]time.Time{},
 			speed: map[string]time.Duration{}, unsent: map[string]bool{}, completeAt: map[string]time.Time{}, explainer: newExplainer(),
 		},
 	}
@@ -185,7 +192,7 @@
 	case e.Unreachable != nil:
 		c.missWorker(e.Unreachable.ID)
 	case e.Caretaking != nil:
-		c.handOverPending(e.Caretaking.To)
+		c.caretake(e.Caretaking.To)
 	case e.WorkerLeaving != nil:
 		c.moveWorker(e.WorkerLeaving.ID, "leave", "listed as leaving")
 	case e.Report != nil:
@@ -212,6 +219,7 @@
 // tick does what depends on time. Its cost does not depend on the number of
 // tasks unless the domain is being drained.
 func (c *Core) tick(now time.Time) {
+	c.extendHorizons(now)
 	c.probeWorkers(now)
 	c.drain(now)
 	c.reconcileAgain(now)
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -130,6 +130,13 @@
 	return tasks
 }
 
+// caretake gives pending batch work to other shards while the owner belongs to
+// another domain; nothing starts here.
+func (c *Core) caretake(to []string) {
+	c.isCaretaker = true
+	c.handOverPending(to)
+}
+
 // handOverPending gives pending batch work to shards in order of deadline.
 func (c *Core) handOverPending(to []string) {
 	if len(to) == 0 || len(c.transfers) >= maxTransfers {
