--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -101,3 +101,21 @@
 	_, err = peer.Report(ctx, r)
 	return err
 }
+
+// TakeReport gives the owner of a shard what another shard's owner sent; it
+// returns after the commit.
+func (c *Controller) TakeReport(ctx context.Context, r *messenger.ShardReport) error {
+	var e scheduler.Event
+	if len(r.Totals) > 0 {
+		e.Totals = &scheduler.TotalsReported{}
+		if err := cbor.Unmarshal(r.Totals, e.Totals); err != nil {
+			return &NotAcceptedError{r.ToShard, "totals: " + err.Error()}
+		}
+	} else {
+		e.Peer = &scheduler.PeerReport{}
+		if err := cbor.Unmarshal(r.Peer, e.Peer); err != nil {
+			return &NotAcceptedError{r.ToShard, "peer: " + err.Error()}
+		}
+	}
+	return c.Deliver(ctx, r.ToShard, e)
+}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -127,19 +127,7 @@
 
 // Report implements messenger.Peer.
 func (d *Server) Report(ctx context.Context, r *messenger.ShardReport) (*messenger.ShardReportResponse, error) {
-	var e scheduler.Event
-	if len(r.Totals) > 0 {
-		e.Totals = &scheduler.TotalsReported{}
-		if err := cbor.Unmarshal(r.Totals, e.Totals); err != nil {
-			return nil, twirp.InvalidArgumentError("totals", err.Error())
-		}
-	} else {
-		e.Peer = &scheduler.PeerReport{}
-		if err := cbor.Unmarshal(r.Peer, e.Peer); err != nil {
-			return nil, twirp.InvalidArgumentError("peer", err.Error())
-		}
-	}
-	if err := d.controller.Deliver(ctx, r.ToShard, e); err != nil {
+	if err := d.controller.TakeReport(ctx, r); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.ShardReportResponse{}, nil
--- a/standins/rehearser/rehearser.go
+++ b/standins/rehearser/rehearser.go
@@ -337,7 +337,7 @@
 	return s
 }
 
-// peer is a daemon as another one calls it. Only HandOver is there.
+// peer is a daemon as another one calls it, for messages between shards.
 type peer struct {
 	messenger.Peer
 	to   *Daemon
@@ -357,6 +357,24 @@
 	return &messenger.HandOverResponse{Accepted: err == nil}, err
 }
 
+// Report implements messenger.Peer.
+func (p *peer) Report(ctx context.Context, r *messenger.ShardReport) (*messenger.ShardReportResponse, error) {
+	err := p.to.Controller.TakeReport(ctx, r)
+	if p.mute.Load() {
+		return nil, errors.New("injected")
+	}
+	return &messenger.ShardReportResponse{}, err
+}
+
+// Cancel implements messenger.Peer.
+func (p *peer) Cancel(ctx context.Context, r *messenger.CancelRequest) (*messenger.CancelResponse, error) {
+	err := p.to.Controller.Cancel(ctx, r.Shard, scheduler.JobCancelled{JobID: r.JobId, Home: r.Home})
+	if p.mute.Load() {
+		return nil, errors.New("injected")
+	}
+	return &messenger.CancelResponse{}, err
+}
+
 func (d *Daemon) peer(shard string) messenger.Peer {
 	if owner := d.system.Owner(shard); owner != nil {
 		return &peer{to: owner, mute: &d.PeersMute}
