Let watchers and replicas wait for the reports of the other domains

Cause: a watcher that moved between domains could run in both for a while, and a domain that was taken out stopped its replicas after a fixed time. Reports go out on a change, every 5 s while some domain waits, and every minute. Ruled out: a report each second: 5 KB to seven domains is over a node's 9 KB/s.

--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -266,6 +266,9 @@
 			return true
 		}
 		o.takeCare()
+		// A caretaker starts nothing, but ends what is declared elsewhere by
+		// now and tells the other domains.
+		o.confirmConfig(now)
 	}
 	o.handle(scheduler.Event{Tick: &scheduler.Tick{}})
 	o.flush(now)
@@ -287,13 +290,12 @@
 // takeCare hands the waiting work of another domain's shard over.
 func (o *owner) takeCare() {
 	config, _ := o.shard.controller.options.Config.Current()
-	if config == nil || len(o.asking) > 0 {
-		return
-	}
 	var to []string
-	for _, domain := range config.DomainsIn() {
-		if domain != o.shard.name && o.canReach(domain) {
-			to = append(to, domain)
+	if config != nil && len(o.asking) == 0 {
+		for _, domain := range config.DomainsIn() {
+			if domain != o.shard.name && o.canReach(domain) {
+				to = append(to, domain)
+			}
 		}
 	}
 	o.handle(scheduler.Event{Caretaking: &scheduler.Caretaking{To: to}})
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -119,6 +119,7 @@
 	unmatched  bool
 	wanted     map[TaskID]bool
 	peersSent  time.Time
+	lastReport PeerReport
 	lastSent   time.Time
 	forgotten  time.Time
 	lastPlace  time.Time
@@ -208,7 +209,7 @@
 	case e.TotalsKept != nil:
 		c.confirmTotals(*e.TotalsKept)
 	case e.Peer != nil:
-		c.peers[e.Peer.Shard] = *e.Peer
+		c.takePeerReport(*e.Peer)
 	case e.Allowance != nil:
 		c.keepAllowance(*e.Allowance)
 	case e.Tick != nil:
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -72,8 +72,10 @@
 	Revision uint64
 	// Replicas counts the running replicas of each service.
 	Replicas map[string]int
-	// Watchers are the watchers that the shard has an attempt of.
+	// Watchers are the watchers that the shard has, whatever their state.
 	Watchers []string
+	// Waiting is set when the shard waits for the reports of others.
+	Waiting bool
 }
 
 // AllowanceGiven replaces the part of a team's quota that the domain may
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -11,8 +12,12 @@
 	// surplusGrace is how long surplus replicas stay when the shards don't
 	// report to each other.
 	surplusGrace = 10 * time.Second
-	// quietInterval is the time between peer reports while nothing moves.
-	quietInterval = 10 * time.Second
+	// quietInterval is the time between peer reports while nothing moves, and
+	// busyInterval while some domain waits for others. With a few hundred
+	// services a report is about 5 KB, and seven other domains get it, so a
+	// short interval would use up a node's 9 KB a second.
+	quietInterval = time.Minute
+	busyInterval  = 5 * time.Second
 	reconcileEach = time.Second
 )
 
@@ -140,17 +145,32 @@
 	}
 }
 
-// sendPeerReport tells the other domains what runs here.
+// sendPeerReport tells the other domains what runs here, when that has changed
+// or some domain waits for it, and now and then.
 func (c *Core) sendPeerReport() {
 	if c.config == nil || !c.options.AwaitPeers {
 		return
 	}
-	busy := c.unmatched || len(c.config.DomainsOut) > 0 || c.now.Sub(c.configAt) < drainDeadline
-	if !busy && c.now.Sub(c.peersSent) < quietInterval {
+	r := c.peerReport()
+	pause := quietInterval
+	if r.Waiting || len(c.config.DomainsOut) > 0 {
+		pause = busyInterval
+	}
+	last := c.lastReport
+	changed := r.Revision != last.Revision || r.Waiting != last.Waiting || !maps.Equal(r.Replicas, last.Replicas) || !slices.Equal(r.Watchers, last.Watchers)
+	if !changed && c.now.Sub(c.peersSent) < pause {
 		return
 	}
-	c.peersSent = c.now
-	r := PeerReport{Shard: c.options.Shard, Revision: c.config.Revision, Replicas: map[string]int{}}
+	c.peersSent, c.lastReport = c.now, r
+	for _, d := range c.config.Domains {
+		if d != c.options.Domain {
+			c.command(Command{Peer: &SendPeerReport{d, r}})
+		}
+	}
+}
+
+func (c *Core) peerReport() PeerReport {
+	r := PeerReport{Shard: c.options.Shard, Revision: c.config.Revision, Replicas: map[string]int{}, Waiting: c.unmatched}
 	for _, s := range c.config.Services {
 		for _, t := range c.byOwner[s.Name] {
 			if t.Class == declarer.ClassService && t.State == Running {
@@ -163,9 +183,13 @@
 			r.Watchers = append(r.Watchers, w.Name)
 		}
 	}
-	for _, d := range c.config.Domains {
-		if d != c.options.Domain {
-			c.command(Command{Peer: &SendPeerReport{d, r}})
-		}
+	return r
+}
+
+// takePeerReport keeps what another shard runs, and answers one that waits.
+func (c *Core) takePeerReport(r PeerReport) {
+	c.peers[r.Shard] = r
+	if r.Waiting && c.now.Sub(c.peersSent) >= reportInterval {
+		c.peersSent = time.Time{}
 	}
 }
