--- a/internal/scheduler/behaviour_test.go
+++ b/internal/scheduler/behaviour_test.go
@@ -331,3 +331,35 @@
 	}
 	c.Assert(w.east().core.jobs["j"].Totals().Done, quicktest.Equals, 5)
 }
+
+// TestNewSizeRollsOver guards against a declared size that never takes effect
+// on running replicas, and against all replicas stopping for it at once.
+func TestNewSizeRollsOver(t *testing.T) {
+	c := quicktest.New(t)
+	w := started(t, 3)
+	w.configure(func(cfg *declarer.Config) {
+		cfg.Services = []declarer.Service{{Name: "web", Team: "one", Replicas: 6, Resources: cfg.Services[0].Resources}}
+	})
+	w.until(w.settled, time.Minute)
+	size := declarer.Resources{MilliCPU: 1500, MemoryMB: 100}
+	w.configure(func(cfg *declarer.Config) {
+		cfg.Services = []declarer.Service{{Name: "web", Team: "one", Replicas: 6, Resources: size}}
+	})
+	least := 3
+	isNew := func() bool {
+		running, current := 0, 0
+		for _, x := range w.east().core.byOwner["web"] {
+			if x.State == Running {
+				running++
+			}
+			if x.State == Running && x.Reserved == size {
+				current++
+			}
+		}
+		least = min(least, running)
+		return current == 3
+	}
+	c.Assert(w.until(isNew, time.Minute), quicktest.IsTrue)
+	noProblem(t, w)
+	c.Assert(least, quicktest.Equals, 2)
+}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -64,6 +64,10 @@
 func (c *Core) want(t Task) {
 	c.wanted[t.ID] = true
 	old := c.tasks[t.ID]
+	if old != nil && (old.Declared != t.Declared || old.Team != t.Team) {
+		c.replace(old)
+		old = c.tasks[t.ID]
+	}
 	if old == nil {
 		c.record(Change{TaskAdded: &TaskAdded{t}})
 		return
@@ -72,6 +76,18 @@
 	c.unmatched = c.unmatched || old.Cancelling
 }
 
+// replace ends a task that was declared anew with another size or team, one of
+// a service at a time, so that the others go on answering.
+func (c *Core) replace(old *Task) {
+	c.unmatched = true
+	for _, t := range c.byOwner[old.Owner] {
+		if t.Class == old.Class && t.State != Running && Holds(old.State) {
+			return
+		}
+	}
+	c.end(old, "declared with another size or team")
+}
+
 // endSurplus ends the tasks that are not declared here, and replicas that are
 // declared elsewhere once those run.
 func (c *Core) endSurplus(now time.Time) {
