--- a/internal/interpreter/chart_test.go
+++ b/internal/interpreter/chart_test.go
@@ -34,6 +34,8 @@
 	s, err := chart.Next("shut", "open")
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(s, quicktest.Equals, State("ajar"))
+	c.Assert(chart.Accepts("shut", "open"), quicktest.IsTrue)
+	c.Assert(chart.Accepts("shut", "close"), quicktest.IsFalse)
 	_, err = chart.Next("shut", "close")
 	var e *TransitionError
 	c.Assert(errors.As(err, &e), quicktest.IsTrue)
--- a/internal/scheduler/behaviour_test.go
+++ b/internal/scheduler/behaviour_test.go
@@ -363,3 +363,31 @@
 	noProblem(t, w)
 	c.Assert(least, quicktest.Equals, 2)
 }
+
+// TestCancellationWave guards against a cost in proportion to the waiting tasks
+// when many jobs are cancelled at once, and against starts of cancelled work.
+func TestCancellationWave(t *testing.T) {
+	c := quicktest.New(t)
+	w := started(t, 3)
+	const jobs = 200
+	for i := range jobs {
+		w.submitJob(declarer.BatchJob{ID: fmt.Sprintf("c%d", i), Team: "two", Tasks: 1000, Resources: declarer.Resources{MilliCPU: 500, MemoryMB: 10}})
+	}
+	w.run(3 * time.Second)
+	core, live, changes := w.east().core, 0, 0
+	for i := range jobs {
+		live += len(core.byOwner[fmt.Sprintf("c%d", i)])
+		w.cancel(fmt.Sprintf("c%d", i))
+	}
+	changes = len(w.east().group)
+	t.Logf("%d changes cancel %d jobs of 1000 tasks, of which %d have an attempt", changes, jobs, live)
+	c.Assert(live > 0, quicktest.IsTrue)
+	c.Assert(changes, quicktest.Equals, jobs+live)
+	w.run(5 * time.Second)
+	noProblem(t, w)
+	for _, x := range w.east().workers {
+		for id, r := range x.running {
+			c.Assert(r.start.Class == declarer.ClassBatch, quicktest.IsFalse, quicktest.Commentf("%s runs", id))
+		}
+	}
+}
--- a/internal/scheduler/transfer.go
+++ b/internal/scheduler/transfer.go
@@ -17,6 +17,9 @@
 		return
 	}
 	if c.record(Change{TakenOver: &TakenOver{e.TransferID, e.Task}}) {
+		if t, j := c.tasks[e.Task.ID], c.jobs[e.Task.Owner]; t != nil && j.Parked != "" {
+			c.record(Change{TaskParked: &TaskParked{t.ID, j.Parked}})
+		}
 		c.explain(Explanation{Action: "take_over", Task: e.Task.ID, Job: e.Task.Owner, Reason: "transfer " + e.TransferID, Figures: []Figure{{"tasks", float64(max(e.Task.Count, 1))}}})
 	}
 }
