--- a/internal/scheduler/behaviour_test.go
+++ b/internal/scheduler/behaviour_test.go
@@ -111,14 +111,16 @@
 	noProblem(t, w)
 	c.Assert(replicas, quicktest.Equals, 2, quicktest.Commentf("a replica stopped before its successor ran"))
 	var order []string
+	var last time.Time
 	explanations := w.east().core.Explain(Query{})
 	for i := len(explanations) - 1; i >= 0; i-- {
 		if explanations[i].Action == "checkpoint" {
 			order = append(order, explanations[i].Job)
+			last = explanations[i].At
 		}
 	}
 	c.Assert(order, quicktest.DeepEquals, []string{"d2", "d2", "d3", "d3", "d1", "d1", "d0", "d0"})
-	c.Assert(w.now.Sub(begun) >= 3*time.Second, quicktest.IsTrue, quicktest.Commentf("8 attempts left within %s at 2 a second", w.now.Sub(begun)))
+	c.Assert(last.Sub(begun) >= 3*time.Second, quicktest.IsTrue, quicktest.Commentf("8 attempts left within %s at 2 a second", last.Sub(begun)))
 	// Back: starts are admitted at a growing rate.
 	w.out(false)
 	back := w.now
@@ -331,3 +333,63 @@
 	}
 	c.Assert(w.east().core.jobs["j"].Totals().Done, quicktest.Equals, 5)
 }
+
+// TestNewSizeRollsOver guards against a declared size that never takes effect
+// on running replicas, and against all replicas stopping for it at once.
+func TestNewSizeRollsOver(t *testing.T) {
+	c := quicktest.New(t)
+	w := started(t, 3)
+	w.configure(func(cfg *declarer.Config) {
+		cfg.Services = []declarer.Service{{Name: "web", Team: "one", Replicas: 6, Resources: cfg.Services[0].Resources}}
+	})
+	w.until(w.settled, time.Minute)
+	size := declarer.Resources{MilliCPU: 1500, MemoryMB: 100}
+	w.configure(func(cfg *declarer.Config) {
+		cfg.Services = []declarer.Service{{Name: "web", Team: "one", Replicas: 6, Resources: size}}
+	})
+	least := 3
+	isNew := func() bool {
+		running, current := 0, 0
+		for _, x := range w.east().core.byOwner["web"] {
+			if x.State == Running {
+				running++
+			}
+			if x.State == Running && x.Reserved == size {
+				current++
+			}
+		}
+		least = min(least, running)
+		return current == 3
+	}
+	c.Assert(w.until(isNew, time.Minute), quicktest.IsTrue)
+	noProblem(t, w)
+	c.Assert(least, quicktest.Equals, 2)
+}
+
+// TestCancellationWave guards against a cost in proportion to the waiting tasks
+// when many jobs are cancelled at once, and against starts of cancelled work.
+func TestCancellationWave(t *testing.T) {
+	c := quicktest.New(t)
+	w := started(t, 3)
+	const jobs = 200
+	for i := range jobs {
+		w.submitJob(declarer.BatchJob{ID: fmt.Sprintf("c%d", i), Team: "two", Tasks: 1000, Resources: declarer.Resources{MilliCPU: 500, MemoryMB: 10}})
+	}
+	w.run(3 * time.Second)
+	core, live, changes := w.east().core, 0, 0
+	for i := range jobs {
+		live += len(core.byOwner[fmt.Sprintf("c%d", i)])
+		w.cancel(fmt.Sprintf("c%d", i))
+	}
+	changes = len(w.east().group)
+	t.Logf("%d changes cancel %d jobs of 1000 tasks, of which %d have an attempt", changes, jobs, live)
+	c.Assert(live > 0, quicktest.IsTrue)
+	c.Assert(changes, quicktest.Equals, jobs+live)
+	w.run(5 * time.Second)
+	noProblem(t, w)
+	for _, x := range w.east().workers {
+		for id, r := range x.running {
+			c.Assert(r.start.Class == declarer.ClassBatch, quicktest.IsFalse, quicktest.Commentf("%s runs", id))
+		}
+	}
+}
