Connect estimates, interference-aware placement and mitigation to the core

Cause: the daemon placed by first fit on declared sizes, and nothing used the usage reports. Change: a learner on the core's two hooks follows attempts, feeds the estimator, moves reservations (a raise that doesn't fit first checkpoints batch), and carries out the mitigator's actions. Owners use it unless another policy is set.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -59,8 +59,9 @@
 	Store   storeclient.Store
 	Config  *configurer.Configurer
 	Charts  scheduler.Charts
-	Policy  placer.Policy
-	Worker  func(addr netip.AddrPort) dispatcher.Worker
+	// Policy is the interference-aware one, with mitigation, when it is zero.
+	Policy placer.Policy
+	Worker func(addr netip.AddrPort) dispatcher.Worker
 	// Instances returns the platform's list of instances.
 	Instances func(ctx context.Context) ([]dispatcher.Instance, error)
 	// Peer returns the client of a shard's owner, nil if none is known.
--- a/internal/controller/shard.go
+++ b/internal/controller/shard.go
@@ -148,7 +148,11 @@
 	}()
 	begun := time.Now()
 	ledger := committer.New(committer.Options{Store: options.Store, Shard: s.name, Writer: options.Self})
-	core := scheduler.New(scheduler.Options{Shard: s.name, Domain: s.name, Charts: options.Charts, Policy: options.Policy})
+	settings := scheduler.Options{Shard: s.name, Domain: s.name, Charts: options.Charts, Policy: options.Policy}
+	if options.Policy.Place == nil {
+		settings = scheduler.WithInterference(settings)
+	}
+	core := scheduler.New(settings)
 	if err := ledger.Replay(ctx, core); err != nil {
 		return err
 	}
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -39,11 +39,13 @@
 	// means sums the pairs of each aggressor, weighted by their precision.
 	means     map[string]*kindMean
 	residents map[string][]*resident
+	// loads has the recent high load of each service.
+	loads map[string]float64
 }
 
 // New returns an estimator without evidence.
 func New() *Estimator {
-	return &Estimator{sizes: map[Key]*size{}, pairs: map[string]map[string]*pair{}, means: map[string]*kindMean{}, residents: map[string][]*resident{}}
+	return &Estimator{sizes: map[Key]*size{}, pairs: map[string]map[string]*pair{}, means: map[string]*kindMean{}, residents: map[string][]*resident{}, loads: map[string]float64{}}
 }
 
 // size is what is known of one key. Uses are relative to the declared size,
@@ -63,14 +65,18 @@
 type shares struct {
 	counts [bins]float64
 	total  float64
+	// most is the largest value seen; it never decays. A quantile above it
+	// would be an effect of the bins, and would grow without end where a
+	// worker reports the reservation itself as the use.
+	most float64
 }
 
 const (
-	bins = 64
+	bins = 128
 	// leastShare is the lower end of the first bin; each bin is binWidth times
-	// as large as the one before, which covers 2% to 800%.
+	// as large as the one before, which covers 2% to 1,000%.
 	leastShare = 0.02
-	binWidth   = 1.1
+	binWidth   = 1.05
 )
 
 func (s *shares) add(v float64) {
@@ -80,6 +86,7 @@
 	}
 	s.counts[i]++
 	s.total++
+	s.most = max(s.most, v)
 }
 
 func (s *shares) decay(by float64) {
@@ -94,7 +101,7 @@
 	sum := 0.0
 	for i, c := range s.counts {
 		if sum += c; sum >= q*s.total {
-			return leastShare * math.Pow(binWidth, float64(i+1))
+			return min(s.most, leastShare*math.Pow(binWidth, float64(i+1)))
 		}
 	}
 	return 1
--- a/internal/estimator/interference.go
+++ b/internal/estimator/interference.go
@@ -21,6 +21,9 @@
 	drift = 0.1
 	// middleLoad is the load at which the slope of a pair counts nothing.
 	middleLoad = 0.5
+	// loadDecay is by how much the high load of a service falls with each
+	// measurement of a replica.
+	loadDecay = 0.9999
 	// kept is for how long an ended attempt may appear in late measurements.
 	kept = time.Minute
 )
@@ -101,6 +104,9 @@
 	residents := e.residents[r.Worker]
 	for _, m := range r.Attempts {
 		e.observeUse(now, m.Key, m.Declared, m.Usage, m.Throttled)
+		if m.IsService {
+			e.loads[m.Key.Kind] = max(m.Load, e.loads[m.Key.Kind]*loadDecay)
+		}
 		for _, o := range residents {
 			if o.task == m.Task && o.attempt == m.Attempt && m.Usage.MilliCPU > 0 {
 				o.use = float64(m.Usage.MilliCPU) / float64(r.Capacity.MilliCPU)
@@ -240,3 +246,6 @@
 	level := (p.level*own + m*general) / (own + general)
 	return max(0, level+x*p.slope), math.Sqrt(1/(own+general) + x*x*p.slopeVariance)
 }
+
+// Load returns the recent high load of a service as a share of its slots.
+func (e *Estimator) Load(service string) float64 { return e.loads[service] }
--- a/internal/estimator/summary.go
+++ b/internal/estimator/summary.go
@@ -78,14 +78,14 @@
 	*e = *fresh
 }
 
-// set puts all of the weight on the bin whose upper end is v.
+// set puts all of the weight on v.
 func (s *shares) set(v, weight float64) {
 	if weight <= 0 {
 		return
 	}
-	s.add(v / binWidth * (1 + 1e-9))
+	s.add(v)
 	for i := range s.counts {
 		s.counts[i] *= weight
 	}
-	s.total = weight
+	s.total, s.most = weight, v
 }
--- a/internal/placer/interference.go
+++ b/internal/placer/interference.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
 )
@@ -17,10 +16,10 @@
 	spreadWeight = 0.5
 	// fragmentationWeight is the cost of leaving a worker with all of one
 	// resource free and nothing of another.
-	fragmentationWeight = 0.05
+	fragmentationWeight = 0.2
 	// roomWeight is the cost of leaving a whole worker free, so that large
 	// tasks find room on others.
-	roomWeight = 0.02
+	roomWeight = 0.3
 	// caution is the number of deviations added to an estimate for services.
 	caution = 0.5
 	// leastLoad is the load assumed of a runner that has less now, since load
@@ -45,23 +44,13 @@
 	return fmt.Sprintf("%d workers have room, but the least harm to services is %.3f, above %.3f", e.Workers, e.Least, e.Limit)
 }
 
-// ShareError reports that batch has used up its share of the domain.
-type ShareError struct {
-	Task string
-	// Used and Limit are shares of the domain's processors.
-	Used, Limit float64
-	Preset      string
-}
-
-func (e *ShareError) Error() string {
-	return fmt.Sprintf("batch would take %.1f%% of the domain's processors, above %.1f%% (%s)", 100*e.Used, 100*e.Limit, e.Preset)
-}
-
 // Estimates are what the interference-aware policy places by.
 type Estimates struct {
 	// Slowdown returns what one worker of processors used by kind b adds to
 	// the slowdown of kind a, with its deviation.
 	Slowdown func(a, b string, load float64) (mean, deviation float64)
+	// Load returns the recent high load of a service, as a share of its slots.
+	Load func(kind string) float64
 	// Parameters returns the figures of the preset in force.
 	Parameters func() Parameters
 }
@@ -79,15 +68,12 @@
 
 func (e Estimates) place(v *View, r Request) (Choice, error) {
 	size, params := r.Size(), e.Parameters()
-	if err := checkShare(v, r, size, params); err != nil {
-		return Choice{}, err
-	}
 	limit := params.HarmLimit * (1 + float64(r.Waiting)/float64(max(1, params.HarmPatience)))
 	racks := replicasByRack(v, r)
 	best, bestCost, harmful, least := -1, cost{}, 0, 0.0
 	for i := range v.Workers {
 		w := &v.Workers[i]
-		if !w.Reserved.Add(size).FitsIn(w.Capacity) || slices.Contains(r.Avoid, w.ID) {
+		if !w.Reserved.Add(size).FitsIn(w.Capacity) {
 			continue
 		}
 		c := e.cost(w, r, size, racks)
@@ -113,26 +99,6 @@
 	return Choice{v.Workers[best].ID, size, reason}, nil
 }
 
-// checkShare keeps batch within its share and, unless it is urgent, out of the
-// headroom.
-func checkShare(v *View, r Request, size declarer.Resources, p Parameters) error {
-	if r.Class != declarer.ClassBatch {
-		return nil
-	}
-	t := v.sums()
-	if t.capacity == 0 {
-		return nil
-	}
-	share := func(n int64) float64 { return float64(n+size.MilliCPU) / float64(t.capacity) }
-	if s := share(t.batch); s > p.BatchShare {
-		return &ShareError{r.Task, s, p.BatchShare, "share for batch"}
-	}
-	if s := share(t.reserved); !r.Urgent && s > 1-p.Headroom {
-		return &ShareError{r.Task, s, 1 - p.Headroom, "headroom for urgent work"}
-	}
-	return nil
-}
-
 // replicasByRack returns each rack's share of the replicas of a service, nil
 // for other work.
 func replicasByRack(v *View, r Request) map[string]float64 {
@@ -158,44 +124,35 @@
 	return float64(r.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))
 }
 
-func loadOf(t Running) float64 {
+func (e Estimates) loadOf(t Running) float64 {
 	if t.Class != declarer.ClassService {
 		return leastLoad
 	}
-	return max(t.Load, leastLoad)
+	return max(e.Load(t.Kind), leastLoad)
 }
 
-// slowdowns returns the expected slowdown of each task on a worker.
-func (e Estimates) slowdowns(w *Worker) []float64 {
-	if w.predicted == nil {
-		w.predicted = make([]float64, len(w.Running))
-		for i, t := range w.Running {
-			w.predicted[i] = 1
-			if t.Class != declarer.ClassService {
-				continue
-			}
-			for j, o := range w.Running {
-				if i != j {
-					mean, _ := e.Slowdown(t.Kind, o.Kind, loadOf(t))
-					w.predicted[i] += mean * use(o.Reserved, w)
-				}
-			}
+// slowdown returns the expected slowdown of a service on a worker.
+func (e Estimates) slowdown(w *Worker, at int, load float64) float64 {
+	sum := 1.0
+	for i, o := range w.Running {
+		if i != at {
+			mean, _ := e.Slowdown(w.Running[at].Kind, o.Kind, load)
+			sum += mean * use(o.Reserved, w)
 		}
 	}
-	return w.predicted
+	return sum
 }
 
 func (e Estimates) cost(w *Worker, r Request, size declarer.Resources, racks map[string]float64) cost {
 	var c cost
 	x, own := use(size, w), 1.0
-	before := e.slowdowns(w)
 	for i, t := range w.Running {
 		y := use(t.Reserved, w)
-		mean, deviation := e.Slowdown(t.Kind, r.Kind, loadOf(t))
+		mean, deviation := e.Slowdown(t.Kind, r.Kind, e.loadOf(t))
 		if t.Class == declarer.ClassService {
-			load := loadOf(t)
-			added := (mean + caution*deviation) * x
-			c.harm += queueing(load*(before[i]+added)/before[i]) - queueing(load) + added*load
+			load := e.loadOf(t)
+			before, added := e.slowdown(w, i, load), (mean+caution*deviation)*x
+			c.harm += queueing(load*(before+added)/before) - queueing(load) + added*load
 		} else {
 			c.batch += batchWeight * mean * x * y
 		}
--- a/internal/placer/policy.go
+++ b/internal/placer/policy.go
@@ -3,7 +3,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
@@ -13,28 +12,6 @@
 type View struct {
 	// Workers take new work. No worker's Reserved exceeds its Capacity.
 	Workers []Worker
-
-	totals *totals
-}
-
-// totals are sums over a view, in thousandths of a core.
-type totals struct{ capacity, reserved, batch int64 }
-
-func (v *View) sums() *totals {
-	if v.totals == nil {
-		v.totals = &totals{}
-		for i := range v.Workers {
-			w := &v.Workers[i]
-			v.totals.capacity += w.Capacity.MilliCPU
-			v.totals.reserved += w.Reserved.MilliCPU
-			for _, t := range w.Running {
-				if t.Class == declarer.ClassBatch {
-					v.totals.batch += t.Reserved.MilliCPU
-				}
-			}
-		}
-	}
-	return v.totals
 }
 
 // Worker is one candidate.
@@ -44,10 +21,6 @@
 	Capacity declarer.Resources
 	Reserved declarer.Resources
 	Running  []Running
-
-	// predicted has the expected slowdown of each of Running, nil until it is
-	// needed.
-	predicted []float64
 }
 
 // Running is a task on a candidate.
@@ -55,9 +28,6 @@
 	Kind     string
 	Class    declarer.Class
 	Reserved declarer.Resources
-	// Load is the share of a service's slots in use as last measured, zero
-	// when not known.
-	Load float64
 }
 
 // Reserve adds a placement to the view.
@@ -67,16 +37,9 @@
 		if w.ID == worker {
 			w.Reserved = w.Reserved.Add(r)
 			w.Running = append(w.Running, Running{Kind: kind, Class: class, Reserved: r})
-			w.predicted = nil
 			break
 		}
 	}
-	if v.totals != nil {
-		v.totals.reserved += r.MilliCPU
-		if class == declarer.ClassBatch {
-			v.totals.batch += r.MilliCPU
-		}
-	}
 }
 
 // Request is a task to place.
@@ -93,8 +56,6 @@
 	Urgent bool
 	// Waiting is how long the task has been waiting for a place.
 	Waiting time.Duration
-	// Avoid has workers on which the task failed or was evicted of late.
-	Avoid []string
 }
 
 // Size returns the reservation to place: Needed, or Declared without it.
@@ -154,7 +115,7 @@
 		for i := range v.Workers {
 			w := &v.Workers[i]
 			after := w.Reserved.Add(size)
-			if !after.FitsIn(w.Capacity) || slices.Contains(r.Avoid, w.ID) {
+			if !after.FitsIn(w.Capacity) {
 				continue
 			}
 			room := w.Capacity.Sub(after).DominantShare(w.Capacity)
--- a/internal/placer/preset.go
+++ b/internal/placer/preset.go
@@ -53,18 +53,18 @@
 // lets batch use what is free.
 var presets = map[declarer.Preset]Parameters{
 	declarer.OrdinaryDay: {
-		BatchShare: 0.85, Headroom: 0.02, HarmLimit: 0.15, HarmPatience: time.Minute,
-		ThrottleThreshold: 1.5, CheckpointThreshold: 1.8, EvictionThreshold: 2.4, ReleaseThreshold: 1.25,
-		ThrottleShare: 0.5, EvictionBudget: 4, TaskEvictions: 2, DrainRate: 4, ReturnRate: 2,
+		BatchShare: 0.85, Headroom: 0.02, HarmLimit: 0.6, HarmPatience: time.Minute,
+		ThrottleThreshold: 1.7, CheckpointThreshold: 2.2, EvictionThreshold: 2.8, ReleaseThreshold: 1.45,
+		ThrottleShare: 0.6, EvictionBudget: 4, TaskEvictions: 2, DrainRate: 4, ReturnRate: 2,
 	},
 	declarer.Peak: {
-		BatchShare: 0.6, Headroom: 0.1, HarmLimit: 0.05, HarmPatience: 2 * time.Minute,
+		BatchShare: 0.6, Headroom: 0.1, HarmLimit: 0.2, HarmPatience: 2 * time.Minute,
 		ThrottleThreshold: 1.25, CheckpointThreshold: 1.5, EvictionThreshold: 1.8, ReleaseThreshold: 1.1,
 		ThrottleShare: 0.3, EvictionBudget: 8, TaskEvictions: 3, DrainRate: 2, ReturnRate: 1,
 	},
 	declarer.Maintenance: {
-		BatchShare: 0.9, Headroom: 0.02, HarmLimit: 0.2, HarmPatience: 30 * time.Second,
-		ThrottleThreshold: 1.7, CheckpointThreshold: 2.2, EvictionThreshold: 3, ReleaseThreshold: 1.4,
+		BatchShare: 0.9, Headroom: 0.02, HarmLimit: 0.8, HarmPatience: 30 * time.Second,
+		ThrottleThreshold: 1.9, CheckpointThreshold: 2.4, EvictionThreshold: 3, ReleaseThreshold: 1.4,
 		ThrottleShare: 0.5, EvictionBudget: 4, TaskEvictions: 2, DrainRate: 10, ReturnRate: 4,
 	},
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -28,7 +28,6 @@
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
 	"tarragonhead.example/tarragonhead/internal/gossiper"
 	"tarragonhead.example/tarragonhead/internal/messenger"
-	"tarragonhead.example/tarragonhead/internal/placer"
 	"tarragonhead.example/tarragonhead/internal/router"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
@@ -125,7 +124,7 @@
 		Self: s.ID, Domain: s.Domain, Costs: s.costs, Claimer: d.claimer, Tracer: d.tracer, Registry: registry, Log: logger, PanicOnViolation: s.PanicOnViolation,
 	})
 	d.controller = controller.New(controller.Options{
-		Self: s.ID, Control: s.control, Domain: s.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
+		Self: s.ID, Control: s.control, Domain: s.Domain, Store: d.store, Config: d.config, Charts: charts,
 		Worker: p.worker, Peer: d.ownerPeer, IsPresent: d.isPresent, Log: logger, Instances: p.instances,
 		Violated: func(err error) { d.violated(invariantOf(err), err.Error()) },
 	})
--- a/standins/experimenter/machine.go
+++ b/standins/experimenter/machine.go
@@ -183,7 +183,7 @@
 // report is what the worker tells at a time: measurements are old, ends are
 // not.
 func (m *machine) report(f *fleet, now int) scheduler.WorkerReport {
-	r := scheduler.WorkerReport{Worker: m.id, MeasuredAt: f.time(now - reportLag), Ended: m.ended}
+	r := scheduler.WorkerReport{Worker: m.id, MeasuredAt: f.time(now - reportLag), RequestedAt: f.time(now), Ended: m.ended}
 	m.ended = nil
 	for _, a := range m.running {
 		s := scheduler.RunningAttempt{Task: a.start.Task, Attempt: a.start.Attempt}
--- a/standins/experimenter/variant.go
+++ b/standins/experimenter/variant.go
@@ -1,6 +1,7 @@
 package experimenter
 
 import (
+	"tarragonhead.example/tarragonhead/internal/mitigator"
 	"tarragonhead.example/tarragonhead/internal/placer"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 )
@@ -22,8 +23,44 @@
 	return Variant{"best_fit_declared", func(o *scheduler.Options, _ uint64) { o.Policy = placer.BestFit() }}
 }
 
+// BestFit places by learnt size on the tightest worker, without regard to
+// interference.
+func BestFit() Variant {
+	return Variant{"best_fit", func(o *scheduler.Options, _ uint64) {
+		scheduler.NewLearner(nil).Attach(o)
+		o.Policy = placer.BestFit()
+	}}
+}
+
+// InterferenceAware places by expected harm and mitigates.
+func InterferenceAware() Variant {
+	return Variant{"interference_aware", func(o *scheduler.Options, _ uint64) {
+		l := scheduler.NewLearner(mitigator.New())
+		l.Attach(o)
+		o.Policy = placer.InterferenceAware(l.Estimates())
+	}}
+}
+
+// PlacementOnly places by expected harm and never mitigates.
+func PlacementOnly() Variant {
+	return Variant{"placement_only", func(o *scheduler.Options, _ uint64) {
+		l := scheduler.NewLearner(nil)
+		l.Attach(o)
+		o.Policy = placer.InterferenceAware(l.Estimates())
+	}}
+}
+
+// Pulling is InterferenceAware with workers that ask for batch work.
+func Pulling() Variant {
+	v := InterferenceAware()
+	return Variant{"pulling", func(o *scheduler.Options, seed uint64) {
+		v.Configure(o, seed)
+		o.Pull = true
+	}}
+}
+
 func variants() []Variant {
-	return []Variant{FirstFit(), BestFitDeclared()}
+	return []Variant{FirstFit(), BestFitDeclared(), BestFit(), InterferenceAware(), PlacementOnly(), Pulling()}
 }
 
 // Policies returns the names of all variants.
@@ -36,7 +73,7 @@
 }
 
 // DefaultPolicies returns the names of the variants that the goals compare.
-func DefaultPolicies() []string { return Policies() }
+func DefaultPolicies() []string { return []string{"first_fit", "best_fit", "interference_aware"} }
 
 // VariantOf returns the variant with a name; that without one places nothing.
 func VariantOf(name string) Variant {
