Let a claim wait for the lease only until its deadline

Cause: requests that waited for the lease of a new time bucket held a mutex during the call; with a store that doesn't answer they waited one after the other, beyond their deadlines. Change: a token that is waited for together with the deadline; a test with ten claims and a store that doesn't answer.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -134,7 +134,7 @@
 		claims: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tarragond_claims_total", Help: "Claims of idempotency keys by what came of them."}, []string{"result"}),
 		open:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "tarragond_claims_open", Help: "Claims whose outcome is not stored yet."}),
 	}
-	c.leases.store = o.Store
+	c.leases = leases{store: o.Store, turn: make(chan struct{}, 1)}
 	o.Registry.MustRegister(c.claims, c.open)
 	return c
 }
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -286,6 +286,29 @@
 	c.Check(*outcome, qt.DeepEquals, done)
 }
 
+// A claim waits for the store no longer than its own deadline, also behind
+// another one that waits for the lease.
+func TestClaimEndsAtItsDeadline(t *testing.T) {
+	c := qt.New(t)
+	m := newMemory()
+	store := m.store()
+	store.Grant = func(ctx context.Context, _ time.Duration) (storeclient.LeaseID, error) {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	a := New(Options{Store: store, Holder: "a", IsAlive: func(string) bool { return true }, Registry: prometheus.NewRegistry(), Log: &log.Logger{Level: log.PanicLevel}})
+	var all sync.WaitGroup
+	for i := range 10 {
+		all.Go(func() {
+			begun := time.Now()
+			_, _, err := a.Claim(within(c, 100*time.Millisecond), "s", fmt.Sprint(i), 1)
+			c.Check(err, qt.IsNotNil)
+			c.Check(time.Since(begun) < 400*time.Millisecond, qt.IsTrue)
+		})
+	}
+	all.Wait()
+}
+
 // Open claims are bounded, so that a store outage doesn't fill the memory.
 func TestOpenClaimsAreBounded(t *testing.T) {
 	c := qt.New(t)
--- a/internal/claimer/outcome.go
+++ b/internal/claimer/outcome.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -133,15 +132,21 @@
 // share it: one lease for each claim would be a third write to the store.
 type leases struct {
 	store storeclient.Store
+	// turn holds one token. Unlike a mutex, a request waits for it only until
+	// its deadline while the store doesn't answer.
+	turn chan struct{}
 
-	mu      sync.Mutex
 	current storeclient.LeaseID
 	granted time.Time
 }
 
 func (l *leases) get(ctx context.Context) (storeclient.LeaseID, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	select {
+	case l.turn <- struct{}{}:
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	defer func() { <-l.turn }()
 	if l.current != 0 && time.Since(l.granted) < leaseBucket {
 		return l.current, nil
 	}
@@ -156,8 +161,8 @@
 }
 
 func (l *leases) drop(id storeclient.LeaseID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.turn <- struct{}{}
+	defer func() { <-l.turn }()
 	if l.current == id {
 		l.current = 0
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tarragonhead.example/tarragonhead/internal/messenger"
+	"tarragonhead.example/tarragonhead/internal/tracer"
 )
 
 // startTarget serves h and echoes the request id, as a runner does.
@@ -296,3 +298,19 @@
 	}
 	c.Check(runs.Load(), qt.Equals, int64(5))
 }
+
+// With tracing on the target must get the context of the attempt's own span,
+// in the caller's trace.
+func TestTraceContextOfTheAttempt(t *testing.T) {
+	c := qt.New(t)
+	tr, err := tracer.New(tracer.Options{File: filepath.Join(t.TempDir(), "spans.jsonl")})
+	c.Assert(err, qt.IsNil)
+	seen := make(chan string, 1)
+	addr := startTarget(c, func(ctx *fasthttp.RequestCtx) { seen <- string(ctx.Request.Header.Peek(TraceparentHeader)) })
+	r := newTestRouter(Options{Tracer: tr}, route(addr, "t"))
+	const given = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	do(r, call{method: "GET", headers: map[string]string{TraceparentHeader: given}})
+	got := <-seen
+	c.Check(got, qt.Matches, "00-0af7651916cd43dd8448eb211c80319c-[0-9a-f]{16}-01")
+	c.Check(got, qt.Not(qt.Equals), given)
+}
