Let the runners misbehave during the run with process faults

Cause: with a POST that is sent again after a lost attempt, the run still passed: few requests are in an attempt at the moment when a process dies. Change: each runner closes, truncates, crosses, delays or refuses 3 of 1,000 answers or so during the run, and a request takes 10 ms.

--- a/standins/loader/faults.go
+++ b/standins/loader/faults.go
@@ -1,6 +1,8 @@
 package loader
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -86,6 +88,9 @@
 		s.ready[i].Store(true)
 		checks.Go(func() { s.checkReady(i, stop) })
 	}
+	if err := s.misbehave(); err != nil {
+		return s.report, err
+	}
 	load := s.loadWithFaults(w.Services[0].Name)
 	close(stop)
 	checks.Wait()
@@ -132,6 +137,43 @@
 	return nil
 }
 
+// misbehaviour is what each runner does wrong during the load. Without it few
+// requests are in an attempt at the moment when a process dies.
+var misbehaviour = []runner.Fault{
+	{Kind: runner.Close, Share: 0.003},
+	{Kind: runner.Truncate, Share: 0.003},
+	{Kind: runner.TruncateHeader, Share: 0.003},
+	{Kind: runner.Unframed, Share: 0.003},
+	{Kind: runner.Cross, Share: 0.003},
+	{Kind: runner.Extra, Share: 0.003},
+	{Kind: runner.Fail, Share: 0.003},
+	{Kind: runner.Refuse, Share: 0.01},
+	{Kind: runner.Late, Share: 0.001, DelayMS: 2500},
+}
+
+// misbehave tells each runner to misbehave.
+func (s *scenario) misbehave() error {
+	started, err := runner.ReadAnnouncements(s.options.Directory + "/records")
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(misbehaviour)
+	if err != nil {
+		return err
+	}
+	for _, a := range started {
+		response, err := http.Post("http://"+a.Admin+"/faults", "application/json", bytes.NewReader(body))
+		if err != nil {
+			return errors.Wrap(err, a.Name)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return errors.Errorf("%s: faults: status %d", a.Name, response.StatusCode)
+		}
+	}
+	return nil
+}
+
 // checkReady polls a daemon's readiness as the load balancer does.
 func (s *scenario) checkReady(daemon int, stop chan struct{}) {
 	client := &http.Client{Timeout: 500 * time.Millisecond}
@@ -162,7 +204,7 @@
 	}()
 	load := Run(Options{
 		Daemons: daemons, IsReady: func(i int) bool { return s.ready[i].Load() }, Service: service, Requests: o.Requests, Connections: 64, Rate: o.Rate,
-		Posts: 0.5, Keyed: 0.2, Repeats: 0.2, Timeout: 2 * time.Second, Lines: 40, Tag: "f", Seed: o.Seed,
+		Posts: 0.5, Keyed: 0.2, Repeats: 0.2, Timeout: 2 * time.Second, Lines: 40, Query: "&work_ms=10", Tag: "f", Seed: o.Seed,
 	})
 	<-done
 	return load
