--- a/cmd/tarragonctl/explain.go
+++ b/cmd/tarragonctl/explain.go
@@ -38,14 +38,14 @@
 		if err != nil {
 			return err
 		}
-		if len(r.Tasks)+len(r.Jobs)+len(r.Workers) == 0 {
+		if len(r.Tasks)+len(r.Jobs)+len(r.Workers)+len(r.Explanations) == 0 {
 			continue
 		}
 		found = true
 		if asJSON {
 			err = t.printJSON(r)
 		} else {
-			t.printExplanation(r)
+			t.printExplanation(kind, id, r)
 		}
 		if err != nil {
 			return err
@@ -60,10 +60,10 @@
 	return &refusedError{fmt.Sprintf("no shard has a %s %q", kind, id)}
 }
 
-func (t *tool) printExplanation(r controller.Report) {
+func (t *tool) printExplanation(kind, id string, r controller.Report) {
 	fmt.Fprintf(t.out, "shard %s, epoch %d\n", r.Shard, r.Epoch)
 	for _, j := range r.Jobs {
-		fmt.Fprintf(t.out, "job %s of team %s: %d tasks of %s; %d done, %d failed, %d cancelled\n", j.Job.ID, j.Job.Team, j.Job.Tasks, size(j.Job.Resources), j.Done, j.Failed, j.Cancelled)
+		t.printJob(j)
 	}
 	for _, w := range r.Workers {
 		fmt.Fprintf(t.out, "worker %s in rack %s is %s: %s reserved of %s, %s free\n", w.ID, w.Rack, w.State, size(w.Reserved), size(w.Capacity), size(w.Capacity.Sub(w.Reserved)))
@@ -71,6 +71,47 @@
 	for _, task := range r.Tasks {
 		t.printTask(task)
 	}
+	if kind == "task" && len(r.Tasks) == 0 {
+		fmt.Fprintf(t.out, "task %s has no attempt in this shard: it waits, has ended or was handed over; see its job\n", id)
+	}
+	if len(r.Explanations) > 0 {
+		fmt.Fprintln(t.out, "decisions, the latest first:")
+	}
+	for _, e := range r.Explanations {
+		t.printDecision(e)
+	}
+}
+
+func (t *tool) printJob(j scheduler.Job) {
+	totals := j.Totals()
+	fmt.Fprintf(t.out, "job %s of team %s: %d tasks of %s; %d done, %d failed, %d cancelled, %d untouched here, %d handed over\n",
+		j.Job.ID, j.Job.Team, j.Job.Tasks, size(j.Job.Resources), totals.Done, totals.Failed, totals.Cancelled, j.Untouched.Len(), j.HandedOver)
+	if j.Parked != "" {
+		fmt.Fprintf(t.out, "  parked: %s\n", j.Parked)
+	}
+	if len(j.FailedOn) > 0 {
+		fmt.Fprintf(t.out, "  failed on: %s\n", strings.Join(j.FailedOn, ", "))
+	}
+}
+
+// printDecision prints one decision with the figures it was based on.
+func (t *tool) printDecision(e scheduler.Explanation) {
+	text := fmt.Sprintf("  %s %s", e.At.UTC().Format("2006-01-02 15:04:05.000"), e.Action)
+	if e.Task != "" {
+		text += " " + string(e.Task)
+	}
+	if e.Worker != "" {
+		text += " on " + e.Worker
+	}
+	text += ": " + e.Reason
+	var figures []string
+	for _, f := range e.Figures {
+		figures = append(figures, fmt.Sprintf("%s %.4g", f.Name, f.Value))
+	}
+	if len(figures) > 0 {
+		text += " (" + strings.Join(figures, ", ") + ")"
+	}
+	fmt.Fprintln(t.out, text)
 }
 
 func (t *tool) printTask(task scheduler.Task) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -163,10 +163,14 @@
 }
 
 // Cancel cancels a job; it returns after the commit.
-func (c *Controller) Cancel(ctx context.Context, shard, id string) error {
-	return c.do(ctx, shard, func(*owner) (*scheduler.Event, error) {
-		return &scheduler.Event{Cancelled: &scheduler.JobCancelled{JobID: id}}, nil
-	})
+func (c *Controller) Cancel(ctx context.Context, shard string, e scheduler.JobCancelled) error {
+	return c.Deliver(ctx, shard, scheduler.Event{Cancelled: &e})
+}
+
+// Deliver gives an event of another shard or of an operator to a shard; it
+// returns after the commit.
+func (c *Controller) Deliver(ctx context.Context, shard string, e scheduler.Event) error {
+	return c.do(ctx, shard, func(*owner) (*scheduler.Event, error) { return &e, nil })
 }
 
 // TakeOver accepts a task from another shard; it returns after the commit. A
@@ -191,16 +195,13 @@
 	Tasks   []scheduler.Task   `json:"tasks"`
 	Jobs    []scheduler.Job    `json:"jobs"`
 	Workers []scheduler.Worker `json:"workers"`
+	// Explanations are decisions of this owner, the latest first.
+	Explanations []scheduler.Explanation `json:"explanations,omitempty"`
 }
 
-// Inspect returns the state of an owned shard as JSON.
+// Inspect returns the state of an owned shard as JSON, without explanations.
 func (c *Controller) Inspect(ctx context.Context, shard string) ([]byte, error) {
-	var r Report
-	err := c.do(ctx, shard, func(o *owner) (*scheduler.Event, error) {
-		s := o.core.Snapshot()
-		r = Report{shard, o.ledger.Epoch(), s.Tasks, s.Jobs, s.Workers}
-		return nil, nil
-	})
+	r, err := c.report(ctx, shard, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -208,6 +209,25 @@
 	return data, errors.Wrap(err, "encode")
 }
 
+// Explain returns the state of an owned shard with the explanations that match
+// a query.
+func (c *Controller) Explain(ctx context.Context, shard string, q scheduler.Query) (Report, error) {
+	return c.report(ctx, shard, &q)
+}
+
+func (c *Controller) report(ctx context.Context, shard string, q *scheduler.Query) (Report, error) {
+	var r Report
+	err := c.do(ctx, shard, func(o *owner) (*scheduler.Event, error) {
+		s := o.core.Snapshot()
+		r = Report{Shard: shard, Epoch: o.ledger.Epoch(), Tasks: s.Tasks, Jobs: s.Jobs, Workers: s.Workers}
+		if q != nil {
+			r.Explanations = o.core.Explain(*q)
+		}
+		return nil, nil
+	})
+	return r, err
+}
+
 const (
 	// retryPause is between two tries of an undecided append.
 	retryPause = 500 * time.Millisecond
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -72,14 +72,15 @@
 		head: bytes.Clone(f.head), body: bytes.Clone(f.body), span: f.span,
 	}
 	h.mu.Unlock()
-	if !f.router.budget.take() {
-		s.metrics.budgetDenied.Inc()
-		return
-	}
 	t := s.chooseShare(s.router.now(), first)
 	if t == nil {
 		return
 	}
+	if !f.router.budget.take() {
+		t.release()
+		s.metrics.budgetDenied.Inc()
+		return
+	}
 	h.mu.Lock()
 	isLate := !h.isArmed || h.generation != generation
 	if !isLate {
@@ -121,7 +122,8 @@
 // hedgeDelay returns after which time a request of the service is hedged, zero
 // for never.
 func (f *flight) hedgeDelay() time.Duration {
-	if !f.idempotent || f.class != latencyCritical || f.service.latency.count.Load() < hedgeSamples {
+	// The second attempt of a hedge has no timer and is not hedged itself.
+	if f.hedge.timer == nil || !f.idempotent || f.class != latencyCritical || f.service.latency.count.Load() < hedgeSamples {
 		return 0
 	}
 	return max(f.service.latency.high(), hedgeLeast)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -41,12 +41,6 @@
 // maxBodyBytes is the largest request body that a caller may send.
 const maxBodyBytes = 4 << 20
 
-// violations counts broken invariants of the shards that this process owned.
-var violations = promauto.NewCounter(prometheus.CounterOpts{
-	Name: "tarragon_shard_invariant_violations_total",
-	Help: "Broken invariants in the state of owned shards.",
-})
-
 // Server is one daemon.
 type Server struct {
 	settings   checked
--- a/standins/launcher/launcher.go
+++ b/standins/launcher/launcher.go
@@ -38,6 +38,10 @@
 	// NoPeers gives the daemons no peers in their settings, so that they find
 	// each other by the platform's list alone.
 	NoPeers bool
+	// Records is the directory for the runners' records; empty keeps none.
+	Records string
+	// DaemonArgs are further arguments of each daemon.
+	DaemonArgs []string
 	// StoreFor returns the address at which a daemon reaches the store, given
 	// the store's own; nil for the store's own.
 	StoreFor func(daemon string, store netip.AddrPort) (netip.AddrPort, error)
@@ -53,6 +57,9 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.command.Process.Signal(s) }
 
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Wait waits for the end of the process, or reports false after d.
 func (p *Process) Wait(d time.Duration) bool {
 	select {
@@ -162,6 +169,7 @@
 	if seed.IsValid() && !s.options.NoPeers {
 		args = append(args, "--peer", seed.String())
 	}
+	args = append(args, s.options.DaemonArgs...)
 	process, err := s.start(id, "tarragond", args...)
 	if err != nil {
 		return nil, err
@@ -196,6 +204,9 @@
 	}
 	command := exec.Command(filepath.Join(s.options.Binaries, binary), args...)
 	command.Stdout, command.Stderr = output, output
+	if s.options.Records != "" {
+		command.Env = append(os.Environ(), "STANDIN_RECORDS="+s.options.Records)
+	}
 	// The processes end with the one that started them, however it ends.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
