--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -12,22 +12,22 @@
 
 // Figure is a number on which a decision was based.
 type Figure struct {
-	Name  string
-	Value float64
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
 }
 
 // Explanation is the reason of one decision.
 type Explanation struct {
-	At time.Time
+	At time.Time `json:"at"`
 	// Action names the decision: "place", "refuse", "park", "evict",
 	// "checkpoint", "hand_over", "worker_quarantine" and others.
-	Action string
-	Task   TaskID
+	Action string `json:"action"`
+	Task   TaskID `json:"task,omitempty"`
 	// Job is the owner of the task: a job, a service or a watcher.
-	Job     string
-	Worker  string
-	Reason  string
-	Figures []Figure
+	Job     string   `json:"job,omitempty"`
+	Worker  string   `json:"worker,omitempty"`
+	Reason  string   `json:"reason"`
+	Figures []Figure `json:"figures,omitempty"`
 }
 
 // Query selects explanations. Empty fields match everything.
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -61,6 +61,10 @@
 	c.endSurplus(now)
 }
 
+// attemptBits leaves room for a million attempts of a task between two changes
+// of the configuration.
+const attemptBits = 20
+
 func (c *Core) want(t Task) {
 	c.wanted[t.ID] = true
 	old := c.tasks[t.ID]
@@ -69,6 +73,10 @@
 		old = c.tasks[t.ID]
 	}
 	if old == nil {
+		// Workers refuse attempts that are not above the last they saw of a
+		// task. A task that ended with an earlier configuration may come back
+		// under its name, so that its attempts go on above those.
+		t.Attempt = c.config.Revision << attemptBits
 		c.record(Change{TaskAdded: &TaskAdded{t}})
 		return
 	}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -135,9 +135,14 @@
 
 // Inspect implements messenger.Peer.
 func (d *Server) Inspect(ctx context.Context, r *messenger.InspectRequest) (*messenger.InspectResponse, error) {
-	report, err := d.controller.Inspect(ctx, r.Shard)
-	if err == nil && r.Kind != "" {
-		report, err = explain(report, r.Kind, r.Id)
+	var report []byte
+	err := checkKind(r.Kind, r.Id)
+	switch {
+	case err != nil:
+	case r.Kind == "":
+		report, err = d.controller.Inspect(ctx, r.Shard)
+	default:
+		report, err = d.explain(ctx, r)
 	}
 	if err != nil {
 		return nil, operatorError(err)
--- a/internal/server/explain.go
+++ b/internal/server/explain.go
@@ -1,13 +1,16 @@
 package server
 
 import (
+	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/controller"
 	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/messenger"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 )
 
@@ -30,28 +33,71 @@
 	return nil
 }
 
-// explain reduces a shard's report to what concerns one task, job or worker.
-func explain(report []byte, kind, id string) ([]byte, error) {
-	var r controller.Report
-	if err := json.Unmarshal(report, &r); err != nil {
-		return nil, errors.Wrap(err, "report")
+// shownExplanations bounds the decisions in one answer.
+const shownExplanations = 50
+
+// explain reports what concerns one task, job or worker of a shard.
+func (d *Server) explain(ctx context.Context, r *messenger.InspectRequest) ([]byte, error) {
+	q := scheduler.Query{}
+	switch r.Kind {
+	case KindWorker:
+		q.Worker = r.Id
+	case KindJob:
+		q.Job = r.Id
+	case KindTask:
+		// Decisions about a whole job are also about its tasks.
+		q.Job = jobOf(r.Id)
+		if q.Job == "" {
+			q.Task = scheduler.TaskID(r.Id)
+		}
 	}
-	data, err := json.Marshal(reduce(r, kind, id))
+	report, err := d.controller.Explain(ctx, r.Shard, q)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(reduce(report, r.Kind, r.Id))
 	return data, errors.Wrap(err, "explanation")
 }
 
+// jobOf returns the job of a task, "" if it belongs to none.
+func jobOf(task string) string {
+	rest, isJob := strings.CutPrefix(task, "job/")
+	id, _, whole := strings.Cut(rest, "/")
+	if !isJob || !whole {
+		return ""
+	}
+	return id
+}
+
+// reduce leaves out what does not concern the task, job or worker. A task comes
+// with its job and its worker.
 func reduce(r controller.Report, kind, id string) controller.Report {
-	var worker string
+	job, worker := "", ""
+	switch kind {
+	case KindTask:
+		job = jobOf(id)
+	case KindJob:
+		job = id
+	case KindWorker:
+		worker = id
+	}
 	r.Tasks = slices.DeleteFunc(r.Tasks, func(t scheduler.Task) bool {
-		keep := (kind == KindTask && string(t.ID) == id) || (kind == KindJob && t.Class == declarer.ClassBatch && t.Owner == id) || (kind == KindWorker && t.Worker == id)
-		if keep && kind == KindTask {
-			worker = t.Worker
+		switch kind {
+		case KindTask:
+			if string(t.ID) == id {
+				worker = t.Worker
+			}
+			return string(t.ID) != id
+		case KindJob:
+			return t.Class != declarer.ClassBatch || t.Owner != id
 		}
-		return !keep
+		return t.Worker != id
 	})
-	r.Jobs = slices.DeleteFunc(r.Jobs, func(j scheduler.Job) bool { return kind != KindJob || j.Job.ID != id })
-	r.Workers = slices.DeleteFunc(r.Workers, func(w scheduler.Worker) bool {
-		return !(kind == KindWorker && w.ID == id) && !(worker != "" && w.ID == worker)
+	r.Jobs = slices.DeleteFunc(r.Jobs, func(j scheduler.Job) bool { return job == "" || j.Job.ID != job })
+	r.Workers = slices.DeleteFunc(r.Workers, func(w scheduler.Worker) bool { return worker == "" || w.ID != worker })
+	r.Explanations = slices.DeleteFunc(r.Explanations, func(e scheduler.Explanation) bool {
+		return kind == KindTask && e.Task != "" && string(e.Task) != id
 	})
+	r.Explanations = r.Explanations[:min(len(r.Explanations), shownExplanations)]
 	return r
 }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -161,25 +161,29 @@
 				{ID: "job/y/0", Class: declarer.ClassBatch, Owner: "y", Worker: "w2"},
 				{ID: "watcher/x", Class: declarer.ClassWatcher, Owner: "x"},
 			},
-			Jobs:    []scheduler.Job{{Job: declarer.BatchJob{ID: "x"}}, {Job: declarer.BatchJob{ID: "y"}}},
+			Jobs: []scheduler.Job{{Job: declarer.BatchJob{ID: "x"}}, {Job: declarer.BatchJob{ID: "y"}}},
+			Explanations: []scheduler.Explanation{
+				{Job: "x", Reason: "parked"}, {Job: "x", Task: "job/x/0", Reason: "placed"}, {Job: "x", Task: "job/x/1", Reason: "refused"},
+			},
 			Workers: []scheduler.Worker{{ID: "w1"}, {ID: "w2"}},
 		}
 	}
 	tests := map[string]struct {
-		kind, id             string
-		tasks, jobs, workers int
+		kind, id                           string
+		tasks, jobs, workers, explanations int
 	}{
-		"task":            {KindTask, "job/x/0", 1, 0, 1},
-		"task on nothing": {KindTask, "watcher/x", 1, 0, 0},
-		"job":             {KindJob, "x", 1, 1, 0},
-		"worker":          {KindWorker, "w2", 1, 0, 1},
-		"unknown":         {KindWorker, "w3", 0, 0, 0},
+		"task":            {KindTask, "job/x/0", 1, 1, 1, 2},
+		"untouched task":  {KindTask, "job/x/7", 0, 1, 0, 1},
+		"task on nothing": {KindTask, "watcher/x", 1, 0, 0, 1},
+		"job":             {KindJob, "x", 1, 1, 0, 3},
+		"worker":          {KindWorker, "w2", 1, 0, 1, 3},
+		"unknown":         {KindWorker, "w3", 0, 0, 0, 3},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			r := reduce(report(), test.kind, test.id)
-			c.Assert([]int{len(r.Tasks), len(r.Jobs), len(r.Workers)}, qt.DeepEquals, []int{test.tasks, test.jobs, test.workers})
+			c.Assert([]int{len(r.Tasks), len(r.Jobs), len(r.Workers), len(r.Explanations)}, qt.DeepEquals, []int{test.tasks, test.jobs, test.workers, test.explanations})
 		})
 	}
 	c := qt.New(t)
