--- a/internal/committer/ledger_test.go
+++ b/internal/committer/ledger_test.go
@@ -127,6 +127,7 @@
 			for at := range 12 {
 				for _, times := range []int{1, 2} {
 					t.Run(fmt.Sprintf("%s/%s/call %d/%d times", operation, name, at, times), func(t *testing.T) {
+					t.Parallel()
 						checkFault(quicktest.New(t), run, kind, at, times)
 					})
 				}
@@ -182,6 +183,7 @@
 // TestRing guards against a slot that is overwritten before a snapshot covers
 // its record, and against a ring too full for a new owner.
 func TestRing(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	f := newFakeStore()
 	l, core := open(c, f.client(false), "x")
@@ -249,6 +251,7 @@
 // TestLargeValues guards against a value over the store's limit: a group of
 // changes is split, and a snapshot is refused without a write.
 func TestLargeValues(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	f := newFakeStore()
 	l, core := open(c, f.client(false), "x")
--- a/standins/rehearser/recovery_test.go
+++ b/standins/rehearser/recovery_test.go
@@ -27,6 +27,7 @@
 // rehearsal runs f on a system with one or more domains in virtual time, then
 // checks that no task ran twice at once.
 func rehearsal(t *testing.T, o Options, f func(*quicktest.C, *System)) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
 		level := log.FatalLevel
