--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -314,3 +314,16 @@
 	c.Check(got, qt.Matches, "00-0af7651916cd43dd8448eb211c80319c-[0-9a-f]{16}-01")
 	c.Check(got, qt.Not(qt.Equals), given)
 }
+
+// Older tables, and the empty one of a new owner, must not take targets away.
+func TestTablesOfOtherEpochs(t *testing.T) {
+	c := qt.New(t)
+	ro := route(startTarget(c, func(*fasthttp.RequestCtx) {}), "t")
+	r := newTestRouter(Options{}, ro)
+	for _, table := range []*messenger.RoutingTable{{Shard: "a", Epoch: 1}, {Shard: "a", Epoch: 2}, {Shard: "a", Epoch: 0, Version: 9}} {
+		r.Update(table)
+		c.Check(resultOf(do(r, call{method: "POST"})), qt.Equals, "ok")
+	}
+	r.Update(&messenger.RoutingTable{Shard: "a", Epoch: 2, Version: 1})
+	c.Check(resultOf(do(r, call{method: "POST"})), qt.Equals, NotRun)
+}
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -21,7 +21,12 @@
 }
 
 // Update takes over a shard's routing table if it is newer than the one held.
+// A new owner's table has version 0 until a worker has reported its runners;
+// the targets known so far are kept until then.
 func (r *Router) Update(table *messenger.RoutingTable) {
+	if table.Version == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if old := r.tables[table.Shard]; old != nil && (table.Epoch < old.Epoch || (table.Epoch == old.Epoch && table.Version <= old.Version)) {
