--- a/internal/placer/interference.go
+++ b/internal/placer/interference.go
@@ -71,12 +71,15 @@
 	limit := params.HarmLimit * (1 + float64(r.Waiting)/float64(max(1, params.HarmPatience)))
 	racks := replicasByRack(v, r)
 	best, bestCost, harmful, least := -1, cost{}, 0, 0.0
+	var space [16]group
+	groups := space[:0]
 	for i := range v.Workers {
 		w := &v.Workers[i]
 		if !w.Reserved.Add(size).FitsIn(w.Capacity) {
 			continue
 		}
-		c := e.cost(w, r, size, racks)
+		groups = groupsOf(w, groups)
+		c := e.cost(w, groups, r, size, racks)
 		if r.Class == declarer.ClassBatch && !r.Urgent && c.harm > limit {
 			if harmful == 0 || c.harm < least {
 				least = c.harm
@@ -124,43 +127,65 @@
 	return float64(r.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))
 }
 
-func (e Estimates) loadOf(t Running) float64 {
-	if t.Class != declarer.ClassService {
-		return leastLoad
+// group is the tasks of one kind and class on a worker.
+type group struct {
+	kind  string
+	class declarer.Class
+	// use is the share of the worker's processors that count tasks reserve.
+	use   float64
+	count int
+}
+
+// groupsOf sums a worker's tasks by kind, since estimates are by kind. It
+// reuses the space of into.
+func groupsOf(w *Worker, into []group) []group {
+	into = into[:0]
+next:
+	for _, t := range w.Running {
+		for i := range into {
+			if into[i].kind == t.Kind && into[i].class == t.Class {
+				into[i].use += use(t.Reserved, w)
+				into[i].count++
+				continue next
+			}
+		}
+		into = append(into, group{t.Kind, t.Class, use(t.Reserved, w), 1})
 	}
-	return max(e.Load(t.Kind), leastLoad)
+	return into
 }
 
-// slowdown returns the expected slowdown of a service on a worker.
-func (e Estimates) slowdown(w *Worker, at int, load float64) float64 {
+// slowdown returns the expected slowdown of one task of a group.
+func (e Estimates) slowdown(groups []group, at int, load float64) float64 {
 	sum := 1.0
-	for i, o := range w.Running {
-		if i != at {
-			mean, _ := e.Slowdown(w.Running[at].Kind, o.Kind, load)
-			sum += mean * use(o.Reserved, w)
+	for i, g := range groups {
+		mean, _ := e.Slowdown(groups[at].kind, g.kind, load)
+		if i == at {
+			// A task does not slow itself.
+			g.use -= g.use / float64(g.count)
 		}
+		sum += mean * g.use
 	}
 	return sum
 }
 
-func (e Estimates) cost(w *Worker, r Request, size declarer.Resources, racks map[string]float64) cost {
+func (e Estimates) cost(w *Worker, groups []group, r Request, size declarer.Resources, racks map[string]float64) cost {
 	var c cost
 	x, own := use(size, w), 1.0
-	for i, t := range w.Running {
-		y := use(t.Reserved, w)
-		mean, deviation := e.Slowdown(t.Kind, r.Kind, e.loadOf(t))
-		if t.Class == declarer.ClassService {
-			load := e.loadOf(t)
-			before, added := e.slowdown(w, i, load), (mean+caution*deviation)*x
-			c.harm += queueing(load*(before+added)/before) - queueing(load) + added*load
+	for i, g := range groups {
+		if g.class == declarer.ClassService {
+			load := max(e.Load(g.kind), leastLoad)
+			mean, deviation := e.Slowdown(g.kind, r.Kind, load)
+			before, added := e.slowdown(groups, i, load), (mean+caution*deviation)*x
+			c.harm += float64(g.count) * (queueing(load*(before+added)/before) - queueing(load) + added*load)
 		} else {
-			c.batch += batchWeight * mean * x * y
+			mean, _ := e.Slowdown(g.kind, r.Kind, leastLoad)
+			c.batch += batchWeight * mean * x * g.use
 		}
-		mean, deviation = e.Slowdown(r.Kind, t.Kind, leastLoad)
+		mean, deviation := e.Slowdown(r.Kind, g.kind, leastLoad)
 		if r.Class == declarer.ClassService {
 			mean += caution * deviation
 		}
-		own += mean * y
+		own += mean * g.use
 	}
 	if r.Class == declarer.ClassService {
 		c.harm += queueing(leastLoad*own) - queueing(leastLoad) + (own-1)*leastLoad
