--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -181,9 +181,8 @@
 		if err := o.checkRoom(); err != nil {
 			return nil, err
 		}
-		// A task that comes back waits until its way out is confirmed.
-		if t, ok := o.core.Lookup(offer.Task.ID); ok && t.State == scheduler.HandingOver {
-			return nil, &NotAcceptedError{shard, "task " + string(t.ID) + " is being handed over"}
+		if err := o.core.CheckOffer(offer); err != nil {
+			return nil, &NotAcceptedError{shard, err.Error()}
 		}
 		return &scheduler.Event{Offered: &offer}, nil
 	})
--- a/internal/controller/horizon.go
+++ b/internal/controller/horizon.go
@@ -71,8 +71,8 @@
 	return left
 }
 
-// due returns the changes that extend the horizons when a third of the
-// shortest has passed since begun.
+// horizonChanges returns the changes of a begin record. Later ones are the
+// core's, every third of each length.
 func horizonChanges() []scheduler.Change {
 	var changes []scheduler.Change
 	for _, class := range classes {
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/committer"
@@ -78,7 +77,8 @@
 	endServing context.CancelFunc
 	background sync.WaitGroup
 	sessionsUp sync.WaitGroup
-	transfers  pond.Pool
+	// transfers has a place for each call to another shard at one time.
+	transfers chan struct{}
 
 	inputs    chan input
 	committed chan error
@@ -141,7 +141,7 @@
 		shard: s, core: core, ledger: ledger, life: life, lost: lost,
 		inputs: make(chan input, 1024), committed: make(chan error, 1), doubts: make(chan bool, 1),
 		sessions: map[string]*session{}, attempts: map[string]map[scheduler.TaskID]*placed{}, runners: map[scheduler.TaskID]*messenger.Route{},
-		asking: map[string]bool{},
+		asking: map[string]bool{}, transfers: make(chan struct{}, transferCalls),
 	}
 	o.serving, o.endServing = context.WithCancel(life)
 	return o
@@ -200,11 +200,8 @@
 			o.attemptsOn(t.Worker)[t.ID] = &placed{attempt: t.Attempt}
 		}
 	}
-	o.transfers = pond.NewPool(transferCalls, pond.WithContext(o.serving))
-	for _, t := range s.Tasks {
-		if t.State == scheduler.HandingOver {
-			o.offer(scheduler.HandOverTask{TransferID: t.TransferID, ToShard: t.ToShard, Task: t})
-		}
+	for _, t := range s.Transfers {
+		o.offer(scheduler.HandOverTask{TransferID: t.TransferID, ToShard: t.ToShard, Task: t})
 	}
 	for _, w := range s.Workers {
 		o.asking[w.ID] = true
@@ -227,7 +224,6 @@
 	defer func() {
 		o.endServing()
 		o.sessionsUp.Wait()
-		o.transfers.StopAndWait()
 	}()
 	o.background.Go(o.watchInstances)
 	t := time.NewTicker(groupInterval)
@@ -268,6 +264,9 @@
 			return true
 		}
 		o.takeCare()
+		// A caretaker starts nothing, but ends what is declared elsewhere by
+		// now and tells the other domains.
+		o.confirmConfig(now)
 	}
 	o.handle(scheduler.Event{Tick: &scheduler.Tick{}})
 	o.flush(now)
@@ -289,13 +288,12 @@
 // takeCare hands the waiting work of another domain's shard over.
 func (o *owner) takeCare() {
 	config, _ := o.shard.controller.options.Config.Current()
-	if config == nil || len(o.asking) > 0 {
-		return
-	}
 	var to []string
-	for _, domain := range config.DomainsIn() {
-		if domain != o.shard.name && o.canReach(domain) {
-			to = append(to, domain)
+	if config != nil && len(o.asking) == 0 {
+		for _, domain := range config.DomainsIn() {
+			if domain != o.shard.name && o.canReach(domain) {
+				to = append(to, domain)
+			}
 		}
 	}
 	o.handle(scheduler.Event{Caretaking: &scheduler.Caretaking{To: to}})
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/placer"
 )
 
 const (
@@ -48,7 +49,7 @@
 	if c.domainAt.IsZero() || since >= returnTime {
 		return maxStarts
 	}
-	rate := parametersOf(c.config.Preset).ReturnRate * math.Exp2(max(since, 0).Seconds()/returnDoubling.Seconds())
+	rate := placer.ParametersOf(c.config.Preset).ReturnRate * math.Exp2(max(since, 0).Seconds()/returnDoubling.Seconds())
 	refill(&c.startTokens, &c.startAt, now, rate)
 	return min(int(c.startTokens), maxStarts)
 }
@@ -79,12 +80,12 @@
 		c.drainAt = time.Time{}
 		return
 	}
-	refill(&c.drainTokens, &c.drainAt, now, parametersOf(c.config.Preset).DrainRate)
+	refill(&c.drainTokens, &c.drainAt, now, placer.ParametersOf(c.config.Preset).DrainRate)
 	if !c.domainOut {
 		c.drainLeaving()
 		return
 	}
-	c.handOverPending()
+	c.handOverPending(c.config.DomainsIn())
 	late := now.Sub(c.domainAt) >= drainDeadline
 	for _, t := range c.batchByDeadline() {
 		switch {
@@ -129,20 +130,15 @@
 	return tasks
 }
 
-// handOverPending gives pending batch work to the domains in service in order
-// of deadline.
-func (c *Core) handOverPending() {
-	c.handOverTo(c.config.DomainsIn())
-}
-
 // caretake gives pending batch work to other shards while the owner belongs to
 // another domain; nothing starts here.
 func (c *Core) caretake(to []string) {
 	c.isCaretaker = true
-	c.handOverTo(to)
+	c.handOverPending(to)
 }
 
-func (c *Core) handOverTo(to []string) {
+// handOverPending gives pending batch work to shards in order of deadline.
+func (c *Core) handOverPending(to []string) {
 	if len(to) == 0 || len(c.transfers) >= maxTransfers {
 		return
 	}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -37,7 +37,14 @@
 }
 
 // JobSubmitted asks for a batch job to be accepted. A known id changes nothing.
-type JobSubmitted struct{ Job declarer.BatchJob }
+type JobSubmitted struct {
+	Job declarer.BatchJob
+	// Claimed is when the id was first claimed for this shard, zero for just
+	// now. A job that is complete is forgotten after jobRetention; an unknown
+	// job whose id is older than half of that is refused, since it may have
+	// run.
+	Claimed time.Time
+}
 
 // JobCancelled asks for every task of a job to end. Home is set when the home
 // shard of the job asks for the tasks that it has handed over.
@@ -65,8 +72,10 @@
 	Revision uint64
 	// Replicas counts the running replicas of each service.
 	Replicas map[string]int
-	// Watchers are the watchers that the shard has an attempt of.
+	// Watchers are the watchers that the shard has, whatever their state.
 	Watchers []string
+	// Waiting is set when the shard waits for the reports of others.
+	Waiting bool
 }
 
 // AllowanceGiven replaces the part of a team's quota that the domain may
@@ -85,14 +94,11 @@
 	Capacity declarer.Resources
 }
 
-// WorkerLost reports that a worker has not been reached for the length of a
-// lease, counted from the last renewal or start that was sent, whether or not
-// it was answered. A worker that this owner has never reached may still hold
-// leases of an earlier owner; the core waits for the horizon there.
+// WorkerLost reports that every lease on a worker has run out, or every lease
+// of one class.
 type WorkerLost struct {
 	ID string
-	// Class, if set, tells that the sender has waited for the end of every
-	// lease of this class on the worker, those of earlier owners included.
+	// Class is empty for all classes.
 	Class declarer.Class
 }
 
@@ -118,7 +124,8 @@
 	// MeasuredAt is when the usage was measured; it lags behind the report.
 	MeasuredAt time.Time
 	// RequestedAt is the owner's time at which the request for this report was
-	// sent. The zero value proves nothing about attempts that are not listed.
+	// sent. The zero value proves nothing about attempts that are not listed;
+	// the driver then settles them itself.
 	RequestedAt time.Time
 }
 
@@ -165,9 +172,10 @@
 	Task    TaskID
 	Attempt uint64
 	Reason  string
-	// Withdrawn is set when the command was never sent. Any other refusal may
-	// answer a second copy of a command that the worker has carried out, so
-	// the core waits for a report that proves that the attempt doesn't run.
+	// Withdrawn is set when it is certain that the attempt does not run and
+	// never will: the command was not sent, or was sent once and refused. Any
+	// other refusal may answer a second copy of a command that was carried
+	// out, so the core waits for a report that settles it.
 	Withdrawn bool
 }
 
--- a/internal/scheduler/horizon.go
+++ b/internal/scheduler/horizon.go
@@ -16,17 +16,9 @@
 	{declarer.ClassService, 2 * time.Hour},
 }
 
-func (c *Core) horizonOf(class declarer.Class) time.Duration {
-	longest := c.horizons[class]
-	for _, h := range horizonLengths {
-		if h.Class == class {
-			longest = max(longest, h.Length)
-		}
-	}
-	return longest
-}
-
-// extendHorizons records a new horizon every third of its length.
+// extendHorizons records a new horizon every third of its length. The driver
+// renews leases up to it once the record is committed, and waits for the last
+// one of an earlier owner before it reports a worker's leases as ended.
 func (c *Core) extendHorizons(now time.Time) {
 	for _, h := range horizonLengths {
 		if last, ok := c.horizon[h.Class]; !ok || now.Sub(last) >= h.Length/3 {
@@ -35,13 +27,3 @@
 		}
 	}
 }
-
-// Horizon returns the time up to which the leases of a class may be renewed
-// once the changes returned so far are committed; the zero time for never.
-func (c *Core) Horizon(class declarer.Class) time.Time {
-	last, ok := c.horizon[class]
-	if !ok {
-		return time.Time{}
-	}
-	return last.Add(c.horizons[class])
-}
