--- a/internal/committer/ledger_test.go
+++ b/internal/committer/ledger_test.go
@@ -127,7 +127,7 @@
 			for at := range 12 {
 				for _, times := range []int{1, 2} {
 					t.Run(fmt.Sprintf("%s/%s/call %d/%d times", operation, name, at, times), func(t *testing.T) {
-					t.Parallel()
+						t.Parallel()
 						checkFault(quicktest.New(t), run, kind, at, times)
 					})
 				}
