--- a/internal/scheduler/interference_test.go
+++ b/internal/scheduler/interference_test.go
@@ -7,6 +7,7 @@
 	"github.com/frankban/quicktest"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/placer"
 )
 
 // learning drives a core that learns, with one worker.
@@ -50,7 +51,7 @@
 }
 
 func (l *learning) submit(kind string, tasks int, size declarer.Resources) {
-	l.step(Event{Submitted: &JobSubmitted{declarer.BatchJob{ID: kind, Team: "team", Kind: kind, Tasks: tasks, Resources: size, RunTime: time.Hour}}})
+	l.step(Event{Submitted: &JobSubmitted{Job: declarer.BatchJob{ID: kind, Team: "team", Kind: kind, Tasks: tasks, Resources: size, RunTime: time.Hour}}})
 }
 
 var (
@@ -132,6 +133,6 @@
 		}
 	}
 	quicktest.Assert(t, len(shares) > 0, quicktest.IsTrue)
-	quicktest.Check(t, shares[0], quicktest.Equals, parametersOf(declarer.OrdinaryDay).ThrottleShare)
+	quicktest.Check(t, shares[0], quicktest.Equals, placer.ParametersOf(declarer.OrdinaryDay).ThrottleShare)
 	quicktest.Check(t, len(l.core.Explain(Query{Job: "j"})) > 1, quicktest.IsTrue)
 }
