--- a/internal/scheduler/interference_test.go
+++ b/internal/scheduler/interference_test.go
@@ -7,6 +7,7 @@
 	"github.com/frankban/quicktest"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/placer"
 )
 
 // learning drives a core that learns, with one worker.
