Give a shard the time at which a job's id was claimed

Cause: a shard forgets a complete job after 24 h, the index of ids after 30 days; a resubmission between them would have run the job again, since the claim's time did not reach the core. Change: the index entry keeps the time, Submit carries it, and the core's refusal is an error of its own, so that a refused job isn't reported as accepted. Test: TestResubmission sends the first claim's time with a repeat.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,7 +16,6 @@
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/configurer"
-	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
 	"tarragonhead.example/tarragonhead/internal/messenger"
 	"tarragonhead.example/tarragonhead/internal/placer"
@@ -154,12 +153,15 @@
 }
 
 // Submit accepts a job; it returns after the commit.
-func (c *Controller) Submit(ctx context.Context, shard string, j declarer.BatchJob) error {
+func (c *Controller) Submit(ctx context.Context, shard string, e scheduler.JobSubmitted) error {
 	return c.do(ctx, shard, func(o *owner) (*scheduler.Event, error) {
 		if err := o.checkRoom(); err != nil {
 			return nil, err
 		}
-		return &scheduler.Event{Submitted: &scheduler.JobSubmitted{Job: j}}, nil
+		if err := o.core.CheckSubmission(time.Now(), e); err != nil {
+			return nil, err
+		}
+		return &scheduler.Event{Submitted: &e}, nil
 	})
 }
 
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -15,13 +15,32 @@
 // jobRetention is how long a job is remembered after it is complete.
 const jobRetention = 24 * time.Hour
 
+// StaleJobError reports a job that is unknown here and was first submitted so
+// long ago that it may have run and been forgotten.
+type StaleJobError struct {
+	JobID   string
+	Claimed time.Time
+}
+
+func (e *StaleJobError) Error() string {
+	return fmt.Sprintf("job %s was first submitted at %s, too long ago to tell whether it has run; nothing was changed", e.JobID, e.Claimed.UTC().Format(time.RFC3339))
+}
+
+// CheckSubmission returns a StaleJobError for a job that may have run before.
+func (c *Core) CheckSubmission(now time.Time, e JobSubmitted) error {
+	if c.jobs[e.Job.ID] == nil && !e.Claimed.IsZero() && now.Sub(e.Claimed) > jobRetention/2 {
+		return &StaleJobError{e.Job.ID, e.Claimed}
+	}
+	return nil
+}
+
 func (c *Core) acceptJob(now time.Time, e JobSubmitted) {
 	j := e.Job
 	if c.jobs[j.ID] != nil {
 		return
 	}
-	if age := now.Sub(e.Claimed); !e.Claimed.IsZero() && age > jobRetention/2 {
-		c.explain(Explanation{Action: "submission_refused", Job: j.ID, Reason: "first submitted too long ago to tell whether it has run", Figures: []Figure{{"age_seconds", age.Seconds()}}})
+	if err := c.CheckSubmission(now, e); err != nil {
+		c.explain(Explanation{Action: "submission_refused", Job: j.ID, Reason: err.Error()})
 		return
 	}
 	if c.record(Change{JobAccepted: &JobAccepted{j, c.stamp()}}) {
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -99,7 +99,11 @@
 	if err != nil {
 		return nil, operatorError(err)
 	}
-	if err := d.controller.Submit(ctx, r.Shard, j); err != nil {
+	e := scheduler.JobSubmitted{Job: j}
+	if r.ClaimedAt != 0 {
+		e.Claimed = time.Unix(r.ClaimedAt, 0)
+	}
+	if err := d.controller.Submit(ctx, r.Shard, e); err != nil {
 		return nil, operatorError(err)
 	}
 	return &messenger.SubmitResponse{Shard: r.Shard}, nil
--- a/internal/server/errors.go
+++ b/internal/server/errors.go
@@ -9,6 +9,7 @@
 	"tarragonhead.example/tarragonhead/internal/configurer"
 	"tarragonhead.example/tarragonhead/internal/controller"
 	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/scheduler"
 )
 
 // operatorError gives an error the Twirp code that tells what to do about it:
@@ -24,6 +25,7 @@
 		changeUndecided *configurer.UndecidedError
 		callUndecided   *controller.UndecidedError
 		notAccepted     *controller.NotAcceptedError
+		stale           *scheduler.StaleJobError
 		coded           twirp.Error
 	)
 	switch {
@@ -35,6 +37,8 @@
 		return twirp.NewError(twirp.Aborted, err.Error())
 	case errors.As(err, &reused):
 		return twirp.NewError(twirp.AlreadyExists, err.Error())
+	case errors.As(err, &stale):
+		return twirp.NewError(twirp.AlreadyExists, err.Error())
 	case errors.As(err, &notAccepted):
 		return twirp.NewError(twirp.ResourceExhausted, err.Error())
 	case errors.As(err, &changeUndecided), errors.As(err, &callUndecided):
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -28,6 +28,10 @@
 type jobEntry struct {
 	Shard string `json:"shard"`
 	Hash  uint64 `json:"hash"`
+	// ClaimedAt is when the entry was written, in seconds since 1970. A shard
+	// forgets complete jobs sooner than the index does, and refuses an old id
+	// that it doesn't know.
+	ClaimedAt int64 `json:"claimed_at"`
 }
 
 func jobKey(id string) string { return "job/" + id }
@@ -59,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := owner.Submit(ctx, &messenger.SubmitRequest{Job: encoded, Shard: entry.Shard})
+	response, err := owner.Submit(ctx, &messenger.SubmitRequest{Job: encoded, Shard: entry.Shard, ClaimedAt: entry.ClaimedAt})
 	if err != nil {
 		return nil, forwardError(err)
 	}
@@ -89,7 +93,7 @@
 	if err := declarer.CheckJob(j, config); err != nil {
 		return jobEntry{}, false, err
 	}
-	entry = jobEntry{Shard: shardOf(j, config), Hash: hash}
+	entry = jobEntry{Shard: shardOf(j, config), Hash: hash, ClaimedAt: time.Now().Unix()}
 	value, err := json.Marshal(entry)
 	if err != nil {
 		return jobEntry{}, false, err
--- a/internal/server/jobs_test.go
+++ b/internal/server/jobs_test.go
@@ -113,6 +113,7 @@
 	messenger.Peer
 	err       error
 	shards    []string
+	claimed   []int64
 	cancelled int
 }
 
@@ -120,7 +121,7 @@
 	if o.err != nil {
 		return nil, o.err
 	}
-	o.shards = append(o.shards, r.Shard)
+	o.shards, o.claimed = append(o.shards, r.Shard), append(o.claimed, r.ClaimedAt)
 	return &messenger.SubmitResponse{Shard: r.Shard}, nil
 }
 
@@ -275,7 +276,8 @@
 }
 
 // TestResubmission guards against a job that goes to another shard when the
-// domains have changed, and against other content under the same id.
+// domains have changed, against other content under the same id, and against a
+// resubmission that passes for a new job after its shard has forgotten it.
 func TestResubmission(t *testing.T) {
 	c := qt.New(t)
 	s, o := newIndexStore(), &fakeOwner{}
@@ -291,6 +293,8 @@
 	_, err = d.SubmitJob(t.Context(), job(func(j *declarer.BatchJob) { j.Tasks = 3 }))
 	c.Assert(code(err), qt.Equals, twirp.AlreadyExists)
 	c.Assert(o.shards, qt.HasLen, 2)
+	c.Assert(o.claimed[0] > 0, qt.IsTrue)
+	c.Assert(o.claimed[1], qt.Equals, o.claimed[0])
 
 	adopt(c, d, nil)
 	inWest := job(func(j *declarer.BatchJob) { j.ID, j.Domain = "other", "west" })
--- a/standins/rehearser/rehearser.go
+++ b/standins/rehearser/rehearser.go
@@ -399,7 +399,7 @@
 	for {
 		if owner := s.Owner(shard); owner != nil {
 			ctx, cancel := context.WithTimeout(s.ctx, 2*time.Second)
-			err := owner.Controller.Submit(ctx, shard, j)
+			err := owner.Controller.Submit(ctx, shard, scheduler.JobSubmitted{Job: j})
 			cancel()
 			if err == nil {
 				return
