--- a/internal/controller/shard.go
+++ b/internal/controller/shard.go
@@ -68,11 +68,15 @@
 // released.
 func (s *shard) run(ctx context.Context) {
 	o := &s.controller.options
+	reason := ""
 	for ctx.Err() == nil {
 		err := s.own(ctx)
 		s.epoch.Store(0)
 		s.step(ctx, err)
-		if err != nil && ctx.Err() == nil {
+		// Most attempts end because another daemon owns the shard; the line is
+		// written when the reason changes only.
+		if err != nil && ctx.Err() == nil && err.Error() != reason {
+			reason = err.Error()
 			o.Log.Info().Err(err).Str("shard", s.name).Str("state", string(s.state)).Msg("shard: not owned")
 		}
 		pause := homePause
