--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -134,7 +134,7 @@
 		return
 	}
 	if c.Start != nil {
-		o.handle(scheduler.Event{StartRefused: &scheduler.StartRefused{Task: c.Start.Task, Attempt: c.Start.Attempt, Reason: "worker takes no commands"}})
+		o.handle(scheduler.Event{StartRefused: &scheduler.StartRefused{Task: c.Start.Task, Attempt: c.Start.Attempt, Reason: "worker takes no commands", Withdrawn: true}})
 	}
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -59,8 +59,9 @@
 	Store   storeclient.Store
 	Config  *configurer.Configurer
 	Charts  scheduler.Charts
-	Policy  placer.Policy
-	Worker  func(addr netip.AddrPort) dispatcher.Worker
+	// Policy is the interference-aware one, with mitigation, when it is zero.
+	Policy placer.Policy
+	Worker func(addr netip.AddrPort) dispatcher.Worker
 	// Instances returns the platform's list of instances.
 	Instances func(ctx context.Context) ([]dispatcher.Instance, error)
 	// Peer returns the client of a shard's owner, nil if none is known.
@@ -180,9 +181,8 @@
 		if err := o.checkRoom(); err != nil {
 			return nil, err
 		}
-		// A task that comes back waits until its way out is confirmed.
-		if t, ok := o.core.Lookup(offer.Task.ID); ok && t.State == scheduler.HandingOver {
-			return nil, &NotAcceptedError{shard, "task " + string(t.ID) + " is being handed over"}
+		if err := o.core.CheckOffer(offer); err != nil {
+			return nil, &NotAcceptedError{shard, err.Error()}
 		}
 		return &scheduler.Event{Offered: &offer}, nil
 	})
--- a/internal/placer/policy.go
+++ b/internal/placer/policy.go
@@ -3,7 +3,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
@@ -37,7 +36,8 @@
 		w := &v.Workers[i]
 		if w.ID == worker {
 			w.Reserved = w.Reserved.Add(r)
-			w.Running = append(w.Running, Running{kind, class, r})
+			w.Running = append(w.Running, Running{Kind: kind, Class: class, Reserved: r})
+			break
 		}
 	}
 }
@@ -56,8 +56,6 @@
 	Urgent bool
 	// Waiting is how long the task has been waiting for a place.
 	Waiting time.Duration
-	// Avoid has workers on which the task failed or was evicted of late.
-	Avoid []string
 }
 
 // Size returns the reservation to place: Needed, or Declared without it.
@@ -117,7 +115,7 @@
 		for i := range v.Workers {
 			w := &v.Workers[i]
 			after := w.Reserved.Add(size)
-			if !after.FitsIn(w.Capacity) || slices.Contains(r.Avoid, w.ID) {
+			if !after.FitsIn(w.Capacity) {
 				continue
 			}
 			room := w.Capacity.Sub(after).DominantShare(w.Capacity)
--- a/internal/scheduler/matrix_test.go
+++ b/internal/scheduler/matrix_test.go
@@ -19,7 +19,7 @@
 func (w *world) east() *site { return w.sites[0] }
 
 func (w *world) submit(id string, tasks int) {
-	w.east().step(Event{Submitted: &JobSubmitted{declarer.BatchJob{
+	w.east().step(Event{Submitted: &JobSubmitted{Job: declarer.BatchJob{
 		ID: id, Team: "two", Kind: "k", Tasks: tasks, Resources: declarer.Resources{MilliCPU: 500, MemoryMB: 50}, RunTime: 3 * time.Second,
 	}}})
 }
@@ -214,8 +214,8 @@
 	}},
 	"starting exhaust": {reach: func(w *world) {
 		failFour(w)
+		w.until(w.targetIn(Starting), 20*time.Second)
 		w.east().muted = true
-		w.until(w.targetIn(Starting), 10*time.Second)
 	}},
 	"running exhaust": {reach: func(w *world) { failFour(w); w.until(w.targetIn(Running), 20*time.Second) }},
 	"unknown exhaust": {reach: func(w *world) {
@@ -264,11 +264,14 @@
 	}
 }
 
+// coarseStep is the longest step in which sessions keep their leases.
+const coarseStep = 5 * time.Second
+
 // coarse lets a long time pass in larger steps.
 func (w *world) coarse(d time.Duration) {
 	w.align()
 	for end := w.now.Add(d); w.now.Before(end) && w.problem == nil; {
-		w.advance(2 * time.Second)
+		w.advance(coarseStep)
 	}
 }
 
@@ -281,11 +284,11 @@
 		w.out(false)
 	}
 	w.release()
-	w.run(20 * time.Second)
+	w.until(w.settled, 20*time.Second)
 	w.align()
 	for i := 0; i < 4000 && w.problem == nil && !w.settled(); i++ {
 		w.release()
-		w.advance(2 * time.Second)
+		w.advance(coarseStep)
 	}
 	if w.problem == nil && !w.settled() {
 		w.fail(fmt.Errorf("not settled: %s%s", w.sites[0], w.sites[1]))
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -22,11 +22,6 @@
 // begin notes what an owner must look after from its first event on.
 func (c *Core) begin(now time.Time) {
 	c.begun = now
-	for id, w := range c.workers {
-		if w.State == Lost && len(c.onWorker[id]) > 0 {
-			c.lost[id] = true
-		}
-	}
 	for id, j := range c.jobs {
 		if j.Home != c.options.Shard || (j.Ended && len(j.Sent) > 0) {
 			c.unsent[id] = true
@@ -61,67 +56,32 @@
 	return c.record(Change{WorkerChanged: &WorkerChanged{Worker: Worker{ID: id, ProbeAt: probeAt}, Event: event, Reason: reason}})
 }
 
-// missWorker marks a worker as unreachable. Its attempts are unknown from then
-// on, since their leases may still run.
-func (c *Core) missWorker(now time.Time, id string) {
+// missWorker keeps an unreachable worker's attempts until their leases have
+// run out.
+func (c *Core) missWorker(id string) {
 	if c.workers[id] == nil {
 		return
 	}
-	c.moveWorker(id, "lose", "not reached")
+	c.moveWorker(id, "lose", "no answer")
 	// A report that was requested before says nothing about the time after.
-	c.reports[id] = now
+	c.reports[id] = c.now
 	for _, t := range c.tasksOn(id) {
 		if t.State != Unknown {
-			c.moveAttempt(t, AttemptMoved{Event: "lose", Reason: "worker lost"})
+			c.moveAttempt(t, AttemptMoved{Event: "lose", Reason: "worker gives no answer"})
 		}
 	}
 }
 
 // loseWorker ends the attempts on a worker whose leases have run out.
-func (c *Core) loseWorker(now time.Time, e WorkerLost) {
-	if c.workers[e.ID] == nil {
-		return
-	}
-	c.missWorker(now, e.ID)
-	if e.Class == "" {
-		c.lost[e.ID] = true
-		c.expireLost(now)
-		return
-	}
-	for _, t := range c.tasksOn(e.ID) {
-		if t.Class == e.Class {
+func (c *Core) loseWorker(id string, class declarer.Class) {
+	c.missWorker(id)
+	for _, t := range c.tasksOn(id) {
+		if class == "" || t.Class == class {
 			c.endAttempt(t, EndedAttempt{Outcome: OutcomeExpired, Reason: "leases have run out"})
 		}
 	}
 }
 
-// expireLost ends the attempts on lost workers whose leases have run out.
-func (c *Core) expireLost(now time.Time) {
-	for id := range c.lost {
-		for _, t := range c.tasksOn(id) {
-			if t.State == Unknown && !now.Before(c.leaseEnd(t)) {
-				c.endAttempt(t, EndedAttempt{Outcome: OutcomeExpired, Reason: "leases have run out"})
-			}
-		}
-		if len(c.onWorker[id]) == 0 {
-			delete(c.lost, id)
-		}
-	}
-}
-
-// leaseEnd returns the time after which a lost worker can't run an attempt.
-// The leases of a worker that this owner never reached may have been renewed
-// by an earlier one up to the horizon.
-func (c *Core) leaseEnd(t *Task) time.Time {
-	if !c.reached[t.Worker] {
-		return c.begun.Add(lengthened(c.horizonOf(t.Class)))
-	}
-	if a := c.attempts[t.ID]; a != nil && !a.latestStart.IsZero() {
-		return a.latestStart.Add(lengthened(LeaseLength))
-	}
-	return time.Time{}
-}
-
 // takeReport compares what a worker runs with what it should run.
 func (c *Core) takeReport(now time.Time, e *WorkerReport) {
 	if !e.RequestedAt.IsZero() && !e.RequestedAt.After(c.reports[e.Worker]) {
@@ -137,10 +97,8 @@
 	if !e.RequestedAt.IsZero() {
 		c.reports[e.Worker] = e.RequestedAt
 	}
-	c.reached[e.Worker] = true
 	if w.State == Lost {
 		c.moveWorker(e.Worker, "return", "reached again")
-		delete(c.lost, e.Worker)
 	}
 	listed := make(map[TaskID]bool, len(e.Running)+len(e.Ended))
 	for _, a := range e.Ended {
@@ -341,12 +299,13 @@
 // forgetAfter is how long a lost worker is remembered.
 const forgetAfter = time.Hour
 
-// forgetWorkers drops workers that are lost for good, at most once a minute.
-func (c *Core) forgetWorkers(now time.Time) {
+// forget drops what has ended for good, at most once a minute.
+func (c *Core) forget(now time.Time) {
 	if now.Sub(c.forgotten) < time.Minute {
 		return
 	}
 	c.forgotten = now
+	c.forgetJobs(now)
 	for _, id := range c.workerIDs() {
 		since := c.reports[id]
 		if since.IsZero() {
@@ -354,7 +313,6 @@
 		}
 		if c.workers[id].State == Lost && len(c.onWorker[id]) == 0 && now.Sub(since) >= forgetAfter && c.mayForget() && c.moveWorker(id, "forget", "lost for an hour") {
 			delete(c.reports, id)
-			delete(c.reached, id)
 		}
 	}
 }
--- a/internal/scheduler/transfer.go
+++ b/internal/scheduler/transfer.go
@@ -12,17 +12,24 @@
 	if c.HasTakenOver(e.TransferID) {
 		return
 	}
-	if err := c.checkOffer(e); err != nil {
+	if err := c.CheckOffer(e); err != nil {
 		c.explain(Explanation{Action: "transfer_refused", Task: e.Task.ID, Job: e.Task.Owner, Reason: err.Error()})
 		return
 	}
 	if c.record(Change{TakenOver: &TakenOver{e.TransferID, e.Task}}) {
+		if t, j := c.tasks[e.Task.ID], c.jobs[e.Task.Owner]; t != nil && j.Parked != "" {
+			c.record(Change{TaskParked: &TaskParked{t.ID, j.Parked}})
+		}
 		c.explain(Explanation{Action: "take_over", Task: e.Task.ID, Job: e.Task.Owner, Reason: "transfer " + e.TransferID, Figures: []Figure{{"tasks", float64(max(e.Task.Count, 1))}}})
 	}
 }
 
-// checkOffer refuses what a faulty or older peer may send.
-func (c *Core) checkOffer(e TransferOffered) error {
+// CheckOffer refuses what a faulty or older peer may send. The error is an
+// InvariantError; the driver must not confirm such an offer.
+func (c *Core) CheckOffer(e TransferOffered) error {
+	if c.HasTakenOver(e.TransferID) {
+		return nil
+	}
 	problem := ""
 	_, first, named := jobTaskIndex(e.Task.ID)
 	j := c.jobs[e.Task.Owner]
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -54,6 +54,8 @@
 	group   []Change
 	waiting []Command
 	workers map[string]*fakeWorker
+	// ids has the keys of workers in order.
+	ids []string
 	// sessions has what the owner knows of each worker's leases.
 	sessions map[string]*fakeSession
 	// act runs inside the next tick.
@@ -64,15 +66,20 @@
 	muted, holdConfig                  bool
 	// withheld are commands whose commit has no answer yet.
 	withheld []Command
+	// checked and checkedAt tell the state that has been checked last: it
+	// changes only with the ledger.
+	checked   *Core
+	checkedAt int
 	// zombie are commands of a paused owner that it has yet to send.
 	zombie []func()
 }
 
 type fakeSession struct {
-	leaseSent, answered time.Time
-	lost                bool
-	// acknowledged are ended attempts whose end is committed.
-	acknowledged []string
+	opened, leaseSent, answered time.Time
+	// reached is set once the worker has answered, and lost while it gives no
+	// answer, with the classes whose leases have run out.
+	reached bool
+	lost    map[declarer.Class]bool
 }
 
 type fakeWorker struct {
@@ -86,8 +93,11 @@
 	unreachable, dead, failAll, slow bool
 	// refuse and forget are faults of one start.
 	refuse bool
-	// keptUntil is up to when an owner that is cut off renews the leases.
-	keptUntil time.Time
+	// stuck workers write no checkpoint.
+	stuck bool
+	// keptUntil is up to when an owner that is cut off renews the leases, and
+	// replicasUntil those of services.
+	keptUntil, replicasUntil time.Time
 }
 
 type fakeRun struct {
@@ -133,6 +143,13 @@
 	return w
 }
 
+func (s *site) workerIDs() []string {
+	if len(s.ids) != len(s.workers) {
+		s.ids = slices.Sorted(maps.Keys(s.workers))
+	}
+	return s.ids
+}
+
 func (s *site) newCore() *Core {
 	return New(Options{
 		Shard: s.domain, Domain: s.domain, Charts: charts, Policy: placer.FirstFit(), AwaitPeers: true,
@@ -200,7 +217,7 @@
 	w.now = w.now.Add(d)
 	w.deliver()
 	for _, s := range w.sites {
-		for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		for _, id := range s.workerIDs() {
 			s.workers[id].advance(w)
 		}
 		s.drive()
@@ -261,11 +278,17 @@
 	if !s.holdConfig && !w.now.Before(s.storeDown) {
 		s.step(Event{Config: &ConfigConfirmed{Config: w.config, At: w.now}})
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+	for _, id := range s.workerIDs() {
 		s.renew(s.workers[id])
 	}
 	s.step(Event{Tick: &Tick{}})
 	s.commit()
+	if w.now.UnixMilli()%1000 == 0 && len(s.group) == 0 {
+		for _, id := range slices.Sorted(maps.Keys(s.core.transfers)) {
+			t := s.core.transfers[id]
+			s.toPeer(Command{HandOver: &HandOverTask{id, t.ToShard, *t}})
+		}
+	}
 }
 
 func (s *site) step(e Event) {
@@ -296,9 +319,6 @@
 		s.withheld = commands
 		return
 	}
-	for _, ses := range s.sessions {
-		ses.acknowledged = nil
-	}
 	for _, k := range commands {
 		s.carryOut(k, s.epoch)
 	}
@@ -381,12 +401,18 @@
 		if w.problem != nil {
 			return
 		}
+		if s.core == s.checked && len(s.ledger) == s.checkedAt && len(s.group) == 0 {
+			continue
+		}
+		s.checked, s.checkedAt = s.core, len(s.ledger)
 		if err := s.core.Check(); err != nil {
 			w.fail(err)
 		}
 		if len(s.group) == 0 && s.pausedUntil.IsZero() && !reflect.DeepEqual(s.core.Snapshot(), s.shadow.Snapshot()) {
 			w.fail(errors.Errorf("%s: the replay differs from the live core:\n%+v\n%+v", s.domain, s.shadow.Snapshot(), s.core.Snapshot()))
 		}
+	}
+	for _, s := range w.sites {
 		for id, x := range s.workers {
 			used := declarer.Resources{}
 			for task, r := range x.running {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -28,7 +28,6 @@
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
 	"tarragonhead.example/tarragonhead/internal/gossiper"
 	"tarragonhead.example/tarragonhead/internal/messenger"
-	"tarragonhead.example/tarragonhead/internal/placer"
 	"tarragonhead.example/tarragonhead/internal/router"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
@@ -50,9 +49,9 @@
 	controller *controller.Controller
 	gossip     *gossiper.Gossiper
 	router     *router.Router
-	dial       func(addr string) messenger.Peer
 	claimer    *claimer.Claimer
 	tracer     *tracer.Tracer
+	dial       func(addr string) messenger.Peer
 	registry   *prometheus.Registry
 	violations *prometheus.CounterVec
 	// stopping is set from the first stop signal on; readiness then fails.
@@ -100,13 +99,13 @@
 		violations: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{Name: "tarragond_invariant_violations_total", Help: "Violations of an invariant of the design, by its number."},
 			[]string{"invariant"}),
 	}
+	if d.tracer, err = tracer.New(tracer.Options{File: s.TraceFile, Ratio: s.traceRatio, Service: "tarragond " + s.ID}); err != nil {
+		return nil, err
+	}
 	// Messages between daemons are small; without compression their headers
 	// are too.
 	peers := &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
 	d.dial = func(addr string) messenger.Peer { return messenger.NewPeerProtobufClient("http://"+addr, peers) }
-	if d.tracer, err = tracer.New(tracer.Options{File: s.TraceFile, Ratio: s.traceRatio, Service: "tarragond " + s.ID}); err != nil {
-		return nil, err
-	}
 	promauto.With(registry).NewGaugeFunc(prometheus.GaugeOpts{Name: "tarragond_ready", Help: "1 if /readyz answers that the daemon is ready, else 0."}, func() float64 {
 		if d.unreadiness() == "" {
 			return 1
@@ -125,7 +124,7 @@
 		Self: s.ID, Domain: s.Domain, Costs: s.costs, Claimer: d.claimer, Tracer: d.tracer, Registry: registry, Log: logger, PanicOnViolation: s.PanicOnViolation,
 	})
 	d.controller = controller.New(controller.Options{
-		Self: s.ID, Control: s.control, Domain: s.Domain, Store: d.store, Config: d.config, Charts: charts, Policy: placer.FirstFit(),
+		Self: s.ID, Control: s.control, Domain: s.Domain, Store: d.store, Config: d.config, Charts: charts,
 		Worker: p.worker, Peer: d.ownerPeer, IsPresent: d.isPresent, Log: logger, Instances: p.instances,
 		Violated: func(err error) { d.violated(invariantOf(err), err.Error()) },
 	})
--- /dev/null
+++ b/standins/experimenter/variant.go
@@ -0,0 +1,86 @@
+package experimenter
+
+import (
+	"tarragonhead.example/tarragonhead/internal/mitigator"
+	"tarragonhead.example/tarragonhead/internal/placer"
+	"tarragonhead.example/tarragonhead/internal/scheduler"
+)
+
+// Variant is one policy to compare.
+type Variant struct {
+	Name string
+	// Configure sets what the variant needs in the options of a core.
+	Configure func(o *scheduler.Options, seed uint64)
+}
+
+// FirstFit places by declared size on the first worker with room.
+func FirstFit() Variant {
+	return Variant{"first_fit", func(o *scheduler.Options, _ uint64) { o.Policy = placer.FirstFit() }}
+}
+
+// BestFitDeclared places by declared size on the tightest worker.
+func BestFitDeclared() Variant {
+	return Variant{"best_fit_declared", func(o *scheduler.Options, _ uint64) { o.Policy = placer.BestFit() }}
+}
+
+// BestFit places by learnt size on the tightest worker, without regard to
+// interference.
+func BestFit() Variant {
+	return Variant{"best_fit", func(o *scheduler.Options, _ uint64) {
+		scheduler.NewLearner(nil).Attach(o)
+		o.Policy = placer.BestFit()
+	}}
+}
+
+// InterferenceAware places by expected harm and mitigates.
+func InterferenceAware() Variant {
+	return Variant{"interference_aware", func(o *scheduler.Options, _ uint64) {
+		l := scheduler.NewLearner(mitigator.New())
+		l.Attach(o)
+		o.Policy = placer.InterferenceAware(l.Estimates())
+	}}
+}
+
+// PlacementOnly places by expected harm and never mitigates.
+func PlacementOnly() Variant {
+	return Variant{"placement_only", func(o *scheduler.Options, _ uint64) {
+		l := scheduler.NewLearner(nil)
+		l.Attach(o)
+		o.Policy = placer.InterferenceAware(l.Estimates())
+	}}
+}
+
+// Pulling is InterferenceAware with workers that ask for batch work.
+func Pulling() Variant {
+	v := InterferenceAware()
+	return Variant{"pulling", func(o *scheduler.Options, seed uint64) {
+		v.Configure(o, seed)
+		o.Pull = true
+	}}
+}
+
+func variants() []Variant {
+	return []Variant{FirstFit(), BestFitDeclared(), BestFit(), InterferenceAware(), PlacementOnly(), Pulling()}
+}
+
+// Policies returns the names of all variants.
+func Policies() []string {
+	var names []string
+	for _, v := range variants() {
+		names = append(names, v.Name)
+	}
+	return names
+}
+
+// DefaultPolicies returns the names of the variants that the goals compare.
+func DefaultPolicies() []string { return []string{"first_fit", "best_fit", "interference_aware"} }
+
+// VariantOf returns the variant with a name; that without one places nothing.
+func VariantOf(name string) Variant {
+	for _, v := range variants() {
+		if v.Name == name {
+			return v
+		}
+	}
+	return Variant{Name: name, Configure: func(*scheduler.Options, uint64) {}}
+}
--- a/standins/launcher/launcher.go
+++ b/standins/launcher/launcher.go
@@ -35,13 +35,13 @@
 	Daemons int
 	// TimeScale multiplies the run time of tasks.
 	TimeScale float64
-	// NoPeers gives the daemons no peers in their settings, so that they find
-	// each other by the platform's list alone.
-	NoPeers bool
 	// Records is the directory for the runners' records; empty keeps none.
 	Records string
 	// DaemonArgs are further arguments of each daemon.
 	DaemonArgs []string
+	// NoPeers gives the daemons no peers in their settings, so that they find
+	// each other by the platform's list alone.
+	NoPeers bool
 	// StoreFor returns the address at which a daemon reaches the store, given
 	// the store's own; nil for the store's own.
 	StoreFor func(daemon string, store netip.AddrPort) (netip.AddrPort, error)
@@ -124,7 +124,8 @@
 	id := fmt.Sprintf("%s-w%d", domain, n)
 	rack := fmt.Sprintf("%s-rack-%d", domain, n/max(1, p.WorkersPerRack))
 	process, err := s.start(id, "standin", "worker", "--listen", "127.0.0.1:0", "--store", s.Store.String(), "--id", id, "--domain", domain, "--rack", rack,
-		"--milli-cpu", fmt.Sprint(p.Worker.MilliCPU), "--memory-mb", fmt.Sprint(p.Worker.MemoryMB), "--time-scale", fmt.Sprint(s.options.TimeScale))
+		"--milli-cpu", fmt.Sprint(p.Worker.MilliCPU), "--memory-mb", fmt.Sprint(p.Worker.MemoryMB), "--time-scale", fmt.Sprint(s.options.TimeScale),
+		"--record", filepath.Join(s.options.Logs, id+".record"))
 	if err != nil {
 		return err
 	}
