--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -35,9 +35,6 @@
 	Domain string
 	Charts Charts
 	Policy placer.Policy
-	// Pull makes each worker with room ask for batch work, instead of placing
-	// each task on the best worker. It is for comparison only.
-	Pull bool
 	// Prepare completes a request before the policy gets it; nil for nothing.
 	Prepare func(*Core, *Task, *placer.Request)
 	// Interference is called after each report, with it, and on each tick,
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -26,8 +26,6 @@
 	starts, tries int
 	// refused has the sizes for which the policy found no room.
 	refused map[refusedSize]string
-	// view has the workers to place on.
-	view *placer.View
 }
 
 type refusedSize struct {
@@ -57,34 +55,17 @@
 	}
 	c.queue.changed, c.lastPlace = false, now
 	c.refreshView()
-	p.view = &c.view.View
 	c.placeLane(p, &c.queue.standing)
 	c.placeTeams(p, c.queue.urgent)
 	c.placeProbes(p)
 	held := c.holdClaims()
-	c.placeOrdinary(p)
+	c.placeTeams(p, c.queue.ordinary)
 	c.freeClaims(held)
 	if p.full() {
 		c.queue.changed = true
 	}
 }
 
-// placeOrdinary places batch that is not urgent. With pulling, each worker in
-// turn asks for the next work that it may take.
-func (c *Core) placeOrdinary(p *pass) {
-	if !c.options.Pull {
-		c.placeTeams(p, c.queue.ordinary)
-		return
-	}
-	for i := range c.view.Workers {
-		p.view = &placer.View{Workers: c.view.Workers[i : i+1]}
-		p.tries = maxTries
-		clear(p.refused)
-		c.placeTeams(p, c.queue.ordinary)
-	}
-	p.view = &c.view.View
-}
-
 func (c *Core) placeLane(p *pass, l *lane) {
 	for i := 0; i < len(l.entries) && !p.full(); {
 		e := l.entries[i]
@@ -150,7 +131,7 @@
 		reason = c.refusal(&t)
 	}
 	if reason == "" {
-		choice, err := c.choose(&t, p.view)
+		choice, err := c.choose(&t, &c.view.View)
 		if err == nil {
 			return c.start(p, &t, choice)
 		}
