Let replicas take the room of batch

Change: a replica without room claims it as an urgent task does. Ruled out: more headroom, which costs batch work at all times.

--- a/internal/scheduler/interference_test.go
+++ b/internal/scheduler/interference_test.go
@@ -136,3 +136,25 @@
 	quicktest.Check(t, shares[0], quicktest.Equals, placer.ParametersOf(declarer.OrdinaryDay).ThrottleShare)
 	quicktest.Check(t, len(l.core.Explain(Query{Job: "j"})) > 1, quicktest.IsTrue)
 }
+
+// Guards against a replica that waits for batch tasks to end on a domain that
+// they fill, while callers wait.
+func TestReplicaTakesRoomOfBatch(t *testing.T) {
+	l := newLearning(t, nil)
+	l.submit("j", 5, taskSize)
+	l.step(Event{Tick: &Tick{}})
+	use := func(Task) RunningAttempt { return RunningAttempt{Usage: taskSize} }
+	l.report(use)
+	config := *l.core.config
+	config.Revision, config.Services = 2, []declarer.Service{replica}
+	l.step(Event{Config: &ConfigConfirmed{Config: &config, At: l.now}})
+	l.now = l.now.Add(time.Second)
+	l.step(Event{Tick: &Tick{}})
+	checkpoints := 0
+	for _, c := range l.commands {
+		if c.Checkpoint != nil {
+			checkpoints++
+		}
+	}
+	quicktest.Check(t, checkpoints, quicktest.Equals, 1)
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -143,7 +143,7 @@
 		}
 	}
 	c.refuse(&t, reason)
-	if t.Urgent && t.Class == declarer.ClassBatch && c.allowed(&t) {
+	if t.Class == declarer.ClassService || (t.Urgent && t.Class == declarer.ClassBatch && c.allowed(&t)) {
 		c.preempt(&t, e)
 	}
 	return false
--- a/internal/scheduler/urgent.go
+++ b/internal/scheduler/urgent.go
@@ -23,7 +23,7 @@
 	evictionPenalty = 5 * time.Second
 )
 
-// claim is room on a worker that is being made for an urgent task.
+// claim is room on a worker that is being made for an urgent task or a replica.
 type claim struct {
 	task    TaskID
 	worker  string
@@ -48,7 +48,8 @@
 	return d + time.Duration(t.Evictions)*evictionPenalty
 }
 
-// preempt makes room for the urgent tasks of an entry, of which t is the first.
+// preempt makes room for the tasks of an entry, of which t is the first: urgent
+// batch, or a replica.
 func (c *Core) preempt(t *Task, e entry) {
 	if e.job == nil {
 		c.preemptFor(t)
@@ -146,7 +147,7 @@
 }
 
 func (c *Core) dropClaim(t *Task) {
-	if len(c.claims) > 0 && t.Urgent {
+	if len(c.claims) > 0 {
 		c.claims = slices.DeleteFunc(c.claims, func(k claim) bool { return k.task == t.ID })
 	}
 }
