Ask for the owner of the own shard twice a second

The pause of one second broke the bound of one second on the takeover after a planned stop (TestOwnerFaults); 500 ms keeps it and halves the reads.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -236,7 +236,7 @@
 	// homePause is between two attempts to take the shard of the own domain.
 	// Each attempt is a read of the store; at 250 ms the daemons of one domain
 	// made 8 reads a second.
-	homePause = time.Second
+	homePause = 500 * time.Millisecond
 	// foreignPause is between two looks at the owner of another domain's
 	// shard, and foreignPatience how long that shard must be without one.
 	foreignPause    = 3 * time.Second
