--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -44,7 +44,7 @@
 	c.wanted = map[TaskID]bool{}
 	for _, s := range c.config.Services {
 		for i := range c.config.ReplicasIn(s, c.options.Domain) {
-			c.want(Task{ID: replicaID(s.Name, c.options.Domain, i), Class: declarer.ClassService, Owner: s.Name, Team: s.Team, Kind: s.Name, Declared: s.Resources, State: Pending})
+			c.want(Task{ID: replicaID(s.Name, c.options.Domain, i), Class: declarer.ClassService, Owner: s.Name, Team: s.Team, Kind: s.Name, Declared: s.Resources, Submitted: c.stamp(), State: Pending})
 		}
 	}
 	for i, w := range c.config.Watchers {
@@ -56,7 +56,7 @@
 			c.unmatched = true
 			continue
 		}
-		c.want(Task{ID: id, Class: declarer.ClassWatcher, Owner: w.Name, Team: w.Team, Kind: w.Name, Declared: w.Resources, State: Pending})
+		c.want(Task{ID: id, Class: declarer.ClassWatcher, Owner: w.Name, Team: w.Team, Kind: w.Name, Declared: w.Resources, Submitted: c.stamp(), State: Pending})
 	}
 	c.endSurplus(now)
 }
