Take leaving workers from the platform's list in every daemon

Cause: the router's third source of leaving targets was never called, since the list names workers and not runners. Change: routes name their worker, and the daemon passes the leaving workers of each list to its router.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -52,6 +52,8 @@
 	// tables has the newest routing table of each shard.
 	tables  map[string]*messenger.RoutingTable
 	targets map[targetKey]*target
+	// leavingWorkers are those of the last list of instances.
+	leavingWorkers []string
 	// members has the ids of the live daemons in order.
 	members []string
 	// services is replaced as a whole when a service is added.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -161,9 +161,10 @@
 			})
 			routes := []*messenger.Route{route(left, "left"), route(startTarget(c, func(*fasthttp.RequestCtx) {}), "stays")}
 			routes[0].Leaving = source == "table"
+			routes[0].Worker, routes[1].Worker = "leaving-worker", "staying-worker"
 			r := newTestRouter(Options{}, routes...)
 			if source == "list" {
-				r.SetLeaving(left)
+				r.SetLeaving([]string{"leaving-worker"})
 			}
 			for range 50 {
 				c.Check(resultOf(do(r, call{method: "POST"})), qt.Equals, "ok")
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -49,15 +49,21 @@
 	r.rebuild()
 }
 
-// SetLeaving makes the target at addr get nothing new, as the platform's list
-// of instances demands.
-func (r *Router) SetLeaving(addr string) {
+// SetLeaving makes the targets on the given workers get nothing new, as the
+// platform's list of instances demands.
+func (r *Router) SetLeaving(workers []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for key, t := range r.targets {
-		if key.addr == addr {
-			t.isLeaving.Store(true)
-		}
+	r.leavingWorkers = workers
+	for _, t := range r.targets {
+		r.markLeaving(t)
+	}
+}
+
+// markLeaving marks a target whose worker is leaving. The caller holds r.mu.
+func (r *Router) markLeaving(t *target) {
+	if slices.Contains(r.leavingWorkers, t.worker) {
+		t.isLeaving.Store(true)
 	}
 }
 
@@ -104,10 +110,11 @@
 
 func (r *Router) newTarget(route *messenger.Route) *target {
 	t := &target{
-		addr: route.Addr, task: route.Task, domain: route.Domain, slots: int(route.Slots), connections: int(route.Connections),
+		addr: route.Addr, task: route.Task, worker: route.Worker, domain: route.Domain, slots: int(route.Slots), connections: int(route.Connections),
 		service: r.addService(route.Service),
 		pool:    &pool{addr: route.Addr, dial: r.options.Dial},
 	}
+	r.markLeaving(t)
 	return t
 }
 
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -30,6 +30,7 @@
 // target is one runner.
 type target struct {
 	addr, task, domain string
+	worker             string
 	slots, connections int
 	pool               *pool
 	service            *service
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -134,12 +134,27 @@
 		Preferred: func() string { return d.ownerAddress(s.Domain) }, Rand: rand.New(rand.NewPCG(self.Incarnation, 0)),
 		Instances: func(ctx context.Context) ([]netip.AddrPort, error) {
 			list, err := p.instances(ctx)
+			if err == nil {
+				d.router.SetLeaving(leavingWorkers(list))
+			}
 			return daemonAddresses(list), err
 		},
 	})
 	return d, nil
 }
 
+// leavingWorkers returns the ids of the workers in the platform's list that
+// are leaving.
+func leavingWorkers(list []dispatcher.Instance) []string {
+	var ids []string
+	for _, in := range list {
+		if in.Role == dispatcher.RoleWorker && in.Leaving {
+			ids = append(ids, in.ID)
+		}
+	}
+	return ids
+}
+
 // daemonAddresses returns the control addresses of the daemons in the
 // platform's list that are not leaving.
 func daemonAddresses(list []dispatcher.Instance) []netip.AddrPort {
