Keep a checkpoint consumed when a worker may have lost the attempt with its memory

Cause: a worker that died and came back without its memory lists neither the attempt as running nor as ended. Both the core (endMissing) and the driver (intake) took that for a start that never arrived and made the attempt's checkpoint available again, so it was resumed twice. Change: only a start that was withdrawn or refused gives the checkpoint back. Ruled out: a report that says since when the worker has its memory; the platform does not promise one. Test: TestRandomSequences runs that seed; it failed before and passes now. Conclusion: when a start message is lost and the worker can't prove it, the work restarts without its checkpoint instead of resuming it twice.

--- a/internal/controller/intake.go
+++ b/internal/controller/intake.go
@@ -133,9 +133,8 @@
 			continue
 		}
 		// An attempt that is in no list was never started, or the worker has
-		// lost it with its memory.
+		// lost it with its memory; so this does not withdraw the start.
 		delete(o.attemptsOn(worker), task)
-		o.handle(scheduler.Event{StartRefused: &scheduler.StartRefused{Task: task, Attempt: p.attempt, Reason: "start not carried out", Withdrawn: true}})
 		r.Ended = append(r.Ended, scheduler.EndedAttempt{Task: task, Attempt: p.attempt, Outcome: scheduler.OutcomeExpired, Reason: "worker does not know the attempt"})
 	}
 	o.handle(scheduler.Event{Report: &r})
--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -176,7 +176,7 @@
 	}
 	if ch.Checkpoint != "" {
 		t.Checkpoint = ch.Checkpoint
-	} else if ch.Event == "refused" {
+	} else if ch.Event == "refused" && ch.Outcome == "" {
 		t.Checkpoint = t.Resumed
 	}
 	c.noteOutcome(t, ch.Outcome)
--- a/internal/scheduler/random_test.go
+++ b/internal/scheduler/random_test.go
@@ -18,8 +18,11 @@
 
 const (
 	// randomSeed and randomChecks are those of the normal run.
-	randomSeed   = 20261204
-	randomChecks = 60
+	randomSeed = 20261204
+	// lostMemorySeed makes a worker lose its memory after it has started an
+	// attempt with a checkpoint; the checkpoint was then resumed twice.
+	lostMemorySeed = 1796380245803165729
+	randomChecks   = 60
 	// randomFor is the environment variable with the duration of a long run.
 	randomFor = "TARRAGON_RANDOM_FOR"
 )
@@ -32,6 +35,7 @@
 	length, err := time.ParseDuration(os.Getenv(randomFor))
 	if err != nil {
 		checkRandom(t, randomSeed)
+		checkRandom(t, lostMemorySeed)
 		return
 	}
 	begun := time.Now()
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -167,7 +167,9 @@
 			continue
 		}
 		if t.State == Starting {
-			c.moveAttempt(t, AttemptMoved{Event: "refused", Reason: "not started in time", NotBefore: c.stamp().Add(retryPause)})
+			// A worker that lost its memory may have run the attempt, so the
+			// checkpoint that it consumed is not available again.
+			c.moveAttempt(t, AttemptMoved{Event: "refused", Reason: "not started in time", NotBefore: c.stamp().Add(retryPause), Outcome: OutcomeExpired})
 			continue
 		}
 		c.endAttempt(t, EndedAttempt{Outcome: OutcomeExpired, Reason: "no longer on the worker"})
