Give the overhead measurement's peer a traffic address

Cause: the gossiper refuses members without one, so the daemon never learned the routing table and the measurement ended with status 503.

--- a/standins/loader/overhead.go
+++ b/standins/loader/overhead.go
@@ -312,7 +312,7 @@
 
 func newTablePeer(addr, target string) *tablePeer {
 	return &tablePeer{target: target, gossip: gossiper.New(gossiper.Options{
-		Self: &messenger.Member{Id: "table", Domain: "a", ControlAddr: addr, Incarnation: 1},
+		Self: &messenger.Member{Id: "table", Domain: "a", ControlAddr: addr, TrafficAddr: addr, Incarnation: 1},
 		Dial: func(addr string) messenger.Peer {
 			return messenger.NewPeerProtobufClient("http://"+addr, http.DefaultClient)
 		},
