--- a/standins/cmd/capacity/main.go
+++ b/standins/cmd/capacity/main.go
@@ -22,11 +22,11 @@
 }
 
 var parts = []part{
-	{"workers", measureWorkers},
-	{"daemons", measureDaemons},
-	{"starts", measureStarts},
-	{"config", measureConfig},
-	{"requests", measureRequests},
+	{"workers", workers.measure},
+	{"daemons", daemons.measure},
+	{"starts", starts.measure},
+	{"config", config.measure},
+	{"requests", requests.measure},
 	{"state", func(*measurer.Bench) error { return measureState() }},
 }
 
--- a/standins/cmd/capacity/systems.go
+++ b/standins/cmd/capacity/systems.go
@@ -15,68 +15,83 @@
 	"tarragonhead.example/tarragonhead/standins/measurer"
 )
 
-// measureWorkers varies the workers of one domain with three daemons.
-func measureWorkers(b *measurer.Bench) error {
-	c := newCollector()
-	for _, workers := range []int{8, 32, 64} {
-		s, w, err := b.Start(1, workers, 3)
-		if err != nil {
-			return err
-		}
-		sample, err := declaredSample(b, s, w, nil)
-		s.Stop()
-		if err != nil {
-			return err
-		}
-		c.add(float64(workers), sample)
-	}
-	c.print("workers")
-	return nil
+// scenario is a series of systems that differ in one size.
+type scenario struct {
+	// unit names the size in the table, and sizes are the values to measure.
+	unit  string
+	sizes []int
+	// start returns the domains of the system for a size, and the workers and
+	// daemons of each.
+	start func(size int) (domains, workers, daemons int)
+	// declare completes the declared work; nil for none.
+	declare func(w declarer.Workload, size int) declarer.Workload
+	// work runs during the window; nil for nothing.
+	work func(b *measurer.Bench, s *launcher.System, w declarer.Workload, size int) error
 }
 
-// measureDaemons varies the daemons, three to a domain, with two workers each.
-func measureDaemons(b *measurer.Bench) error {
+// measure runs the systems of a scenario and prints the table.
+func (n scenario) measure(b *measurer.Bench) error {
 	c := newCollector()
-	for _, domains := range []int{1, 3, 8} {
-		s, w, err := b.Start(domains, 2, 3)
+	for _, size := range n.sizes {
+		sample, err := n.sample(b, size)
 		if err != nil {
 			return err
 		}
-		sample, err := declaredSample(b, s, w, nil)
-		s.Stop()
-		if err != nil {
-			return err
-		}
-		c.add(float64(3*domains), sample)
+		c.add(float64(size), sample)
 	}
-	c.print("daemons")
+	c.print(n.unit)
 	return nil
 }
 
-func declaredSample(b *measurer.Bench, s *launcher.System, w declarer.Workload, work func() error) (measurer.Sample, error) {
+func (n scenario) sample(b *measurer.Bench, size int) (measurer.Sample, error) {
+	s, w, err := b.Start(n.start(size))
+	if err != nil {
+		return measurer.Sample{}, err
+	}
+	defer s.Stop()
+	if n.declare != nil {
+		w = n.declare(w, size)
+	}
 	if err := b.Declare(s, w); err != nil {
 		return measurer.Sample{}, err
 	}
-	return b.Sample(s, work)
+	if n.work == nil {
+		return b.Sample(s, nil)
+	}
+	return b.Sample(s, func() error { return n.work(b, s, w, size) })
 }
 
-// measureStarts varies the task starts a second in one domain.
-func measureStarts(b *measurer.Bench) error {
-	c := newCollector()
-	for _, perSecond := range []int{5, 20, 56} {
-		s, w, err := b.Start(1, 16, 3)
-		if err != nil {
-			return err
-		}
-		sample, err := declaredSample(b, s, w, func() error { return submitSteadily(b, s, w, perSecond) })
-		s.Stop()
-		if err != nil {
-			return err
-		}
-		c.add(float64(perSecond), sample)
+// oneDomain starts three daemons and the given workers in one domain.
+func oneDomain(workers int) func(int) (int, int, int) {
+	return func(int) (int, int, int) { return 1, workers, 3 }
+}
+
+var (
+	workers = scenario{
+		unit: "workers", sizes: []int{8, 32, 64},
+		start: func(size int) (int, int, int) { return 1, size, 3 },
 	}
-	c.print("starts/s")
-	return nil
+	daemons = scenario{
+		unit: "daemons", sizes: []int{3, 9, 24},
+		start: func(size int) (int, int, int) { return size / 3, 2, 3 },
+	}
+	starts = scenario{
+		unit: "starts/s", sizes: []int{5, 20, 56},
+		start: oneDomain(16), work: submitSteadily,
+	}
+	config = scenario{
+		unit: "teams", sizes: []int{10, 100, 340},
+		start: oneDomain(2), declare: measurer.WithTeams, work: switchPresets,
+	}
+	requests = scenario{
+		unit: "requests/s", sizes: []int{200, 1000, 3000},
+		start: oneDomain(4), declare: withService, work: request,
+	}
+)
+
+func withService(w declarer.Workload, _ int) declarer.Workload {
+	w.Services = []declarer.Service{{Name: "echo", Team: "team", Replicas: 8, Resources: declarer.Resources{MilliCPU: 1000, MemoryMB: 1000}}}
+	return w
 }
 
 // submitSteadily submits one job a second for the length of the window.
@@ -97,27 +112,8 @@
 	return nil
 }
 
-// measureConfig varies the size of the declared work while the preset changes
-// once a second.
-func measureConfig(b *measurer.Bench) error {
-	c := newCollector()
-	for _, teams := range []int{10, 100, 340} {
-		s, w, err := b.Start(1, 2, 3)
-		if err != nil {
-			return err
-		}
-		sample, err := declaredSample(b, s, measurer.WithTeams(w, teams), func() error { return switchPresets(b, s) })
-		s.Stop()
-		if err != nil {
-			return err
-		}
-		c.add(float64(teams), sample)
-	}
-	c.print("teams")
-	return nil
-}
-
-func switchPresets(b *measurer.Bench, s *launcher.System) error {
+// switchPresets changes the preset once a second.
+func switchPresets(b *measurer.Bench, s *launcher.System, _ declarer.Workload, _ int) error {
 	ticks := time.NewTicker(time.Second)
 	defer ticks.Stop()
 	for i := range int(b.Window.Seconds()) {
@@ -129,29 +125,9 @@
 	return nil
 }
 
-// measureRequests varies the requests a second through one daemon.
-func measureRequests(b *measurer.Bench) error {
-	c := newCollector()
-	for _, perSecond := range []int{200, 1000, 3000} {
-		s, w, err := b.Start(1, 4, 3)
-		if err != nil {
-			return err
-		}
-		w.Services = []declarer.Service{{Name: "echo", Team: "team", Replicas: 8, Resources: declarer.Resources{MilliCPU: 1000, MemoryMB: 1000}}}
-		sample, err := declaredSample(b, s, w, func() error { return request(b, s, perSecond) })
-		s.Stop()
-		if err != nil {
-			return err
-		}
-		c.add(float64(perSecond), sample)
-	}
-	c.print("requests/s")
-	return nil
-}
-
-// request sends requests at random times that average to the given rate, all
-// through the daemons that own nothing in turn.
-func request(b *measurer.Bench, s *launcher.System, perSecond int) error {
+// request sends requests at random times that average to the given rate, each
+// through a random daemon.
+func request(b *measurer.Bench, s *launcher.System, _ declarer.Workload, perSecond int) error {
 	client := &fasthttp.Client{MaxConnsPerHost: 256}
 	random := rand.New(rand.NewPCG(1, 2))
 	failed := make(chan error, 1)
