Name the foreign owner and the emulator by their usual terms

Caretaker and rehearser were names of our own; an owner from another domain is a foreign owner, and the in-process system with virtual time is an emulator.

--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -264,7 +264,7 @@
 			return true
 		}
 		o.takeCare()
-		// A caretaker starts nothing, but ends what is declared elsewhere by
+		// A foreign owner starts nothing, but ends what is declared elsewhere by
 		// now and tells the other domains.
 		o.confirmConfig(now)
 	}
@@ -296,7 +296,7 @@
 			}
 		}
 	}
-	o.handle(scheduler.Event{Caretaking: &scheduler.Caretaking{To: to}})
+	o.handle(scheduler.Event{ForeignOwner: &scheduler.ForeignOwner{To: to}})
 }
 
 func (o *owner) canReach(shard string) bool {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -123,8 +123,8 @@
 	lastSent   time.Time
 	forgotten  time.Time
 	lastPlace  time.Time
-	// isCaretaker is set when the owner belongs to another domain.
-	isCaretaker bool
+	// isForeignOwner is set when the owner belongs to another domain.
+	isForeignOwner bool
 	// unsent has the jobs of other shards with counts to report.
 	unsent map[string]bool
 	// completeAt is when this owner first saw that a job is complete.
@@ -192,8 +192,8 @@
 		c.loseWorker(e.WorkerLost.ID, e.WorkerLost.Class)
 	case e.Unreachable != nil:
 		c.missWorker(e.Unreachable.ID)
-	case e.Caretaking != nil:
-		c.caretake(e.Caretaking.To)
+	case e.ForeignOwner != nil:
+		c.handOverAll(e.ForeignOwner.To)
 	case e.WorkerLeaving != nil:
 		c.moveWorker(e.WorkerLeaving.ID, "leave", "listed as leaving")
 	case e.Report != nil:
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -130,10 +130,10 @@
 	return tasks
 }
 
-// caretake gives pending batch work to other shards while the owner belongs to
+// handOverAll gives pending batch work to other shards while the owner belongs to
 // another domain; nothing starts here.
-func (c *Core) caretake(to []string) {
-	c.isCaretaker = true
+func (c *Core) handOverAll(to []string) {
+	c.isForeignOwner = true
 	c.handOverPending(to)
 }
 
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -15,7 +15,7 @@
 	WorkerSeen    *WorkerSeen
 	WorkerLost    *WorkerLost
 	Unreachable   *WorkerUnreachable
-	Caretaking    *Caretaking
+	ForeignOwner  *ForeignOwner
 	WorkerLeaving *WorkerLeaving
 	Report        *WorkerReport
 	StartRefused  *StartRefused
@@ -106,10 +106,10 @@
 // may still run.
 type WorkerUnreachable struct{ ID string }
 
-// Caretaking tells that the owner belongs to another domain, since the shard's
+// ForeignOwner tells that the owner belongs to another domain, since the shard's
 // own daemons are gone. Waiting batch tasks go to the shards in To, and
 // nothing starts here.
-type Caretaking struct{ To []string }
+type ForeignOwner struct{ To []string }
 
 // WorkerLeaving reports that a worker takes no new work.
 type WorkerLeaving struct{ ID string }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -40,7 +40,7 @@
 // mayStart reports whether tasks may start now: the configuration has been
 // confirmed lately and the domain is in service.
 func (c *Core) mayStart(now time.Time) bool {
-	return c.config != nil && now.Sub(c.confirmedAt) <= ConfigMaxAge && !c.config.IsOut(c.options.Domain) && !c.domainOut && !c.isCaretaker
+	return c.config != nil && now.Sub(c.confirmedAt) <= ConfigMaxAge && !c.config.IsOut(c.options.Domain) && !c.domainOut && !c.isForeignOwner
 }
 
 // place starts pending tasks where the policy puts them.
--- a/standins/rehearser/rehearser.go
+++ b/standins/emulator/emulator.go
@@ -1,6 +1,6 @@
-// Package rehearser runs controllers, workers and the store in one process,
+// Package emulator runs controllers, workers and the store in one process,
 // with links that a test can cut, so that a test may use virtual time.
-package rehearser
+package emulator
 
 import (
 	"context"
@@ -97,7 +97,7 @@
 			s.StartDaemon(fmt.Sprintf("%s-d%d", domain, i), domain)
 		}
 	}
-	_, err = s.Daemons()[0].config.Propose(s.ctx, configurer.Change{ID: "rehearsal", Operator: "rehearser", Summary: "declare the work", Edit: func(c *declarer.Config) error {
+	_, err = s.Daemons()[0].config.Propose(s.ctx, configurer.Change{ID: "rehearsal", Operator: "emulator", Summary: "declare the work", Edit: func(c *declarer.Config) error {
 		c.Domains, c.Services = o.Domains, o.Services
 		c.Teams = []declarer.Team{{Name: "team", Weight: 1}}
 		return nil
@@ -140,7 +140,7 @@
 
 // SetOut takes a domain out of service.
 func (s *System) SetOut(domain string) error {
-	_, err := s.Daemons()[0].config.Propose(s.ctx, configurer.Change{ID: "out-" + domain, Operator: "rehearser", Summary: "take out " + domain, Edit: func(c *declarer.Config) error {
+	_, err := s.Daemons()[0].config.Propose(s.ctx, configurer.Change{ID: "out-" + domain, Operator: "emulator", Summary: "take out " + domain, Edit: func(c *declarer.Config) error {
 		c.DomainsOut = []string{domain}
 		return nil
 	}})
--- a/standins/rehearser/recovery_test.go
+++ b/standins/emulator/recovery_test.go
@@ -1,4 +1,4 @@
-package rehearser
+package emulator
 
 import (
 	"fmt"
@@ -24,9 +24,9 @@
 	return declarer.BatchJob{ID: id, Team: "team", Kind: "kind", Tasks: tasks, Resources: size, RunTime: runTime}
 }
 
-// rehearsal runs f on a system with one or more domains in virtual time, then
+// emulate runs f on a system with one or more domains in virtual time, then
 // checks that no task ran twice at once.
-func rehearsal(t *testing.T, o Options, f func(*quicktest.C, *System)) {
+func emulate(t *testing.T, o Options, f func(*quicktest.C, *System)) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
@@ -119,7 +119,7 @@
 		"paused for 7 seconds": func(d *Daemon) { d.Pause(); time.AfterFunc(7*time.Second, d.Resume) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			rehearsal(t, one, func(c *quicktest.C, s *System) {
+			emulate(t, one, func(c *quicktest.C, s *System) {
 				begin(c, s, "a", 30, 40*time.Second)
 				old := s.Owner("a")
 				begun := time.Now()
@@ -156,7 +156,7 @@
 		"slow":                {storekeeper.Fault{Mode: storekeeper.Slow, Delay: 1500 * time.Millisecond}, 12 * time.Minute, 24},
 	} {
 		t.Run(name, func(t *testing.T) {
-			rehearsal(t, one, func(c *quicktest.C, s *System) {
+			emulate(t, one, func(c *quicktest.C, s *System) {
 				begin(c, s, "a", 24, 10*time.Minute)
 				s.Store.AddFault(o.fault)
 				time.Sleep(o.lasting)
@@ -172,7 +172,7 @@
 // TestHorizon guards against renewals beyond the horizon, and against leases
 // that end before it.
 func TestHorizon(t *testing.T) {
-	rehearsal(t, one, func(c *quicktest.C, s *System) {
+	emulate(t, one, func(c *quicktest.C, s *System) {
 		begin(c, s, "a", 3, 2*time.Hour)
 		time.Sleep(7 * time.Minute)
 		cut := time.Now()
@@ -197,7 +197,7 @@
 // TestUnreachableWorker guards against a successor that starts a task again
 // while the old owner, cut off from the store, still renews it.
 func TestUnreachableWorker(t *testing.T) {
-	rehearsal(t, one, func(c *quicktest.C, s *System) {
+	emulate(t, one, func(c *quicktest.C, s *System) {
 		begin(c, s, "a", 3, time.Hour)
 		old := s.Owner("a")
 		for _, d := range s.Daemons() {
@@ -223,7 +223,7 @@
 // TestReleasedShard guards against a successor that waits for the horizon
 // although the owner stopped as planned.
 func TestReleasedShard(t *testing.T) {
-	rehearsal(t, one, func(c *quicktest.C, s *System) {
+	emulate(t, one, func(c *quicktest.C, s *System) {
 		begin(c, s, "a", 3, time.Hour)
 		old := s.Owner("a")
 		for _, d := range s.Daemons() {
@@ -246,7 +246,7 @@
 	} {
 		for _, lasting := range []time.Duration{1500 * time.Millisecond, 5 * time.Second, 30 * time.Second} {
 			t.Run(fmt.Sprintf("%s for %s", name, lasting), func(t *testing.T) {
-				rehearsal(t, one, func(c *quicktest.C, s *System) {
+				emulate(t, one, func(c *quicktest.C, s *System) {
 					begin(c, s, "a", 30, 20*time.Second)
 					owner := s.Owner("a")
 					// The cut begins just before the first tasks end, so that
@@ -271,7 +271,7 @@
 		"answers lost":  func(l *worker.Link) { l.Mute.Store(true) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			rehearsal(t, one, func(c *quicktest.C, s *System) {
+			emulate(t, one, func(c *quicktest.C, s *System) {
 				begin(c, s, "a", 3, time.Hour)
 				time.Sleep(time.Minute)
 				cut(s.Owner("a").Link("a-w0"))
@@ -292,7 +292,7 @@
 	} {
 		for _, lasting := range []time.Duration{1500 * time.Millisecond, 4 * time.Second, 30 * time.Second} {
 			t.Run(fmt.Sprintf("%s for %s", name, lasting), func(t *testing.T) {
-				rehearsal(t, one, func(c *quicktest.C, s *System) {
+				emulate(t, one, func(c *quicktest.C, s *System) {
 					begin(c, s, "a", 1, time.Second)
 					finish(c, s, "a", 1, 20*time.Second)
 					owner := s.Owner("a")
@@ -313,7 +313,7 @@
 func TestLostDomain(t *testing.T) {
 	for name, mute := range map[string]bool{"answers": false, "answers lost for a while": true} {
 		t.Run(name, func(t *testing.T) {
-			rehearsal(t, Options{Domains: []string{"a", "b", "c"}, Workers: 3, Daemons: 1}, func(c *quicktest.C, s *System) {
+			emulate(t, Options{Domains: []string{"a", "b", "c"}, Workers: 3, Daemons: 1}, func(c *quicktest.C, s *System) {
 				begin(c, s, "a", 30, 30*time.Second)
 				begun := time.Now()
 				for _, d := range s.Daemons() {
@@ -372,7 +372,7 @@
 		"answer lost":    {Mode: storekeeper.Lost, Prefix: "ledger/"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			rehearsal(t, one, func(c *quicktest.C, s *System) {
+			emulate(t, one, func(c *quicktest.C, s *System) {
 				begin(c, s, "a", 1, time.Second)
 				finish(c, s, "a", 1, 20*time.Second)
 				s.Store.AddFault(f)
@@ -394,7 +394,7 @@
 // TestMovedWorker guards against a task that is started again while the
 // process at the worker's former address still runs it under its lease.
 func TestMovedWorker(t *testing.T) {
-	rehearsal(t, one, func(c *quicktest.C, s *System) {
+	emulate(t, one, func(c *quicktest.C, s *System) {
 		begin(c, s, "a", 3, 20*time.Second)
 		s.Move("a-w0")
 		finish(c, s, "a", 3, 2*time.Minute)
@@ -407,7 +407,7 @@
 func TestLeavingRoutes(t *testing.T) {
 	o := one
 	o.Services = []declarer.Service{{Name: "web", Team: "team", Replicas: 8, Resources: size}}
-	rehearsal(t, o, func(c *quicktest.C, s *System) {
+	emulate(t, o, func(c *quicktest.C, s *System) {
 		routes := func() (all, leaving int) {
 			owner := s.Owner("a")
 			if owner == nil {
