--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -228,7 +228,7 @@
 	if c.options.Interference != nil {
 		c.options.Interference(c, now, nil)
 	}
-	c.hurryClaims(now)
+	c.expireClaims(now)
 	c.place(now)
 	c.sendReports(now)
 }
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -125,7 +125,7 @@
 	if w == nil {
 		return
 	}
-	l.follow(c, now, r, w)
+	l.trackAttempts(c, now, r, w)
 	if r.MeasuredAt.IsZero() || !r.MeasuredAt.After(l.measured[r.Worker]) {
 		return
 	}
@@ -155,8 +155,8 @@
 	}
 }
 
-// follow notes which attempts have started and ended on a worker.
-func (l *Learner) follow(c *Core, now time.Time, r *WorkerReport, w *Worker) {
+// trackAttempts notes which attempts have started and ended on a worker.
+func (l *Learner) trackAttempts(c *Core, now time.Time, r *WorkerReport, w *Worker) {
 	known := l.known[w.ID]
 	if known == nil {
 		known = map[TaskID]*learned{}
@@ -181,16 +181,16 @@
 		if known[t.ID] != nil || t.State == Starting || t.State == Unknown {
 			continue
 		}
-		known[t.ID] = l.meet(c, now, t)
+		known[t.ID] = l.newAttempt(c, now, t)
 		l.Estimator.Started(known[t.ID].started, w.ID, string(t.ID), t.Attempt, t.Kind, float64(t.Reserved.MilliCPU)/float64(max(1, w.Capacity.MilliCPU)))
 	}
 }
 
-// meet returns what to keep of an attempt that is seen for the first time. A
+// newAttempt returns what to keep of an attempt that is seen for the first time. A
 // start is given right after the configuration was confirmed, which bounds its
 // time. An attempt of an earlier owner may be throttled without this one
 // knowing, so its share is set again.
-func (l *Learner) meet(c *Core, now time.Time, t *Task) *learned {
+func (l *Learner) newAttempt(c *Core, now time.Time, t *Task) *learned {
 	k := &learned{attempt: t.Attempt, key: estimator.Key{Team: t.Team, Kind: t.Kind}, declared: t.RunTime, started: now, share: 1, resumed: t.Evictions > 0}
 	a := c.attempts[t.ID]
 	if a == nil || a.latestStart.IsZero() {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -121,7 +121,7 @@
 		c.end(e.task, "job cancelled")
 		return false
 	}
-	if to := c.elsewhere(&t); to != "" {
+	if to := c.requiredDomain(&t); to != "" {
 		c.handOverEntry(e, []string{to})
 		return false
 	}
@@ -149,9 +149,9 @@
 	return false
 }
 
-// elsewhere returns the domain in service that a job is restricted to, when it
+// requiredDomain returns the domain in service that a job is restricted to, when it
 // is another one.
-func (c *Core) elsewhere(t *Task) string {
+func (c *Core) requiredDomain(t *Task) string {
 	j := c.jobs[t.Owner]
 	if t.Class != declarer.ClassBatch || j == nil || j.Job.Domain == "" || j.Job.Domain == c.options.Domain || len(c.transfers) >= maxTransfers {
 		return ""
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -30,10 +30,10 @@
 	probeSuccess = time.Minute
 )
 
-// judge looks at the evidence against a worker and a job after an attempt.
+// attributeOutcome looks at the evidence against a worker and a job after an attempt.
 // Distinct jobs that fail on one worker count against the worker, distinct
 // workers on which one job fails count against the job.
-func (c *Core) judge(worker, owner string, o Outcome) {
+func (c *Core) attributeOutcome(worker, owner string, o Outcome) {
 	w, j := c.workers[worker], c.jobs[owner]
 	if w == nil {
 		return
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -224,7 +224,7 @@
 	if !c.moveAttempt(t, ch) {
 		return
 	}
-	c.judge(worker, owner, ch.Outcome)
+	c.attributeOutcome(worker, owner, ch.Outcome)
 	if j := c.jobs[owner]; t.State == Pending && t.Class == declarer.ClassBatch && j != nil && j.Parked != "" {
 		c.record(Change{TaskParked: &TaskParked{t.ID, j.Parked}})
 	}
--- a/internal/scheduler/urgent.go
+++ b/internal/scheduler/urgent.go
@@ -131,8 +131,8 @@
 	return k, wait, t.Declared.FitsIn(free)
 }
 
-// hurryClaims stops victims that take too long and forgets old claims.
-func (c *Core) hurryClaims(now time.Time) {
+// expireClaims stops victims that take too long and forgets old claims.
+func (c *Core) expireClaims(now time.Time) {
 	c.claims = slices.DeleteFunc(c.claims, func(k claim) bool {
 		if now.Sub(k.at) < claimLimit {
 			return false
