Place and slow filling tasks by what their pair is expected to do to a tail

Change: only tasks whose learned pair explains the tail are slowed; a place is rated by the chance that it pushes a lasting task over its target, with the reversion of its load.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -148,7 +148,7 @@
 	case errors.As(err, &other):
 		s.stale = true
 		delete(c.sessions, workerID)
-		c.planner.Restarted(now, workerID)
+		c.planner.Restarted(workerID)
 		return false
 	case err == nil || errors.As(err, &refused):
 		c.planner.Answered(now, workerID)
@@ -160,7 +160,7 @@
 
 // look asks the workers with runs what they run.
 func (c *Conductor) look(ctx context.Context, now time.Time) {
-	for _, contact := range c.planner.Contacts() {
+	for _, contact := range c.planner.Contacts(now) {
 		s := c.session(contact.Worker)
 		if s.looking || !contact.Busy || now.Before(s.lookAt) {
 			continue
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -91,9 +91,10 @@
 	MinLease time.Duration
 }
 
-// StartOrder, StopOrder, PaceOrder and LookOrder are what a worker is asked.
-// Epoch is the fencing token. Deadline is on the worker's clock; zero leaves it.
+// In the orders below, Epoch is the fencing token and Deadline is the end of a
+// lease on the worker's clock; zero leaves the lease as it is.
 type (
+	// StartOrder starts a run.
 	StartOrder struct {
 		Run        planner.RunID
 		Payload    string
@@ -101,15 +102,18 @@
 		Deadline   time.Duration
 		Epoch      int64
 	}
+	// StopOrder stops a run, now or before it begins.
 	StopOrder struct {
 		Run   planner.RunID
 		Epoch int64
 	}
+	// PaceOrder sets the share at which a run works.
 	PaceOrder struct {
 		Run     planner.RunID
 		Percent int
 		Epoch   int64
 	}
+	// LookOrder asks what a worker runs and renews its leases.
 	LookOrder struct {
 		Epoch       int64
 		Acknowledge uint64
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -105,28 +105,28 @@
 			p.seeEnd(now, w, e)
 		}
 	}
-	w.fenced = true
+	w.fenced, w.lookedAt = true, now
 	if p.suspects[w.ID] && !l.IsPartial {
 		delete(p.suspects, w.ID)
 	}
 	if !l.IsPartial {
-		p.dropUnlisted(now, w, l.Sent, seen)
+		p.dropUnlisted(w, l.Sent, seen)
 	}
 	p.observe(now, w)
 	w.touch()
 }
 
 // dropUnlisted ends the runs that the worker would list if it had them.
-func (p *Planner) dropUnlisted(now time.Time, w *Worker, sent time.Time, seen map[RunID]bool) {
+func (p *Planner) dropUnlisted(w *Worker, sent time.Time, seen map[RunID]bool) {
 	for _, r := range sortedRuns(w) {
 		if seen[r.id] {
 			continue
 		}
 		switch {
 		case r.state == "running" && r.began.Before(sent):
-			p.endRun(now, r, "vanish", "not listed")
+			p.endRun(r, "vanish", "not listed")
 		case r.state == "settling" && r.stopConfirmed.Before(sent):
-			p.endRun(now, r, "vanish", "stopped")
+			p.endRun(r, "vanish", "stopped")
 		}
 	}
 }
@@ -229,7 +229,7 @@
 	case EndStopped, EndLapsed, EndBroken, EndAlone:
 	}
 	if r := w.runs[e.Run]; r != nil {
-		p.endRun(now, r, "end", string(e.Kind))
+		p.endRun(r, "end", string(e.Kind))
 	} else if !t.done && len(t.runs) == 0 && !slices.Contains(t.step.waiting, t) {
 		t.step.waiting = append(t.step.waiting, t)
 	}
@@ -311,7 +311,7 @@
 
 // endRun takes a run off its worker and makes its task wait again if it isn't
 // done.
-func (p *Planner) endRun(now time.Time, r *run, event, why string) {
+func (p *Planner) endRun(r *run, event, why string) {
 	if !p.move(r, event) {
 		return
 	}
@@ -356,7 +356,7 @@
 		if why != "" {
 			r.task.avoid = append(r.task.avoid, w.ID)
 		}
-		p.endRun(now, r, "refuse", "start refused: "+why)
+		p.endRun(r, "refuse", "start refused: "+why)
 	case Unclear:
 		p.stop(now, r, "start without an answer")
 	}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -60,11 +60,11 @@
 	for _, w := range slices.Clone(p.list) {
 		switch {
 		case p.suspects[w.ID] && now.After(p.options.BlockedUntil):
-			p.removeWorker(now, w, "no answer until every lease has lapsed")
+			p.removeWorker(w, "no answer until every lease has lapsed")
 		case !p.suspects[w.ID] && !w.failedSince.IsZero() && now.After(w.leaseEnd) && len(w.runs) > 0 && w.answered.Before(w.leaseEnd):
 			p.noteWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s", now.Sub(w.failedSince)))
 			for _, r := range sortedRuns(w) {
-				p.endRun(now, r, "lapse", "lease lapsed")
+				p.endRun(r, "lapse", "lease lapsed")
 			}
 		case w.isGone(now) && len(w.runs) == 0 && !p.suspects[w.ID]:
 			p.noteWorker("worker_gone", w, "not listed")
@@ -284,6 +284,9 @@
 		if now.Before(t.retryAt) {
 			continue
 		}
+		if t.readyAt.IsZero() {
+			t.readyAt = now
+		}
 		w := p.choose(now, t, candidates)
 		if w == nil {
 			if len(t.avoid) == 0 {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -22,6 +22,8 @@
 	missingLimit = 2500 * time.Millisecond
 	// retryDelay spaces the runs of a task that failed.
 	retryDelay = 100 * time.Millisecond
+	// acknowledgeWait bounds how long a look waits for the commit of known ends.
+	acknowledgeWait = 400 * time.Millisecond
 	// strangerLimit is how long a listed run of an unknown job may wait for its
 	// job to arrive from the store.
 	strangerLimit = 5 * time.Second
@@ -205,11 +207,11 @@
 			if w.Born != 0 && n.Born < w.Born {
 				continue
 			}
-			p.removeWorker(now, w, "restarted under its id")
+			p.removeWorker(w, "restarted under its id")
 			w = nil
 		}
 		if w == nil {
-			p.replaceAt(now, n)
+			p.replaceAt(n)
 			w = n
 			p.addWorker(w)
 			p.noteWorker("worker_found", w, w.Domain)
@@ -232,26 +234,26 @@
 
 // replaceAt removes the worker that had the address of a new one: its process
 // has ended, since two can't listen there.
-func (p *Planner) replaceAt(now time.Time, n *Worker) {
+func (p *Planner) replaceAt(n *Worker) {
 	for _, w := range slices.Clone(p.list) {
 		if w.Address == n.Address && w.ID != n.ID {
-			p.removeWorker(now, w, "address used by "+n.ID)
+			p.removeWorker(w, "address used by "+n.ID)
 		}
 	}
 }
 
 // Restarted removes the runs of a worker whose process turns out to be another
 // than the one that was addressed.
-func (p *Planner) Restarted(now time.Time, workerID string) {
+func (p *Planner) Restarted(workerID string) {
 	if w := p.workers[workerID]; w != nil {
-		p.removeWorker(now, w, "another process answered")
+		p.removeWorker(w, "another process answered")
 	}
 }
 
-func (p *Planner) removeWorker(now time.Time, w *Worker, why string) {
+func (p *Planner) removeWorker(w *Worker, why string) {
 	p.noteWorker("worker_lost", w, why)
 	for _, r := range sortedRuns(w) {
-		p.endRun(now, r, "lapse", "worker lost: "+why)
+		p.endRun(r, "lapse", "worker lost: "+why)
 	}
 	delete(p.suspects, w.ID)
 	p.forgetWorker(w)
@@ -446,10 +448,15 @@
 }
 
 // Contacts returns every worker.
-func (p *Planner) Contacts() []Contact {
+func (p *Planner) Contacts(now time.Time) []Contact {
 	list := make([]Contact, 0, len(p.workers))
 	for _, w := range p.list {
-		busy := len(w.runs) > 0 || !w.fenced || w.acknowledged < w.cursor || len(w.unacknowledged) > 0
+		busy := len(w.runs) > 0 || !w.fenced || w.acknowledged < w.cursor
+		// A worker answers at once while it has ends that are not acknowledged,
+		// so a look waits for the commit of those that are known.
+		if len(w.unacknowledged) > 0 && now.Sub(w.lookedAt) < acknowledgeWait {
+			busy = false
+		}
 		list = append(list, Contact{*w, w.acknowledged, busy})
 	}
 	return list
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -8,13 +9,23 @@
 )
 
 const (
-	// tailMargin is the logarithm of tail over target that placement stays
-	// under.
-	tailMargin = -0.2
-	// paceLevel is the level from which tasks beside a lasting one are slowed,
-	// and restoreLevel the one under which they get their share back.
-	paceLevel    = -0.05
-	restoreLevel = -0.35
+	// tailMargin is the logarithm of tail over target to which tasks beside a
+	// lasting one are slowed, and paceLevel the one from which they are.
+	tailMargin = -0.3
+	paceLevel  = -0.08
+	// tailSpread is the deviation of a tail a second later from the expected
+	// one, and reversion the part of a tail's distance from its usual level that
+	// is left then: the load of a serving task swings within seconds.
+	tailSpread = 0.35
+	reversion  = 0.7
+	// harmLimit is the chance of pushing a lasting task over its target at which
+	// a filling task waits, and waitedHarmLimit the one after it has waited for
+	// waitLimit. After twice that time it may start anywhere, and be slowed.
+	harmLimit       = 0.15
+	waitedHarmLimit = 0.35
+	waitLimit       = 1500 * time.Millisecond
+	// leastRise is the rise that counts as a disturbance at all.
+	leastRise = 0.02
 	// priorSlope is by how much ten cores of an unknown image raise the
 	// logarithm of a tail.
 	priorSlope = 0.08
@@ -25,8 +36,11 @@
 	// settleTime is how long the tail takes to show a change: a tail covers the
 	// last half second.
 	settleTime = 600 * time.Millisecond
-	// harmWeight weighs predicted harm against load.
-	harmWeight = 2.0
+	// harmWeight weighs the chance of harm against load.
+	harmWeight = 4.0
+	// observeInterval is the least time between two observations of a worker,
+	// since a tail covers half a second.
+	observeInterval = 350 * time.Millisecond
 	// tailAge is how long a tail counts.
 	tailAge = 2500 * time.Millisecond
 	// violationShare of the limit for violations is when every task beside a
@@ -138,6 +152,10 @@
 
 // observe learns from the tails that a look has brought.
 func (p *Planner) observe(now time.Time, w *Worker) {
+	if now.Sub(w.observedAt) < observeInterval {
+		return
+	}
+	w.observedAt = now
 	var around map[string]float64
 	for _, r := range w.runs {
 		if r.task.step.LatencyTarget == 0 || r.tailAt != now {
@@ -150,32 +168,34 @@
 	}
 }
 
-// level is the tail that is expected of a lasting task once what was placed or
-// paced of late shows.
+// level is the tail that is expected of a lasting task about a second later,
+// with what was placed or paced of late.
 func (s *sharer) level(now time.Time, w *Worker, v *run) float64 {
 	m := s.model(v.task.step.Image)
-	if now.Sub(v.tailAt) > tailAge {
-		level := m.coefficients[0]
-		for image, cores := range beside(w) {
-			level += m.slope(image) * cores / cpuUnit
-		}
-		return level
-	}
-	level := v.tail
+	base := m.coefficients[0]
+	measured, expected := 0.0, 0.0
 	for _, r := range w.runs {
 		if !r.task.step.Fills {
 			continue
 		}
 		slope := m.slope(r.task.step.Image) / cpuUnit
-		if now.Sub(r.began) < settleTime || r.state == "starting" {
-			level += slope * (r.needCPU() - float64(r.cpu)/1000)
-		} else if now.Sub(r.paceAt) < settleTime {
-			level += slope * (float64(r.wanted)/100*float64(r.task.step.Need.CPU) - float64(r.cpu)) / 1000
+		cores := float64(r.cpu) / 1000
+		measured += slope * cores
+		if now.Sub(r.began) < settleTime || now.Sub(r.paceAt) < settleTime || r.state == "starting" {
+			cores = r.needCPU()
 		}
+		expected += slope * cores
 	}
-	return level
+	if now.Sub(v.tailAt) > tailAge {
+		return base + expected
+	}
+	return base + reversion*(v.tail-measured-base) + expected
 }
 
+// chanceOver is the chance that a tail with an expected level is over its
+// target.
+func chanceOver(level float64) float64 { return 0.5 * (1 + math.Erf(level/tailSpread/math.Sqrt2)) }
+
 // costOf rates the harm of a task to the lasting ones of a worker, and for a
 // lasting task the harm that it would meet there. It reports false where a
 // lasting task would go over its target.
@@ -183,7 +203,7 @@
 	st := t.step
 	switch {
 	case st.Fills:
-		return s.fillCost(now, w, st)
+		return s.fillCost(now, w, t)
 	case st.LatencyTarget > 0:
 		m := s.model(st.Image)
 		sum := 0.0
@@ -217,17 +237,28 @@
 	return w.victims
 }
 
-func (s *sharer) fillCost(now time.Time, w *Worker, st *step) (float64, bool) {
-	cost := 0.0
+// rise is by how much a victim's level rises when a task gets so many cores.
+func (v *victim) rise(st *step, cores float64) float64 {
+	return v.model.slope(st.Image) * cores / cpuUnit
+}
+
+// fillCost rates the harm of one more filling task on a worker.
+func (s *sharer) fillCost(now time.Time, w *Worker, t *task) (float64, bool) {
+	cores := float64(t.step.Need.CPU) / 1000
+	limit := harmLimit
+	switch waited := now.Sub(t.readyAt); {
+	case waited > 2*waitLimit:
+		limit = math.Inf(1)
+	case waited > waitLimit:
+		limit = waitedHarmLimit
+	}
+	harm := 0.0
 	for _, v := range s.victimsOf(now, w) {
-		rise := v.model.slope(st.Image) * float64(st.Need.CPU) / 1000 / cpuUnit
-		after := v.level + rise
-		if rise > 0.01 && after > tailMargin {
-			return 0, false
+		if rise := v.rise(t.step, cores); rise > leastRise {
+			harm += chanceOver(v.level+rise) - chanceOver(v.level)
 		}
-		cost += harmWeight * rise
 	}
-	return cost, true
+	return harmWeight * harm, harm <= limit
 }
 
 // pace slows filling tasks beside lasting ones that are near their target, and
@@ -252,63 +283,72 @@
 		return
 	}
 	slices.SortFunc(fills, func(a, b *run) int { return compareRuns(a.id, b.id) })
-	isQuiet := true
 	for _, v := range p.share.victimsOf(now, w) {
-		if now.Sub(v.run.tailAt) > tailAge {
-			continue
+		if now.Sub(v.run.tailAt) <= tailAge && v.level > paceLevel {
+			p.slowFor(now, v, fills)
 		}
-		if v.level > paceLevel {
-			p.slowFor(now, w, v.run, fills, v.level-tailMargin)
-			isQuiet = false
-		} else if v.level > restoreLevel {
-			isQuiet = false
-		}
-	}
-	if isQuiet {
-		p.restore(now, fills)
 	}
+	p.restore(now, w, fills)
 }
 
-// slowFor slows the tasks that disturb v most until its level has fallen by
-// excess. Once v has been over its target for long, everything beside it halts.
-func (p *Planner) slowFor(now time.Time, w *Worker, v *run, fills []*run, excess float64) {
-	if !v.since.IsZero() && now.Sub(v.since) > time.Duration(violationShare*float64(p.options.ViolationLimit)) {
+// slowFor slows the tasks that disturb v most until its level is under the
+// margin. Once v has been over its target for long, everything beside it halts.
+func (p *Planner) slowFor(now time.Time, v victim, fills []*run) {
+	if over := v.run.since; !over.IsZero() && now.Sub(over) > p.haltAfter() {
 		for _, f := range fills {
-			p.setPace(now, f, 0, fmt.Sprintf("%s over its target for %s", v.id, now.Sub(v.since)))
+			p.setPace(now, f, 0, fmt.Sprintf("%s over its target for %s", v.run.id, now.Sub(over)))
 		}
 		return
 	}
-	m := p.share.model(v.task.step.Image)
 	slices.SortStableFunc(fills, func(a, b *run) int {
-		x, y := m.slope(a.task.step.Image)*a.needCPU(), m.slope(b.task.step.Image)*b.needCPU()
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
+		return cmp.Compare(v.rise(b.task.step, b.needCPU()), v.rise(a.task.step, a.needCPU()))
 	})
+	excess := v.level - tailMargin
 	for _, f := range fills {
-		part := m.slope(f.task.step.Image) * f.needCPU() / cpuUnit
-		if excess <= 0 || part < 0.01 {
+		part := v.rise(f.task.step, f.needCPU())
+		if excess <= 0 || part < leastRise {
 			return
 		}
 		keep := max(0, 1-excess/part)
-		p.setPace(now, f, int(math.Floor(keep*float64(f.wanted)/10))*10, fmt.Sprintf("%s at %.2f of its target", v.id, math.Exp(v.tail)))
+		p.setPace(now, f, int(keep*float64(f.wanted)/paceStep)*paceStep, fmt.Sprintf("%s at %.2f of its target", v.run.id, math.Exp(v.run.tail)))
 		excess -= part
 	}
 }
 
-// restoreInterval spaces the steps in which a slowed task gets its share back.
-const restoreInterval = 700 * time.Millisecond
+// haltAfter is how long a lasting task may be over its target before all that
+// fills beside it halts.
+func (p *Planner) haltAfter() time.Duration {
+	return time.Duration(violationShare * float64(p.options.ViolationLimit))
+}
+
+const (
+	// restoreInterval spaces the steps in which a slowed task gets its share
+	// back, since a tail shows a change late.
+	restoreInterval = 600 * time.Millisecond
+	// paceStep is the unit of paces, in percent.
+	paceStep = 10
+)
 
-// restore raises the pace of the task that was slowed first.
-func (p *Planner) restore(now time.Time, fills []*run) {
+// restore raises the paces of slowed tasks as far as no tail beside them goes
+// over the margin.
+func (p *Planner) restore(now time.Time, w *Worker, fills []*run) {
 	for _, f := range fills {
-		if f.wanted < 100 && now.Sub(f.paceAt) > restoreInterval {
-			p.setPace(now, f, min(100, f.wanted+50), "tails have room")
-			return
+		if f.wanted == 100 || now.Sub(f.paceAt) < restoreInterval {
+			continue
+		}
+		need := float64(f.task.step.Need.CPU) / 1000
+		raise := 1 - float64(f.wanted)/100
+		for _, v := range p.share.victimsOf(now, w) {
+			if over := v.run.since; !over.IsZero() && now.Sub(over) > p.haltAfter() {
+				raise = 0
+				break
+			}
+			if whole := v.rise(f.task.step, need); whole > leastRise {
+				raise = min(raise, max(0, tailMargin-v.level)/whole)
+			}
+		}
+		if percent := f.wanted + int(100*raise)/paceStep*paceStep; percent > f.wanted {
+			p.setPace(now, f, percent, "tails have room")
 		}
 	}
 }
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -113,6 +113,8 @@
 	avoid []string
 	// retryAt is when the task may start again after a failure.
 	retryAt time.Time
+	// readyAt is when the task was first seen waiting in an open step.
+	readyAt time.Time
 }
 
 // run is a run of a task that may be on a worker.
@@ -185,13 +187,17 @@
 	// touched is set when the runs or their tails have changed since the pace
 	// was last set, and victims has the lasting tasks with a target until then.
 	touched bool
-	victims []victim
+	// observedAt is when the tails were last learned from.
+	observedAt time.Time
+	victims    []victim
 	// cursor is the number of the last end that was read, and acknowledged the
 	// last whose effect is committed.
 	cursor, acknowledged uint64
 	unacknowledged       []ending
 	// leaseEnd is when the last lease given has lapsed for certain.
 	leaseEnd time.Time
+	// lookedAt is when the worker last answered a look.
+	lookedAt time.Time
 	// answered is when the worker answered last, and failedSince when calls
 	// began to go unanswered.
 	answered    time.Time
