Place lasting tasks of one image together

Change: a lasting task prefers workers with its own image, then empty ones, then those whose images are disturbed alike by what is learned.

--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -205,17 +205,69 @@
 	case st.Fills:
 		return s.fillCost(now, w, t)
 	case st.LatencyTarget > 0:
-		m := s.model(st.Image)
-		sum := 0.0
-		for image, cores := range beside(w) {
-			sum += m.slope(image) * cores / cpuUnit
-		}
-		return harmWeight * sum, true
+		return s.companyCost(w, st), true
 	default:
 		return 0, true
 	}
 }
 
+const (
+	// foreignCost is what each lasting task of another image costs where one
+	// wants to go, and emptyCost a worker that has none yet. Images differ in
+	// what disturbs them, so a worker whose lasting tasks are alike leaves more
+	// filling tasks that disturb none of them.
+	foreignCost = 2.0
+	emptyCost   = 1.0
+)
+
+// companyCost rates the lasting tasks that a worker has as company for one
+// more, and the filling tasks that disturb it there.
+func (s *sharer) companyCost(w *Worker, st *step) float64 {
+	cost, lasting := 0.0, 0
+	for _, r := range w.runs {
+		if r.task.step.LatencyTarget == 0 {
+			continue
+		}
+		lasting++
+		if r.task.step.Image != st.Image {
+			cost += foreignCost * s.difference(r.task.step.Image, st.Image)
+		}
+	}
+	if lasting == 0 {
+		cost += emptyCost
+	}
+	m := s.model(st.Image)
+	for image, cores := range beside(w) {
+		cost += m.slope(image) * cores / cpuUnit
+	}
+	return cost
+}
+
+// difference is how differently two serving images are disturbed, from 0 to 1.
+// Images of which little is known count as different.
+func (s *sharer) difference(a, b string) float64 {
+	m, n := s.model(a), s.model(b)
+	both, each := 0.0, 0.0
+	known := 0
+	for image := range m.index {
+		if _, ok := n.index[image]; !ok {
+			continue
+		}
+		known++
+		x, y := m.slope(image), n.slope(image)
+		both += math.Abs(x - y)
+		each += x + y
+	}
+	if known < leastKnown || each == 0 {
+		return 1
+	}
+	return both / each
+}
+
+// leastKnown is how many filling images two serving images must both have met
+// before they can count as alike.
+const leastKnown = 4
+
 // victim is a lasting task with a target and its expected tail.
 type victim struct {
 	run   *run
