Replay loads and faults on the planner in simulated time; fix what that finds

Change, each found by the new package replayer or read from its traces: - an unhealthy worker's refusal of a stop no longer counts as its confirmation; - runs of jobs that have ended still take their room; nothing starts on a worker that lists runs of unknown jobs; - looks at a worker that does not answer give no lease, so the last one ends and its tasks can start elsewhere; - a pace that may have been carried out late is sent again, and a task that is slowed to nothing moves to a place where it harms nobody; - lasting tasks leave headroom for short work. Ruled out: two runs by the successor of an owner; the replay of takeovers with silent workers and late orders is clean.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -70,7 +70,9 @@
 	s := c.session(w)
 	epoch := c.epoch
 	deadline, end := c.deadline(now, s)
-	c.planner.Leased(w.ID, end)
+	if o.Kind == planner.StartRun {
+		c.planner.Leased(w.ID, end)
+	}
 	kind := [...]string{"start", "stop", "pace"}[o.Kind]
 	c.calls.Submit(func() {
 		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -125,7 +127,8 @@
 			c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Started, "")
 		}
 	case planner.StopRun:
-		if err == nil || isRefused {
+		// An unhealthy worker refuses stops too, and may still carry out a start.
+		if err == nil || isRefused && !refused.IsSick {
 			c.planner.StopAnswered(now, o.Run, o.WorkerID)
 		}
 	case planner.PaceRun:
@@ -173,6 +176,9 @@
 func (c *Conductor) lookAt(ctx context.Context, now time.Time, contact planner.Contact, s *session) {
 	w, epoch := contact.Worker, c.epoch
 	deadline, end := c.deadline(now, s)
+	if contact.IsFailing {
+		deadline, end = 0, time.Time{}
+	}
 	c.planner.Leased(w.ID, end)
 	o := LookOrder{Epoch: epoch, Acknowledge: contact.Acknowledge, Deadline: deadline, Wait: lookWait}
 	if s.clockAt.IsZero() {
--- /dev/null
+++ b/internal/planner/headroom.go
@@ -0,0 +1,84 @@
+package planner
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// headroomMemory is the time in which the remembered peak of short work
+	// falls to a half.
+	headroomMemory = 15 * time.Second
+	// headroomFactor is how much more than that peak is kept free.
+	headroomFactor = 1.25
+	// headroomShare is the share of all processors that is kept free before any
+	// short work has been seen: lasting work of a new deployment comes first.
+	headroomShare = 0.06
+	// headroomWait is how long a lasting task that has run before may wait for
+	// the headroom: it serves users all the time, so it goes first then.
+	headroomWait = 4500 * time.Millisecond
+)
+
+// headroom keeps processors free for short work that reserves them. Lasting
+// tasks hold theirs for minutes, so without it they take what short tasks give
+// back whenever capacity is lost, until no short task can start.
+type headroom struct {
+	// peak is the decaying maximum of what short work uses and waits for, in
+	// thousandths of a core.
+	peak float64
+	at   time.Time
+	// free, short and all are the processors that are free on the workers that
+	// may take lasting tasks, those that short work uses, and those that there are.
+	free, short, all int64
+}
+
+// note takes a new measurement of the demand of short work.
+func (h *headroom) note(now time.Time, demand int64) {
+	if !h.at.IsZero() {
+		h.peak *= math.Exp2(-float64(now.Sub(h.at)) / float64(headroomMemory))
+	}
+	h.at = now
+	h.peak = max(h.peak, float64(demand))
+}
+
+// measureUrgent brings the headroom up to date before lasting tasks start.
+func (p *Planner) measureUrgent(now time.Time, candidates []*Worker) {
+	h := &p.headroom
+	h.free, h.short, h.all = 0, 0, 0
+	for _, w := range candidates {
+		h.free += w.free.CPU
+		h.all += w.Capacity.CPU
+	}
+	for _, w := range p.list {
+		for _, r := range w.runs {
+			if s := r.task.step; !s.Lasting && !s.Fills {
+				h.short += s.Need.CPU
+			}
+		}
+	}
+	demand := h.short
+	for _, j := range p.active {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.open && !s.Lasting && !s.Fills {
+					demand += int64(len(s.waiting)) * s.Need.CPU
+				}
+			}
+		}
+	}
+	h.note(now, demand)
+}
+
+// leavesHeadroom reports whether a lasting task may take processors now.
+func (p *Planner) leavesHeadroom(now time.Time, t *task) bool {
+	h := &p.headroom
+	if t.attempt > 0 && now.Sub(t.readyAt) > headroomWait {
+		return true
+	}
+	kept := max(headroomFactor*h.peak, headroomShare*float64(h.all)) - float64(h.short)
+	if float64(h.free-t.step.Need.CPU) < kept {
+		return false
+	}
+	h.free -= t.step.Need.CPU
+	return true
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -93,6 +93,7 @@
 		return
 	}
 	p.Answered(now, workerID)
+	w.hasStrangers = false
 	seen := make(map[RunID]bool, len(l.Running))
 	for i := range l.Running {
 		seen[l.Running[i].Run] = true
@@ -174,6 +175,7 @@
 	j := p.jobs[id.Job]
 	t := p.find(id.TaskID)
 	if t == nil {
+		w.hasStrangers = true
 		if s, ok := p.strangers[id]; !ok {
 			p.strangers[id] = stranger{w, now}
 		} else if now.Sub(s.seen) > strangerLimit {
@@ -196,10 +198,11 @@
 	return r
 }
 
-// find returns the task with an id, nil if there is none.
+// find returns the task with an id, nil if its job is not known or has no such
+// task. The tasks of an occurrence that has ended are done.
 func (p *Planner) find(id TaskID) *task {
 	j := p.jobs[id.Job]
-	if j == nil || id.Occurrence < 0 || id.Occurrence >= max(1, j.Times) || j.ended[id.Occurrence] {
+	if j == nil || id.Occurrence < 0 || id.Occurrence >= max(1, j.Times) {
 		return nil
 	}
 	o := j.occurrence(id.Occurrence)
@@ -269,9 +272,6 @@
 		return
 	}
 	j.ended[s.occurrence.number] = true
-	if j.Times > 0 {
-		j.occurrences = slices.DeleteFunc(j.occurrences, func(o *occurrence) bool { return o == s.occurrence })
-	}
 	if len(j.ended) >= max(1, j.Times) {
 		p.finish(now, j, Done)
 	}
@@ -321,6 +321,7 @@
 	p.note("run_ended", r, why)
 	if len(t.runs) == 0 && !t.done && !slices.Contains(t.step.waiting, t) {
 		t.step.waiting = append(t.step.waiting, t)
+		t.readyAt = time.Time{}
 	}
 }
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -29,7 +29,7 @@
 	for _, w := range p.list {
 		switch {
 		case w.Service != key.service || !w.fenced || !w.recorded || !w.listed || w.Draining:
-		case p.emptied[w.Domain] || w.isSick(now):
+		case p.emptied[w.Domain] || w.isSick(now) || w.hasStrangers:
 		case !w.failedSince.IsZero() && now.Sub(w.failedSince) > answerLimit:
 		case key.label != "" && !slices.Contains(w.Labels, key.label):
 		default:
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -155,6 +155,9 @@
 	}
 	for _, r := range w.runs {
 		s := r.task.step
+		if r.state == "running" && s.Fills && !s.Gang {
+			p.checkFill(now, r)
+		}
 		if r.state != "running" || s.Lasting || s.Gang || r.pace < 100 || now.Sub(r.paceAt) < stillLimit {
 			continue
 		}
@@ -275,6 +278,9 @@
 // startStep starts as many waiting tasks of a step as have room.
 func (p *Planner) startStep(now time.Time, s *step) {
 	candidates := p.candidates(now, s)
+	if s.Lasting {
+		p.measureUrgent(now, candidates)
+	}
 	waiting := slices.Clone(s.waiting)
 	for _, t := range waiting {
 		if t.done || len(t.runs) > 0 {
@@ -287,6 +293,9 @@
 		if t.readyAt.IsZero() {
 			t.readyAt = now
 		}
+		if s.Lasting && !p.leavesHeadroom(now, t) {
+			continue
+		}
 		w := p.choose(now, t, candidates)
 		if w == nil {
 			if len(t.avoid) == 0 {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -97,6 +97,7 @@
 	// strangers has listed runs whose job is not known yet.
 	strangers map[RunID]stranger
 	share     *sharer
+	headroom  headroom
 	commands  []Command
 }
 
@@ -443,6 +444,9 @@
 	Worker
 	// Acknowledge is the last end whose effect is committed.
 	Acknowledge uint64
+	// IsFailing is set while calls go unanswered. A look then gives no lease, so
+	// that those given before come to an end.
+	IsFailing bool
 	// Busy is set when the worker has runs or must be looked at by a new owner.
 	Busy bool
 }
@@ -457,7 +461,7 @@
 		if len(w.unacknowledged) > 0 && now.Sub(w.lookedAt) < acknowledgeWait {
 			busy = false
 		}
-		list = append(list, Contact{*w, w.acknowledged, busy})
+		list = append(list, Contact{Worker: *w, Acknowledge: w.acknowledged, IsFailing: !w.failedSince.IsZero(), Busy: busy})
 	}
 	return list
 }
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -20,10 +20,18 @@
 	reversion  = 0.7
 	// harmLimit is the chance of pushing a lasting task over its target at which
 	// a filling task waits, and waitedHarmLimit the one after it has waited for
-	// waitLimit. After twice that time it may start anywhere, and be slowed.
+	// waitLimit. After anywhereLimit it may start anywhere, and be slowed there.
 	harmLimit       = 0.15
 	waitedHarmLimit = 0.35
 	waitLimit       = 1500 * time.Millisecond
+	anywhereLimit   = 6 * time.Second
+	// slowedPace is the pace from which on a task has as good as no share, and
+	// slowedLimit how long it stays so before it is moved.
+	slowedPace  = 30
+	slowedLimit = 900 * time.Millisecond
+	// repeatInterval is after what time without progress the pace of a task is
+	// sent again: an earlier one may have been carried out late.
+	repeatInterval = 1200 * time.Millisecond
 	// leastRise is the rise that counts as a disturbance at all.
 	leastRise = 0.02
 	// priorSlope is by how much ten cores of an unknown image raise the
@@ -299,7 +307,7 @@
 	cores := float64(t.step.Need.CPU) / 1000
 	limit := harmLimit
 	switch waited := now.Sub(t.readyAt); {
-	case waited > 2*waitLimit:
+	case waited > anywhereLimit:
 		limit = math.Inf(1)
 	case waited > waitLimit:
 		limit = waitedHarmLimit
@@ -405,6 +413,27 @@
 	}
 }
 
+// checkFill repeats the pace of a filling task that stands still, and moves one
+// that has as good as no share to a worker where it harms nobody.
+func (p *Planner) checkFill(now time.Time, r *run) {
+	slowedFor := now.Sub(r.paceAt)
+	switch {
+	case r.wanted > slowedPace:
+		if slowedFor > repeatInterval && now.Sub(r.movedAt) > repeatInterval {
+			r.paceAt = now
+			p.commands = append(p.commands, Command{Kind: PaceRun, Run: r.id, WorkerID: r.worker.ID, Percent: r.wanted})
+		}
+	case slowedFor > slowedLimit && len(r.task.runs) == 1 && (r.task.step.Checkpoints || r.percent < 50):
+		// The place is chosen as for a task that has not waited.
+		r.task.readyAt = now
+		if w := p.choose(now, r.task, p.candidates(now, r.task.step)); w != nil {
+			p.stop(now, r, fmt.Sprintf("at a pace of %d%% for %s, has a place on %s", r.wanted, slowedFor, w.ID))
+		} else {
+			r.paceAt = now
+		}
+	}
+}
+
 // PaceLost notes that it isn't known whether a worker applied a pace.
 func (p *Planner) PaceLost(id RunID, workerID string) {
 	if w := p.workers[workerID]; w != nil && w.runs[id] != nil {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -42,12 +42,17 @@
 		}
 	}
 	o := &occurrence{job: j, number: k}
+	isEnded := j.ended[k]
 	for i := range j.Steps {
 		s := &step{Step: &j.Steps[i], occurrence: o, number: i, left: j.Steps[i].Count}
 		for n := range s.Count {
-			s.tasks = append(s.tasks, &task{id: TaskID{j.ID, k, i, n}, step: s})
+			s.tasks = append(s.tasks, &task{id: TaskID{j.ID, k, i, n}, step: s, done: isEnded})
+		}
+		if isEnded {
+			s.left = 0
+		} else {
+			s.waiting = slices.Clone(s.tasks)
 		}
-		s.waiting = slices.Clone(s.tasks)
 		o.steps = append(o.steps, s)
 	}
 	o.openSteps()
@@ -182,6 +187,9 @@
 	// free is the capacity that no run has reserved.
 	free Resources
 	runs map[RunID]*run
+	// hasStrangers is set when the worker lists runs of unknown jobs; what they
+	// take is not known, so nothing starts there.
+	hasStrangers bool
 	// fillLoad is the processors that filling tasks ask for, in thousandths.
 	fillLoad int64
 	// touched is set when the runs or their tails have changed since the pace
--- /dev/null
+++ b/standins/replayer/drive.go
@@ -0,0 +1,365 @@
+package replayer
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+// orderTimeout is when an order counts as unanswered.
+const orderTimeout = 400 * time.Millisecond
+
+// drive does the work of the owner's driver: orders, looks and commits.
+func (w *World) drive() {
+	p := w.planner
+	isProven := !w.storeDown || w.now.Sub(w.storeDownAt) < horizon
+	for _, o := range p.Plan(w.now, isProven) {
+		w.send(o, isProven)
+	}
+	for _, c := range p.Contacts(w.now) {
+		if c.Busy && !w.looking[c.ID] {
+			w.looking[c.ID] = true
+			w.look(c, isProven)
+		}
+	}
+	if w.storeDown || w.now.Before(w.commitAt) {
+		return
+	}
+	if unrecorded := p.Unrecorded(); len(unrecorded) > 0 {
+		w.recorded = p.Recorded()
+		p.SetRecorded(w.recorded)
+	}
+	if changes := p.Changes(15); len(changes) > 0 {
+		w.commitAt = w.now.Add(20 * time.Millisecond)
+		for _, c := range changes {
+			w.progress[c.Job] = c.Progress
+			if c.Progress.State == planner.Done {
+				w.noteShown(c.Job)
+			}
+		}
+		p.Committed(changes)
+	}
+}
+
+func (w *World) machine(id string) *machine {
+	i := slices.IndexFunc(w.machines, func(m *machine) bool { return m.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return w.machines[i]
+}
+
+// send carries out an order, perhaps late and without an answer.
+func (w *World) send(o planner.Command, isProven bool) {
+	p, epoch := w.planner, w.epoch
+	lease := w.now.Add(maxLease)
+	if !isProven {
+		lease = time.Time{}
+	}
+	if o.Kind == planner.StartRun {
+		p.Leased(o.WorkerID, w.now.Add(time.Duration(slowClock*float64(maxLease))))
+	}
+	isLate := w.rng.Float64() < w.lateShare
+	m := w.machine(o.WorkerID)
+	if m == nil || m.silent || isLate {
+		w.at(w.now.Add(orderTimeout), func() {
+			if w.planner != p {
+				return
+			}
+			p.Unanswered(w.now, o.WorkerID)
+			if o.Kind == planner.StartRun {
+				p.StartAnswered(w.now, o.Run, o.WorkerID, planner.Unclear, "no answer")
+			}
+			if o.Kind == planner.PaceRun {
+				p.PaceLost(o.Run, o.WorkerID)
+			}
+		})
+		if m != nil && !m.silent && isLate {
+			w.at(w.now.Add(2*time.Second+time.Duration(w.rng.IntN(10000))*time.Millisecond), func() {
+				if w.now.Before(lease) {
+					w.perform(m, o, epoch, lease)
+				}
+			})
+		}
+		return
+	}
+	w.at(w.now.Add(delay), func() {
+		ok := w.perform(m, o, epoch, lease)
+		w.at(w.now.Add(delay), func() { w.answer(p, o, ok) })
+	})
+}
+
+func (w *World) perform(m *machine, o planner.Command, epoch int64, lease time.Time) bool {
+	if w.machine(o.WorkerID) != m {
+		return false
+	}
+	switch o.Kind {
+	case planner.StartRun:
+		return m.start(w, o, epoch, lease)
+	case planner.StopRun:
+		if epoch >= m.epoch {
+			m.stop(w, o.Run)
+		}
+	case planner.PaceRun:
+		if e := m.runs[o.Run]; e != nil && epoch >= m.epoch {
+			e.pace = o.Percent
+		}
+	}
+	return true
+}
+
+func (w *World) answer(p *planner.Planner, o planner.Command, ok bool) {
+	if w.planner != p {
+		return
+	}
+	p.Answered(w.now, o.WorkerID)
+	switch {
+	case o.Kind == planner.StopRun:
+		p.StopAnswered(w.now, o.Run, o.WorkerID)
+	case o.Kind == planner.StartRun && ok:
+		p.StartAnswered(w.now, o.Run, o.WorkerID, planner.Started, "")
+	case o.Kind == planner.StartRun:
+		p.StartAnswered(w.now, o.Run, o.WorkerID, planner.Refused, "old")
+	}
+}
+
+// look asks a worker, which answers at an end or after lookWait.
+func (w *World) look(c planner.Contact, isProven bool) {
+	p, epoch, sent := w.planner, w.epoch, w.now
+	isLeased := isProven && !c.IsFailing
+	if isLeased {
+		p.Leased(c.ID, w.now.Add(time.Duration(slowClock*float64(maxLease))))
+	}
+	m := w.machine(c.ID)
+	if m == nil || m.silent {
+		w.at(w.now.Add(lookWait), func() {
+			if w.planner == p {
+				w.looking[c.ID] = false
+				p.Unanswered(w.now, c.ID)
+			}
+		})
+		return
+	}
+	w.at(w.now.Add(delay), func() {
+		if epoch < m.epoch || w.machine(c.ID) != m {
+			return
+		}
+		m.epoch = epoch
+		if lease := w.now.Add(maxLease); isLeased && lease.After(m.leaseEnd) {
+			m.leaseEnd = lease
+		}
+		m.ends = slices.DeleteFunc(m.ends, func(e planner.RunEnd) bool { return e.Number <= c.Acknowledge })
+		w.respond(p, m, sent, w.now.Add(lookWait))
+	})
+}
+
+// respond answers a look once the worker has an end or the time is over.
+func (w *World) respond(p *planner.Planner, m *machine, sent, until time.Time) {
+	if len(m.ends) == 0 && w.now.Before(until) && !m.silent {
+		w.at(w.now.Add(tick), func() { w.respond(p, m, sent, until) })
+		return
+	}
+	if m.silent {
+		return
+	}
+	l := m.look(w, sent)
+	w.at(w.now.Add(delay), func() {
+		if w.planner == p {
+			w.looking[m.ID] = false
+			p.Looked(w.now, m.ID, l)
+		}
+	})
+}
+
+// begin starts a fault and plans its end.
+func (w *World) begin(f Fault) {
+	n := int(f.Share * float64(len(w.machines)))
+	hit := w.rng.Perm(len(w.machines))[:n]
+	end := func(do func()) { w.at(w.now.Add(f.For), do) }
+	each := func(do func(m *machine, on bool)) {
+		for _, i := range hit {
+			m := w.machines[i]
+			do(m, true)
+			end(func() { do(m, false) })
+		}
+	}
+	switch f.Kind {
+	case "silent":
+		each(func(m *machine, on bool) { m.silent = on; w.looking[m.ID] = false })
+	case "hang":
+		each(func(m *machine, on bool) { m.hangs = on })
+	case "fail":
+		each(func(m *machine, on bool) { m.fails = on })
+	case "slow":
+		each(func(m *machine, on bool) { m.slowness = map[bool]float64{true: f.Times, false: 1}[on] })
+	case "drain":
+		each(func(m *machine, on bool) { m.Draining, m.Remaining = on, f.For })
+	case "crash":
+		for _, i := range hit {
+			m := w.machines[i]
+			m.silent = true
+			for _, e := range m.runs {
+				w.noteGone(e)
+			}
+			clear(m.runs)
+			end(func() { w.machines[i] = newMachine(w.pattern, i, int(m.Born)) })
+		}
+	case "late":
+		w.lateShare = f.Share
+		end(func() { w.lateShare = 0 })
+	case "outage":
+		w.storeDown, w.storeDownAt = true, w.now
+		end(func() { w.storeDown = false })
+	case "burst":
+		w.burst = f.Times
+		end(func() { w.burst = 1 })
+	case "takeover":
+		w.take()
+	default:
+		panic("unknown fault " + f.Kind)
+	}
+}
+
+// violate counts a broken invariant.
+func (w *World) violate(name, format string, args ...any) {
+	w.result.Violations[name]++
+	if w.result.First[name] == "" {
+		w.result.First[name] = fmt.Sprintf("at %s: ", w.now.Sub(w.origin)) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *World) noteStart(m *machine, e *execution) {
+	w.result.Starts++
+	if u := m.used(); !m.Capacity.Fits(u) {
+		w.violate("capacity", "%s on %s uses %v of %v", e.run, m.ID, u, m.Capacity)
+	}
+	if w.done[e.run.TaskID] && !w.void[e.run.TaskID] && !e.step.Speculative {
+		w.violate("twice", "%s starts after the task was done", e.run)
+	}
+	for _, o := range w.machines {
+		for _, other := range o.runs {
+			if other != e && other.run.TaskID == e.run.TaskID && !e.step.Speculative && !w.now.After(o.leaseEnd) {
+				w.violate("twice", "%s starts on %s beside %s on %s", e.run, m.ID, other.run, o.ID)
+			}
+		}
+	}
+	for _, a := range e.step.After {
+		for i := range e.job.Steps[a].Count {
+			if !w.done[planner.TaskID{Job: e.run.Job, Occurrence: e.run.Occurrence, Step: a, Index: i}] {
+				w.violate("order", "%s starts before step %d is done", e.run, a)
+				return
+			}
+		}
+	}
+}
+
+// noteLapse voids the ends that were not acknowledged when the lease of a
+// worker lapsed: their tasks may start again.
+func (w *World) noteLapse(m *machine) {
+	for _, e := range m.ends {
+		if e.Kind == planner.EndDone {
+			w.void[e.Run.TaskID] = true
+		}
+	}
+}
+
+func (w *World) noteEnd(e *execution, how planner.EndKind) {
+	if how == planner.EndDone {
+		w.done[e.run.TaskID] = true
+		delete(w.void, e.run.TaskID)
+	}
+	w.noteGone(e)
+}
+
+func (w *World) noteGone(e *execution) {
+	delete(w.over, e.run)
+}
+
+// noteShown checks that a job that is shown as done is done.
+func (w *World) noteShown(id string) {
+	j := w.accepted[id]
+	for s := range j.Steps {
+		for i := range j.Steps[s].Count {
+			if !w.done[planner.TaskID{Job: id, Step: s, Index: i}] {
+				w.violate("mixed", "%s is shown as done without task %d.%d", id, s, i)
+				return
+			}
+		}
+	}
+	if !w.shown[id] {
+		w.shown[id] = true
+		o := w.result.Classes[j.Queue.Name]
+		o.Done++
+		if w.now.Sub(w.arrived[id]) <= w.objective(j) {
+			o.InTime++
+		}
+		w.result.Classes[j.Queue.Name] = o
+	}
+}
+
+func (w *World) objective(j *planner.Job) time.Duration {
+	var chain time.Duration
+	for i := range j.Steps {
+		chain += j.Steps[i].Estimate
+	}
+	return time.Duration(j.Queue.Stretch*float64(chain)) + j.Queue.Slack
+}
+
+// noteTail counts the time of a lasting task over its target, and the harm that
+// filling tasks do to it: quiet is its level without them.
+func (w *World) noteTail(e *execution, quiet float64) {
+	name := e.job.Queue.Name
+	if w.atWork[name] == nil {
+		w.atWork[name] = &[2]time.Duration{}
+	}
+	w.atWork[name][1] += tick
+	if e.isAtWork(w.now) && e.tail <= 0 {
+		w.atWork[name][0] += tick
+	}
+	if e.tail <= 0 || quiet > 0 {
+		delete(w.over, e.run)
+		delete(w.harmed, e.run)
+		return
+	}
+	if w.over[e.run].IsZero() {
+		w.over[e.run] = w.now
+	}
+	if w.now.Sub(w.over[e.run]) > w.pattern.ViolationLimit && !w.harmed[e.run] {
+		w.harmed[e.run] = true
+		w.violate("harm", "%s is over its target since %s", e.run, w.over[e.run].Sub(w.origin))
+	}
+}
+
+// finishTime is in what time a job must be finished that came before the end of
+// the arrivals.
+const finishTime = 25 * time.Second
+
+// summarize counts the jobs and finds those that nobody works on any more.
+func (w *World) summarize() {
+	for id, j := range w.accepted {
+		o := w.result.Classes[j.Queue.Name]
+		o.Accepted++
+		state, ok := w.planner.JobState(id)
+		switch {
+		case !ok:
+			w.violate("lost", "%s is not known", id)
+		case state == planner.Failed:
+			o.Failed++
+		case state == planner.Queued && !j.Steps[0].Lasting:
+			w.violate("lost", "%s was never started", id)
+		}
+		if !j.Steps[0].Lasting && state != planner.Done && state != planner.Failed && w.now.Sub(w.arrived[id]) > finishTime {
+			w.violate("unfinished", "%s", w.planner.Explain(w.now, id))
+		}
+		w.result.Classes[j.Queue.Name] = o
+	}
+	for name, t := range w.atWork {
+		o := w.result.Classes[name]
+		if t[1] > 0 {
+			o.AtWork = float64(t[0]) / float64(t[1])
+		}
+		w.result.Classes[name] = o
+	}
+}
--- /dev/null
+++ b/standins/replayer/pattern.go
@@ -0,0 +1,49 @@
+package replayer
+
+import (
+	"time"
+
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+// Cellarlog is the load of the larger deployment at a share of its size.
+func Cellarlog(scale float64) Pattern {
+	return Pattern{
+		Workers: max(8, int(66*scale)), Domains: 4, Capacity: planner.Resources{CPU: 64000, Memory: 256000},
+		Length: 30 * time.Second, Drain: 15 * time.Second, Load: 0.45,
+		StopTime: 900 * time.Millisecond, CheckpointEvery: 2 * time.Second, ViolationLimit: 4 * time.Second,
+		Classes: []Class{
+			{
+				Queue:     planner.Queue{Name: "report", Service: "service", Attempts: 2, Stretch: 1.5, Slack: 250 * time.Millisecond},
+				PerSecond: 4.4 * scale, Steps: 2, Width: 6, Need: planner.Resources{CPU: 5800, Memory: 12000}, Work: time.Second,
+				Step: planner.Step{Speculative: false}, Hopeless: 0.03, FailShare: 0.05,
+			},
+			{
+				Queue:     planner.Queue{Name: "bundle", Service: "service", Priority: 2, Attempts: 3, Stretch: 2, Slack: time.Second},
+				PerSecond: 8.8 * scale, Steps: 2, Width: 8, Need: planner.Resources{CPU: 7000, Memory: 13000}, Work: 1700 * time.Millisecond,
+				Step: planner.Step{Fills: true, Checkpoints: true}, Images: 9, Hopeless: 0.03, FailShare: 0.005,
+			},
+			{
+				Queue:     planner.Queue{Name: "probe", Service: "service", Attempts: 3, Stretch: 2.2, Slack: 2500 * time.Millisecond},
+				PerSecond: 0.28 * scale, Initial: int(51 * scale), Width: 6, Need: planner.Resources{CPU: 13000, Memory: 26000}, Work: 70 * time.Second,
+				Step: planner.Step{Lasting: true, LatencyTarget: 50 * time.Millisecond, MayMiss: 1}, Images: 5,
+			},
+		},
+	}
+}
+
+// Tricahue is the load of the smaller deployment at a share of its size.
+func Tricahue(scale float64) Pattern {
+	p := Cellarlog(scale)
+	p.Workers, p.Domains, p.Capacity = max(8, int(48*scale)), 3, planner.Resources{CPU: 32000, Memory: 128000}
+	p.Classes[0].PerSecond, p.Classes[0].Need, p.Classes[0].Work = 5.6*scale, planner.Resources{CPU: 2100, Memory: 6000}, 800*time.Millisecond
+	p.Classes[1].PerSecond, p.Classes[1].Need = 6.4*scale, planner.Resources{CPU: 3500, Memory: 7000}
+	p.Classes[2].Initial, p.Classes[2].PerSecond, p.Classes[2].Need = int(37*scale), 0.2*scale, planner.Resources{CPU: 6400, Memory: 13000}
+	return p
+}
+
+// With returns the pattern with more faults.
+func (p Pattern) With(faults ...Fault) Pattern {
+	p.Faults = append(p.Faults[:len(p.Faults):len(p.Faults)], faults...)
+	return p
+}
--- /dev/null
+++ b/standins/replayer/replayer.go
@@ -0,0 +1,363 @@
+// Package replayer replays patterns of load and faults on the planner, in
+// simulated time and without any I/O, and counts what it breaks and what it
+// finishes in time. The model has workers whose tasks share processors, tasks
+// that disturb each other by pairs of images, late orders, lost answers, sick
+// workers, outages of the store and changes of the owner.
+package replayer
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+const (
+	// tick is the step of the simulation.
+	tick = 10 * time.Millisecond
+	// delay is the time of a call one way.
+	delay = 4 * time.Millisecond
+	// lookWait is how long a look waits for an end.
+	lookWait = 700 * time.Millisecond
+	// maxLease is the longest lease, and slowClock how much longer it may last
+	// on a worker's clock.
+	maxLease  = 6 * time.Second
+	slowClock = 1.02
+	// horizon is how long an owner goes on without the store.
+	horizon = 7 * time.Second
+)
+
+// Class is one kind of job of a pattern.
+type Class struct {
+	Queue planner.Queue
+	// PerSecond is the rate of arrivals.
+	PerSecond float64
+	Steps     int
+	Width     int
+	Need      planner.Resources
+	Work      time.Duration
+	// Step has the flags of every step.
+	Step planner.Step
+	// Images is how many images the class has.
+	Images int
+	// Initial jobs arrive before time zero.
+	Initial int
+	// Hopeless is the share of jobs that can't be done.
+	Hopeless float64
+	// FailShare is the share of runs that fail by their own fault.
+	FailShare float64
+}
+
+// Fault is a disturbance of a pattern.
+type Fault struct {
+	At, For time.Duration
+	// Kind is silent, hang, fail, slow, crash, drain, late, outage, takeover or
+	// burst.
+	Kind string
+	// Share of the workers or of the orders.
+	Share float64
+	// Times is the strength of slow and burst.
+	Times float64
+}
+
+// Pattern is a load with its faults.
+type Pattern struct {
+	Workers  int
+	Domains  int
+	Capacity planner.Resources
+	Classes  []Class
+	Length   time.Duration
+	// Drain is how long work goes on after the last arrival.
+	Drain  time.Duration
+	Faults []Fault
+	// Load is the share of its processors that a lasting task uses on average.
+	Load            float64
+	StopTime        time.Duration
+	CheckpointEvery time.Duration
+	ViolationLimit  time.Duration
+}
+
+// Outcome is what became of the jobs of one class.
+type Outcome struct {
+	Accepted, InTime, Done, Failed, Cancelled int
+	// AtWork is the share of the time of lasting tasks at which they are at
+	// work under their target.
+	AtWork float64
+}
+
+// Result is what a replay has counted.
+type Result struct {
+	// Violations has the broken invariants by name, with the first of each.
+	Violations map[string]int
+	First      map[string]string
+	Classes    map[string]Outcome
+	Starts     int
+}
+
+// World is one replay.
+type World struct {
+	pattern  Pattern
+	note     func(time.Duration, planner.Decision)
+	rng      *rand.Rand
+	now      time.Time
+	origin   time.Time
+	machines []*machine
+	planner  *planner.Planner
+	epoch    int64
+	events   []event
+	looking  map[string]bool
+
+	accepted map[string]*planner.Job
+	arrived  map[string]time.Time
+	progress map[string]planner.Progress
+	recorded []planner.Worker
+	saved    map[string]time.Duration
+	hopeless map[string]bool
+	classOf  map[string]*Class
+	// done has the tasks of which a run has ended as done, and void those of
+	// them whose end lapsed before it was acknowledged.
+	done, void map[planner.TaskID]bool
+	shown      map[string]bool
+
+	storeDown   bool
+	storeDownAt time.Time
+	lateShare   float64
+	burst       float64
+	isReading   bool
+	commitAt    time.Time
+	credit      map[string]float64
+	over        map[planner.RunID]time.Time
+	harmed      map[planner.RunID]bool
+	atWork      map[string]*[2]time.Duration
+	result      Result
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+// New returns a replay of a pattern. Each decision is passed to note with the
+// time since the start; nil is for none.
+func New(p Pattern, seed uint64, note func(time.Duration, planner.Decision)) *World {
+	origin := time.Unix(1_000_000, 0)
+	w := &World{
+		pattern: p, note: note, rng: rand.New(rand.NewPCG(seed, seed)), now: origin, origin: origin, looking: map[string]bool{},
+		accepted: map[string]*planner.Job{}, arrived: map[string]time.Time{}, progress: map[string]planner.Progress{},
+		saved: map[string]time.Duration{}, hopeless: map[string]bool{}, classOf: map[string]*Class{}, done: map[planner.TaskID]bool{}, void: map[planner.TaskID]bool{},
+		shown: map[string]bool{}, burst: 1, credit: map[string]float64{}, over: map[planner.RunID]time.Time{}, harmed: map[planner.RunID]bool{},
+		atWork: map[string]*[2]time.Duration{},
+		result: Result{Violations: map[string]int{}, First: map[string]string{}, Classes: map[string]Outcome{}},
+	}
+	for i := range p.Workers {
+		w.machines = append(w.machines, newMachine(p, i, 0))
+	}
+	w.take()
+	return w
+}
+
+// newMachine returns worker i in one of its lives. Every third worker is half
+// as large again.
+func newMachine(p Pattern, i, life int) *machine {
+	if i%3 == 2 {
+		p.Capacity.CPU += p.Capacity.CPU / 2
+		p.Capacity.Memory += p.Capacity.Memory / 2
+	}
+	return &machine{
+		Worker: planner.Worker{
+			ID: fmt.Sprintf("w%03d-%d", i, life), Born: int64(life + 1), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 80),
+			Service: "service", Domain: "domain" + strconv.Itoa(i%p.Domains), Rack: "rack" + strconv.Itoa(i/8),
+			Labels: []string{"kind", "rack" + strconv.Itoa(i/8)}, Capacity: p.Capacity,
+		},
+		runs: map[planner.RunID]*execution{}, barred: map[planner.TaskID]int{},
+	}
+}
+
+// take makes a new owner, as after the loss of the earlier one.
+func (w *World) take() {
+	w.epoch++
+	p, err := planner.New(planner.Options{
+		Epoch: w.epoch, StopTime: w.pattern.StopTime, ViolationLimit: w.pattern.ViolationLimit, RemoteSlowdown: 1.5,
+		Keep: time.Hour, WallTime: func(t time.Time) time.Time { return t },
+		BlockedUntil: w.now.Add(horizon + time.Duration(slowClock*float64(maxLease))),
+		Note: func(d planner.Decision) {
+			if w.note != nil {
+				w.note(w.now.Sub(w.origin), d)
+			}
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+	w.planner = p
+	clear(w.looking)
+	w.isReading = false
+	for _, r := range w.recorded {
+		p.Suspect(r)
+	}
+	ids := make([]string, 0, len(w.accepted))
+	for id := range w.accepted {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		p.AddJob(w.now, *w.accepted[id], w.progress[id])
+	}
+	w.list()
+}
+
+// list passes on what discovery shows.
+func (w *World) list() {
+	var all []planner.Worker
+	for _, m := range w.machines {
+		if !m.silent {
+			all = append(all, m.Worker)
+		}
+	}
+	w.planner.SetWorkers(w.now, all)
+}
+
+// Run replays the pattern.
+func (w *World) Run() Result {
+	for _, f := range w.pattern.Faults {
+		w.at(w.origin.Add(f.At), func() { w.begin(f) })
+	}
+	for i := range w.pattern.Classes {
+		for range w.pattern.Classes[i].Initial {
+			w.arrive(&w.pattern.Classes[i])
+		}
+	}
+	end := w.origin.Add(w.pattern.Length)
+	for listAt := w.now; w.now.Before(end.Add(w.pattern.Drain)); w.now = w.now.Add(tick) {
+		if w.now.Before(end) {
+			w.arrivals()
+		}
+		w.deliver()
+		for _, m := range w.machines {
+			m.advance(w, tick)
+		}
+		if !w.now.Before(listAt) && !w.storeDown {
+			w.list()
+			listAt = w.now.Add(700 * time.Millisecond)
+		}
+		w.drive()
+	}
+	w.summarize()
+	return w.result
+}
+
+func (w *World) at(t time.Time, do func()) {
+	i, _ := slices.BinarySearchFunc(w.events, t, func(e event, t time.Time) int {
+		if e.at.After(t) {
+			return 1
+		}
+		return -1
+	})
+	w.events = slices.Insert(w.events, i, event{t, do})
+}
+
+func (w *World) deliver() {
+	for len(w.events) > 0 && !w.events[0].at.After(w.now) {
+		e := w.events[0]
+		w.events = w.events[1:]
+		e.do()
+	}
+}
+
+func (w *World) arrivals() {
+	for i := range w.pattern.Classes {
+		c := &w.pattern.Classes[i]
+		rate := c.PerSecond
+		if w.burst > 1 && c.Step.Fills {
+			rate *= w.burst
+		}
+		if w.rng.Float64() < rate*tick.Seconds() {
+			w.arrive(c)
+		}
+	}
+}
+
+func (w *World) arrive(c *Class) {
+	if w.storeDown {
+		return
+	}
+	j := &planner.Job{ID: fmt.Sprintf("%016x", w.rng.Uint64()), Queue: c.Queue, Payload: "payload", Received: w.now}
+	steps := 1
+	if c.Steps > 1 {
+		steps = 1 + w.rng.IntN(2*c.Steps-1)
+	}
+	for i := range steps {
+		s := c.Step
+		s.Count = 1 + w.rng.IntN(2*c.Width-1)
+		s.Need, s.Estimate = c.Need, c.Work
+		if c.Images > 0 {
+			s.Image = c.Queue.Name + strconv.Itoa(int(w.hash(j.ID)%uint64(c.Images)))
+		}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	w.accepted[j.ID], w.arrived[j.ID], w.classOf[j.ID] = j, w.now, c
+	w.hopeless[j.ID] = w.rng.Float64() < c.Hopeless
+	w.planner.AddJob(w.now, *j, planner.Progress{})
+}
+
+func (w *World) hash(text string) uint64 { return xxhash.Sum64String(text) }
+
+// unit is a number from 0 to 1 that a text decides.
+func (w *World) unit(text string) float64 { return float64(w.hash(text)>>11) / (1 << 53) }
+
+func (w *World) workOf(j *planner.Job, t planner.TaskID) time.Duration {
+	return time.Duration(float64(j.Steps[t.Step].Estimate) * (0.7 + 0.6*w.unit(t.String())))
+}
+
+func (w *World) phaseOf(r planner.RunID) float64 { return 2 * math.Pi * w.unit(r.Job) }
+
+func (w *World) fateOf(r planner.RunID) planner.EndKind {
+	if c := w.classOf[r.Job]; w.hopeless[r.Job] || w.unit(r.String()) < c.FailShare {
+		return planner.EndFailed
+	}
+	return planner.EndDone
+}
+
+// load is the share of its processors that a lasting task uses now.
+func (w *World) load(e *execution) float64 {
+	t := w.now.Sub(w.origin).Seconds()
+	return w.pattern.Load * (1 + 0.5*math.Sin(2*math.Pi*t/14+e.phase))
+}
+
+// slope is by how much ten cores of a filling image raise the logarithm of the
+// tail of a serving image: a third of the filling images disturb the serving
+// images with an even number, a third the others, and a third none.
+func (w *World) slope(serving, filling string) float64 {
+	switch w.hash(filling) % 3 {
+	case 0:
+		return 0.03
+	case 1:
+		if w.hash(serving)%2 == 0 {
+			return 0.45
+		}
+	default:
+		if w.hash(serving)%2 == 1 {
+			return 0.7
+		}
+	}
+	return 0.03
+}
+
+func (w *World) checkpoint(e *execution) string {
+	if e.saved == 0 {
+		return ""
+	}
+	key := fmt.Sprintf("%s@%d", e.run.TaskID, e.saved.Milliseconds())
+	w.saved[key] = e.saved
+	return key
+}
