Drop gone workers from the stored list; relay submissions; refuse at once while the store is away

Submissions were held for 1.7 s of the clients' 3 s while the store was silent, and the answer was 504. Change: the list is stored again when a worker is gone; a daemon that can't reach the store has the owner or a seed store the job, under the same condition; while the store is known to be away a job is refused at once with Retry-After. Ruled out: shortening the horizon, which would stop accepted work in the usual outages of 4 s.

--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -119,7 +119,7 @@
 
 // recordWorkers stores which workers may have runs before they get any.
 func (c *Conductor) recordWorkers(ctx context.Context, now time.Time) {
-	if c.recording || now.Before(c.commitAt) || len(c.planner.Unrecorded()) == 0 {
+	if c.recording || now.Before(c.commitAt) || !c.planner.NeedsRecord() {
 		return
 	}
 	list := c.planner.Recorded()
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -184,6 +185,8 @@
 	events  chan func()
 	calls   pond.Pool
 	metrics metrics
+	// ownerAddress is a copy for other goroutines.
+	ownerAddress atomic.Pointer[netip.AddrPort]
 
 	// The fields below belong to the control goroutine.
 
@@ -383,6 +386,14 @@
 	Known bool `cbor:"known"`
 }
 
+// Owner returns where the owner of the shard is asked; invalid if none is known.
+func (c *Conductor) Owner() netip.AddrPort {
+	if a := c.ownerAddress.Load(); a != nil {
+		return *a
+	}
+	return netip.AddrPort{}
+}
+
 // ServeQuestion answers a peer's question.
 func (c *Conductor) ServeQuestion(ctx context.Context, q Question) (Reply, error) {
 	var r Reply
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -127,6 +127,7 @@
 			continue
 		}
 		c.owner, c.vacant = r, time.Time{}
+		c.ownerAddress.Store(&r.Address)
 		if c.role == "owning" && r.Epoch > c.epoch {
 			c.lose("another owner is recorded")
 		}
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -72,7 +72,8 @@
 // leavesHeadroom reports whether a lasting task may take processors now.
 func (p *Planner) leavesHeadroom(now time.Time, t *task) bool {
 	h := &p.headroom
-	if t.attempt > 0 && now.Sub(t.readyAt) > headroomWait {
+	mayHaveRun := t.attempt > 0 || t.step.occurrence.job.wasRead
+	if mayHaveRun && now.Sub(t.readyAt) > headroomWait {
 		return true
 	}
 	kept := max(headroomFactor*h.peak, headroomShare*float64(h.all)) - float64(h.short)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -91,6 +91,10 @@
 	list     []*Worker
 	emptied  map[string]bool
 	suspects map[string]bool
+	// isRecordStale is set when the store still has a worker that is gone.
+	isRecordStale bool
+	// hasSuspected is set when there was an earlier owner.
+	hasSuspected bool
 	// candidatesFor has the workers on which tasks may start, by service and
 	// label, for the plan that is being made.
 	candidatesFor map[candidateKey][]*Worker
@@ -183,6 +187,7 @@
 	w.recorded = true
 	p.addWorker(&w)
 	p.suspects[w.ID] = true
+	p.hasSuspected = true
 }
 
 func (p *Planner) addWorker(w *Worker) {
@@ -193,6 +198,7 @@
 }
 
 func (p *Planner) forgetWorker(w *Worker) {
+	p.isRecordStale = p.isRecordStale || w.recorded
 	delete(p.workers, w.ID)
 	p.list = slices.DeleteFunc(p.list, func(o *Worker) bool { return o == w })
 }
@@ -269,16 +275,11 @@
 	return all
 }
 
-// Unrecorded returns the workers that must be stored as possible places of
-// runs before they get any.
-func (p *Planner) Unrecorded() []Worker {
-	var list []Worker
-	for _, w := range p.list {
-		if !w.recorded {
-			list = append(list, *w)
-		}
-	}
-	return list
+// NeedsRecord reports whether the stored list of workers differs from that of
+// the workers which may have runs. A worker gets none before it is stored, and
+// one that stays stored would hold up a successor, which can't ask it.
+func (p *Planner) NeedsRecord() bool {
+	return p.isRecordStale || slices.ContainsFunc(p.list, func(w *Worker) bool { return !w.recorded })
 }
 
 // Recorded returns the workers to store: those listed and those that may still
@@ -294,6 +295,7 @@
 
 // SetRecorded notes that the store has these workers.
 func (p *Planner) SetRecorded(list []Worker) {
+	p.isRecordStale = slices.ContainsFunc(list, func(n Worker) bool { return p.workers[n.ID] == nil })
 	for _, n := range list {
 		if w := p.workers[n.ID]; w != nil && w.Born == n.Born {
 			w.recorded = true
@@ -310,7 +312,7 @@
 	if q, ok := p.config.Queues[d.Queue.Name]; ok {
 		d.Queue = q
 	}
-	j := &job{Job: d, ended: map[int]bool{}, recovered: len(p.suspects) > 0}
+	j := &job{Job: d, ended: map[int]bool{}, recovered: len(p.suspects) > 0, wasRead: p.hasSuspected}
 	// Clocks of instances differ, so the arrival is never in the future.
 	age := max(0, p.options.WallTime(now).Sub(d.Received))
 	j.arrived = now.Add(-age)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -26,6 +26,8 @@
 	arrived, due time.Time
 	// recovered is set when an earlier owner may have started tasks of it.
 	recovered bool
+	// wasRead is set when the job was there before this owner.
+	wasRead bool
 	// begun is set when a task has started.
 	begun bool
 	// finalAt is when the job got a final state.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -19,17 +20,23 @@
 )
 
 const (
-	// storeTimeout bounds the write that accepts a job, and readTimeout the read
-	// that settles what became of it.
-	storeTimeout = 1200 * time.Millisecond
-	readTimeout  = 500 * time.Millisecond
+	// storeTimeout bounds the write that accepts a job. readTimeout bounds the
+	// read that settles what became of it, and relayTimeout the attempt to have
+	// it settled by a peer. Together they stay under half of the time that
+	// clients usually wait.
+	storeTimeout = 700 * time.Millisecond
+	readTimeout  = 250 * time.Millisecond
+	relayTimeout = 400 * time.Millisecond
+	// downAfter is how long the store must have left calls without an answer
+	// before jobs are refused at once.
+	downAfter = 300 * time.Millisecond
 	// returnAfter is when a client may come back after a refusal: outages of
 	// the store that last are longer than this, and the client has few retries.
 	returnAfter = time.Second
 	// askRetry spaces questions while the shard changes its owner, and askLimit
 	// bounds the time for them.
 	askRetry = 100 * time.Millisecond
-	askLimit = 2500 * time.Millisecond
+	askLimit = 1200 * time.Millisecond
 )
 
 // Options are what a receiver depends on.
@@ -39,6 +46,10 @@
 	// Local answers where this daemon owns the shard, and Ask asks another one.
 	Local func(ctx context.Context, q conductor.Question) (conductor.Reply, error)
 	Ask   func(ctx context.Context, owner netip.AddrPort, q conductor.Question) (conductor.Reply, error)
+	// Peers returns the daemons that may reach the store when this one doesn't,
+	// the most likely first, and Relay has one of them accept a job.
+	Peers func() []netip.AddrPort
+	Relay func(ctx context.Context, peer netip.AddrPort, j planner.Job) error
 	Log   *log.Logger
 	// Registry receives the metrics.
 	Registry prometheus.Registerer
@@ -47,9 +58,12 @@
 
 // Receiver is safe for concurrent use.
 type Receiver struct {
-	options  Options
-	outcomes *prometheus.CounterVec
-	latency  *prometheus.HistogramVec
+	options Options
+	// failedSince is since when the store has left every call without an answer,
+	// in nanoseconds on the clock of Now; zero while it answers.
+	failedSince atomic.Int64
+	outcomes    *prometheus.CounterVec
+	latency     *prometheus.HistogramVec
 }
 
 // New returns a receiver.
@@ -109,10 +123,44 @@
 	return err
 }
 
+// NoteStore notes whether a call to the store was answered. Calls of other parts
+// count too, so that the store's return is noticed without a client's call.
+func (r *Receiver) NoteStore(isAnswered bool) {
+	if isAnswered {
+		r.failedSince.Store(0)
+		return
+	}
+	r.failedSince.CompareAndSwap(0, r.options.Now().UnixNano())
+}
+
+// IsStoreDown reports whether the store has not answered for some time.
+func (r *Receiver) IsStoreDown() bool {
+	since := r.failedSince.Load()
+	return since != 0 && r.options.Now().Sub(time.Unix(0, since)) > downAfter
+}
+
 func (r *Receiver) submit(ctx context.Context, j planner.Job) error {
 	if err := j.Check(); err != nil {
 		return err
 	}
+	if r.IsStoreDown() {
+		return r.relay(ctx, j, &RefusedError{"the store does not answer", returnAfter})
+	}
+	err := r.Store(ctx, j)
+	var refused *RefusedError
+	var undecided *UndecidedError
+	switch {
+	case errors.As(err, &undecided):
+		return r.relay(ctx, j, r.settle(ctx, j.ID, err))
+	case errors.As(err, &refused):
+		return r.relay(ctx, j, err)
+	}
+	return err
+}
+
+// Store stores a job from this daemon, for a client or for a peer that doesn't
+// reach the store. Errors are RefusedError and UndecidedError.
+func (r *Receiver) Store(ctx context.Context, j planner.Job) error {
 	value, err := planner.Encode(j)
 	if err != nil {
 		return &RefusedError{Reason: err.Error()}
@@ -131,15 +179,15 @@
 	var refused *storeclient.RefusedError
 	var limited *storeclient.LimitError
 	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &conflict):
-		// The id was accepted before; a repeat is the same job.
+	case err == nil, errors.As(err, &conflict):
+		// After a conflict the id was accepted before; a repeat is the same job.
+		r.NoteStore(true)
 		return nil
 	case errors.As(err, &refused), errors.As(err, &limited):
 		return &RefusedError{"the store takes no jobs now", returnAfter}
 	}
-	return r.settle(ctx, j.ID, err)
+	r.NoteStore(false)
+	return &UndecidedError{err}
 }
 
 // settle finds out whether a write without an answer has taken effect. While it
@@ -150,7 +198,34 @@
 	if _, err := r.options.Store.Get(bounded, conductor.IndexKey(id)); err == nil {
 		return nil
 	}
-	return &UndecidedError{cause}
+	return cause
+}
+
+// relay has a peer store a job that this daemon could not. The peer's write has
+// the same condition, so the job is accepted once whichever write takes effect.
+// Without any peer's answer the result is cause.
+func (r *Receiver) relay(ctx context.Context, j planner.Job, cause error) error {
+	if cause == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	for _, peer := range r.options.Peers() {
+		err := r.options.Relay(ctx, peer, j)
+		if err == nil {
+			r.options.Log.Info().Str("job", j.ID).Str("peer", peer.String()).AnErr("cause", cause).Msg("receiver: accepted by a peer")
+			return nil
+		}
+		var refused *RefusedError
+		if !errors.As(err, &refused) {
+			// The peer may have stored it.
+			cause = &UndecidedError{err}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return cause
 }
 
 // State returns the state of a job. Errors are UnknownJobError and
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -27,7 +27,7 @@
 	if w.storeDown || w.now.Before(w.commitAt) {
 		return
 	}
-	if unrecorded := p.Unrecorded(); len(unrecorded) > 0 {
+	if p.NeedsRecord() {
 		w.recorded = p.Recorded()
 		p.SetRecorded(w.recorded)
 	}
