--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -280,11 +280,16 @@
 // fail records a failed attempt of a task.
 func (p *Planner) fail(now time.Time, w *Worker, t *task, attempt int) {
 	j := t.step.occurrence.job
-	if slices.Contains(t.failures, attempt) || t.done {
+	if t.done {
+		return
+	}
+	if !slices.Contains(t.avoid, w.ID) {
+		t.avoid = append(t.avoid, w.ID)
+	}
+	if slices.Contains(t.failures, attempt) {
 		return
 	}
 	t.failures = append(t.failures, attempt)
-	t.avoid = append(t.avoid, w.ID)
 	t.retryAt = now.Add(retryDelay)
 	j.changed()
 	if w.noteFailure(now, j.ID) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -206,8 +206,7 @@
 // SetWorkers replaces what discovery knows of the workers.
 func (p *Planner) SetWorkers(now time.Time, list []Worker) {
 	listed := map[string]bool{}
-	for i := range list {
-		n := &list[i]
+	for _, n := range list {
 		listed[n.ID] = true
 		w := p.workers[n.ID]
 		if w != nil && w.Born != n.Born {
@@ -219,7 +218,7 @@
 		}
 		if w == nil {
 			p.replaceAt(n)
-			w = n
+			w = &n
 			p.addWorker(w)
 			p.noteWorker("worker_found", w, w.Domain)
 		}
@@ -241,7 +240,7 @@
 
 // replaceAt removes the worker that had the address of a new one: its process
 // has ended, since two can't listen there.
-func (p *Planner) replaceAt(n *Worker) {
+func (p *Planner) replaceAt(n Worker) {
 	for _, w := range slices.Clone(p.list) {
 		if w.Address == n.Address && w.ID != n.ID {
 			p.removeWorker(w, "address used by "+n.ID)
