--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,111 @@
+package follower_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"tarragonhead.example/tarragonhead/internal/follower"
+	"tarragonhead.example/tarragonhead/internal/keeper"
+	"tarragonhead.example/tarragonhead/internal/storeclient"
+)
+
+// copied is the copy that a follower's reports amount to.
+type copied struct {
+	mu      sync.Mutex
+	entries map[string]string
+}
+
+func (c *copied) change(events []storeclient.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range events {
+		if e.Removed {
+			delete(c.entries, e.Key)
+		} else {
+			c.entries[e.Key] = string(e.Value)
+		}
+	}
+}
+
+func (c *copied) is(want map[string]string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.entries) != len(want) {
+		return false
+	}
+	for k, v := range want {
+		if c.entries[k] != v {
+			return false
+		}
+	}
+	return true
+}
+
+func eventually(c *quicktest.C, what string, f func() bool) {
+	c.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	c.Fatalf("%s: not within 5 s", what)
+}
+
+// TestFollow guards against changes that a follower misses because its watch is
+// silent, fails, or meets a history that was dropped.
+func TestFollow(t *testing.T) {
+	isAway := &storeclient.RefusedError{Op: "test", Status: 503}
+	for name, tt := range map[string]struct {
+		wait, interval time.Duration
+		disturb        func(k *keeper.Keeper)
+	}{
+		"calm":     {time.Second, 0, func(*keeper.Keeper) {}},
+		"no watch": {0, 10 * time.Millisecond, func(*keeper.Keeper) {}},
+		"silent watch": {time.Second, 10 * time.Millisecond, func(k *keeper.Keeper) {
+			k.SetFault(func(op, _ string) keeper.Fault {
+				if op == "watch" {
+					time.Sleep(time.Millisecond)
+					return keeper.Fault{Before: isAway}
+				}
+				return keeper.Fault{}
+			})
+		}},
+		"history dropped": {time.Second, 0, func(k *keeper.Keeper) {
+			k.Put("p/lost", []byte("x"))
+			k.Remove("p/lost")
+			k.Compact()
+		}},
+		"outage": {time.Second, 0, func(k *keeper.Keeper) {
+			k.SetFault(func(string, string) keeper.Fault { return keeper.Fault{Before: isAway} })
+			time.AfterFunc(50*time.Millisecond, func() { k.SetFault(nil) })
+			k.Compact()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			k := keeper.New(time.Now)
+			k.Put("p/a", []byte("1"))
+			k.Put("other", []byte("1"))
+			got := &copied{entries: map[string]string{}}
+			f := follower.New(follower.Options{
+				Store: k.Store(), Prefix: "p/", Wait: tt.wait, Interval: tt.interval, Now: time.Now, Changed: got.change,
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			var done sync.WaitGroup
+			done.Go(func() { f.Run(ctx) })
+			defer done.Wait()
+			defer cancel()
+			eventually(c, "first read", func() bool { return got.is(map[string]string{"p/a": "1"}) })
+			tt.disturb(k)
+			k.Put("p/a", []byte("2"))
+			k.Put("p/b", []byte("3"))
+			eventually(c, "change", func() bool { return got.is(map[string]string{"p/a": "2", "p/b": "3"}) })
+			k.Remove("p/a")
+			eventually(c, "removal", func() bool { return got.is(map[string]string{"p/b": "3"}) })
+		})
+	}
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,295 @@
+// Package keeper is a store in memory with the promises of the platform's
+// metadata store, for tests and stand-ins. Faults are set with a function.
+package keeper
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"tarragonhead.example/tarragonhead/internal/storeclient"
+)
+
+// Fault says what goes wrong with a call. With Before set the call has no
+// effect and fails with it; with After set it has its effect and fails with it.
+type Fault struct{ Before, After error }
+
+// Keeper is safe for concurrent use.
+type Keeper struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	revision uint64
+	entries  map[string]entry
+	history  []storeclient.Event
+	// compacted is the revision up to which the history was dropped.
+	compacted uint64
+	leases    map[storeclient.LeaseID]*lease
+	next      storeclient.LeaseID
+	fault     func(op, key string) Fault
+	// changed is closed and replaced with each change.
+	changed chan struct{}
+	calls   map[string]int
+}
+
+type entry struct {
+	storeclient.Entry
+	lease storeclient.LeaseID
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// New returns an empty keeper; leases end by the clock now.
+func New(now func() time.Time) *Keeper {
+	return &Keeper{
+		now: now, revision: 1, entries: map[string]entry{}, leases: map[storeclient.LeaseID]*lease{},
+		changed: make(chan struct{}), calls: map[string]int{},
+	}
+}
+
+// Store returns the keeper's interface.
+func (k *Keeper) Store() storeclient.PrefixStore {
+	return storeclient.PrefixStore{
+		Get: k.get, Range: k.list, Watch: k.watch, Transact: k.transact,
+		Grant: k.grant, KeepAlive: k.keepAlive, Revoke: k.revoke,
+	}
+}
+
+// SetFault sets what goes wrong with calls; nil for nothing. The operations are
+// get, range, watch, transact, grant, keep_alive and revoke.
+func (k *Keeper) SetFault(f func(op, key string) Fault) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fault = f
+}
+
+// Compact drops the history.
+func (k *Keeper) Compact() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.history, k.compacted = nil, k.revision
+	k.wake()
+}
+
+// Put writes an entry as another writer would.
+func (k *Keeper) Put(key string, value []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision++
+	k.write(key, value, 0)
+}
+
+// Remove removes an entry as another writer would.
+func (k *Keeper) Remove(key string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision++
+	k.remove(key)
+}
+
+// Calls returns how often an operation was called.
+func (k *Keeper) Calls(op string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.calls[op]
+}
+
+// begin counts a call, ends leases that are over and returns the fault. The
+// caller holds the lock.
+func (k *Keeper) begin(op, key string) Fault {
+	k.calls[op]++
+	now := k.now()
+	for id, l := range k.leases {
+		if now.After(l.end) {
+			k.endLease(id)
+		}
+	}
+	if k.fault == nil {
+		return Fault{}
+	}
+	return k.fault(op, key)
+}
+
+func (k *Keeper) endLease(id storeclient.LeaseID) {
+	delete(k.leases, id)
+	for key, e := range k.entries {
+		if e.lease == id {
+			k.revision++
+			k.remove(key)
+		}
+	}
+}
+
+func (k *Keeper) write(key string, value []byte, id storeclient.LeaseID) {
+	e := storeclient.Entry{Key: key, Value: slices.Clone(value), Revision: k.revision}
+	k.entries[key] = entry{e, id}
+	k.history = append(k.history, storeclient.Event{Entry: e})
+	k.wake()
+}
+
+func (k *Keeper) remove(key string) {
+	if _, ok := k.entries[key]; !ok {
+		return
+	}
+	delete(k.entries, key)
+	k.history = append(k.history, storeclient.Event{Entry: storeclient.Entry{Key: key, Revision: k.revision}, Removed: true})
+	k.wake()
+}
+
+func (k *Keeper) wake() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+func (k *Keeper) get(_ context.Context, key string) (storeclient.Entry, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f := k.begin("get", key)
+	if f.Before != nil {
+		return storeclient.Entry{}, f.Before
+	}
+	e, ok := k.entries[key]
+	if !ok {
+		return storeclient.Entry{}, &storeclient.NotFoundError{Key: key}
+	}
+	return e.Entry, f.After
+}
+
+func (k *Keeper) list(_ context.Context, prefix string) ([]storeclient.Entry, uint64, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if f := k.begin("range", prefix); f.Before != nil {
+		return nil, 0, f.Before
+	}
+	var all []storeclient.Entry
+	for key, e := range k.entries {
+		if strings.HasPrefix(key, prefix) {
+			all = append(all, e.Entry)
+		}
+	}
+	slices.SortFunc(all, func(a, b storeclient.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return all, k.revision, nil
+}
+
+func (k *Keeper) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]storeclient.Event, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for isFirst := true; ; isFirst = false {
+		k.mu.Lock()
+		if isFirst {
+			if f := k.begin("watch", prefix); f.Before != nil {
+				k.mu.Unlock()
+				return nil, 0, f.Before
+			}
+		}
+		if after < k.compacted {
+			k.mu.Unlock()
+			return nil, 0, &storeclient.CompactedError{Prefix: prefix}
+		}
+		var found []storeclient.Event
+		for _, e := range k.history {
+			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+				found = append(found, e)
+			}
+		}
+		revision, changed := k.revision, k.changed
+		k.mu.Unlock()
+		if len(found) > 0 {
+			return found, revision, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, &storeclient.UnavailableError{Op: "watch", Key: prefix, Err: ctx.Err()}
+		case <-timer.C:
+			return nil, revision, nil
+		case <-changed:
+		}
+	}
+}
+
+func (k *Keeper) transact(_ context.Context, t storeclient.Transaction) (uint64, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	key := ""
+	if len(t.Writes) > 0 {
+		key = t.Writes[0].Key
+	}
+	f := k.begin("transact", key)
+	if f.Before != nil {
+		return 0, f.Before
+	}
+	if len(t.Expect)+len(t.Writes)+len(t.Remove) > storeclient.MaxTransactionEntries {
+		return 0, &storeclient.RefusedError{Op: "transact", Status: 400}
+	}
+	conflict := false
+	e := &storeclient.ExpectationError{}
+	for _, x := range t.Expect {
+		current, ok := k.entries[x.Key]
+		conflict = conflict || current.Revision != x.Revision
+		if ok {
+			e.Current = append(e.Current, current.Entry)
+		}
+	}
+	if conflict {
+		return 0, e
+	}
+	for _, w := range t.Writes {
+		if w.Lease != 0 && k.leases[w.Lease] == nil {
+			return 0, &storeclient.LeaseError{ID: w.Lease}
+		}
+	}
+	k.revision++
+	for _, w := range t.Writes {
+		k.write(w.Key, w.Value, w.Lease)
+	}
+	for _, key := range t.Remove {
+		k.remove(key)
+	}
+	return k.revision, f.After
+}
+
+func (k *Keeper) grant(_ context.Context, ttl time.Duration) (storeclient.LeaseID, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f := k.begin("grant", "")
+	if f.Before != nil {
+		return 0, f.Before
+	}
+	k.next++
+	k.leases[k.next] = &lease{ttl, k.now().Add(ttl)}
+	return k.next, f.After
+}
+
+func (k *Keeper) keepAlive(_ context.Context, id storeclient.LeaseID) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f := k.begin("keep_alive", "")
+	if f.Before != nil {
+		return f.Before
+	}
+	l := k.leases[id]
+	if l == nil {
+		return &storeclient.LeaseError{ID: id}
+	}
+	l.end = k.now().Add(l.ttl)
+	return f.After
+}
+
+func (k *Keeper) revoke(_ context.Context, id storeclient.LeaseID) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f := k.begin("revoke", "")
+	if f.Before != nil {
+		return f.Before
+	}
+	if k.leases[id] == nil {
+		return &storeclient.LeaseError{ID: id}
+	}
+	k.endLease(id)
+	return f.After
+}
