Restart the tasks of a lost worker only after a later proof of ownership

Change: a lease counts as lapsed only when the ownership was proven after its end. The replayer has two owners at a time, each with its part of the workers; 'cut off with the owner for long' failed before. Ruled out: ends read late (the runs were listed as done to the successor).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -318,7 +318,7 @@
 
 // plan sends the planner's orders and looks at the workers.
 func (c *Conductor) plan(ctx context.Context, now time.Time) {
-	for _, o := range c.planner.Plan(now, c.isProven(now)) {
+	for _, o := range c.planner.Plan(now, c.confirmedAt) {
 		c.order(ctx, now, o)
 	}
 	c.look(ctx, now)
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -305,7 +305,7 @@
 	limits := c.options.Limits
 	lapse := time.Duration(float64(limits.MaxLease) / (1 - clockError))
 	p, err := planner.New(planner.Options{
-		Epoch: c.epoch, StopTime: limits.StopTime, PaceDelay: limits.PaceDelay, ViolationLimit: limits.ViolationLimit,
+		Epoch: c.epoch, Horizon: horizon, StopTime: limits.StopTime, PaceDelay: limits.PaceDelay, ViolationLimit: limits.ViolationLimit,
 		RemoteSlowdown: limits.RemoteSlowdown, Keep: limits.KeepStates, WallTime: c.options.WallTime,
 		BlockedUntil: now.Add(horizon + lapse), Note: c.note,
 	})
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -31,11 +31,11 @@
 func eventOf(s string) interpreter.Event { return interpreter.Event(s) }
 
 // Plan returns the orders that are due, in the order in which they should be
-// sent. isAllowed is false when this owner may start nothing, since it may have
-// been replaced.
-func (p *Planner) Plan(now time.Time, isAllowed bool) []Command {
+// sent. Until proven this owner was not replaced: after more than the horizon it
+// starts nothing.
+func (p *Planner) Plan(now, proven time.Time) []Command {
 	clear(p.candidatesFor)
-	p.dropLost(now)
+	p.dropLost(now, proven)
 	p.openOccurrences(now)
 	p.stopFinal(now)
 	for _, w := range p.list {
@@ -45,7 +45,7 @@
 		p.checkRuns(now, w)
 	}
 	p.resendStops(now)
-	if isAllowed {
+	if now.Sub(proven) < p.options.Horizon {
 		p.start(now)
 	}
 	p.pace(now)
@@ -55,13 +55,14 @@
 }
 
 // dropLost ends the runs on workers whose leases have lapsed, and forgets
-// workers that are gone.
-func (p *Planner) dropLost(now time.Time) {
+// workers that are gone. A successor that this owner doesn't know of may have
+// renewed a lease, so only those count that ended before the last proof.
+func (p *Planner) dropLost(now, proven time.Time) {
 	for _, w := range slices.Clone(p.list) {
 		switch {
-		case p.suspects[w.ID] && now.After(p.options.BlockedUntil):
+		case p.suspects[w.ID] && proven.After(p.options.BlockedUntil):
 			p.removeWorker(w, "no answer until every lease has lapsed")
-		case !p.suspects[w.ID] && !w.failedSince.IsZero() && now.After(w.leaseEnd) && len(w.runs) > 0 && w.answered.Before(w.leaseEnd):
+		case !p.suspects[w.ID] && !w.failedSince.IsZero() && proven.After(w.leaseEnd) && len(w.runs) > 0 && w.answered.Before(w.leaseEnd):
 			p.noteWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s", now.Sub(w.failedSince)))
 			for _, r := range sortedRuns(w) {
 				p.endRun(r, "lapse", "lease lapsed")
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -47,6 +47,8 @@
 type Options struct {
 	// Epoch is the number of this ownership; it only grows.
 	Epoch int64
+	// Horizon is how long the owner goes on without a proof that it still is.
+	Horizon time.Duration
 	// StopTime is the longest time that a worker takes to stop a run.
 	StopTime time.Duration
 	// PaceDelay is how long a worker takes to apply a pace.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -20,18 +20,22 @@
 	running map[string][]planner.RunStatus
 	workers []planner.Worker
 	ends    map[string][]planner.RunEnd
+	// unproven is for how long the ownership has not been proven.
+	unproven time.Duration
 }
 
+func (d *desk) proven() time.Time { return d.now.Add(-d.unproven) }
+
 var origin = time.Unix(1_000_000, 0)
 
 func newDesk(t *testing.T, epoch int64, workers ...planner.Worker) *desk {
 	c := quicktest.New(t)
 	p, err := planner.New(planner.Options{
-		Epoch: epoch, StopTime: time.Second, ViolationLimit: 4 * time.Second, RemoteSlowdown: 2, Keep: time.Minute,
+		Epoch: epoch, Horizon: 7 * time.Second, StopTime: time.Second, ViolationLimit: 4 * time.Second, RemoteSlowdown: 2, Keep: time.Minute,
 		BlockedUntil: origin.Add(13 * time.Second), WallTime: func(t time.Time) time.Time { return t },
 	})
 	c.Assert(err, quicktest.IsNil)
-	return &desk{c, p, origin, map[string][]planner.RunStatus{}, workers, map[string][]planner.RunEnd{}}
+	return &desk{c, p, origin, map[string][]planner.RunStatus{}, workers, map[string][]planner.RunEnd{}, 0}
 }
 
 // ready makes the workers known, recorded and looked at.
@@ -53,7 +57,7 @@
 // starts plans and returns the starts; their workers list them from then on.
 func (d *desk) starts() []planner.Command {
 	var list []planner.Command
-	for _, o := range d.p.Plan(d.now, true) {
+	for _, o := range d.p.Plan(d.now, d.proven()) {
 		if o.Kind == planner.StartRun {
 			list = append(list, o)
 			d.running[o.WorkerID] = append(d.running[o.WorkerID], planner.RunStatus{Run: o.Run, Percent: 1})
@@ -279,10 +283,10 @@
 func TestUnclearStart(t *testing.T) {
 	d := newDesk(t, 1, worker("a", 8), worker("b", 8)).ready()
 	d.add(job("1", step(1, 1)))
-	orders := d.p.Plan(d.now, true)
+	orders := d.p.Plan(d.now, d.proven())
 	start := orders[0]
 	d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Unclear, "no answer")
-	orders = d.p.Plan(d.now, true)
+	orders = d.p.Plan(d.now, d.proven())
 	d.Assert(orders, quicktest.HasLen, 1)
 	d.Assert(orders[0].Kind, quicktest.Equals, planner.StopRun)
 	d.pass(time.Millisecond)
@@ -310,11 +314,24 @@
 	d.pass(4900 * time.Millisecond)
 	d.Assert(d.starts(), quicktest.HasLen, 0)
 	d.pass(200 * time.Millisecond)
+	d.unproven = time.Second
+	d.Assert(d.starts(), quicktest.HasLen, 0, quicktest.Commentf("a successor may have renewed the lease"))
+	d.unproven = 0
 	again := d.starts()
 	d.Assert(again, quicktest.HasLen, 1)
 	d.Assert(again[0].WorkerID, quicktest.Not(quicktest.Equals), start.WorkerID)
 }
 
+// TestHorizon guards against starts by an owner that may have been replaced.
+func TestHorizon(t *testing.T) {
+	d := newDesk(t, 1, worker("a", 8)).ready()
+	d.add(job("1", step(1, 1)))
+	d.unproven = 7 * time.Second
+	d.Assert(d.starts(), quicktest.HasLen, 0)
+	d.unproven = 6 * time.Second
+	d.Assert(d.starts(), quicktest.HasLen, 1)
+}
+
 // TestEndedJobsKeepTheirRoom guards against a full worker: a run of a job that
 // has ended still takes its room until the worker has stopped it.
 func TestEndedJobsKeepTheirRoom(t *testing.T) {
@@ -324,7 +341,7 @@
 	d.running["a"] = []planner.RunStatus{{Run: planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}}}
 	d.ready()
 	d.add(job("2", step(1, 4)))
-	orders := d.p.Plan(d.now, true)
+	orders := d.p.Plan(d.now, d.proven())
 	d.Assert(orders, quicktest.HasLen, 1)
 	d.Assert(orders[0].Kind, quicktest.Equals, planner.StopRun)
 }
@@ -339,7 +356,7 @@
 	d.Assert(d.p.Cancel(d.now, "2"), quicktest.IsFalse)
 	state, _ := d.p.JobState("1")
 	d.Assert(state, quicktest.Equals, planner.Running)
-	orders := d.p.Plan(d.now, true)
+	orders := d.p.Plan(d.now, d.proven())
 	d.Assert(orders, quicktest.HasLen, 2)
 	for _, o := range orders {
 		d.Assert(o.Kind, quicktest.Equals, planner.StopRun)
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -11,20 +11,53 @@
 // orderTimeout is when an order counts as unanswered.
 const orderTimeout = 400 * time.Millisecond
 
+// owner is a driver with its planner. One that was replaced is cut off from the
+// store, and reaches only the workers that its successor doesn't.
+type owner struct {
+	world   *World
+	planner *planner.Planner
+	epoch   int64
+	looking map[string]bool
+	// proven is when the store last showed that this is the owner.
+	proven   time.Time
+	commitAt time.Time
+}
+
+func (o *owner) isPresent() bool { return o == o.world.present() }
+
+// reaches reports whether calls of the owner arrive at a machine.
+func (o *owner) reaches(m *machine) bool {
+	return m != nil && !m.silent && (len(o.world.cut) == 0 || o.world.cut[m.ID] != o.isPresent())
+}
+
+// list passes on what discovery shows.
+func (o *owner) list() {
+	var all []planner.Worker
+	for _, m := range o.world.machines {
+		if !m.silent {
+			all = append(all, m.Worker)
+		}
+	}
+	o.planner.SetWorkers(o.world.now, all)
+}
+
 // drive does the work of the owner's driver: orders, looks and commits.
-func (w *World) drive() {
-	p := w.planner
-	isProven := !w.storeDown || w.now.Sub(w.storeDownAt) < horizon
-	for _, o := range p.Plan(w.now, isProven) {
-		w.send(o, isProven)
+func (o *owner) drive() {
+	w, p := o.world, o.planner
+	isReachable := !w.storeDown && o.isPresent()
+	if isReachable {
+		o.proven = w.now
+	}
+	for _, c := range p.Plan(w.now, o.proven) {
+		o.send(c)
 	}
 	for _, c := range p.Contacts(w.now) {
-		if c.Busy && !w.looking[c.ID] {
-			w.looking[c.ID] = true
-			w.look(c, isProven)
+		if c.Busy && !o.looking[c.ID] {
+			o.looking[c.ID] = true
+			o.look(c)
 		}
 	}
-	if w.storeDown || w.now.Before(w.commitAt) {
+	if !isReachable || w.now.Before(o.commitAt) {
 		return
 	}
 	if p.NeedsRecord() {
@@ -32,7 +65,7 @@
 		p.SetRecorded(w.recorded)
 	}
 	if changes := p.Changes(15); len(changes) > 0 {
-		w.commitAt = w.now.Add(20 * time.Millisecond)
+		o.commitAt = w.now.Add(20 * time.Millisecond)
 		for _, c := range changes {
 			w.progress[c.Job] = c.Progress
 			if c.Progress.State == planner.Done {
@@ -43,6 +76,15 @@
 	}
 }
 
+// lose removes an owner that has met a higher epoch.
+func (o *owner) lose() {
+	o.world.owners = slices.DeleteFunc(o.world.owners, func(x *owner) bool { return x == o })
+}
+
+func (o *owner) isGone() bool { return !slices.Contains(o.world.owners, o) }
+
+func (o *owner) isProven() bool { return o.world.now.Sub(o.proven) < horizon }
+
 func (w *World) machine(id string) *machine {
 	i := slices.IndexFunc(w.machines, func(m *machine) bool { return m.ID == id })
 	if i < 0 {
@@ -51,124 +93,145 @@
 	return w.machines[i]
 }
 
+// lapseAt is when a lease given now has lapsed on every clock.
+func (w *World) lapseAt() time.Time { return w.now.Add(time.Duration(slowClock * float64(maxLease))) }
+
 // send carries out an order, perhaps late and without an answer.
-func (w *World) send(o planner.Command, isProven bool) {
-	p, epoch := w.planner, w.epoch
+func (o *owner) send(c planner.Command) {
+	w, p := o.world, o.planner
 	lease := w.now.Add(maxLease)
-	if !isProven {
+	if !o.isProven() {
 		lease = time.Time{}
 	}
-	if o.Kind == planner.StartRun {
-		p.Leased(o.WorkerID, w.now.Add(time.Duration(slowClock*float64(maxLease))))
+	if c.Kind == planner.StartRun {
+		p.Leased(c.WorkerID, w.lapseAt())
 	}
 	isLate := w.rng.Float64() < w.lateShare
-	m := w.machine(o.WorkerID)
-	if m == nil || m.silent || isLate {
-		w.at(w.now.Add(orderTimeout), func() {
-			if w.planner != p {
-				return
-			}
-			p.Unanswered(w.now, o.WorkerID)
-			if o.Kind == planner.StartRun {
-				p.StartAnswered(w.now, o.Run, o.WorkerID, planner.Unclear, "no answer")
-			}
-			if o.Kind == planner.PaceRun {
-				p.PaceLost(o.Run, o.WorkerID)
-			}
-		})
-		if m != nil && !m.silent && isLate {
+	m := w.machine(c.WorkerID)
+	if !o.reaches(m) || isLate {
+		w.at(w.now.Add(orderTimeout), func() { o.unanswered(c) })
+		if o.reaches(m) {
 			w.at(w.now.Add(2*time.Second+time.Duration(w.rng.IntN(10000))*time.Millisecond), func() {
 				if w.now.Before(lease) {
-					w.perform(m, o, epoch, lease)
+					o.perform(m, c, lease)
 				}
 			})
 		}
 		return
 	}
 	w.at(w.now.Add(delay), func() {
-		ok := w.perform(m, o, epoch, lease)
-		w.at(w.now.Add(delay), func() { w.answer(p, o, ok) })
+		ok := o.perform(m, c, lease)
+		w.at(w.now.Add(delay), func() { o.answered(c, ok) })
 	})
 }
 
-func (w *World) perform(m *machine, o planner.Command, epoch int64, lease time.Time) bool {
-	if w.machine(o.WorkerID) != m {
+func (o *owner) unanswered(c planner.Command) {
+	if o.isGone() {
+		return
+	}
+	p, now := o.planner, o.world.now
+	p.Unanswered(now, c.WorkerID)
+	switch c.Kind {
+	case planner.StartRun:
+		p.StartAnswered(now, c.Run, c.WorkerID, planner.Unclear, "no answer")
+	case planner.PaceRun:
+		p.PaceLost(c.Run, c.WorkerID)
+	case planner.StopRun:
+	}
+}
+
+// perform carries out an order on a machine and reports whether it was done.
+func (o *owner) perform(m *machine, c planner.Command, lease time.Time) bool {
+	w := o.world
+	if w.machine(c.WorkerID) != m {
+		return false
+	}
+	if o.epoch < m.epoch {
+		o.lose()
 		return false
 	}
-	switch o.Kind {
+	switch c.Kind {
 	case planner.StartRun:
-		return m.start(w, o, epoch, lease)
+		return m.start(w, c, o.epoch, lease)
 	case planner.StopRun:
-		if epoch >= m.epoch {
-			m.stop(w, o.Run)
-		}
+		m.stop(w, c.Run)
 	case planner.PaceRun:
-		if e := m.runs[o.Run]; e != nil && epoch >= m.epoch {
-			e.pace = o.Percent
+		if e := m.runs[c.Run]; e != nil {
+			e.pace = c.Percent
 		}
 	}
 	return true
 }
 
-func (w *World) answer(p *planner.Planner, o planner.Command, ok bool) {
-	if w.planner != p {
+func (o *owner) answered(c planner.Command, ok bool) {
+	if o.isGone() {
 		return
 	}
-	p.Answered(w.now, o.WorkerID)
+	p, now := o.planner, o.world.now
+	p.Answered(now, c.WorkerID)
 	switch {
-	case o.Kind == planner.StopRun:
-		p.StopAnswered(w.now, o.Run, o.WorkerID)
-	case o.Kind == planner.StartRun && ok:
-		p.StartAnswered(w.now, o.Run, o.WorkerID, planner.Started, "")
-	case o.Kind == planner.StartRun:
-		p.StartAnswered(w.now, o.Run, o.WorkerID, planner.Refused, "old")
+	case c.Kind == planner.StopRun:
+		p.StopAnswered(now, c.Run, c.WorkerID)
+	case c.Kind == planner.StartRun && ok:
+		p.StartAnswered(now, c.Run, c.WorkerID, planner.Started, "")
+	case c.Kind == planner.StartRun:
+		p.StartAnswered(now, c.Run, c.WorkerID, planner.Refused, "old")
 	}
 }
 
 // look asks a worker, which answers at an end or after lookWait.
-func (w *World) look(c planner.Contact, isProven bool) {
-	p, epoch, sent := w.planner, w.epoch, w.now
-	isLeased := isProven && !c.IsFailing
+func (o *owner) look(c planner.Contact) {
+	w, p, sent := o.world, o.planner, o.world.now
+	isLeased := o.isProven() && !c.IsFailing
 	if isLeased {
-		p.Leased(c.ID, w.now.Add(time.Duration(slowClock*float64(maxLease))))
+		p.Leased(c.ID, w.lapseAt())
 	}
 	m := w.machine(c.ID)
-	if m == nil || m.silent {
-		w.at(w.now.Add(lookWait), func() {
-			if w.planner == p {
-				w.looking[c.ID] = false
-				p.Unanswered(w.now, c.ID)
-			}
-		})
+	if !o.reaches(m) {
+		w.at(w.now.Add(lookWait), func() { o.lookFailed(c.ID) })
 		return
 	}
 	w.at(w.now.Add(delay), func() {
-		if epoch < m.epoch || w.machine(c.ID) != m {
+		if o.epoch < m.epoch {
+			o.lose()
 			return
 		}
-		m.epoch = epoch
+		if w.machine(c.ID) != m {
+			o.lookFailed(c.ID)
+			return
+		}
+		m.epoch = o.epoch
 		if lease := w.now.Add(maxLease); isLeased && lease.After(m.leaseEnd) {
 			m.leaseEnd = lease
 		}
 		m.ends = slices.DeleteFunc(m.ends, func(e planner.RunEnd) bool { return e.Number <= c.Acknowledge })
-		w.respond(p, m, sent, w.now.Add(lookWait))
+		o.respond(m, sent, w.now.Add(lookWait))
 	})
 }
 
+func (o *owner) lookFailed(id string) {
+	if !o.isGone() {
+		o.looking[id] = false
+		o.planner.Unanswered(o.world.now, id)
+	}
+}
+
 // respond answers a look once the worker has an end or the time is over.
-func (w *World) respond(p *planner.Planner, m *machine, sent, until time.Time) {
-	if len(m.ends) == 0 && w.now.Before(until) && !m.silent {
-		w.at(w.now.Add(tick), func() { w.respond(p, m, sent, until) })
+func (o *owner) respond(m *machine, sent, until time.Time) {
+	w := o.world
+	if !o.reaches(m) {
+		w.at(w.now.Add(lookWait), func() { o.lookFailed(m.ID) })
 		return
 	}
-	if m.silent {
+	if len(m.ends) == 0 && w.now.Before(until) {
+		w.at(w.now.Add(tick), func() { o.respond(m, sent, until) })
 		return
 	}
 	l := m.look(w, sent)
 	w.at(w.now.Add(delay), func() {
-		if w.planner == p {
-			w.looking[m.ID] = false
-			p.Looked(w.now, m.ID, l)
+		if !o.isGone() {
+			o.looking[m.ID] = false
+			o.planner.Looked(w.now, m.ID, l)
 		}
 	})
 }
@@ -187,7 +250,7 @@
 	}
 	switch f.Kind {
 	case "silent":
-		each(func(m *machine, on bool) { m.silent = on; w.looking[m.ID] = false })
+		each(func(m *machine, on bool) { m.silent = on })
 	case "hang":
 		each(func(m *machine, on bool) { m.hangs = on })
 	case "fail":
@@ -210,13 +273,23 @@
 		w.lateShare = f.Share
 		end(func() { w.lateShare = 0 })
 	case "outage":
-		w.storeDown, w.storeDownAt = true, w.now
+		w.storeDown = true
 		end(func() { w.storeDown = false })
 	case "burst":
 		w.burst = f.Times
 		end(func() { w.burst = 1 })
 	case "takeover":
+		w.owners = nil
 		w.take()
+	case "split":
+		// The owner and the workers that are hit are cut off from the rest, which
+		// gets another owner.
+		w.cut = map[string]bool{}
+		for _, i := range hit {
+			w.cut[w.machines[i].ID] = true
+		}
+		w.at(w.now.Add(2*time.Second), w.take)
+		end(func() { w.cut = nil })
 	default:
 		panic("unknown fault " + f.Kind)
 	}
@@ -341,7 +414,7 @@
 	for id, j := range w.accepted {
 		o := w.result.Classes[j.Queue.Name]
 		o.Accepted++
-		state, ok := w.planner.JobState(id)
+		state, ok := w.present().planner.JobState(id)
 		switch {
 		case !ok:
 			w.violate("lost", "%s is not known", id)
@@ -351,7 +424,7 @@
 			w.violate("lost", "%s was never started", id)
 		}
 		if !j.Steps[0].Lasting && state != planner.Done && state != planner.Failed && w.now.Sub(w.arrived[id]) > finishTime {
-			w.violate("unfinished", "%s", w.planner.Explain(w.now, id))
+			w.violate("unfinished", "%s", w.present().planner.Explain(w.now, id))
 		}
 		w.result.Classes[j.Queue.Name] = o
 	}
--- a/standins/replayer/replayer.go
+++ b/standins/replayer/replayer.go
@@ -58,8 +58,8 @@
 // Fault is a disturbance of a pattern.
 type Fault struct {
 	At, For time.Duration
-	// Kind is silent, hang, fail, slow, crash, drain, late, outage, takeover or
-	// burst.
+	// Kind is silent, hang, fail, slow, crash, drain, late, outage, takeover,
+	// split or burst.
 	Kind string
 	// Share of the workers or of the orders.
 	Share float64
@@ -109,10 +109,11 @@
 	now      time.Time
 	origin   time.Time
 	machines []*machine
-	planner  *planner.Planner
-	epoch    int64
-	events   []event
-	looking  map[string]bool
+	// owners has the present owner last, after those that don't know yet that
+	// they were replaced.
+	owners []*owner
+	epoch  int64
+	events []event
 
 	accepted map[string]*planner.Job
 	arrived  map[string]time.Time
@@ -126,17 +127,16 @@
 	done, void map[planner.TaskID]bool
 	shown      map[string]bool
 
-	storeDown   bool
-	storeDownAt time.Time
-	lateShare   float64
-	burst       float64
-	isReading   bool
-	commitAt    time.Time
-	credit      map[string]float64
-	over        map[planner.RunID]time.Time
-	harmed      map[planner.RunID]bool
-	atWork      map[string]*[2]time.Duration
-	result      Result
+	storeDown bool
+	// cut has the workers that only an owner which was replaced reaches.
+	cut       map[string]bool
+	lateShare float64
+	burst     float64
+	credit    map[string]float64
+	over      map[planner.RunID]time.Time
+	harmed    map[planner.RunID]bool
+	atWork    map[string]*[2]time.Duration
+	result    Result
 }
 
 type event struct {
@@ -149,7 +149,7 @@
 func New(p Pattern, seed uint64, note func(time.Duration, planner.Decision)) *World {
 	origin := time.Unix(1_000_000, 0)
 	w := &World{
-		pattern: p, note: note, rng: rand.New(rand.NewPCG(seed, seed)), now: origin, origin: origin, looking: map[string]bool{},
+		pattern: p, note: note, rng: rand.New(rand.NewPCG(seed, seed)), now: origin, origin: origin,
 		accepted: map[string]*planner.Job{}, arrived: map[string]time.Time{}, progress: map[string]planner.Progress{},
 		saved: map[string]time.Duration{}, hopeless: map[string]bool{}, classOf: map[string]*Class{}, done: map[planner.TaskID]bool{}, void: map[planner.TaskID]bool{},
 		shown: map[string]bool{}, burst: 1, credit: map[string]float64{}, over: map[planner.RunID]time.Time{}, harmed: map[planner.RunID]bool{},
@@ -184,7 +184,7 @@
 func (w *World) take() {
 	w.epoch++
 	p, err := planner.New(planner.Options{
-		Epoch: w.epoch, StopTime: w.pattern.StopTime, ViolationLimit: w.pattern.ViolationLimit, RemoteSlowdown: 1.5,
+		Epoch: w.epoch, Horizon: horizon, StopTime: w.pattern.StopTime, ViolationLimit: w.pattern.ViolationLimit, RemoteSlowdown: 1.5,
 		Keep: time.Hour, WallTime: func(t time.Time) time.Time { return t },
 		BlockedUntil: w.now.Add(horizon + time.Duration(slowClock*float64(maxLease))),
 		Note: func(d planner.Decision) {
@@ -196,9 +196,8 @@
 	if err != nil {
 		panic(err)
 	}
-	w.planner = p
-	clear(w.looking)
-	w.isReading = false
+	o := &owner{world: w, planner: p, epoch: w.epoch, looking: map[string]bool{}, proven: w.now}
+	w.owners = append(w.owners, o)
 	for _, r := range w.recorded {
 		p.Suspect(r)
 	}
@@ -210,19 +209,11 @@
 	for _, id := range ids {
 		p.AddJob(w.now, *w.accepted[id], w.progress[id])
 	}
-	w.list()
+	o.list()
 }
 
-// list passes on what discovery shows.
-func (w *World) list() {
-	var all []planner.Worker
-	for _, m := range w.machines {
-		if !m.silent {
-			all = append(all, m.Worker)
-		}
-	}
-	w.planner.SetWorkers(w.now, all)
-}
+// present is the owner that the store knows.
+func (w *World) present() *owner { return w.owners[len(w.owners)-1] }
 
 // Run replays the pattern.
 func (w *World) Run() Result {
@@ -243,11 +234,16 @@
 		for _, m := range w.machines {
 			m.advance(w, tick)
 		}
-		if !w.now.Before(listAt) && !w.storeDown {
-			w.list()
+		isListed := !w.now.Before(listAt) && !w.storeDown
+		if isListed {
 			listAt = w.now.Add(700 * time.Millisecond)
 		}
-		w.drive()
+		for _, o := range slices.Clone(w.owners) {
+			if isListed && o == w.present() {
+				o.list()
+			}
+			o.drive()
+		}
 	}
 	w.summarize()
 	return w.result
@@ -307,7 +303,7 @@
 	}
 	w.accepted[j.ID], w.arrived[j.ID], w.classOf[j.ID] = j, w.now, c
 	w.hopeless[j.ID] = w.rng.Float64() < c.Hopeless
-	w.planner.AddJob(w.now, *j, planner.Progress{})
+	w.present().planner.AddJob(w.now, *j, planner.Progress{})
 }
 
 func (w *World) hash(text string) uint64 { return xxhash.Sum64String(text) }
--- a/standins/replayer/replayer_test.go
+++ b/standins/replayer/replayer_test.go
@@ -38,6 +38,8 @@
 		replayer.Fault{Kind: "silent", At: 9 * time.Second, For: 6 * time.Second, Share: 0.2}, replayer.Fault{Kind: "takeover", At: 10 * time.Second}),
 	"new owner while orders are late": replayer.Cellarlog(scale).With(
 		replayer.Fault{Kind: "late", At: 5 * time.Second, For: 8 * time.Second, Share: 0.1}, replayer.Fault{Kind: "takeover", At: 10 * time.Second}),
+	"cut off with the owner":          replayer.Cellarlog(scale).With(replayer.Fault{Kind: "split", At: 8 * time.Second, For: 5500 * time.Millisecond, Share: 0.25}),
+	"cut off with the owner for long": replayer.Cellarlog(scale).With(replayer.Fault{Kind: "split", At: 8 * time.Second, For: 12 * time.Second, Share: 0.25}),
 	"new owner during an outage": replayer.Cellarlog(scale).With(
 		replayer.Fault{Kind: "outage", At: 8 * time.Second, For: 3 * time.Second}, replayer.Fault{Kind: "takeover", At: 11 * time.Second}),
 }
