Bound the work of planning with a long backlog

Change: what found no place is remembered within a plan; steps leave four times their duration to the answers. Ruled out: the store (the calls that failed had not been dialled yet).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -29,6 +29,9 @@
 	// planInterval is the least time between two plans, which lets one plan
 	// serve the answers of several workers.
 	planInterval = 5 * time.Millisecond
+	// stepRest times the duration of a step is left for the answers before the
+	// next one, so that planning never takes most of the processor.
+	stepRest = 4
 	// idleTick is the longest time between two looks at the role.
 	idleTick = 100 * time.Millisecond
 	// commitInterval is the least time between two commits, which collects the
@@ -190,8 +193,8 @@
 
 	// The fields below belong to the control goroutine.
 
-	// steppedAt is when the last step was made.
-	steppedAt time.Time
+	// stepAt is when the next step may be made.
+	stepAt time.Time
 
 	role   interpreter.State
 	owner  ownerRecord
@@ -265,12 +268,14 @@
 			c.drain()
 		case <-timer.C:
 		}
-		if wait := planInterval - c.options.Now().Sub(c.steppedAt); wait > 0 {
+		now := c.options.Now()
+		if wait := c.stepAt.Sub(now); wait > 0 {
 			timer.Reset(wait)
 			continue
 		}
-		c.steppedAt = c.options.Now()
 		c.step(ctx)
+		after := c.options.Now()
+		c.stepAt = after.Add(max(planInterval, stepRest*after.Sub(now)))
 		next := idleTick
 		if c.role == "owning" {
 			next = tick
--- /dev/null
+++ b/internal/planner/bench_test.go
@@ -0,0 +1,53 @@
+package planner_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+// BenchmarkBacklog plans for 66 workers whose lasting tasks are all over their
+// target while 300 jobs of 16 tasks wait: an owner planned for a second at a
+// time then, and lost its lease.
+func BenchmarkBacklog(b *testing.B) {
+	p, err := planner.New(planner.Options{Epoch: 1, Horizon: time.Hour, ViolationLimit: time.Hour, WallTime: func(t time.Time) time.Time { return t }})
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := origin
+	var workers []planner.Worker
+	for i := range 66 {
+		w := worker(fmt.Sprintf("w%02d", i), 64)
+		w.Address = netip.AddrPortFrom(w.Address.Addr(), uint16(1000+i))
+		workers = append(workers, w)
+	}
+	p.SetWorkers(now, workers)
+	p.SetRecorded(p.Recorded())
+	lasting := step(300, 13)
+	lasting.Lasting, lasting.LatencyTarget, lasting.Image = true, 50*time.Millisecond, "serving"
+	for _, w := range workers {
+		p.Looked(now, w.ID, planner.Look{Sent: now})
+	}
+	p.AddJob(now, job("lasting", lasting), planner.Progress{})
+	running := map[string][]planner.RunStatus{}
+	for _, o := range p.Plan(now, now) {
+		running[o.WorkerID] = append(running[o.WorkerID], planner.RunStatus{Run: o.Run, Percent: 100, Tail: 70 * time.Millisecond})
+	}
+	for i := range 300 {
+		s := step(16, 7)
+		s.Fills, s.Image = true, fmt.Sprint("filling", i%9)
+		j := job(fmt.Sprint(i), s)
+		j.Received = now
+		p.AddJob(now, j, planner.Progress{})
+	}
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		for _, w := range workers[:4] {
+			p.Looked(now, w.ID, planner.Look{Sent: now, Running: running[w.ID]})
+		}
+		p.Plan(now, now)
+	}
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -40,6 +40,41 @@
 	return list
 }
 
+// placeKey is what decides besides its resources where a task may be placed.
+type placeKey struct {
+	candidateKey
+	image string
+	limit float64
+}
+
+func keyOf(now time.Time, t *task) placeKey {
+	s := t.step
+	k := placeKey{candidateKey: candidateKey{s.occurrence.job.Queue.Service, s.RequiredLabel}}
+	if s.Fills {
+		k.image, k.limit = s.Image, harmLimitOf(now, t)
+	}
+	return k
+}
+
+// isHopeless reports whether a task that needs no more has found no place in
+// this plan. With a long backlog this saves most of the work.
+func (p *Planner) isHopeless(now time.Time, t *task) bool {
+	least, ok := p.hopeless[keyOf(now, t)]
+	return ok && t.step.Need.Fits(least)
+}
+
+// noteHopeless records that a task found no place. A bound on tasks of one step
+// on one worker says nothing about other steps.
+func (p *Planner) noteHopeless(now time.Time, t *task) {
+	if t.step.MaxPerWorker > 0 {
+		return
+	}
+	key := keyOf(now, t)
+	if least, ok := p.hopeless[key]; !ok || least.Fits(t.step.Need) {
+		p.hopeless[key] = t.step.Need
+	}
+}
+
 // choose returns the worker on which a task should start, nil if none has room.
 func (p *Planner) choose(now time.Time, t *task, candidates []*Worker) *Worker {
 	s := t.step
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -35,6 +35,7 @@
 // starts nothing.
 func (p *Planner) Plan(now, proven time.Time) []Command {
 	clear(p.candidatesFor)
+	clear(p.hopeless)
 	p.dropLost(now, proven)
 	p.openOccurrences(now)
 	p.stopFinal(now)
@@ -297,12 +298,13 @@
 		if s.Lasting && !p.leavesHeadroom(now, t) {
 			continue
 		}
+		if p.isHopeless(now, t) {
+			return
+		}
 		w := p.choose(now, t, candidates)
 		if w == nil {
-			if len(t.avoid) == 0 {
-				return
-			}
-			continue
+			p.noteHopeless(now, t)
+			return
 		}
 		p.startRun(now, t, w, p.nextAttempt(t))
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -100,6 +100,8 @@
 	// candidatesFor has the workers on which tasks may start, by service and
 	// label, for the plan that is being made.
 	candidatesFor map[candidateKey][]*Worker
+	// hopeless has what found no place in the plan that is being made.
+	hopeless map[placeKey]Resources
 	// strangers has listed runs whose job is not known yet.
 	strangers map[RunID]stranger
 	share     *sharer
@@ -143,7 +145,7 @@
 	return &Planner{
 		options: o, chart: c, jobs: map[string]*job{}, workers: map[string]*Worker{}, emptied: map[string]bool{},
 		suspects: map[string]bool{}, strangers: map[RunID]stranger{}, share: newSharer(),
-		candidatesFor: map[candidateKey][]*Worker{},
+		candidatesFor: map[candidateKey][]*Worker{}, hopeless: map[placeKey]Resources{},
 	}, nil
 }
 
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -28,7 +28,7 @@
 	// slowedPace is the pace from which on a task has as good as no share, and
 	// slowedLimit how long it stays so before it is moved.
 	slowedPace  = 30
-	slowedLimit = 900 * time.Millisecond
+	slowedLimit = 1500 * time.Millisecond
 	// repeatInterval is after what time without progress the pace of a task is
 	// sent again: an earlier one may have been carried out late.
 	repeatInterval = 1200 * time.Millisecond
@@ -302,16 +302,23 @@
 	return v.model.slope(st.Image) * cores / cpuUnit
 }
 
-// fillCost rates the harm of one more filling task on a worker.
-func (s *sharer) fillCost(now time.Time, w *Worker, t *task) (float64, bool) {
-	cores := float64(t.step.Need.CPU) / 1000
-	limit := harmLimit
+// harmLimitOf is the chance of harm that a filling task may bring; it grows with
+// the time for which the task has waited.
+func harmLimitOf(now time.Time, t *task) float64 {
 	switch waited := now.Sub(t.readyAt); {
 	case waited > anywhereLimit:
-		limit = math.Inf(1)
+		return math.Inf(1)
 	case waited > waitLimit:
-		limit = waitedHarmLimit
+		return waitedHarmLimit
+	default:
+		return harmLimit
 	}
+}
+
+// fillCost rates the harm of one more filling task on a worker.
+func (s *sharer) fillCost(now time.Time, w *Worker, t *task) (float64, bool) {
+	cores := float64(t.step.Need.CPU) / 1000
+	limit := harmLimitOf(now, t)
 	harm := 0.0
 	for _, v := range s.victimsOf(now, w) {
 		if rise := v.rise(t.step, cores); rise > leastRise {
