--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -282,7 +282,7 @@
 // the workers which may have runs. A worker gets none before it is stored, and
 // one that stays stored would hold up a successor, which can't ask it.
 func (p *Planner) NeedsRecord() bool {
-	return p.isRecordStale || slices.ContainsFunc(p.list, func(w *Worker) bool { return !w.recorded })
+	return p.isRecordStale || slices.ContainsFunc(p.list, func(w *Worker) bool { return w.recorded != w.mayHaveRuns() })
 }
 
 // Recorded returns the workers to store: those listed and those that may still
@@ -290,6 +290,9 @@
 func (p *Planner) Recorded() []Worker {
 	var list []Worker
 	for _, w := range p.list {
+		if !w.mayHaveRuns() {
+			continue
+		}
 		list = append(list, Worker{ID: w.ID, Born: w.Born, Address: w.Address, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity})
 	}
 	slices.SortFunc(list, func(a, b Worker) int { return compareStrings(a.ID, b.ID) })
@@ -299,10 +302,13 @@
 // SetRecorded notes that the store has these workers.
 func (p *Planner) SetRecorded(list []Worker) {
 	p.isRecordStale = slices.ContainsFunc(list, func(n Worker) bool { return p.workers[n.ID] == nil })
+	stored := map[string]int64{}
 	for _, n := range list {
-		if w := p.workers[n.ID]; w != nil && w.Born == n.Born {
-			w.recorded = true
-		}
+		stored[n.ID] = n.Born
+	}
+	for _, w := range p.list {
+		born, ok := stored[w.ID]
+		w.recorded = ok && born == w.Born
 	}
 }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -176,6 +176,24 @@
 	d.Assert(d.p.Recorded(), quicktest.HasLen, 1)
 }
 
+// TestLeavingWorkerIsStoredNoMore guards against a successor that waits for a
+// worker which was already empty when it left.
+func TestLeavingWorkerIsStoredNoMore(t *testing.T) {
+	d := newDesk(t, 1, worker("a", 8), worker("b", 8)).ready()
+	d.add(job("1", step(2, 1)))
+	starts := d.starts()
+	d.Assert(starts, quicktest.HasLen, 2)
+	d.workers[0].Draining, d.workers[1].Draining = true, true
+	d.p.SetWorkers(d.now, d.workers)
+	for _, o := range starts {
+		d.Assert(d.p.NeedsRecord(), quicktest.IsFalse)
+		d.end(o, planner.EndDone)
+		d.Assert(d.p.NeedsRecord(), quicktest.IsTrue)
+		d.p.SetRecorded(d.p.Recorded())
+	}
+	d.Assert(d.p.Recorded(), quicktest.HasLen, 0)
+}
+
 // TestSteps guards against a step that starts before its predecessors are done.
 func TestSteps(t *testing.T) {
 	second := step(1, 1)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -227,6 +227,10 @@
 	return !w.listed && !w.missingSince.IsZero() && now.Sub(w.missingSince) > missingLimit
 }
 
+// mayHaveRuns reports whether the worker has runs or may get some. One that
+// leaves gets none any more, so it need not be known to a successor.
+func (w *Worker) mayHaveRuns() bool { return !w.Draining || len(w.runs) > 0 || !w.fenced }
+
 // take reserves the capacity of a run.
 func (w *Worker) take(r *run) {
 	w.runs[r.id] = r
