Judge a worker's speed by the share its tasks have; slow only what is worth it

Tasks that hardly disturb a lasting one were slowed whenever its own load took it near its target. Change: rates are measured between looks at full pace and divided by the share of processors; a task is slowed only for a rise that counts; a lasting task counts as over its target from 5% below it until 15% below.

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -145,8 +145,7 @@
 		}
 	}
 	if r.state == "starting" {
-		p.move(r, "confirm")
-		r.began = now
+		p.begin(now, r)
 	}
 	if s.Checkpoint != "" {
 		r.task.checkpoint = s.Checkpoint
@@ -155,15 +154,15 @@
 	if r.movedAt.IsZero() || s.Percent != r.percent {
 		r.percent, r.movedAt = s.Percent, now
 	}
-	if elapsed := now.Sub(r.began).Seconds(); elapsed > 0 {
-		r.rate = float64(r.percent) / elapsed
-	}
+	r.measure(now)
 	if t := r.task.step.LatencyTarget; t > 0 && s.Tail > 0 {
 		r.tail, r.tailAt = math.Log(float64(s.Tail)/float64(t)), now
+		// Reported tails are rough, so one is over its target a little before it
+		// says so, and no longer over only well below.
 		switch {
-		case r.tail <= 0:
+		case r.tail < calmTail:
 			r.since = time.Time{}
-		case r.since.IsZero():
+		case r.tail > overTail && r.since.IsZero():
 			r.since = now
 		}
 	}
@@ -353,9 +352,7 @@
 	j := r.task.step.occurrence.job
 	switch o {
 	case Started:
-		if p.move(r, "confirm") {
-			r.began = now
-		}
+		p.begin(now, r)
 		j.begun = true
 	case Refused:
 		r.task.retryAt = now.Add(retryDelay)
@@ -368,6 +365,19 @@
 	}
 }
 
+// begin notes that a run is on its worker, where it works at its full pace until
+// it gets another.
+func (p *Planner) begin(now time.Time, r *run) {
+	if !p.move(r, "confirm") {
+		return
+	}
+	r.began = now
+	if r.wanted != 100 {
+		r.paceAt, r.slowedAt = now, now
+		p.commands = append(p.commands, Command{Kind: PaceRun, Run: r.id, WorkerID: r.worker.ID, Percent: r.wanted})
+	}
+}
+
 // StopAnswered notes that a worker confirmed a stop.
 func (p *Planner) StopAnswered(now time.Time, id RunID, workerID string) {
 	if w := p.workers[workerID]; w != nil {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -167,26 +167,32 @@
 		if s.Fills && w.load() > fullLoad {
 			continue
 		}
-		elapsed := now.Sub(r.began)
 		expected := 100 / max(s.Estimate.Seconds(), 0.1)
 		switch {
-		case now.Sub(r.movedAt) > max(stillLimit, s.Estimate/10) && elapsed > stillLimit && p.hasRoomElsewhere(now, r):
+		case now.Sub(r.movedAt) > max(stillLimit, s.Estimate/10) && now.Sub(r.began) > stillLimit && p.hasRoomElsewhere(now, r):
 			if !w.isSick(now) {
 				p.noteWorker("worker_sick", w, "a task stands still")
 				w.makeSick(now)
 			}
 			r.task.avoid = append(r.task.avoid, w.ID)
 			p.stop(now, r, fmt.Sprintf("no progress at %d%% for %s", r.percent, now.Sub(r.movedAt)))
-		case elapsed > time.Second && now.Sub(r.movedAt) < time.Second:
-			w.noteSpeed(now, r.rate/expected)
+		case r.rateAt == w.lookedAt && !r.rateAt.IsZero() && r.share() > leastShare:
+			// A task that has less of the processors than it asks for is slower by
+			// that without the worker being so.
+			w.noteSpeed(now, r.rate/expected/r.share())
 			if w.isSlow(now) && p.isSoonerElsewhere(r) && p.hasRoomElsewhere(now, r) {
 				r.task.avoid = append(r.task.avoid, w.ID)
 				p.stop(now, r, fmt.Sprintf("worker at %.2f of its speed", w.speed))
 			}
+			r.rateAt = time.Time{}
 		}
 	}
 }
 
+// leastShare is the share of its processors from which on a task's rate tells
+// anything about its worker.
+const leastShare = 0.2
+
 // fullLoad is the load over which a filling task may get nothing.
 const fullLoad = 1.0
 
@@ -196,7 +202,7 @@
 	if r.rate <= 0 {
 		return true
 	}
-	here := time.Duration((100 - float64(r.percent)) / r.rate * float64(time.Second))
+	here := time.Duration((100 - float64(r.percent)) / r.rate * r.share() * float64(time.Second))
 	there := r.task.step.Estimate + moveCost
 	return float64(here) > moveGain*float64(there)
 }
@@ -319,10 +325,16 @@
 func (p *Planner) startRun(now time.Time, t *task, w *Worker, attempt int) {
 	t.attempt = attempt
 	r := &run{id: RunID{t.id, attempt}, task: t, worker: w, state: p.chart.Start(), began: now, pace: 100, wanted: 100}
+	if t.step.Fills && now.Sub(t.readyAt) > anywhereLimit && !t.readyAt.IsZero() {
+		if harm := p.share.harm(now, w, t.step, float64(t.step.Need.CPU)/1000); harm > waitedHarmLimit {
+			r.wanted, r.pace = leastPace, leastPace
+		}
+	}
 	w.take(r)
 	t.runs = append(t.runs, r)
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
-	p.note("start", r, fmt.Sprintf("load %.2f, waited %s, due in %s", w.load(), now.Sub(t.step.occurrence.job.arrived), t.step.occurrence.job.due.Sub(now)))
+	harm, _ := p.share.costOf(now, w, t)
+	p.note("start", r, fmt.Sprintf("load %.2f, harm %.2f, image %s, waited %s, job waited %s, due in %s", w.load(), harm, t.step.Image, now.Sub(t.readyAt), now.Sub(t.step.occurrence.job.arrived), t.step.occurrence.job.due.Sub(now)))
 	p.commands = append(p.commands, Command{
 		Kind: StartRun, Run: r.id, WorkerID: w.ID, Payload: t.step.occurrence.job.Payload, Checkpoint: t.checkpoint,
 	})
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -11,8 +11,24 @@
 const (
 	// tailMargin is the logarithm of tail over target to which tasks beside a
 	// lasting one are slowed, and paceLevel the one from which they are.
-	tailMargin = -0.3
+	tailMargin = -0.25
 	paceLevel  = -0.08
+	// worthSlowing is the rise from which on a task is slowed at once, and
+	// worthSlowingLate the one once the lasting task has been over its target
+	// for slowAllShare of the limit. A lasting task is near its target now and
+	// then by its own load, and what hardly disturbs it must not wait for that.
+	worthSlowing     = 0.12
+	worthSlowingLate = 0.03
+	slowAllShare     = 0.2
+	// overTail and calmTail are the levels at which a lasting task begins and
+	// ends to count as over its target.
+	overTail = -0.05
+	calmTail = -0.15
+	// leastPace is what a task gets that has no better place: one that has long
+	// been slowed to nothing, as long as nothing beside it is over its target,
+	// and one that has waited for anywhereLimit.
+	leastPace      = 20
+	leastPaceAfter = 4 * time.Second
 	// tailSpread is the deviation of a tail a second later from the expected
 	// one, and reversion the part of a tail's distance from its usual level that
 	// is left then: the load of a serving task swings within seconds.
@@ -53,7 +69,7 @@
 	tailAge = 2500 * time.Millisecond
 	// violationShare of the limit for violations is when every task beside a
 	// lasting one over its target is halted.
-	violationShare = 0.35
+	violationShare = 0.5
 	// cpuUnit scales cores in the regression, so that slopes are per ten cores.
 	cpuUnit = 10.0
 )
@@ -297,6 +313,18 @@
 	return w.victims
 }
 
+// harm is the expected number of lasting tasks of a worker that are pushed over
+// their target when tasks of a step get so many more cores there.
+func (s *sharer) harm(now time.Time, w *Worker, st *step, cores float64) float64 {
+	sum := 0.0
+	for _, v := range s.victimsOf(now, w) {
+		if rise := v.rise(st, cores); rise > leastRise {
+			sum += chanceOver(v.level+rise) - chanceOver(v.level)
+		}
+	}
+	return sum
+}
+
 // rise is by how much a victim's level rises when a task gets so many cores.
 func (v *victim) rise(st *step, cores float64) float64 {
 	return v.model.slope(st.Image) * cores / cpuUnit
@@ -319,10 +347,10 @@
 func (s *sharer) fillCost(now time.Time, w *Worker, t *task) (float64, bool) {
 	cores := float64(t.step.Need.CPU) / 1000
 	limit := harmLimitOf(now, t)
-	harm := 0.0
+	harm := s.harm(now, w, t.step, cores)
 	for _, v := range s.victimsOf(now, w) {
-		if rise := v.rise(t.step, cores); rise > leastRise {
-			harm += chanceOver(v.level+rise) - chanceOver(v.level)
+		if over := v.run.since; !over.IsZero() && now.Sub(over) > settleTime {
+			harm++
 		}
 	}
 	return harmWeight * harm, harm <= limit
@@ -361,19 +389,27 @@
 // slowFor slows the tasks that disturb v most until its level is under the
 // margin. Once v has been over its target for long, everything beside it halts.
 func (p *Planner) slowFor(now time.Time, v victim, fills []*run) {
-	if over := v.run.since; !over.IsZero() && now.Sub(over) > p.haltAfter() {
+	var over time.Duration
+	if !v.run.since.IsZero() {
+		over = now.Sub(v.run.since)
+	}
+	if over > p.haltAfter() {
 		for _, f := range fills {
-			p.setPace(now, f, 0, fmt.Sprintf("%s over its target for %s", v.run.id, now.Sub(over)))
+			p.setPace(now, f, 0, fmt.Sprintf("%s over its target for %s", v.run.id, over))
 		}
 		return
 	}
+	least := worthSlowing
+	if over > time.Duration(slowAllShare*float64(p.options.ViolationLimit)) {
+		least = worthSlowingLate
+	}
 	slices.SortStableFunc(fills, func(a, b *run) int {
 		return cmp.Compare(v.rise(b.task.step, b.needCPU()), v.rise(a.task.step, a.needCPU()))
 	})
 	excess := v.level - tailMargin
 	for _, f := range fills {
 		part := v.rise(f.task.step, f.needCPU())
-		if excess <= 0 || part < leastRise {
+		if excess <= 0 || part < least {
 			return
 		}
 		keep := max(0, 1-excess/part)
@@ -396,26 +432,30 @@
 	paceStep = 10
 )
 
-// restore raises the paces of slowed tasks as far as no tail beside them goes
-// over the margin.
+// restore gives slowed tasks their share back as far as that is unlikely to
+// push a lasting task over its target.
 func (p *Planner) restore(now time.Time, w *Worker, fills []*run) {
+	isCalm := true
+	for _, v := range p.share.victimsOf(now, w) {
+		over := v.run.since
+		if !over.IsZero() && now.Sub(over) > p.haltAfter() {
+			return
+		}
+		isCalm = isCalm && over.IsZero()
+	}
 	for _, f := range fills {
+		if isCalm && f.wanted < leastPace && now.Sub(f.slowedAt) > leastPaceAfter {
+			p.setPace(now, f, leastPace, "no other place")
+		}
 		if f.wanted == 100 || now.Sub(f.paceAt) < restoreInterval {
 			continue
 		}
 		need := float64(f.task.step.Need.CPU) / 1000
-		raise := 1 - float64(f.wanted)/100
-		for _, v := range p.share.victimsOf(now, w) {
-			if over := v.run.since; !over.IsZero() && now.Sub(over) > p.haltAfter() {
-				raise = 0
+		for _, percent := range [...]int{100, (f.wanted + 100) / 2 / paceStep * paceStep} {
+			if percent > f.wanted && p.share.harm(now, w, f.task.step, need*float64(percent-f.wanted)/100) <= harmLimit {
+				p.setPace(now, f, percent, "tails have room")
 				break
 			}
-			if whole := v.rise(f.task.step, need); whole > leastRise {
-				raise = min(raise, max(0, tailMargin-v.level)/whole)
-			}
-		}
-		if percent := f.wanted + int(100*raise)/paceStep*paceStep; percent > f.wanted {
-			p.setPace(now, f, percent, "tails have room")
 		}
 	}
 }
@@ -453,6 +493,9 @@
 	if r.wanted == percent {
 		return
 	}
+	if r.wanted == 100 {
+		r.slowedAt = now
+	}
 	r.wanted, r.pace, r.paceAt = percent, percent, now
 	r.worker.victims = nil
 	p.note("pace", r, fmt.Sprintf("%d%%: %s", percent, why))
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -140,12 +140,18 @@
 	// 100.
 	percent int
 	movedAt time.Time
-	// rate is the progress in percent per second since the run was first seen.
-	rate float64
+	// rate is the progress in percent per second at rateAt, over the interval
+	// from measuredAt, when it was at measuredPercent.
+	rate            float64
+	rateAt          time.Time
+	measuredAt      time.Time
+	measuredPercent int
 	// pace is the share at which the worker was told to let the run work, and
 	// wanted the share that it should have.
 	pace, wanted int
 	paceAt       time.Time
+	// slowedAt is when the run was slowed after it had its whole share.
+	slowedAt time.Time
 	// tail is the last tail latency of a lasting task over its target, as a
 	// logarithm, seen at tailAt; since is when it went over the target.
 	tail   float64
@@ -155,6 +161,33 @@
 	cpu int64
 }
 
+// rateInterval is the least time over which the rate of a run is measured.
+const rateInterval = 600 * time.Millisecond
+
+// measure brings the rate of a run up to date. An interval in which the pace
+// has changed says nothing.
+func (r *run) measure(now time.Time) {
+	if r.measuredAt.IsZero() || now.Sub(r.measuredAt) < rateInterval {
+		if r.measuredAt.IsZero() {
+			r.measuredAt, r.measuredPercent = now, r.percent
+		}
+		return
+	}
+	if r.paceAt.Before(r.measuredAt) && r.pace == 100 {
+		r.rate = float64(r.percent-r.measuredPercent) / now.Sub(r.measuredAt).Seconds()
+		r.rateAt = now
+	}
+	r.measuredAt, r.measuredPercent = now, r.percent
+}
+
+// share is the part of the processors that it asks for which the run has.
+func (r *run) share() float64 {
+	if r.task.step.Need.CPU == 0 {
+		return 1
+	}
+	return min(1, float64(r.cpu)/float64(r.task.step.Need.CPU))
+}
+
 // needCPU is what the run is expected to use at its pace, in cores.
 func (r *run) needCPU() float64 {
 	return float64(r.task.step.Need.CPU) / 1000 * float64(r.pace) / 100
--- /dev/null
+++ b/standins/cmd/replay/main.go
@@ -0,0 +1,98 @@
+// Command replay replays loads and faults on the planner in simulated time and
+// prints what it earns and breaks.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"tarragonhead.example/tarragonhead/internal/planner"
+	"tarragonhead.example/tarragonhead/standins/replayer"
+)
+
+func main() {
+	app := kingpin.New("replay", "Replays loads and faults on the planner in simulated time.")
+	load := app.Flag("load", "cellarlog or tricahue.").Default("cellarlog").Enum("cellarlog", "tricahue")
+	scale := app.Flag("scale", "Share of the deployment's size.").Default("1").Float64()
+	seeds := app.Flag("seeds", "How many seeds, from 1.").Default("8").Int()
+	jobs := app.Flag("jobs", "Replays at a time.").Default("4").Int()
+	fault := app.Flag("fault", "Fault such as burst:8s:6s:0:2.6 (kind:at:for:share:times); may be repeated.").Strings()
+	trace := app.Flag("trace", "Print the decisions about this job, run or worker, with one seed.").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	p := replayer.Cellarlog(*scale)
+	if *load == "tricahue" {
+		p = replayer.Tricahue(*scale)
+	}
+	for _, text := range *fault {
+		f, err := parseFault(text)
+		if err != nil {
+			app.FatalUsage("%v", err)
+		}
+		p = p.With(f)
+	}
+	if *trace != "" {
+		replayer.New(p, 1, func(at time.Duration, d planner.Decision) {
+			if strings.Contains(d.Job+" "+d.Run+" "+d.Worker, *trace) {
+				fmt.Println(at, d.Event, d.Run, d.Worker, d.Detail)
+			}
+		}).Run()
+		return
+	}
+	results := make([]replayer.Result, *seeds)
+	limit := make(chan struct{}, max(1, *jobs))
+	var done sync.WaitGroup
+	for i := range results {
+		done.Go(func() {
+			limit <- struct{}{}
+			defer func() { <-limit }()
+			results[i] = replayer.New(p, uint64(i+1), nil).Run()
+		})
+	}
+	done.Wait()
+	sum := 0.0
+	for i, r := range results {
+		sum += r.Worth()
+		fmt.Printf("seed %d: worth %.3f, %d starts", i+1, r.Worth(), r.Starts)
+		for _, name := range [...]string{"report", "bundle", "probe"} {
+			o := r.Classes[name]
+			fmt.Printf("; %s %d of %d in time, %d failed, at work %.3f", name, o.InTime, o.Accepted, o.Failed, o.AtWork)
+		}
+		fmt.Println()
+		for name, first := range r.First {
+			fmt.Printf("  broken: %s, %d times; first %s\n", name, r.Violations[name], first)
+		}
+	}
+	fmt.Printf("mean worth %.3f\n", sum/float64(len(results)))
+}
+
+// FaultError reports a fault on the command line that can't be read.
+type FaultError struct{ Text string }
+
+func (e *FaultError) Error() string {
+	return fmt.Sprintf("fault %q: want kind:at:for:share:times, such as burst:8s:6s:0:2.6", e.Text)
+}
+
+func parseFault(text string) (replayer.Fault, error) {
+	parts := strings.Split(text, ":")
+	if len(parts) != 5 {
+		return replayer.Fault{}, &FaultError{text}
+	}
+	f := replayer.Fault{Kind: parts[0]}
+	var errs [4]error
+	f.At, errs[0] = time.ParseDuration(parts[1])
+	f.For, errs[1] = time.ParseDuration(parts[2])
+	_, errs[2] = fmt.Sscan(parts[3], &f.Share)
+	_, errs[3] = fmt.Sscan(parts[4], &f.Times)
+	for _, err := range errs {
+		if err != nil {
+			return f, &FaultError{text}
+		}
+	}
+	return f, nil
+}
--- a/standins/replayer/pattern.go
+++ b/standins/replayer/pattern.go
@@ -47,3 +47,21 @@
 	p.Faults = append(p.Faults[:len(p.Faults):len(p.Faults)], faults...)
 	return p
 }
+
+// Worth is what the classes earned of what they could, as the users weigh them:
+// a lasting task over its target because of others loses four times its time.
+func (r Result) Worth() float64 {
+	weights := map[string]float64{"report": 0.1, "bundle": 0.45, "probe": 0.45}
+	sum := 0.0
+	for name, o := range r.Classes {
+		switch {
+		case o.Accepted == 0:
+			sum += weights[name]
+		case name == "probe":
+			sum += weights[name] * max(0, 1-4*(1-o.AtWork))
+		default:
+			sum += weights[name] * float64(o.InTime) / float64(o.Accepted-o.Failed)
+		}
+	}
+	return sum
+}
