--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -45,9 +45,13 @@
 	// slowedLimit how long it stays so before it is moved.
 	slowedPace  = 30
 	slowedLimit = 1500 * time.Millisecond
-	// repeatInterval is after what time without progress the pace of a task is
-	// sent again: an earlier one may have been carried out late.
-	repeatInterval = 1200 * time.Millisecond
+	// repeatInterval is after what time the pace of a task is sent again that
+	// works more or less than its pace: an earlier one may have been carried out
+	// late.
+	repeatInterval = 900 * time.Millisecond
+	// overuse is the share of the processors by which a task may use more than
+	// its pace before the pace is sent again.
+	overuse = 0.25
 	// leastRise is the rise that counts as a disturbance at all.
 	leastRise = 0.02
 	// priorSlope is by how much ten cores of an unknown image raise the
@@ -348,8 +352,10 @@
 	cores := float64(t.step.Need.CPU) / 1000
 	limit := harmLimitOf(now, t)
 	harm := s.harm(now, w, t.step, cores)
+	// While a lasting task is over its target, its model is of no use: what the
+	// tasks beside it do is more than was expected.
 	for _, v := range s.victimsOf(now, w) {
-		if over := v.run.since; !over.IsZero() && now.Sub(over) > settleTime {
+		if !v.run.since.IsZero() && v.rise(t.step, cores) > leastRise {
 			harm++
 		}
 	}
@@ -435,16 +441,12 @@
 // restore gives slowed tasks their share back as far as that is unlikely to
 // push a lasting task over its target.
 func (p *Planner) restore(now time.Time, w *Worker, fills []*run) {
-	isCalm := true
-	for _, v := range p.share.victimsOf(now, w) {
-		over := v.run.since
-		if !over.IsZero() && now.Sub(over) > p.haltAfter() {
-			return
-		}
-		isCalm = isCalm && over.IsZero()
+	isCalm := !slices.ContainsFunc(p.share.victimsOf(now, w), func(v victim) bool { return !v.run.since.IsZero() })
+	if !isCalm {
+		return
 	}
 	for _, f := range fills {
-		if isCalm && f.wanted < leastPace && now.Sub(f.slowedAt) > leastPaceAfter {
+		if f.wanted < leastPace && now.Sub(f.slowedAt) > leastPaceAfter {
 			p.setPace(now, f, leastPace, "no other place")
 		}
 		if f.wanted == 100 || now.Sub(f.paceAt) < restoreInterval {
@@ -465,6 +467,10 @@
 func (p *Planner) checkFill(now time.Time, r *run) {
 	slowedFor := now.Sub(r.paceAt)
 	switch {
+	case slowedFor > repeatInterval && float64(r.cpu) > (float64(r.wanted)/100+overuse)*float64(r.task.step.Need.CPU):
+		p.note("pace_repeated", r, fmt.Sprintf("uses %d of %d thousandths at a pace of %d%%", r.cpu, r.task.step.Need.CPU, r.wanted))
+		r.paceAt = now
+		p.commands = append(p.commands, Command{Kind: PaceRun, Run: r.id, WorkerID: r.worker.ID, Percent: r.wanted})
 	case r.wanted > slowedPace:
 		if slowedFor > repeatInterval && now.Sub(r.movedAt) > repeatInterval {
 			r.paceAt = now
