--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -69,6 +69,8 @@
 	// Discover follows the list of workers and passes it to SetWorkers until
 	// its context ends. Only an owner needs it.
 	Discover func(ctx context.Context)
+	// Ask asks the daemon at an address, for a sign that the last owner lives.
+	Ask func(ctx context.Context, owner netip.AddrPort, q Question) (Reply, error)
 	// Limits are the platform's times.
 	Limits Limits
 	Log    *log.Logger
@@ -410,6 +412,8 @@
 		r.Answer, err = c.Cancel(ctx, q.Job)
 	case AskPending:
 		r.Pending, err = c.Pending(ctx)
+	case AskAlive:
+		_, err = ask(ctx, c, func(reply func(bool, error)) { reply(true, nil) })
 	default:
 		err = &QuestionError{q.Kind}
 	}
@@ -424,6 +428,8 @@
 	AskState   QuestionKind = "state"
 	AskCancel  QuestionKind = "cancel"
 	AskPending QuestionKind = "pending"
+	// AskAlive asks whether the daemon still takes itself for the owner.
+	AskAlive QuestionKind = "alive"
 )
 
 // Question is what a daemon asks the owner of a shard.
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -25,6 +25,12 @@
 	// vacancyDelay spreads the daemons that want a vacant shard, so that they
 	// don't all write at once.
 	vacancyDelay = 250 * time.Millisecond
+	// aliveTimeout bounds the question whether the last owner lives, and
+	// headStart is how long one that does may take to renew its entry: its lease
+	// lapses while the store is away, and a change of the owner costs all of
+	// them more than that.
+	aliveTimeout = 250 * time.Millisecond
+	headStart    = time.Second
 	// acquireTimeout bounds the whole of an acquisition or a load.
 	acquireTimeout = 3 * time.Second
 	// clockError is the most by which a worker's clock may run slow.
@@ -140,11 +146,16 @@
 	if c.vacant.IsZero() || !c.hasConfig || now.Sub(c.vacant) < c.delay() {
 		return
 	}
-	c.vacant = now
+	vacantFor := now.Sub(c.vacant)
 	if !c.move("vacant") {
 		return
 	}
+	last := c.Owner()
 	c.background.Go(func() {
+		if vacantFor < headStart && last.IsValid() && last != c.options.Address && c.isAlive(ctx, last) {
+			c.post(ctx, func() { c.move("lost") })
+			return
+		}
 		bounded, cancel := context.WithTimeout(ctx, acquireTimeout)
 		defer cancel()
 		a, err := c.acquire(bounded)
@@ -152,6 +163,17 @@
 	})
 }
 
+// isAlive reports whether the daemon at an address takes itself for the owner.
+func (c *Conductor) isAlive(ctx context.Context, owner netip.AddrPort) bool {
+	bounded, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	_, err := c.options.Ask(bounded, owner, Question{Kind: AskAlive})
+	if err == nil {
+		c.options.Log.Info().Str("owner", owner.String()).Msg("conductor: the last owner lives and gets time to renew its entry")
+	}
+	return err == nil
+}
+
 func (c *Conductor) delay() time.Duration {
 	h := fnv.New32a()
 	h.Write([]byte(c.options.Self))
