Count the head start of a living owner from the store's first answer

Change: it counts from the first answer of the store in the vacancy. The test now fails without (not done within 10 s) and passes with it.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -201,6 +201,8 @@
 	role   interpreter.State
 	owner  ownerRecord
 	vacant time.Time
+	// readAt is when the store first answered in the present vacancy.
+	readAt time.Time
 	lease  leaseState
 	// stopFollowing and stopDiscovery end the watches of this ownership.
 	stopFollowing, stopDiscovery context.CancelFunc
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -133,6 +133,30 @@
 	pool   *pool
 	mu     sync.Mutex
 	byPort map[uint16]*conductor.Conductor
+	// noGrant has the daemon that gets no lease.
+	noGrant uint16
+}
+
+// store is the store as one daemon reaches it.
+func (s *site) store(port uint16) storeclient.PrefixStore {
+	p := s.keeper.Store()
+	grant := p.Grant
+	p.Grant = func(ctx context.Context, ttl time.Duration) (storeclient.LeaseID, error) {
+		s.mu.Lock()
+		isRefused := s.noGrant == port
+		s.mu.Unlock()
+		if isRefused {
+			return 0, &storeclient.RefusedError{Op: "grant", Status: 503}
+		}
+		return grant(ctx, ttl)
+	}
+	return p
+}
+
+func (s *site) refuseGrants(port uint16) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noGrant = port
 }
 
 func newSite(t *testing.T, length time.Duration) *site {
@@ -145,7 +169,7 @@
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 	var c *conductor.Conductor
 	c, err := conductor.New(conductor.Options{
-		Shard: "0", Self: fmt.Sprint("daemon", port), Address: address, Domain: "domain", Store: s.keeper.Store(), Workers: s.pool.calls(),
+		Shard: "0", Self: fmt.Sprint("daemon", port), Address: address, Domain: "domain", Store: s.store(port), Workers: s.pool.calls(),
 		Discover: func(ctx context.Context) {
 			c.SetWorkers(ctx, []planner.Worker{{ID: "w", Address: address, Service: "service", Domain: "domain", Rack: "rack", Capacity: planner.Resources{CPU: 64000, Memory: 1000}}}, nil)
 		},
@@ -270,7 +294,11 @@
 	})
 	time.Sleep(2 * time.Second)
 	s.Assert(state(first, "b"), quicktest.Equals, planner.Running, quicktest.Commentf("nothing can be committed"))
+	// The owner is a little later than the other daemon to reach the store.
+	s.refuseGrants(1)
 	s.keeper.SetFault(nil)
+	time.Sleep(600 * time.Millisecond)
+	s.refuseGrants(0)
 	s.eventually("done", patience, func() bool { return state(first, "b") == planner.Done })
 	s.eachOnce("b", 2)
 	time.Sleep(time.Second)
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -27,8 +27,7 @@
 	vacancyDelay = 250 * time.Millisecond
 	// aliveTimeout bounds the question whether the last owner lives, and
 	// headStart is how long one that does may take to renew its entry: its lease
-	// lapses while the store is away, and a change of the owner costs all of
-	// them more than that.
+	// lapses while the store is away, and a change of the owner costs more.
 	aliveTimeout = 250 * time.Millisecond
 	headStart    = time.Second
 	// acquireTimeout bounds the whole of an acquisition or a load.
@@ -121,7 +120,7 @@
 			continue
 		}
 		if e.Removed {
-			c.owner, c.vacant = ownerRecord{}, c.options.Now()
+			c.owner, c.vacant, c.readAt = ownerRecord{}, c.options.Now(), time.Time{}
 			if c.role == "owning" {
 				c.lease.id = 0
 			}
@@ -132,7 +131,7 @@
 			c.options.Log.Error().Err(err).Msg("conductor: owner record can't be read")
 			continue
 		}
-		c.owner, c.vacant = r, time.Time{}
+		c.owner, c.vacant, c.readAt = r, time.Time{}, time.Time{}
 		c.ownerAddress.Store(&r.Address)
 		if c.role == "owning" && r.Epoch > c.epoch {
 			c.lose("another owner is recorded")
@@ -146,19 +145,14 @@
 	if c.vacant.IsZero() || !c.hasConfig || now.Sub(c.vacant) < c.delay() {
 		return
 	}
-	vacantFor := now.Sub(c.vacant)
 	if !c.move("vacant") {
 		return
 	}
-	last := c.Owner()
+	readAt := c.readAt
 	c.background.Go(func() {
-		if vacantFor < headStart && last.IsValid() && last != c.options.Address && c.isAlive(ctx, last) {
-			c.post(ctx, func() { c.move("lost") })
-			return
-		}
 		bounded, cancel := context.WithTimeout(ctx, acquireTimeout)
 		defer cancel()
-		a, err := c.acquire(bounded)
+		a, err := c.acquire(bounded, readAt)
 		c.post(ctx, func() { c.acquired(ctx, a, err) })
 	})
 }
@@ -168,9 +162,6 @@
 	bounded, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
 	_, err := c.options.Ask(bounded, owner, Question{Kind: AskAlive})
-	if err == nil {
-		c.options.Log.Info().Str("owner", owner.String()).Msg("conductor: the last owner lives and gets time to renew its entry")
-	}
 	return err == nil
 }
 
@@ -187,10 +178,17 @@
 	head    uint64
 	began   time.Time
 	granted time.Time
+	// readAt is when the store first answered in this vacancy.
+	readAt time.Time
 }
 
-func (c *Conductor) acquire(ctx context.Context) (acquisition, error) {
-	a := acquisition{began: c.options.Now()}
+// OwnerLivesError reports that the last owner is given time to renew its entry.
+type OwnerLivesError struct{ Owner netip.AddrPort }
+
+func (e *OwnerLivesError) Error() string { return "the last owner lives at " + e.Owner.String() }
+
+func (c *Conductor) acquire(ctx context.Context, readAt time.Time) (acquisition, error) {
+	a := acquisition{began: c.options.Now(), readAt: readAt}
 	var head headRecord
 	var revision uint64
 	entry, err := c.options.Store.Get(ctx, c.keys.head())
@@ -205,6 +203,13 @@
 			return a, errors.Wrap(err, "head record")
 		}
 	}
+	if a.readAt.IsZero() {
+		a.readAt = a.began
+	}
+	last := c.Owner()
+	if c.options.Now().Sub(a.readAt) < headStart && last.IsValid() && last != c.options.Address && c.isAlive(ctx, last) {
+		return a, &OwnerLivesError{last}
+	}
 	if a.lease, err = c.options.Store.Grant(ctx, max(ownerLease, c.options.Limits.MinLease)); err != nil {
 		return a, err
 	}
@@ -229,6 +234,7 @@
 }
 
 func (c *Conductor) acquired(ctx context.Context, a acquisition, err error) {
+	c.readAt = a.readAt
 	if err != nil {
 		c.options.Log.Info().Err(err).Msg("conductor: shard not acquired")
 		c.vacant = time.Time{}
