--- /dev/null
+++ b/standins/platformer/platformer.go
@@ -0,0 +1,205 @@
+package platformer
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"tarragonhead.example/tarragonhead/internal/keeper"
+)
+
+// The names that the stand-in's configuration has.
+const (
+	Host    = "queue.example"
+	Prefix  = "/jobs/"
+	service = "service"
+	domain  = "domain"
+)
+
+// Options say what a platform has.
+type Options struct {
+	// Binary is the path of tarragond.
+	Binary string
+	// Directory receives the settings files.
+	Directory string
+	Workers   int
+	// Length is how long each task works.
+	Length time.Duration
+	// Output receives what the instances log.
+	Output *os.File
+}
+
+// Platform is a stand-in of the platform with its instances.
+type Platform struct {
+	options Options
+	Keeper  *keeper.Keeper
+	Workers []*Worker
+	store   string
+	servers []*fasthttp.Server
+	mu      sync.Mutex
+	started []*Instance
+}
+
+// Instance is a tarragond on the platform, in its own process.
+type Instance struct {
+	// Front is where clients call it.
+	Front   string
+	name    string
+	control string
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+// New starts a store and workers.
+func New(o Options) (*Platform, error) {
+	p := &Platform{options: o, Keeper: keeper.New(time.Now)}
+	var err error
+	if p.store, err = p.listen(func(ctx *fasthttp.RequestCtx) { serveStore(p.Keeper, ctx) }); err != nil {
+		return nil, err
+	}
+	for n := range o.Workers {
+		w := &Worker{
+			id: fmt.Sprintf("i-%d", n), length: o.Length, born: time.Now(),
+			runs: map[runKey]time.Time{}, barred: map[string]int{}, starts: map[string]int{},
+		}
+		address, err := p.listen(w.serve)
+		if err != nil {
+			p.Stop()
+			return nil, err
+		}
+		entry, err := w.entry(address, service, domain, n)
+		if err != nil {
+			p.Stop()
+			return nil, errors.Wrap(err, "worker entry")
+		}
+		p.Keeper.Put("servers/"+w.id, entry)
+		p.Workers = append(p.Workers, w)
+	}
+	config, err := json.Marshal(map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": "queue", "host": Host, "prefix": Prefix, "kind": "non_idempotent", "timeoutMs": 3000, "sloMs": 1000,
+			"priority": 0, "service": service, "attempts": 2, "stretchFactor": 2.0,
+		}},
+		"services": []map[string]any{{"name": service, "healthPath": "/healthz", "enforcesCapacity": false}},
+		"limits":   map[string]int{"maxBodyBytes": 262144},
+	})
+	if err != nil {
+		p.Stop()
+		return nil, errors.Wrap(err, "configuration")
+	}
+	p.Keeper.Put("op/config", config)
+	return p, nil
+}
+
+// listen serves a handler at a free address of this machine.
+func (p *Platform) listen(h fasthttp.RequestHandler) (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	s := &fasthttp.Server{Handler: h, CloseOnShutdown: true}
+	p.servers = append(p.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// freeAddress returns an address of this machine that nobody listens at.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// Start starts an instance.
+func (p *Platform) Start(name string) (*Instance, error) {
+	var addresses [3]string
+	for n := range addresses {
+		var err error
+		if addresses[n], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	i := &Instance{Front: addresses[0], name: name, control: addresses[2], done: make(chan struct{})}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var seeds []string
+	for _, o := range p.started {
+		seeds = append(seeds, o.control)
+	}
+	settings := filepath.Join(p.options.Directory, name+".conf")
+	text := fmt.Sprintf(`nodeName=%s
+zone=%s
+listen.front=%s
+listen.readiness=%s
+listen.control=%s
+seeds=%s
+limits.memoryMb=284
+bounds.graceS=2
+bounds.maxHoldMs=3000
+bounds.stopMs=500
+bounds.paceMs=100
+bounds.violationMs=4000
+bounds.remoteSlowdown=1.5
+bounds.status_s=120
+controlMode=rpc
+platform.addr=%s
+platform.writesPerS=400
+platform.readsPerS=2000
+platform.minTtlMs=500
+`, name, domain, addresses[0], addresses[1], addresses[2], strings.Join(seeds, ","), p.store)
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	i.command = exec.Command(p.options.Binary, "platform")
+	i.command.Env = append(os.Environ(), "TARRAGONHEAD_SETTINGS="+settings)
+	i.command.Stdout, i.command.Stderr = p.options.Output, p.options.Output
+	if err := i.command.Start(); err != nil {
+		return nil, errors.Wrap(err, "start instance")
+	}
+	p.started = append(p.started, i)
+	go func() {
+		_ = i.command.Wait()
+		close(i.done)
+	}()
+	return i, nil
+}
+
+// Signal sends a signal to the instance's process.
+func (i *Instance) Signal(s syscall.Signal) error { return i.command.Process.Signal(s) }
+
+// Ended is closed when the process has ended.
+func (i *Instance) Ended() <-chan struct{} { return i.done }
+
+// Control is where peers call the instance.
+func (i *Instance) Control() string { return i.control }
+
+// Stop ends the instances that were started and the stand-in itself.
+func (p *Platform) Stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, i := range p.started {
+		select {
+		case <-i.done:
+		default:
+			_ = i.Signal(syscall.SIGKILL)
+			<-i.done
+		}
+	}
+	for _, s := range p.servers {
+		_ = s.Shutdown()
+	}
+}
--- /dev/null
+++ b/standins/platformer/store.go
@@ -0,0 +1,170 @@
+// Package platformer is a stand-in of the users' platform: its metadata store
+// and its workers, spoken to over HTTP as the real ones.
+package platformer
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"tarragonhead.example/tarragonhead/internal/keeper"
+	"tarragonhead.example/tarragonhead/internal/storeclient"
+)
+
+// maxWait bounds a watch.
+const maxWait = 30 * time.Second
+
+// item is an entry on the wire.
+type item struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Rev     uint64 `json:"rev"`
+	Removed bool   `json:"removed,omitempty"`
+}
+
+func toItem(e storeclient.Entry) item { return item{Key: e.Key, Value: e.Value, Rev: e.Revision} }
+
+type transaction struct {
+	ExpectedRev []struct {
+		Key string `json:"key"`
+		Rev uint64 `json:"rev"`
+	} `json:"expectedRev"`
+	Writes []struct {
+		Key   string              `json:"key"`
+		Value []byte              `json:"value"`
+		Lease storeclient.LeaseID `json:"lease"`
+	} `json:"writes"`
+	Remove []string `json:"remove"`
+}
+
+// serveStore serves the store's interface.
+func serveStore(k *keeper.Keeper, ctx *fasthttp.RequestCtx) {
+	s := k.Store()
+	bounded, cancel := context.WithTimeout(context.Background(), maxWait)
+	defer cancel()
+	args := ctx.QueryArgs()
+	path := string(ctx.Path())
+	id, isLease := leaseOf(path)
+	switch {
+	case path == "/v1/kv-key":
+		e, err := s.Get(bounded, string(args.Peek("key")))
+		answer(ctx, toItem(e), err)
+	case path == "/v1/kv-range":
+		list, revision, err := s.Range(bounded, string(args.Peek("prefix")))
+		items := make([]item, 0, len(list))
+		for _, e := range list {
+			items = append(items, toItem(e))
+		}
+		answer(ctx, map[string]any{"items": items, "hasMore": false, "storeRevision": revision}, err)
+	case path == "/v1/kv-watch":
+		after, _ := strconv.ParseUint(string(args.Peek("after")), 10, 64)
+		wait, _ := strconv.Atoi(string(args.Peek("waitMs")))
+		events, revision, err := s.Watch(bounded, string(args.Peek("prefix")), after, time.Duration(wait)*time.Millisecond)
+		items := make([]item, 0, len(events))
+		for _, e := range events {
+			i := toItem(e.Entry)
+			i.Removed = e.Removed
+			items = append(items, i)
+		}
+		answer(ctx, map[string]any{"events": items, "storeRevision": revision}, err)
+	case path == "/v1/kv-txn":
+		serveTransaction(bounded, ctx, s)
+	case path == "/v1/kv-lease":
+		var in struct {
+			TTL int64 `json:"ttlMs"`
+		}
+		if !decode(ctx, &in) {
+			return
+		}
+		lease, err := s.Grant(bounded, time.Duration(in.TTL)*time.Millisecond)
+		answer(ctx, map[string]any{"lease": lease, "ttlMs": in.TTL}, err)
+	case isLease && ctx.IsPost():
+		answer(ctx, struct{}{}, s.KeepAlive(bounded, id))
+	case isLease:
+		answer(ctx, struct{}{}, s.Revoke(bounded, id))
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// leaseOf reads the lease in a path such as /v1/kv-keep/7.
+func leaseOf(path string) (storeclient.LeaseID, bool) {
+	for _, prefix := range [...]string{"/v1/kv-keep/", "/v1/kv-lease-end/"} {
+		if rest, ok := strings.CutPrefix(path, prefix); ok {
+			n, err := strconv.ParseUint(rest, 10, 64)
+			return storeclient.LeaseID(n), err == nil
+		}
+	}
+	return 0, false
+}
+
+func serveTransaction(bounded context.Context, ctx *fasthttp.RequestCtx, s storeclient.PrefixStore) {
+	var in transaction
+	if !decode(ctx, &in) {
+		return
+	}
+	t := storeclient.Transaction{Remove: in.Remove}
+	for _, e := range in.ExpectedRev {
+		t.Expect = append(t.Expect, storeclient.Expectation{Key: e.Key, Revision: e.Rev})
+	}
+	for _, w := range in.Writes {
+		t.Writes = append(t.Writes, storeclient.Write(w))
+	}
+	revision, err := s.Transact(bounded, t)
+	var conflict *storeclient.ExpectationError
+	if errors.As(err, &conflict) {
+		items := make([]item, 0, len(conflict.Current))
+		for _, e := range conflict.Current {
+			items = append(items, toItem(e))
+		}
+		write(ctx, fasthttp.StatusPreconditionFailed, map[string]any{"items": items})
+		return
+	}
+	answer(ctx, map[string]any{"rev": revision}, err)
+}
+
+func decode(ctx *fasthttp.RequestCtx, v any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// answer writes a body, or the status of an error. A call without an answer
+// ends its connection.
+func answer(ctx *fasthttp.RequestCtx, body any, err error) {
+	var missing *storeclient.NotFoundError
+	var lease *storeclient.LeaseError
+	var compacted *storeclient.CompactedError
+	var refused *storeclient.RefusedError
+	switch {
+	case err == nil:
+		write(ctx, fasthttp.StatusOK, body)
+	case errors.As(err, &missing), errors.As(err, &lease):
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	case errors.As(err, &compacted):
+		ctx.SetStatusCode(fasthttp.StatusGone)
+	case errors.As(err, &refused):
+		ctx.SetStatusCode(refused.Status)
+	default:
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(closeConnection)
+	}
+}
+
+func write(ctx *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
--- /dev/null
+++ b/standins/platformer/worker.go
@@ -0,0 +1,170 @@
+package platformer
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// runKey is a run on the wire: the task's name and the attempt.
+type runKey struct {
+	task    string
+	attempt int
+}
+
+// Worker is a stand-in of a runner.
+type Worker struct {
+	id     string
+	length time.Duration
+
+	mu       sync.Mutex
+	born     time.Time
+	fence    int64
+	runs     map[runKey]time.Time
+	barred   map[string]int
+	ends     [][]any
+	count    int
+	lease    time.Time
+	starts   map[string]int
+	together []string
+	silent   bool
+}
+
+// StartsByTask returns how often each task was started.
+func (w *Worker) StartsByTask() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	found := make(map[string]int, len(w.starts))
+	for t, n := range w.starts {
+		found[t] = n
+	}
+	return found
+}
+
+// SetSilent makes the worker leave calls without an answer.
+func (w *Worker) SetSilent(isSilent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = isSilent
+}
+
+func closeConnection(c net.Conn) { _ = c.Close() }
+
+type order struct {
+	Task     string `json:"task"`
+	Attempt  int    `json:"attempt"`
+	Deadline int64  `json:"deadlineMs"`
+	Fence    int64  `json:"fence"`
+	Ack      int    `json:"ackCursor"`
+	Wait     int64  `json:"waitMs"`
+}
+
+func (w *Worker) clock() int64 { return time.Since(w.born).Milliseconds() }
+
+func (w *Worker) serve(ctx *fasthttp.RequestCtx) {
+	var o order
+	if !decode(ctx, &o) {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	intended := string(ctx.Request.Header.Peek("Tarragonhead-Expect-Instance"))
+	switch {
+	case w.silent:
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(closeConnection)
+		return
+	case intended != "" && intended != w.id:
+		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
+		return
+	case o.Fence < w.fence:
+		w.refuse(ctx, "fence")
+		return
+	}
+	w.fence = o.Fence
+	if o.Deadline > 0 {
+		if end := w.born.Add(time.Duration(o.Deadline) * time.Millisecond); end.After(w.lease) {
+			w.lease = end
+		}
+	}
+	switch string(ctx.Path()) {
+	case "/v1/run-start":
+		w.start(ctx, o)
+	case "/v1/run-stop":
+		w.end(runKey{o.Task, o.Attempt}, "stopped")
+		w.barred[o.Task] = max(w.barred[o.Task], o.Attempt)
+		write(ctx, fasthttp.StatusOK, map[string]any{"clockMs": w.clock()})
+	case "/v1/hold":
+		w.hold(ctx, o)
+	default:
+		write(ctx, fasthttp.StatusOK, map[string]any{"clockMs": w.clock()})
+	}
+}
+
+func (w *Worker) refuse(ctx *fasthttp.RequestCtx, reason string) {
+	write(ctx, fasthttp.StatusConflict, map[string]any{"clockMs": w.clock(), "reason": reason})
+}
+
+func (w *Worker) start(ctx *fasthttp.RequestCtx, o order) {
+	k := runKey{o.Task, o.Attempt}
+	if _, ok := w.runs[k]; !ok {
+		if w.barred[o.Task] >= o.Attempt {
+			w.refuse(ctx, "old")
+			return
+		}
+		w.runs[k] = time.Now()
+		w.starts[o.Task]++
+	}
+	write(ctx, fasthttp.StatusOK, map[string]any{"clockMs": w.clock()})
+}
+
+// hold answers at once: a stand-in needs no long poll.
+func (w *Worker) hold(ctx *fasthttp.RequestCtx, o order) {
+	w.ends = slices.DeleteFunc(w.ends, func(e []any) bool { return e[0].(int) <= o.Ack })
+	running := [][]any{}
+	for k, began := range w.runs {
+		running = append(running, []any{k.task, k.attempt, "", int(99 * time.Since(began) / w.length), 0})
+	}
+	ends := w.ends
+	if ends == nil {
+		ends = [][]any{}
+	}
+	write(ctx, fasthttp.StatusOK, map[string]any{"clockMs": w.clock(), "born": w.born.UnixMilli(), "running": running, "finished": ends})
+}
+
+// advance ends the runs that are done or whose lease has lapsed.
+func (w *Worker) advance() {
+	for k, began := range w.runs {
+		switch {
+		case time.Since(began) >= w.length:
+			w.end(k, "done")
+		case time.Now().After(w.lease):
+			w.end(k, "lapsed")
+		}
+	}
+}
+
+func (w *Worker) end(k runKey, how string) {
+	if _, ok := w.runs[k]; !ok {
+		return
+	}
+	delete(w.runs, k)
+	w.barred[k.task] = max(w.barred[k.task], k.attempt)
+	w.count++
+	w.ends = append(w.ends, []any{w.count, k.task, k.attempt, how, ""})
+}
+
+// entry is what the worker writes of itself in the store.
+func (w *Worker) entry(address, service, domain string, n int) ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"service": service, "addr": address, "zone": domain, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+		"capacity": map[string]int64{"cpu": 16000, "memMb": 32768, "gpu": 0}, "labels": []string{"a", fmt.Sprintf("r-%d", n/8)},
+		"clockMs": w.clock(), "seq": 1, "born": w.born.UnixMilli(),
+	})
+}
