--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -1,6 +1,7 @@
 package platformer
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -26,6 +27,9 @@
 	domain  = "domain"
 )
 
+// stopTime bounds the wait for connections that are still open at the end.
+const stopTime = 50 * time.Millisecond
+
 // Options say what a platform has.
 type Options struct {
 	// Binary is the path of tarragond.
@@ -199,7 +203,9 @@
 			<-i.done
 		}
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
 	for _, s := range p.servers {
-		_ = s.Shutdown()
+		_ = s.ShutdownWithContext(ctx)
 	}
 }
