Answer at once from a stopping daemon; rest peers that can't be reached

Change: a peer that was not dialled has done nothing, so the answer is 503, and it is not asked again for a second; a stopped conductor says that it is no owner, and the receiver then reads the owner from the store.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -188,6 +188,8 @@
 	chart   *interpreter.Chart
 	keys    keys
 	events  chan func()
+	// ended is closed when Run returns.
+	ended   chan struct{}
 	calls   pond.Pool
 	metrics metrics
 	// ownerAddress is a copy for other goroutines.
@@ -244,7 +246,7 @@
 	factory := promauto.With(o.Registry)
 	return &Conductor{
 		options: o, chart: chart, role: chart.Start(), keys: keys{o.Shard},
-		events: make(chan func(), eventBuffer), calls: pond.NewPool(maxCalls),
+		events: make(chan func(), eventBuffer), ended: make(chan struct{}), calls: pond.NewPool(maxCalls),
 		metrics: metrics{
 			orders:  factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_orders_total", Help: "Orders to workers by kind and outcome."}, []string{"kind", "outcome"}),
 			latency: factory.NewHistogramVec(prometheus.HistogramOpts{Name: "tarragonhead_order_seconds", Help: "Time until a worker answered an order.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}, []string{"kind"}),
@@ -259,6 +261,7 @@
 
 // Run works until ctx ends, and then gives the shard up.
 func (c *Conductor) Run(ctx context.Context) {
+	defer close(c.ended)
 	c.follow(ctx)
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
@@ -305,6 +308,7 @@
 func (c *Conductor) post(ctx context.Context, f func()) {
 	select {
 	case c.events <- f:
+	case <-c.ended:
 	case <-ctx.Done():
 	}
 }
@@ -506,6 +510,10 @@
 	select {
 	case r := <-answered:
 		return r.value, r.err
+	case <-c.ended:
+		// A daemon that is stopping still serves its clients' connections.
+		var none T
+		return none, &NotOwnerError{Shard: c.options.Shard}
 	case <-ctx.Done():
 		var none T
 		return none, ctx.Err()
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -393,3 +393,20 @@
 	s.Assert(err, quicktest.IsNil)
 	s.Assert(unknown.Known, quicktest.IsFalse)
 }
+
+// TestStoppedDaemonAnswers guards against clients of a stopping daemon that wait
+// for its part of the control state, which has ended.
+func TestStoppedDaemonAnswers(t *testing.T) {
+	s := newSite(t, time.Minute)
+	c, stop := s.daemon(1)
+	s.submit("a", 1)
+	s.eventually("running", patience, func() bool { return state(c, "a") == planner.Running })
+	stop()
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := c.JobState(ctx, "a")
+	var other *conductor.NotOwnerError
+	s.Assert(errors.As(err, &other), quicktest.IsTrue)
+	s.Assert(time.Since(began) < time.Second, quicktest.IsTrue)
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 	storeTimeout = 700 * time.Millisecond
 	readTimeout  = 250 * time.Millisecond
 	relayTimeout = 400 * time.Millisecond
+	// peerRest is how long a peer is not asked again after a relay failed.
+	peerRest = time.Second
 	// downAfter is how long the store must have left calls without an answer
 	// before jobs are refused at once.
 	downAfter = 300 * time.Millisecond
@@ -64,13 +67,17 @@
 	failedSince atomic.Int64
 	outcomes    *prometheus.CounterVec
 	latency     *prometheus.HistogramVec
+
+	mu sync.Mutex
+	// failed has when a relay to a peer last failed.
+	failed map[netip.AddrPort]time.Time
 }
 
 // New returns a receiver.
 func New(o Options) *Receiver {
 	factory := promauto.With(o.Registry)
 	return &Receiver{
-		options:  o,
+		options: o, failed: map[netip.AddrPort]time.Time{},
 		outcomes: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_submissions_total", Help: "Submissions by outcome."}, []string{"outcome"}),
 		latency:  factory.NewHistogramVec(prometheus.HistogramOpts{Name: "tarragonhead_client_seconds", Help: "Time until a client's call was answered, by call.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 13)}, []string{"call"}),
 	}
@@ -95,6 +102,18 @@
 // Unwrap returns the cause.
 func (e *UndecidedError) Unwrap() error { return e.Err }
 
+// UnreachedError reports a peer that a call did not reach, so that it has done
+// nothing.
+type UnreachedError struct {
+	Peer netip.AddrPort
+	Err  error
+}
+
+func (e *UnreachedError) Error() string { return fmt.Sprintf("peer %s not reached: %v", e.Peer, e.Err) }
+
+// Unwrap returns the cause.
+func (e *UnreachedError) Unwrap() error { return e.Err }
+
 // UnknownJobError reports a job that was never accepted.
 type UnknownJobError struct{ Job string }
 
@@ -190,6 +209,21 @@
 	return &UndecidedError{err}
 }
 
+// hasFailed reports whether a peer has failed so recently that clients should
+// not wait for it again.
+func (r *Receiver) hasFailed(peer netip.AddrPort) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok := r.failed[peer]
+	return ok && r.options.Now().Sub(at) < peerRest
+}
+
+func (r *Receiver) noteFailed(peer netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed[peer] = r.options.Now()
+}
+
 // settle finds out whether a write without an answer has taken effect. While it
 // has not, it still may.
 func (r *Receiver) settle(ctx context.Context, id string, cause error) error {
@@ -211,14 +245,23 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	for _, peer := range r.options.Peers() {
+		if r.hasFailed(peer) {
+			continue
+		}
 		err := r.options.Relay(ctx, peer, j)
 		if err == nil {
 			r.options.Log.Info().Str("job", j.ID).Str("peer", peer.String()).AnErr("cause", cause).Msg("receiver: accepted by a peer")
 			return nil
 		}
 		var refused *RefusedError
-		if !errors.As(err, &refused) {
+		var unreached *UnreachedError
+		switch {
+		case errors.As(err, &refused):
+		case errors.As(err, &unreached):
+			r.noteFailed(peer)
+		default:
 			// The peer may have stored it.
+			r.noteFailed(peer)
 			cause = &UndecidedError{err}
 		}
 		if ctx.Err() != nil {
@@ -303,10 +346,27 @@
 func (r *Receiver) ask(ctx context.Context, q conductor.Question) (conductor.Reply, error) {
 	reply, err := r.options.Local(ctx, q)
 	var other *conductor.NotOwnerError
-	if errors.As(err, &other) && other.Owner.IsValid() {
-		return r.options.Ask(ctx, other.Owner, q)
+	if !errors.As(err, &other) {
+		return reply, err
+	}
+	owner := other.Owner
+	if !owner.IsValid() {
+		if owner, err = r.storedOwner(ctx); err != nil {
+			return reply, err
+		}
+	}
+	return r.options.Ask(ctx, owner, q)
+}
+
+// storedOwner reads who owns the shard, for a daemon that doesn't follow it.
+func (r *Receiver) storedOwner(ctx context.Context) (netip.AddrPort, error) {
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	e, err := r.options.Store.Get(bounded, conductor.OwnerKey(r.options.Shard))
+	if err != nil {
+		return netip.AddrPort{}, err
 	}
-	return reply, err
+	return conductor.DecodeOwner(e.Value)
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -87,6 +87,7 @@
 		"nothing answers, a peer does":  {allFail, func(context.Context, netip.AddrPort, planner.Job) error { return nil }, "accepted", false},
 		"refused, a peer accepts":       {onWrite(keeper.Fault{Before: refusal}), func(context.Context, netip.AddrPort, planner.Job) error { return nil }, "accepted", false},
 		"refused, a peer is undecided":  {onWrite(keeper.Fault{Before: refusal}), func(context.Context, netip.AddrPort, planner.Job) error { return errors.New("silent") }, "undecided", false},
+		"refused, a peer not reached":   {onWrite(keeper.Fault{Before: refusal}), func(context.Context, netip.AddrPort, planner.Job) error { return &receiver.UnreachedError{} }, "refused", false},
 		"refused, a peer refuses":       {onWrite(keeper.Fault{Before: refusal}), func(context.Context, netip.AddrPort, planner.Job) error { return &receiver.RefusedError{} }, "refused", false},
 		"no answer, and a peer refuses": {onWrite(keeper.Fault{Before: noAnswer}), func(context.Context, netip.AddrPort, planner.Job) error { return &receiver.RefusedError{} }, "undecided", false},
 	} {
@@ -190,3 +191,24 @@
 		})
 	}
 }
+
+// TestUnreachedPeerRests guards against clients that each wait for a peer which
+// can't be reached.
+func TestUnreachedPeerRests(t *testing.T) {
+	c := quicktest.New(t)
+	k := keeper.New(time.Now)
+	k.SetFault(func(string, string) keeper.Fault { return keeper.Fault{Before: refusal} })
+	now := time.Now()
+	calls := 0
+	r := newReceiver(k, func() time.Time { return now }, []netip.AddrPort{peer}, func(context.Context, netip.AddrPort, planner.Job) error {
+		calls++
+		return &receiver.UnreachedError{Peer: peer}
+	})
+	for range 3 {
+		c.Assert(outcome(r.Submit(context.Background(), job())), quicktest.Equals, "refused")
+	}
+	c.Assert(calls, quicktest.Equals, 1)
+	now = now.Add(2 * time.Second)
+	c.Assert(outcome(r.Submit(context.Background(), job())), quicktest.Equals, "refused")
+	c.Assert(calls, quicktest.Equals, 2)
+}
