--- a/cmd/tarragonctl/docs_test.go
+++ b/cmd/tarragonctl/docs_test.go
@@ -17,7 +17,7 @@
 // name, and against one that it names and that does not exist.
 func TestDocumentedFlags(t *testing.T) {
 	c := qt.New(t)
-	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	c.Assert(err, qt.IsNil)
 	_, rest, found := strings.Cut(string(page), "\n## Commands of tarragonctl\n")
 	c.Assert(found, qt.IsTrue)
--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -232,5 +232,5 @@
 	if d.Worker != "" {
 		e = e.Str("worker", d.Worker)
 	}
-	e.Str("detail", d.Detail).Msg("planner")
+	e.Str("detail", d.Detail).Msg("planner: decision")
 }
--- a/internal/server/docs_test.go
+++ b/internal/server/docs_test.go
@@ -15,7 +15,7 @@
 // documented returns what matches form in a section of the operations page,
 // each once and sorted.
 func documented(c *qt.C, section string, form *regexp.Regexp) []string {
-	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	c.Assert(err, qt.IsNil)
 	_, rest, found := strings.Cut(string(page), "\n## "+section+"\n")
 	c.Assert(found, qt.IsTrue)
--- a/standins/platformer/platformer_test.go
+++ b/standins/platformer/platformer_test.go
@@ -13,6 +13,9 @@
 	"github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
 
+	// The tests run this package in processes; the import makes their cached
+	// results depend on it.
+	_ "tarragonhead.example/tarragonhead/platform"
 	"tarragonhead.example/tarragonhead/standins/platformer"
 )
 
