Split workers and jobs over shards

Change: package sharder takes the number of shards from the first steady number of workers, 80 to a shard, and stores it; a job's shard follows from its id. Weak instances, and those that own a shard, take a vacant one later. Ruled out: shards by domain (a domain that is taken out would have to move its jobs) and by rack (six racks to a shard differ too much).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -71,6 +71,9 @@
 	Discover func(ctx context.Context)
 	// Ask asks the daemon at an address, for a sign that the last owner lives.
 	Ask func(ctx context.Context, owner netip.AddrPort, q Question) (Reply, error)
+	// Reluctance is by how much later than others this daemon takes a vacant
+	// shard, for a daemon that is weak or owns another one; nil for none.
+	Reluctance func() time.Duration
 	// Limits are the platform's times.
 	Limits Limits
 	Log    *log.Logger
@@ -192,7 +195,8 @@
 	ended   chan struct{}
 	calls   pond.Pool
 	metrics metrics
-	// ownerAddress is a copy for other goroutines.
+	// isOwner and ownerAddress are copies for other goroutines.
+	isOwner      atomic.Bool
 	ownerAddress atomic.Pointer[netip.AddrPort]
 
 	// The fields below belong to the control goroutine.
@@ -399,6 +403,9 @@
 	Known bool `cbor:"known"`
 }
 
+// IsOwner reports whether this daemon owns the shard or is about to.
+func (c *Conductor) IsOwner() bool { return c.isOwner.Load() }
+
 // Owner returns where the owner of the shard is asked; invalid if none is known.
 func (c *Conductor) Owner() netip.AddrPort {
 	if a := c.ownerAddress.Load(); a != nil {
@@ -441,6 +448,8 @@
 // Question is what a daemon asks the owner of a shard.
 type Question struct {
 	Kind QuestionKind `cbor:"kind"`
+	// Shard names the shard that is asked.
+	Shard string `cbor:"shard"`
 	// Job is the id of the job that the question is about, if any.
 	Job string `cbor:"job,omitempty"`
 }
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -161,14 +161,18 @@
 func (c *Conductor) isAlive(ctx context.Context, owner netip.AddrPort) bool {
 	bounded, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
-	_, err := c.options.Ask(bounded, owner, Question{Kind: AskAlive})
+	_, err := c.options.Ask(bounded, owner, Question{Kind: AskAlive, Shard: c.options.Shard})
 	return err == nil
 }
 
 func (c *Conductor) delay() time.Duration {
 	h := fnv.New32a()
-	h.Write([]byte(c.options.Self))
-	return vacancyDelay * time.Duration(h.Sum32()%100) / 100
+	h.Write([]byte(c.options.Self + c.options.Shard))
+	delay := vacancyDelay * time.Duration(h.Sum32()%100) / 100
+	if c.options.Reluctance != nil {
+		delay += c.options.Reluctance()
+	}
+	return delay
 }
 
 // acquisition is the outcome of an attempt to own the shard.
@@ -245,6 +249,7 @@
 		return
 	}
 	c.epoch, c.headRevision, c.confirmedAt = a.epoch, a.head, a.began
+	c.isOwner.Store(true)
 	c.lease = leaseState{id: a.lease, keptAt: a.granted}
 	if !c.move("acquired") {
 		return
@@ -516,6 +521,7 @@
 // release drops the state of the ownership.
 func (c *Conductor) release() {
 	c.metrics.isOwner.Set(0)
+	c.isOwner.Store(false)
 	c.planner = nil
 	if c.stopFollowing != nil {
 		c.stopFollowing()
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -17,6 +17,7 @@
 
 	"tarragonhead.example/tarragonhead/internal/conductor"
 	"tarragonhead.example/tarragonhead/internal/planner"
+	"tarragonhead.example/tarragonhead/internal/sharder"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
@@ -44,9 +45,11 @@
 
 // Options are what a receiver depends on.
 type Options struct {
-	Shard string
-	Store storeclient.PrefixStore
-	// Local answers where this daemon owns the shard, and Ask asks another one.
+	// Shards is the number of shards.
+	Shards int
+	Store  storeclient.PrefixStore
+	// Local answers where this daemon owns the question's shard, and Ask asks
+	// another one.
 	Local func(ctx context.Context, q conductor.Question) (conductor.Reply, error)
 	Ask   func(ctx context.Context, owner netip.AddrPort, q conductor.Question) (conductor.Reply, error)
 	// Peers returns the daemons that may reach the store when this one doesn't,
@@ -185,13 +188,14 @@
 		return &RefusedError{Reason: err.Error()}
 	}
 	index := storeclient.Expectation{Key: conductor.IndexKey(j.ID)}
+	shard := r.shardOf(j.ID)
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	_, err = r.options.Store.Transact(bounded, storeclient.Transaction{
 		Expect: []storeclient.Expectation{index},
 		Writes: []storeclient.Write{
-			{Key: index.Key, Value: []byte(r.options.Shard)},
-			{Key: conductor.JobKey(r.options.Shard, j.ID), Value: value},
+			{Key: index.Key, Value: []byte(shard)},
+			{Key: conductor.JobKey(shard, j.ID), Value: value},
 		},
 	})
 	var conflict *storeclient.ExpectationError
@@ -271,16 +275,20 @@
 	return cause
 }
 
+func (r *Receiver) shardOf(job string) string {
+	return sharder.Name(sharder.OfJob(job, r.options.Shards))
+}
+
 // State returns the state of a job. Errors are UnknownJobError and
 // RefusedError when nobody can tell now.
 func (r *Receiver) State(ctx context.Context, id string) (planner.State, error) {
-	return r.about(ctx, conductor.Question{Kind: conductor.AskState, Job: id})
+	return r.about(ctx, conductor.Question{Kind: conductor.AskState, Shard: r.shardOf(id), Job: id})
 }
 
 // Cancel cancels a job and returns its state, which is Done or Failed when the
 // cancellation came too late.
 func (r *Receiver) Cancel(ctx context.Context, id string) (planner.State, error) {
-	return r.about(ctx, conductor.Question{Kind: conductor.AskCancel, Job: id})
+	return r.about(ctx, conductor.Question{Kind: conductor.AskCancel, Shard: r.shardOf(id), Job: id})
 }
 
 func (r *Receiver) about(ctx context.Context, q conductor.Question) (planner.State, error) {
@@ -332,14 +340,26 @@
 func (r *Receiver) Pending(ctx context.Context, queue string) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
+	sum := 0
+	for n := range r.options.Shards {
+		count, err := r.pendingIn(ctx, sharder.Name(n), queue)
+		if err != nil {
+			return 0, err
+		}
+		sum += count
+	}
+	return sum, nil
+}
+
+func (r *Receiver) pendingIn(ctx context.Context, shard, queue string) (int, error) {
 	for ctx.Err() == nil {
-		reply, err := r.ask(ctx, conductor.Question{Kind: conductor.AskPending})
+		reply, err := r.ask(ctx, conductor.Question{Kind: conductor.AskPending, Shard: shard})
 		if err == nil {
 			return reply.Pending[queue], nil
 		}
 		wait(ctx, askRetry)
 	}
-	return 0, &RefusedError{"the owner of the shard can't be reached", returnAfter}
+	return 0, &RefusedError{"the owner of shard " + shard + " can't be reached", returnAfter}
 }
 
 // ask asks this daemon, and the owner if that is another one.
@@ -351,7 +371,7 @@
 	}
 	owner := other.Owner
 	if !owner.IsValid() {
-		if owner, err = r.storedOwner(ctx); err != nil {
+		if owner, err = r.storedOwner(ctx, q.Shard); err != nil {
 			return reply, err
 		}
 	}
@@ -359,10 +379,10 @@
 }
 
 // storedOwner reads who owns the shard, for a daemon that doesn't follow it.
-func (r *Receiver) storedOwner(ctx context.Context) (netip.AddrPort, error) {
+func (r *Receiver) storedOwner(ctx context.Context, shard string) (netip.AddrPort, error) {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	e, err := r.options.Store.Get(bounded, conductor.OwnerKey(r.options.Shard))
+	e, err := r.options.Store.Get(bounded, conductor.OwnerKey(shard))
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
--- /dev/null
+++ b/internal/sharder/sharder_test.go
@@ -0,0 +1,80 @@
+package sharder_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"tarragonhead.example/tarragonhead/internal/keeper"
+	"tarragonhead.example/tarragonhead/internal/sharder"
+)
+
+// TestShards guards against daemons that split the same deployment differently:
+// they start at the same time, while workers still appear.
+func TestShards(t *testing.T) {
+	c := quicktest.New(t)
+	k := keeper.New(time.Now)
+	began := time.Now()
+	workers := func(context.Context) (int, error) {
+		if time.Since(began) < 300*time.Millisecond {
+			return int(time.Since(began) / time.Millisecond), nil
+		}
+		return 490, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	got := make([]int, 4)
+	var done sync.WaitGroup
+	for i := range got {
+		done.Go(func() {
+			n, err := sharder.New(k.Store(), workers, func(error) {}).Shards(ctx)
+			c.Check(err, quicktest.IsNil)
+			got[i] = n
+		})
+	}
+	done.Wait()
+	c.Assert(got, quicktest.DeepEquals, []int{7, 7, 7, 7})
+}
+
+// TestStoredCount guards against a count that another writer has spoiled.
+func TestStoredCount(t *testing.T) {
+	for name, tt := range map[string]struct {
+		value string
+		want  int
+	}{"good": {"3", 3}, "zero": {"0", 0}, "no number": {"three", 0}, "too many": {"1000", 0}} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			k := keeper.New(time.Now)
+			k.Put("th/shards", []byte(tt.value))
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			n, err := sharder.New(k.Store(), func(context.Context) (int, error) { return 1, nil }, func(error) {}).Shards(ctx)
+			c.Assert(n, quicktest.Equals, tt.want)
+			c.Assert(err == nil, quicktest.Equals, tt.want > 0)
+		})
+	}
+}
+
+// TestSplit guards against shards of very different size.
+func TestSplit(t *testing.T) {
+	c := quicktest.New(t)
+	const count = 7
+	jobs, workers := make([]int, count), make([]int, count)
+	for i := range 7000 {
+		jobs[sharder.OfJob(fmt.Sprintf("%016x", i), count)]++
+	}
+	for i := range 490 {
+		workers[sharder.OfWorker(fmt.Sprintf("i-%08x", i), count)]++
+	}
+	for i := range count {
+		c.Assert(jobs[i] > 900 && jobs[i] < 1100, quicktest.IsTrue, quicktest.Commentf("%v", jobs))
+		c.Assert(workers[i] > 45 && workers[i] < 95, quicktest.IsTrue, quicktest.Commentf("%v", workers))
+	}
+	c.Assert(sharder.Count(66), quicktest.Equals, 1)
+	c.Assert(sharder.Count(490), quicktest.Equals, 7)
+	c.Assert(sharder.Count(0), quicktest.Equals, 1)
+}
