Keep a worker for a lasting task that finds no room; decide alike in each replay

Change: after 1.5 s a worker is kept for such a task where the fleet has twice the room besides the headroom. Runs and jobs are kept in order.

--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -41,6 +41,11 @@
 	h.peak = max(h.peak, float64(demand))
 }
 
+// kept is the processors that lasting tasks leave free, in thousandths.
+func (h *headroom) kept() float64 {
+	return max(headroomFactor*h.peak, headroomShare*float64(h.all)) - float64(h.short)
+}
+
 // measureUrgent brings the headroom up to date before lasting tasks start.
 func (p *Planner) measureUrgent(now time.Time, candidates []*Worker) {
 	h := &p.headroom
@@ -50,7 +55,7 @@
 		h.all += w.Capacity.CPU
 	}
 	for _, w := range p.list {
-		for _, r := range w.runs {
+		for _, r := range w.order {
 			if s := r.task.step; !s.Lasting && !s.Fills {
 				h.short += s.Need.CPU
 			}
@@ -76,8 +81,7 @@
 	if mayHaveRun && now.Sub(t.readyAt) > headroomWait {
 		return true
 	}
-	kept := max(headroomFactor*h.peak, headroomShare*float64(h.all)) - float64(h.short)
-	if float64(h.free-t.step.Need.CPU) < kept {
+	if float64(h.free-t.step.Need.CPU) < h.kept() {
 		return false
 	}
 	h.free -= t.step.Need.CPU
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -119,7 +119,7 @@
 
 // dropUnlisted ends the runs that the worker would list if it had them.
 func (p *Planner) dropUnlisted(w *Worker, sent time.Time, seen map[RunID]bool) {
-	for _, r := range sortedRuns(w) {
+	for _, r := range runsOf(w) {
 		if seen[r.id] {
 			continue
 		}
@@ -151,7 +151,7 @@
 		r.task.checkpoint = s.Checkpoint
 	}
 	r.cpu = s.CPU
-	if r.movedAt.IsZero() || s.Percent != r.percent {
+	if s.Percent != r.percent {
 		r.percent, r.movedAt = s.Percent, now
 	}
 	r.measure(now)
@@ -182,7 +182,7 @@
 		}
 		return nil
 	}
-	r := &run{id: id, task: t, worker: w, state: p.chart.Start(), began: now, pace: 100, wanted: 100}
+	r := &run{id: id, task: t, worker: w, state: p.chart.Start(), began: now, movedAt: now, pace: 100, wanted: 100}
 	p.move(r, "confirm")
 	w.take(r)
 	t.attempt = max(t.attempt, id.Attempt)
@@ -371,7 +371,7 @@
 	if !p.move(r, "confirm") {
 		return
 	}
-	r.began = now
+	r.began, r.movedAt = now, now
 	if r.wanted != 100 {
 		r.paceAt, r.slowedAt = now, now
 		p.commands = append(p.commands, Command{Kind: PaceRun, Run: r.id, WorkerID: r.worker.ID, Percent: r.wanted})
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -82,7 +82,7 @@
 	var best *Worker
 	var lowest float64
 	for _, w := range candidates {
-		if !w.free.Fits(need) || !p.mayShare(t, w) {
+		if !w.free.Fits(need) || !p.mayShare(t, w) || w.isKeptFrom(now, t) {
 			continue
 		}
 		cost, ok := p.cost(now, t, w)
@@ -97,7 +97,7 @@
 // start on w, and that no other run of t is there.
 func (p *Planner) mayShare(t *task, w *Worker) bool {
 	count := 0
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if r.task == t {
 			return false
 		}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -65,7 +65,7 @@
 			p.removeWorker(w, "no answer until every lease has lapsed")
 		case !p.suspects[w.ID] && !w.failedSince.IsZero() && proven.After(w.leaseEnd) && len(w.runs) > 0 && w.answered.Before(w.leaseEnd):
 			p.noteWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s", now.Sub(w.failedSince)))
-			for _, r := range sortedRuns(w) {
+			for _, r := range runsOf(w) {
 				p.endRun(r, "lapse", "lease lapsed")
 			}
 		case w.isGone(now) && len(w.runs) == 0 && !p.suspects[w.ID]:
@@ -92,7 +92,7 @@
 
 func (p *Planner) stopFinal(now time.Time) {
 	for _, w := range p.list {
-		for _, r := range w.runs {
+		for _, r := range w.order {
 			if r.task.step.occurrence.job.state.isFinal() {
 				p.stop(now, r, "job is "+string(r.task.step.occurrence.job.state))
 			}
@@ -112,7 +112,7 @@
 
 func (p *Planner) resendStops(now time.Time) {
 	for _, w := range p.list {
-		for _, r := range w.runs {
+		for _, r := range w.order {
 			if r.state == "stopping" && now.Sub(r.stopSent) > stopInterval {
 				r.stopSent = now
 				p.commands = append(p.commands, Command{Kind: StopRun, Run: r.id, WorkerID: w.ID})
@@ -125,7 +125,7 @@
 // when they would not be done in time.
 func (p *Planner) leave(now time.Time, w *Worker) {
 	leaves := w.drainedAt.Add(w.Remaining)
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if r.state != "running" || !p.hasRoomElsewhere(now, r) {
 			continue
 		}
@@ -155,7 +155,7 @@
 	if !w.failedSince.IsZero() {
 		return
 	}
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		s := r.task.step
 		if r.state == "running" && s.Fills && !s.Gang {
 			p.checkFill(now, r)
@@ -304,10 +304,14 @@
 		if s.Lasting && !p.leavesHeadroom(now, t) {
 			continue
 		}
-		if p.isHopeless(now, t) {
+		if !s.Lasting && p.isHopeless(now, t) {
 			return
 		}
 		w := p.choose(now, t, candidates)
+		if w == nil && s.Lasting {
+			p.reserve(now, t, candidates)
+			continue
+		}
 		if w == nil {
 			p.noteHopeless(now, t)
 			return
@@ -371,7 +375,7 @@
 		if !isLate && !w.isSick(now) && !w.isSlow(now) {
 			continue
 		}
-		for _, r := range sortedRuns(w) {
+		for _, r := range runsOf(w) {
 			t := r.task
 			if !t.step.Speculative || len(t.runs) > 1 || t.done || t.step.occurrence.job.state.isFinal() || now.Before(t.retryAt) {
 				continue
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -87,6 +87,8 @@
 	chart   *interpreter.Chart
 	config  Config
 	jobs    map[string]*job
+	// all has every job in the order in which they came.
+	all     []*job
 	active  []*job
 	workers map[string]*Worker
 	// list has the workers in the order of their ids.
@@ -195,7 +197,7 @@
 }
 
 func (p *Planner) addWorker(w *Worker) {
-	w.free, w.runs = w.Capacity, map[RunID]*run{}
+	w.free, w.runs, w.order = w.Capacity, map[RunID]*run{}, nil
 	p.workers[w.ID] = w
 	at, _ := slices.BinarySearchFunc(p.list, w, func(a, b *Worker) int { return compareStrings(a.ID, b.ID) })
 	p.list = slices.Insert(p.list, at, w)
@@ -262,21 +264,15 @@
 
 func (p *Planner) removeWorker(w *Worker, why string) {
 	p.noteWorker("worker_lost", w, why)
-	for _, r := range sortedRuns(w) {
+	for _, r := range runsOf(w) {
 		p.endRun(r, "lapse", "worker lost: "+why)
 	}
 	delete(p.suspects, w.ID)
 	p.forgetWorker(w)
 }
 
-func sortedRuns(w *Worker) []*run {
-	all := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		all = append(all, r)
-	}
-	slices.SortFunc(all, func(a, b *run) int { return compareRuns(a.id, b.id) })
-	return all
-}
+// runsOf returns a copy of the runs of a worker, for loops that end some.
+func runsOf(w *Worker) []*run { return slices.Clone(w.order) }
 
 // NeedsRecord reports whether the stored list of workers differs from that of
 // the workers which may have runs. A worker gets none before it is stored, and
@@ -332,6 +328,7 @@
 	j.restore(r)
 	j.shown = j.state
 	p.jobs[d.ID] = j
+	p.all = append(p.all, j)
 	if j.state.isFinal() {
 		j.finalAt = now
 		return
@@ -406,7 +403,7 @@
 // Changes returns up to limit jobs whose progress is not committed.
 func (p *Planner) Changes(limit int) []Change {
 	var list []Change
-	for _, j := range p.jobs {
+	for _, j := range p.all {
 		if j.version > j.committed {
 			list = append(list, Change{j.ID, j.version, j.progress()})
 			if len(list) == limit {
@@ -441,12 +438,14 @@
 // forgets them.
 func (p *Planner) Expired(now time.Time) []string {
 	var ids []string
-	for id, j := range p.jobs {
-		if j.state.isFinal() && j.committed == j.version && now.Sub(j.finalAt) > p.options.Keep {
-			ids = append(ids, id)
-			delete(p.jobs, id)
+	p.all = slices.DeleteFunc(p.all, func(j *job) bool {
+		isOld := j.state.isFinal() && j.committed == j.version && now.Sub(j.finalAt) > p.options.Keep
+		if isOld {
+			ids = append(ids, j.ID)
+			delete(p.jobs, j.ID)
 		}
-	}
+		return isOld
+	})
 	return ids
 }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -478,3 +479,46 @@
 	d.add(job("short again", step(4, 1)))
 	d.Assert(d.starts(), quicktest.HasLen, 4)
 }
+
+// TestReservation guards against a lasting task that never finds room again:
+// the free processors are enough all the time, but short tasks take each part of
+// a worker as soon as it is free.
+func TestReservation(t *testing.T) {
+	var workers []planner.Worker
+	for i := range 20 {
+		w := worker("w", 11)
+		w.ID = fmt.Sprintf("w%02d", i)
+		w.Address = netip.AddrPortFrom(w.Address.Addr(), uint16(80+i))
+		workers = append(workers, w)
+	}
+	d := newDesk(t, 1, workers...).ready()
+	// Their estimate is long, so that none counts as standing still.
+	short := func(count int) planner.Step {
+		s := step(count, 4)
+		s.Estimate = time.Hour
+		return s
+	}
+	lasting := step(1, 8)
+	lasting.Lasting = true
+	d.add(job("lasting", lasting))
+	first := d.starts()
+	d.Assert(first, quicktest.HasLen, 1)
+	d.add(job("short", short(38)))
+	running := d.starts()
+	d.Assert(running, quicktest.HasLen, 38)
+	d.end(first[0], planner.EndFailed)
+	d.add(job("next", short(2)))
+	running = append(running, d.starts()...)
+	d.Assert(running, quicktest.HasLen, 40)
+	for i := 0; ; i++ {
+		d.Assert(i < 80, quicktest.IsTrue, quicktest.Commentf("%s", d.p.Explain(d.now, "lasting")))
+		d.pass(200 * time.Millisecond)
+		d.end(running[0], planner.EndDone)
+		d.add(job(fmt.Sprint("more", i), short(1)))
+		next := d.starts()
+		if slices.ContainsFunc(next, func(o planner.Command) bool { return o.Run.Job == "lasting" }) {
+			return
+		}
+		running = append(running[1:], next...)
+	}
+}
--- /dev/null
+++ b/internal/planner/reserve.go
@@ -0,0 +1,70 @@
+package planner
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// reserveAfter is how long a lasting task waits for a place before a worker
+	// is kept free for it, and reserveTime for how long that is at most.
+	reserveAfter = 1500 * time.Millisecond
+	reserveTime  = 6 * time.Second
+	// reserveFactor is how many times the processors that the task needs must be
+	// free, over all workers and besides the headroom.
+	reserveFactor = 2
+)
+
+// reservation keeps the processors of a worker for a task that is too large for
+// what short tasks leave at any one time.
+type reservation struct {
+	task  *task
+	since time.Time
+}
+
+// isKeptFrom reports whether a worker is kept for another task than t. Filling
+// tasks take no processors, so they may go there.
+func (w *Worker) isKeptFrom(now time.Time, t *task) bool {
+	r := w.reserved
+	if r.task == nil || r.task == t || t.step.Fills {
+		return false
+	}
+	isOver := r.task.done || len(r.task.runs) > 0 || r.task.step.occurrence.job.state.isFinal() || now.Sub(r.since) > reserveTime
+	if isOver {
+		w.reserved = reservation{}
+	}
+	return !isOver
+}
+
+// reserve keeps the worker for a lasting task on which it will fit soonest: that
+// with the most processors besides what lasting tasks hold. It does nothing when
+// the task has a worker, has not waited for long, or fits nowhere.
+func (p *Planner) reserve(now time.Time, t *task, candidates []*Worker) {
+	// On a full fleet a kept worker would be taken from short work.
+	if now.Sub(t.readyAt) < reserveAfter || float64(p.headroom.free)-p.headroom.kept() < reserveFactor*float64(t.step.Need.CPU) {
+		return
+	}
+	if slices.ContainsFunc(p.list, func(w *Worker) bool { return w.reserved.task == t && now.Sub(w.reserved.since) <= reserveTime }) {
+		return
+	}
+	var best *Worker
+	var most int64
+	for _, w := range candidates {
+		if w.isKeptFrom(now, t) || !p.mayShare(t, w) || slices.Contains(t.avoid, w.ID) {
+			continue
+		}
+		room := w.free
+		for _, r := range w.order {
+			if s := r.task.step; !s.Lasting && !s.Fills {
+				room = room.plus(s.reserved())
+			}
+		}
+		if room.Fits(t.step.reserved()) && room.CPU > most {
+			best, most = w, room.CPU
+		}
+	}
+	if best != nil {
+		best.reserved = reservation{t, now}
+		p.noteWorker("worker_kept", best, "for "+t.id.String())
+	}
+}
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -52,6 +53,9 @@
 	// overuse is the share of the processors by which a task may use more than
 	// its pace before the pace is sent again.
 	overuse = 0.25
+	// leastSlope is what ten cores of any image do at least: many tasks that
+	// hardly disturb do so together.
+	leastSlope = 0.015
 	// leastRise is the rise that counts as a disturbance at all.
 	leastRise = 0.02
 	// priorSlope is by how much ten cores of an unknown image raise the
@@ -129,11 +133,11 @@
 }
 
 // slope is the rise of the logarithm for ten cores of an image.
-func (m *model) slope(image string) float64 { return max(0, m.coefficients[m.slot(image)]) }
+func (m *model) slope(image string) float64 { return max(leastSlope, m.coefficients[m.slot(image)]) }
 
 // observe updates the fit with one tail beside the given cores by image.
 func (m *model) observe(beside map[string]float64, tail float64) {
-	for image := range beside {
+	for _, image := range slices.Sorted(maps.Keys(beside)) {
 		m.slot(image)
 	}
 	n := len(m.coefficients)
@@ -170,7 +174,7 @@
 // beside sums the cores that filling tasks use on a worker by image.
 func beside(w *Worker) map[string]float64 {
 	sum := map[string]float64{}
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if r.task.step.Fills && r.state != "starting" {
 			sum[r.task.step.Image] += float64(r.cpu) / 1000
 		}
@@ -185,7 +189,7 @@
 	}
 	w.observedAt = now
 	var around map[string]float64
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if r.task.step.LatencyTarget == 0 || r.tailAt != now {
 			continue
 		}
@@ -202,7 +206,7 @@
 	m := s.model(v.task.step.Image)
 	base := m.coefficients[0]
 	measured, expected := 0.0, 0.0
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if !r.task.step.Fills {
 			continue
 		}
@@ -252,7 +256,7 @@
 // more, and the filling tasks that disturb it there.
 func (s *sharer) companyCost(w *Worker, st *step) float64 {
 	cost, lasting := 0.0, 0
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if r.task.step.LatencyTarget == 0 {
 			continue
 		}
@@ -265,8 +269,9 @@
 		cost += emptyCost
 	}
 	m := s.model(st.Image)
-	for image, cores := range beside(w) {
-		cost += m.slope(image) * cores / cpuUnit
+	around := beside(w)
+	for _, image := range slices.Sorted(maps.Keys(around)) {
+		cost += m.slope(image) * around[image] / cpuUnit
 	}
 	return cost
 }
@@ -277,7 +282,7 @@
 	m, n := s.model(a), s.model(b)
 	both, each := 0.0, 0.0
 	known := 0
-	for image := range m.index {
+	for _, image := range slices.Sorted(maps.Keys(m.index)) {
 		if _, ok := n.index[image]; !ok {
 			continue
 		}
@@ -307,7 +312,7 @@
 func (s *sharer) victimsOf(now time.Time, w *Worker) []victim {
 	if w.victims == nil {
 		w.victims = []victim{}
-		for _, r := range w.runs {
+		for _, r := range w.order {
 			if r.task.step.LatencyTarget > 0 {
 				w.victims = append(w.victims, victim{r, s.model(r.task.step.Image), s.level(now, w, r)})
 			}
@@ -322,9 +327,7 @@
 func (s *sharer) harm(now time.Time, w *Worker, st *step, cores float64) float64 {
 	sum := 0.0
 	for _, v := range s.victimsOf(now, w) {
-		if rise := v.rise(st, cores); rise > leastRise {
-			sum += chanceOver(v.level+rise) - chanceOver(v.level)
-		}
+		sum += chanceOver(v.level+v.rise(st, cores)) - chanceOver(v.level)
 	}
 	return sum
 }
@@ -355,7 +358,8 @@
 	// While a lasting task is over its target, its model is of no use: what the
 	// tasks beside it do is more than was expected.
 	for _, v := range s.victimsOf(now, w) {
-		if !v.run.since.IsZero() && v.rise(t.step, cores) > leastRise {
+		over := v.run.since
+		if !over.IsZero() && (now.Sub(over) > settleTime || v.rise(t.step, cores) > leastRise) {
 			harm++
 		}
 	}
@@ -375,7 +379,7 @@
 
 func (p *Planner) paceWorker(now time.Time, w *Worker) {
 	var fills []*run
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if r.task.step.Fills && r.state == "running" {
 			fills = append(fills, r)
 		}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -222,6 +222,11 @@
 	// free is the capacity that no run has reserved.
 	free Resources
 	runs map[RunID]*run
+	// order has the same runs in the order in which they came, so that decisions
+	// don't depend on the order of a map.
+	order []*run
+	// reserved is what the worker is kept free for.
+	reserved reservation
 	// hasStrangers is set when the worker lists runs of unknown jobs; what they
 	// take is not known, so nothing starts there.
 	hasStrangers bool
@@ -267,6 +272,7 @@
 // take reserves the capacity of a run.
 func (w *Worker) take(r *run) {
 	w.runs[r.id] = r
+	w.order = append(w.order, r)
 	w.free = w.free.minus(r.task.step.reserved())
 	if r.task.step.Fills {
 		w.fillLoad += r.task.step.Need.CPU
@@ -280,6 +286,7 @@
 		return
 	}
 	delete(w.runs, r.id)
+	w.order = slices.DeleteFunc(w.order, func(o *run) bool { return o == r })
 	w.free = w.free.plus(r.task.step.reserved())
 	if r.task.step.Fills {
 		w.fillLoad -= r.task.step.Need.CPU
