--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -227,6 +227,23 @@
 	d.Assert(d.p.Contacts(d.now)[0].Acknowledge, quicktest.Equals, uint64(1))
 }
 
+// TestEndsOfOtherJobsWait guards against an end that is acknowledged by the commit
+// of another job whose task ended later on the same worker.
+func TestEndsOfOtherJobsWait(t *testing.T) {
+	d := newDesk(t, 1, worker("a", 8)).ready()
+	d.add(job("1", step(1, 1)))
+	d.add(job("2", step(1, 1)))
+	for _, o := range d.starts() {
+		d.end(o, planner.EndDone)
+	}
+	changes := d.p.Changes(2)
+	d.Assert(changes, quicktest.HasLen, 2)
+	d.p.Committed(changes[1:])
+	d.Assert(d.p.Contacts(d.now)[0].Acknowledge, quicktest.Equals, uint64(0))
+	d.p.Committed(changes[:1])
+	d.Assert(d.p.Contacts(d.now)[0].Acknowledge, quicktest.Equals, uint64(2))
+}
+
 // TestFailures guards against a failure that counts twice when it is listed
 // again, and against attempts beyond those that the queue allows.
 func TestFailures(t *testing.T) {
