Take lost workers off the stored list once their runs have lapsed

Change: a worker without runs that has not answered for a second is taken off the list; it gets no task before it is stored again. Ruled out: a shorter horizon. Test: TestLostWorkerIsStoredNoMore fails without it.

--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -119,10 +119,10 @@
 
 // recordWorkers stores which workers may have runs before they get any.
 func (c *Conductor) recordWorkers(ctx context.Context, now time.Time) {
-	if c.recording || now.Before(c.commitAt) || !c.planner.NeedsRecord() {
+	if c.recording || now.Before(c.commitAt) || !c.planner.NeedsRecord(now) {
 		return
 	}
-	list := c.planner.Recorded()
+	list := c.planner.Recorded(now)
 	value, err := cbor.Marshal(list)
 	if err != nil {
 		c.options.Log.Error().Err(err).Msg("conductor: list of workers not encoded")
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -25,7 +25,7 @@
 		workers = append(workers, w)
 	}
 	p.SetWorkers(now, workers)
-	p.SetRecorded(p.Recorded())
+	p.SetRecorded(p.Recorded(now))
 	lasting := step(300, 13)
 	lasting.Lasting, lasting.LatencyTarget, lasting.Image = true, 50*time.Millisecond, "serving"
 	for _, w := range workers {
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -109,6 +109,7 @@
 	w.fenced, w.lookedAt = true, now
 	if p.suspects[w.ID] && !l.IsPartial {
 		delete(p.suspects, w.ID)
+		w.suspected = false
 	}
 	if !l.IsPartial {
 		p.dropUnlisted(w, l.Sent, seen)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -190,7 +190,7 @@
 
 // Suspect adds a worker on which an earlier owner may have started tasks.
 func (p *Planner) Suspect(w Worker) {
-	w.recorded = true
+	w.recorded, w.suspected = true, true
 	p.addWorker(&w)
 	p.suspects[w.ID] = true
 	p.hasSuspected = true
@@ -277,16 +277,16 @@
 // NeedsRecord reports whether the stored list of workers differs from that of
 // the workers which may have runs. A worker gets none before it is stored, and
 // one that stays stored would hold up a successor, which can't ask it.
-func (p *Planner) NeedsRecord() bool {
-	return p.isRecordStale || slices.ContainsFunc(p.list, func(w *Worker) bool { return w.recorded != w.mayHaveRuns() })
+func (p *Planner) NeedsRecord(now time.Time) bool {
+	return p.isRecordStale || slices.ContainsFunc(p.list, func(w *Worker) bool { return w.recorded != w.mayHaveRuns(now) })
 }
 
 // Recorded returns the workers to store: those listed and those that may still
 // have runs.
-func (p *Planner) Recorded() []Worker {
+func (p *Planner) Recorded(now time.Time) []Worker {
 	var list []Worker
 	for _, w := range p.list {
-		if !w.mayHaveRuns() {
+		if !w.mayHaveRuns(now) {
 			continue
 		}
 		list = append(list, Worker{ID: w.ID, Born: w.Born, Address: w.Address, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity})
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -42,7 +42,7 @@
 // ready makes the workers known, recorded and looked at.
 func (d *desk) ready() *desk {
 	d.p.SetWorkers(d.now, d.workers)
-	d.p.SetRecorded(d.p.Recorded())
+	d.p.SetRecorded(d.p.Recorded(d.now))
 	for _, w := range d.workers {
 		d.look(w.ID)
 	}
@@ -160,8 +160,8 @@
 	d.look("a")
 	d.add(job("1", step(1, 1)))
 	d.Assert(d.starts(), quicktest.HasLen, 0)
-	d.Assert(d.p.NeedsRecord(), quicktest.IsTrue)
-	d.p.SetRecorded(d.p.Recorded())
+	d.Assert(d.p.NeedsRecord(d.now), quicktest.IsTrue)
+	d.p.SetRecorded(d.p.Recorded(d.now))
 	d.Assert(d.starts(), quicktest.HasLen, 1)
 }
 
@@ -169,12 +169,12 @@
 // worker which left long before.
 func TestGoneWorkerIsStoredNoMore(t *testing.T) {
 	d := newDesk(t, 1, worker("a", 8), worker("b", 8)).ready()
-	d.Assert(d.p.NeedsRecord(), quicktest.IsFalse)
+	d.Assert(d.p.NeedsRecord(d.now), quicktest.IsFalse)
 	d.p.SetWorkers(d.now, d.workers[:1])
 	d.pass(3 * time.Second)
 	d.starts()
-	d.Assert(d.p.NeedsRecord(), quicktest.IsTrue)
-	d.Assert(d.p.Recorded(), quicktest.HasLen, 1)
+	d.Assert(d.p.NeedsRecord(d.now), quicktest.IsTrue)
+	d.Assert(d.p.Recorded(d.now), quicktest.HasLen, 1)
 }
 
 // TestLeavingWorkerIsStoredNoMore guards against a successor that waits for a
@@ -187,12 +187,33 @@
 	d.workers[0].Draining, d.workers[1].Draining = true, true
 	d.p.SetWorkers(d.now, d.workers)
 	for _, o := range starts {
-		d.Assert(d.p.NeedsRecord(), quicktest.IsFalse)
+		d.Assert(d.p.NeedsRecord(d.now), quicktest.IsFalse)
 		d.end(o, planner.EndDone)
-		d.Assert(d.p.NeedsRecord(), quicktest.IsTrue)
-		d.p.SetRecorded(d.p.Recorded())
+		d.Assert(d.p.NeedsRecord(d.now), quicktest.IsTrue)
+		d.p.SetRecorded(d.p.Recorded(d.now))
 	}
-	d.Assert(d.p.Recorded(), quicktest.HasLen, 0)
+	d.Assert(d.p.Recorded(d.now), quicktest.HasLen, 0)
+}
+
+// TestLostWorkerIsStoredNoMore guards against a successor that waits for a worker
+// whose runs the owner had already taken for lapsed.
+func TestLostWorkerIsStoredNoMore(t *testing.T) {
+	d := newDesk(t, 1, worker("a", 8), worker("b", 8)).ready()
+	d.add(job("1", step(1, 1)))
+	start := d.starts()[0]
+	d.p.Leased(start.WorkerID, d.now.Add(6*time.Second))
+	d.p.Unanswered(d.now, start.WorkerID)
+	d.pass(5 * time.Second)
+	d.starts()
+	d.Assert(d.p.NeedsRecord(d.now), quicktest.IsFalse, quicktest.Commentf("the run may still be there"))
+	d.pass(2 * time.Second)
+	d.starts()
+	d.Assert(d.p.NeedsRecord(d.now), quicktest.IsTrue)
+	d.p.SetRecorded(d.p.Recorded(d.now))
+	d.Assert(d.p.Recorded(d.now), quicktest.HasLen, 1)
+	d.running[start.WorkerID] = nil
+	d.look(start.WorkerID)
+	d.Assert(d.p.NeedsRecord(d.now), quicktest.IsTrue, quicktest.Commentf("it may get tasks again"))
 }
 
 // TestSteps guards against a step that starts before its predecessors are done.
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -216,6 +216,9 @@
 	missingSince time.Time
 	// fenced is set when the worker has answered a call of this owner.
 	fenced bool
+	// suspected is set until the worker has answered this owner, if an earlier
+	// one may have started tasks there.
+	suspected bool
 	// recorded is set when the store has the worker in the list of those that
 	// may run tasks.
 	recorded bool
@@ -265,9 +268,23 @@
 	return !w.listed && !w.missingSince.IsZero() && now.Sub(w.missingSince) > missingLimit
 }
 
+// lostAfter is how long a worker without runs leaves calls unanswered before it
+// is taken off the stored list, until it answers again.
+const lostAfter = time.Second
+
 // mayHaveRuns reports whether the worker has runs or may get some. One that
-// leaves gets none any more, so it need not be known to a successor.
-func (w *Worker) mayHaveRuns() bool { return !w.Draining || len(w.runs) > 0 || !w.fenced }
+// leaves, or is lost and its runs with it, gets none, so it need not be known to
+// a successor, which would have to wait for its answer.
+func (w *Worker) mayHaveRuns(now time.Time) bool {
+	switch {
+	case len(w.runs) > 0 || w.suspected || !w.fenced:
+		return true
+	case !w.failedSince.IsZero() && now.Sub(w.failedSince) > lostAfter:
+		return false
+	default:
+		return !w.Draining
+	}
+}
 
 // take reserves the capacity of a run.
 func (w *Worker) take(r *run) {
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -60,8 +60,8 @@
 	if !isReachable || w.now.Before(o.commitAt) {
 		return
 	}
-	if p.NeedsRecord() {
-		w.recorded = p.Recorded()
+	if p.NeedsRecord(w.now) {
+		w.recorded = p.Recorded(w.now)
 		p.SetRecorded(w.recorded)
 	}
 	if changes := p.Changes(15); len(changes) > 0 {
