Split the long files; remove settings that nothing reads; one copy of waiting

The times of stops and paces, the slowdown away from the data and the flag of self-guarding services were decoded and never used.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -6,7 +6,6 @@
 
 	"github.com/pkg/errors"
 
-	"tarragonhead.example/tarragonhead/internal/interpreter"
 	"tarragonhead.example/tarragonhead/internal/planner"
 )
 
@@ -24,8 +23,6 @@
 	lookPartial = 500
 )
 
-func eventOf(s string) interpreter.Event { return interpreter.Event(s) }
-
 // session is what an owner knows of the calls to one worker.
 type session struct {
 	looking bool
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -65,7 +65,6 @@
 	// Self is this daemon's name, and Address where peers ask it.
 	Self    string
 	Address netip.AddrPort
-	Domain  string
 	Store   storeclient.PrefixStore
 	Workers WorkerCalls
 	// Discover follows the list of workers and passes it to SetWorkers until
@@ -92,92 +91,14 @@
 // Limits are the platform's times that decisions need.
 type Limits struct {
 	// MaxLease is the longest lease of a run.
-	MaxLease time.Duration
-	// StopTime is the longest time that a worker takes to stop a run.
-	StopTime       time.Duration
-	PaceDelay      time.Duration
+	MaxLease       time.Duration
 	ViolationLimit time.Duration
-	RemoteSlowdown float64
 	// KeepStates is how long the state of a finished job stays readable.
 	KeepStates time.Duration
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
 }
 
-// In the orders below, Epoch is the fencing token and Deadline is the end of a
-// lease on the worker's clock; zero leaves the lease as it is.
-type (
-	// StartOrder starts a run.
-	StartOrder struct {
-		Run        planner.RunID
-		Payload    string
-		Checkpoint string
-		Deadline   time.Duration
-		Epoch      int64
-	}
-	// StopOrder stops a run, now or before it begins.
-	StopOrder struct {
-		Run   planner.RunID
-		Epoch int64
-	}
-	// PaceOrder sets the share at which a run works.
-	PaceOrder struct {
-		Run     planner.RunID
-		Percent int
-		Epoch   int64
-	}
-	// LookOrder asks what a worker runs and renews its leases.
-	LookOrder struct {
-		Epoch       int64
-		Acknowledge uint64
-		Deadline    time.Duration
-		// Wait is how long the worker may wait for an end before it answers.
-		Wait time.Duration
-	}
-)
-
-// LookAnswer is what a worker lists, with its clock.
-type LookAnswer struct {
-	planner.Look
-	// Clock is the worker's clock, which starts with its process.
-	Clock time.Duration
-	// Born is the start of the worker's process, zero if it doesn't say.
-	Born int64
-}
-
-// WorkerCalls are the calls to a worker. Each is safe for concurrent use. Errors
-// are RefusedError where the worker answered that it did nothing,
-// FencedError, OtherProcessError, and any other error where nothing is known.
-type WorkerCalls struct {
-	Start func(ctx context.Context, w planner.Worker, o StartOrder) error
-	Stop  func(ctx context.Context, w planner.Worker, o StopOrder) error
-	Pace  func(ctx context.Context, w planner.Worker, o PaceOrder) error
-	Look  func(ctx context.Context, w planner.Worker, o LookOrder) (LookAnswer, error)
-}
-
-// RefusedError reports an order that the worker refused without doing anything.
-type RefusedError struct {
-	Reason string
-	// IsSick is set when the refusal tells that the worker is not well.
-	IsSick bool
-}
-
-func (e *RefusedError) Error() string { return "worker refused: " + e.Reason }
-
-// FencedError reports an order with an epoch lower than the worker has seen.
-type FencedError struct{ Worker string }
-
-func (e *FencedError) Error() string {
-	return fmt.Sprintf("worker %s has seen a higher epoch", e.Worker)
-}
-
-// OtherProcessError reports that another process than the intended one answered.
-type OtherProcessError struct{ Worker string }
-
-func (e *OtherProcessError) Error() string {
-	return fmt.Sprintf("another process answered for worker %s", e.Worker)
-}
-
 // NotOwnerError reports a question to a daemon that doesn't own the shard.
 type NotOwnerError struct {
 	Shard string
@@ -421,118 +342,3 @@
 	}
 	return netip.AddrPort{}
 }
-
-// ServeQuestion answers a peer's question.
-func (c *Conductor) ServeQuestion(ctx context.Context, q Question) (Reply, error) {
-	var r Reply
-	var err error
-	switch q.Kind {
-	case AskState:
-		r.Answer, err = c.JobState(ctx, q.Job)
-	case AskCancel:
-		r.Answer, err = c.Cancel(ctx, q.Job)
-	case AskPending:
-		r.Pending, err = c.Pending(ctx)
-	case AskAlive:
-		_, err = ask(ctx, c, func(reply func(bool, error)) { reply(true, nil) })
-	default:
-		err = &QuestionError{q.Kind}
-	}
-	return r, err
-}
-
-// QuestionKind says what a question asks for.
-type QuestionKind string
-
-// The kinds of questions.
-const (
-	AskState   QuestionKind = "state"
-	AskCancel  QuestionKind = "cancel"
-	AskPending QuestionKind = "pending"
-	// AskAlive asks whether the daemon still takes itself for the owner.
-	AskAlive QuestionKind = "alive"
-)
-
-// Question is what a daemon asks the owner of a shard.
-type Question struct {
-	Kind QuestionKind `cbor:"kind"`
-	// Shard names the shard that is asked.
-	Shard string `cbor:"shard"`
-	// Job is the id of the job that the question is about, if any.
-	Job string `cbor:"job,omitempty"`
-}
-
-// Reply answers a question.
-type Reply struct {
-	Answer Answer `cbor:"answer"`
-	// Pending has the jobs without a started task by queue.
-	Pending map[string]int `cbor:"pending,omitempty"`
-}
-
-// QuestionError reports a question of an unknown kind.
-type QuestionError struct{ Kind QuestionKind }
-
-func (e *QuestionError) Error() string { return "unknown question " + string(e.Kind) }
-
-// JobState returns the state of a job.
-func (c *Conductor) JobState(ctx context.Context, id string) (Answer, error) {
-	return ask(ctx, c, func(reply func(Answer, error)) {
-		state, ok := c.planner.JobState(id)
-		reply(Answer{state, ok}, nil)
-	})
-}
-
-// Pending returns the accepted jobs without a started task by queue.
-func (c *Conductor) Pending(ctx context.Context) (map[string]int, error) {
-	return ask(ctx, c, func(reply func(map[string]int, error)) { reply(c.planner.Pending(), nil) })
-}
-
-// Cancel cancels a job; it returns once that is stored.
-func (c *Conductor) Cancel(ctx context.Context, id string) (Answer, error) {
-	return ask(ctx, c, func(reply func(Answer, error)) {
-		if !c.planner.Cancel(c.options.Now(), id) {
-			reply(Answer{}, nil)
-			return
-		}
-		if state, _ := c.planner.JobState(id); state == planner.Done || state == planner.Failed || state == planner.Cancelled {
-			reply(Answer{state, true}, nil)
-			return
-		}
-		c.cancels[id] = append(c.cancels[id], func(ok bool, err error) { reply(Answer{planner.Cancelled, ok}, err) })
-	})
-}
-
-// ask runs a question on the control goroutine of an owner and waits for the
-// reply.
-func ask[T any](ctx context.Context, c *Conductor, question func(reply func(T, error))) (T, error) {
-	type result struct {
-		value T
-		err   error
-	}
-	answered := make(chan result, 1)
-	reply := func(v T, err error) {
-		select {
-		case answered <- result{v, err}:
-		default:
-		}
-	}
-	c.post(ctx, func() {
-		if c.role != "owning" {
-			var none T
-			reply(none, &NotOwnerError{c.options.Shard, c.owner.Address})
-			return
-		}
-		question(reply)
-	})
-	select {
-	case r := <-answered:
-		return r.value, r.err
-	case <-c.ended:
-		// A daemon that is stopping still serves its clients' connections.
-		var none T
-		return none, &NotOwnerError{Shard: c.options.Shard}
-	case <-ctx.Done():
-		var none T
-		return none, ctx.Err()
-	}
-}
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -169,7 +169,7 @@
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 	var c *conductor.Conductor
 	c, err := conductor.New(conductor.Options{
-		Shard: "0", Self: fmt.Sprint("daemon", port), Address: address, Domain: "domain", Store: s.store(port), Workers: s.pool.calls(),
+		Shard: "0", Self: fmt.Sprint("daemon", port), Address: address, Store: s.store(port), Workers: s.pool.calls(),
 		Discover: func(ctx context.Context) {
 			c.SetWorkers(ctx, []planner.Worker{{ID: "w", Address: address, Service: "service", Domain: "domain", Rack: "rack", Capacity: planner.Resources{CPU: 64000, Memory: 1000}}}, nil)
 		},
@@ -182,7 +182,7 @@
 			}
 			return other.ServeQuestion(ctx, q)
 		},
-		Limits: conductor.Limits{MaxLease: time.Second, StopTime: time.Second, ViolationLimit: time.Minute, KeepStates: time.Minute},
+		Limits: conductor.Limits{MaxLease: time.Second, ViolationLimit: time.Minute, KeepStates: time.Minute},
 		Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, Registry: prometheus.NewRegistry(),
 		Now: time.Now, WallTime: func(t time.Time) time.Time { return t },
 	})
--- /dev/null
+++ b/internal/conductor/load.go
@@ -0,0 +1,157 @@
+package conductor
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/follower"
+	"tarragonhead.example/tarragonhead/internal/planner"
+	"tarragonhead.example/tarragonhead/internal/storeclient"
+	"tarragonhead.example/tarragonhead/internal/waiter"
+)
+
+// keepWhileLoading renews the lease until the planner exists.
+func (c *Conductor) keepWhileLoading(ctx context.Context) {
+	id := c.lease.id
+	c.background.Go(func() {
+		for waiter.Wait(ctx, keepInterval) {
+			done := make(chan bool, 1)
+			c.post(ctx, func() { done <- c.role != "loading" || c.lease.id != id })
+			select {
+			case isOver := <-done:
+				if isOver {
+					return
+				}
+			case <-ctx.Done():
+				return
+			}
+			bounded, cancel := context.WithTimeout(ctx, storeTimeout)
+			if err := c.options.Store.KeepAlive(bounded, id); err != nil {
+				c.options.Log.Warn().Err(err).Msg("conductor: lease not renewed")
+			}
+			cancel()
+		}
+	})
+}
+
+// loading is what a new owner reads.
+type loading struct {
+	jobs     []storeclient.Entry
+	progress map[string]storeclient.Entry
+	workers  storeclient.Entry
+}
+
+func (c *Conductor) read(ctx context.Context) (loading, error) {
+	l := loading{progress: map[string]storeclient.Entry{}}
+	list, _, err := c.options.Store.Range(ctx, c.keys.prefix()+"progress/")
+	if err != nil {
+		return l, err
+	}
+	for _, e := range list {
+		l.progress[strings.TrimPrefix(e.Key, c.keys.prefix()+"progress/")] = e
+	}
+	l.workers, err = c.options.Store.Get(ctx, c.keys.workers())
+	var missing *storeclient.NotFoundError
+	if err != nil && !errors.As(err, &missing) {
+		return l, err
+	}
+	l.jobs, _, err = c.options.Store.Range(ctx, c.keys.jobs())
+	return l, err
+}
+
+// loaded makes the planner from what the store has.
+func (c *Conductor) loaded(ctx context.Context, l loading) {
+	if c.role != "loading" {
+		return
+	}
+	now := c.options.Now()
+	limits := c.options.Limits
+	lapse := time.Duration(float64(limits.MaxLease) / (1 - clockError))
+	p, err := planner.New(planner.Options{
+		Epoch: c.epoch, Horizon: horizon, ViolationLimit: limits.ViolationLimit,
+		Keep: limits.KeepStates, WallTime: c.options.WallTime,
+		BlockedUntil: now.Add(horizon + lapse), Note: c.note,
+	})
+	if err != nil {
+		c.options.Log.Error().Err(err).Msg("conductor: planner")
+		c.lose("no planner")
+		return
+	}
+	p.SetConfig(c.config)
+	p.SetEmptied(c.emptied)
+	clear(c.revisions)
+	if l.workers.Revision > 0 {
+		c.revisions[c.keys.workers()] = l.workers.Revision
+		var suspects []planner.Worker
+		if err := cbor.Unmarshal(l.workers.Value, &suspects); err != nil {
+			c.options.Log.Error().Err(err).Msg("conductor: list of workers can't be read")
+		}
+		for _, w := range suspects {
+			p.Suspect(w)
+		}
+	}
+	c.planner = p
+	for id, e := range l.progress {
+		c.revisions[c.keys.progress(id)] = e.Revision
+	}
+	for _, e := range l.jobs {
+		c.addJob(now, e, l.progress)
+	}
+	if !c.move("loaded") {
+		c.planner = nil
+		return
+	}
+	c.metrics.isOwner.Set(1)
+	c.options.Log.Info().Int64("epoch", c.epoch).Int("jobs", len(l.jobs)).Int("suspects", p.SuspectCount()).Msg("conductor: shard loaded")
+	c.passWorkers()
+	c.followJobs(ctx)
+}
+
+func (c *Conductor) addJob(now time.Time, e storeclient.Entry, progress map[string]storeclient.Entry) {
+	id := strings.TrimPrefix(e.Key, c.keys.jobs())
+	d, err := planner.Decode[planner.Job](e.Value)
+	if err == nil {
+		err = d.Check()
+	}
+	if err != nil || d.ID != id {
+		c.options.Log.Error().Str("job", id).Err(err).Msg("conductor: job record can't be used")
+		return
+	}
+	var r planner.Progress
+	if stored, ok := progress[id]; ok {
+		if r, err = planner.Decode[planner.Progress](stored.Value); err != nil {
+			c.options.Log.Error().Str("job", id).Err(err).Msg("conductor: progress record can't be used")
+			return
+		}
+	}
+	c.planner.AddJob(now, d, r)
+}
+
+// followJobs watches for accepted jobs as long as this daemon is the owner in
+// this epoch.
+func (c *Conductor) followJobs(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	epoch := c.epoch
+	f := follower.New(follower.Options{
+		Store: c.options.Store, Prefix: c.keys.jobs(), Wait: jobsWait, Now: c.options.Now,
+		Changed: func(events []storeclient.Event) {
+			c.post(ctx, func() {
+				if c.role != "owning" || c.epoch != epoch {
+					cancel()
+					return
+				}
+				for _, e := range events {
+					if !e.Removed {
+						c.addJob(c.options.Now(), e.Entry, nil)
+					}
+				}
+			})
+		},
+	})
+	c.stopFollowing = cancel
+	c.background.Go(func() { f.Run(ctx) })
+}
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -4,15 +4,15 @@
 	"context"
 	"hash/fnv"
 	"net/netip"
-	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/follower"
-	"tarragonhead.example/tarragonhead/internal/planner"
+	"tarragonhead.example/tarragonhead/internal/interpreter"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
+	"tarragonhead.example/tarragonhead/internal/waiter"
 )
 
 const (
@@ -42,68 +42,6 @@
 	jobsWait = 5 * time.Second
 )
 
-// ownersPrefix has the owner of each shard, and RoomsPrefix the room that each
-// owner has announced.
-const (
-	ownersPrefix = "th/owner/"
-	RoomsPrefix  = "th/room/"
-)
-
-// keys are the keys of a shard in the store.
-type keys struct{ shard string }
-
-func (k keys) prefix() string  { return "th/" + k.shard + "/" }
-func (k keys) owner() string   { return ownersPrefix + k.shard }
-func (k keys) room() string    { return RoomsPrefix + k.shard }
-func (k keys) head() string    { return k.prefix() + "head" }
-func (k keys) workers() string { return k.prefix() + "workers" }
-func (k keys) jobs() string    { return k.prefix() + "job/" }
-
-func (k keys) progress(id string) string { return k.prefix() + "progress/" + id }
-
-// JobKey is where an accepted job of a shard is stored.
-func JobKey(shard, id string) string { return keys{shard}.jobs() + id }
-
-// IndexKey is the key that makes a job's id unique; it holds the job's shard.
-func IndexKey(id string) string { return "th/id/" + id }
-
-// OwnerKey is where the owner of a shard is stored.
-func OwnerKey(shard string) string { return keys{shard}.owner() }
-
-// ownerRecord says who owns a shard.
-type ownerRecord struct {
-	Name    string         `cbor:"name"`
-	Address netip.AddrPort `cbor:"address"`
-	Epoch   int64          `cbor:"epoch"`
-}
-
-// headRecord outlives every owner.
-type headRecord struct {
-	Epoch int64 `cbor:"epoch"`
-}
-
-// DecodeOwner returns the address of the owner in an entry.
-func DecodeOwner(value []byte) (netip.AddrPort, error) {
-	var r ownerRecord
-	err := cbor.Unmarshal(value, &r)
-	return r.Address, errors.Wrap(err, "owner record")
-}
-
-// Room is what the owner of a shard announces of its workers.
-type Room struct {
-	// FreeCPU is the processors that no run has reserved, in thousandths.
-	FreeCPU int64 `cbor:"free_cpu"`
-	// Workers is how many workers may get tasks.
-	Workers int `cbor:"workers"`
-}
-
-// DecodeRoom reads an announced room, and the name of its shard from the key.
-func DecodeRoom(e storeclient.Entry) (string, Room, error) {
-	var r Room
-	err := cbor.Unmarshal(e.Value, &r)
-	return strings.TrimPrefix(e.Key, RoomsPrefix), r, errors.Wrap(err, "room record")
-}
-
 type leaseState struct {
 	id      storeclient.LeaseID
 	keptAt  time.Time
@@ -111,7 +49,7 @@
 }
 
 func (c *Conductor) move(event string) bool {
-	next, err := c.chart.Next(c.role, eventOf(event))
+	next, err := c.chart.Next(c.role, interpreter.Event(event))
 	if err != nil {
 		c.options.Log.Debug().Str("role", string(c.role)).Str("event", event).Msg("conductor: event ignored")
 		return false
@@ -292,7 +230,7 @@
 				return
 			}
 			c.options.Log.Warn().Err(err).Msg("conductor: shard not read")
-			if !pause(ctx, commitRetry) {
+			if !waiter.Wait(ctx, commitRetry) {
 				return
 			}
 			if c.options.Now().Sub(a.began) > horizon {
@@ -308,148 +246,6 @@
 	c.background.Go(func() { c.options.Discover(discovering) })
 }
 
-// keepWhileLoading renews the lease until the planner exists.
-func (c *Conductor) keepWhileLoading(ctx context.Context) {
-	id := c.lease.id
-	c.background.Go(func() {
-		for pause(ctx, keepInterval) {
-			done := make(chan bool, 1)
-			c.post(ctx, func() { done <- c.role != "loading" || c.lease.id != id })
-			select {
-			case isOver := <-done:
-				if isOver {
-					return
-				}
-			case <-ctx.Done():
-				return
-			}
-			bounded, cancel := context.WithTimeout(ctx, storeTimeout)
-			if err := c.options.Store.KeepAlive(bounded, id); err != nil {
-				c.options.Log.Warn().Err(err).Msg("conductor: lease not renewed")
-			}
-			cancel()
-		}
-	})
-}
-
-// loading is what a new owner reads.
-type loading struct {
-	jobs     []storeclient.Entry
-	progress map[string]storeclient.Entry
-	workers  storeclient.Entry
-}
-
-func (c *Conductor) read(ctx context.Context) (loading, error) {
-	l := loading{progress: map[string]storeclient.Entry{}}
-	list, _, err := c.options.Store.Range(ctx, c.keys.prefix()+"progress/")
-	if err != nil {
-		return l, err
-	}
-	for _, e := range list {
-		l.progress[strings.TrimPrefix(e.Key, c.keys.prefix()+"progress/")] = e
-	}
-	l.workers, err = c.options.Store.Get(ctx, c.keys.workers())
-	var missing *storeclient.NotFoundError
-	if err != nil && !errors.As(err, &missing) {
-		return l, err
-	}
-	l.jobs, _, err = c.options.Store.Range(ctx, c.keys.jobs())
-	return l, err
-}
-
-// loaded makes the planner from what the store has.
-func (c *Conductor) loaded(ctx context.Context, l loading) {
-	if c.role != "loading" {
-		return
-	}
-	now := c.options.Now()
-	limits := c.options.Limits
-	lapse := time.Duration(float64(limits.MaxLease) / (1 - clockError))
-	p, err := planner.New(planner.Options{
-		Epoch: c.epoch, Horizon: horizon, StopTime: limits.StopTime, PaceDelay: limits.PaceDelay, ViolationLimit: limits.ViolationLimit,
-		RemoteSlowdown: limits.RemoteSlowdown, Keep: limits.KeepStates, WallTime: c.options.WallTime,
-		BlockedUntil: now.Add(horizon + lapse), Note: c.note,
-	})
-	if err != nil {
-		c.options.Log.Error().Err(err).Msg("conductor: planner")
-		c.lose("no planner")
-		return
-	}
-	p.SetConfig(c.config)
-	p.SetEmptied(c.emptied)
-	clear(c.revisions)
-	if l.workers.Revision > 0 {
-		c.revisions[c.keys.workers()] = l.workers.Revision
-		var suspects []planner.Worker
-		if err := cbor.Unmarshal(l.workers.Value, &suspects); err != nil {
-			c.options.Log.Error().Err(err).Msg("conductor: list of workers can't be read")
-		}
-		for _, w := range suspects {
-			p.Suspect(w)
-		}
-	}
-	c.planner = p
-	for id, e := range l.progress {
-		c.revisions[c.keys.progress(id)] = e.Revision
-	}
-	for _, e := range l.jobs {
-		c.addJob(now, e, l.progress)
-	}
-	if !c.move("loaded") {
-		c.planner = nil
-		return
-	}
-	c.metrics.isOwner.Set(1)
-	c.options.Log.Info().Int64("epoch", c.epoch).Int("jobs", len(l.jobs)).Int("suspects", p.SuspectCount()).Msg("conductor: shard loaded")
-	c.passWorkers()
-	c.followJobs(ctx)
-}
-
-func (c *Conductor) addJob(now time.Time, e storeclient.Entry, progress map[string]storeclient.Entry) {
-	id := strings.TrimPrefix(e.Key, c.keys.jobs())
-	d, err := planner.Decode[planner.Job](e.Value)
-	if err == nil {
-		err = d.Check()
-	}
-	if err != nil || d.ID != id {
-		c.options.Log.Error().Str("job", id).Err(err).Msg("conductor: job record can't be used")
-		return
-	}
-	var r planner.Progress
-	if stored, ok := progress[id]; ok {
-		if r, err = planner.Decode[planner.Progress](stored.Value); err != nil {
-			c.options.Log.Error().Str("job", id).Err(err).Msg("conductor: progress record can't be used")
-			return
-		}
-	}
-	c.planner.AddJob(now, d, r)
-}
-
-// followJobs watches for accepted jobs as long as this daemon is the owner in
-// this epoch.
-func (c *Conductor) followJobs(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	epoch := c.epoch
-	f := follower.New(follower.Options{
-		Store: c.options.Store, Prefix: c.keys.jobs(), Wait: jobsWait, Now: c.options.Now,
-		Changed: func(events []storeclient.Event) {
-			c.post(ctx, func() {
-				if c.role != "owning" || c.epoch != epoch {
-					cancel()
-					return
-				}
-				for _, e := range events {
-					if !e.Removed {
-						c.addJob(c.options.Now(), e.Entry, nil)
-					}
-				}
-			})
-		},
-	})
-	c.stopFollowing = cancel
-	c.background.Go(func() { f.Run(ctx) })
-}
-
 // confirm proves the ownership by reading the head of the shard.
 func (c *Conductor) confirm(ctx context.Context, now time.Time) {
 	if c.confirming || now.Sub(c.confirmedAt) < confirmInterval {
@@ -463,7 +259,7 @@
 		defer cancel()
 		entry, err := c.options.Store.Get(bounded, c.keys.head())
 		if err != nil {
-			pause(ctx, commitRetry)
+			waiter.Wait(ctx, commitRetry)
 		}
 		c.post(ctx, func() {
 			c.confirming = false
@@ -593,14 +389,3 @@
 		c.options.Log.Warn().Err(err).Msg("conductor: lease not ended; the shard stays vacant until it lapses")
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/storeclient"
+	"tarragonhead.example/tarragonhead/internal/waiter"
 )
 
 const (
@@ -87,7 +88,7 @@
 		if err := f.read(ctx); err != nil {
 			f.fail(err)
 		}
-		sleep(ctx, f.options.Interval)
+		waiter.Wait(ctx, f.options.Interval)
 	}
 }
 
@@ -111,7 +112,7 @@
 			f.mu.Unlock()
 		default:
 			f.fail(err)
-			sleep(ctx, retryDelay)
+			waiter.Wait(ctx, retryDelay)
 		}
 	}
 }
@@ -209,15 +210,3 @@
 		f.options.Failed(err)
 	}
 }
-
-// sleep waits and reports whether ctx still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"tarragonhead.example/tarragonhead/internal/interpreter"
 )
 
 // EndKind says how a run ended.
@@ -306,7 +308,7 @@
 	if !p.chart.Accepts(r.state, event) {
 		return false
 	}
-	next, err := p.chart.Next(r.state, eventOf(event))
+	next, err := p.chart.Next(r.state, interpreter.Event(event))
 	if err != nil {
 		return false
 	}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"tarragonhead.example/tarragonhead/internal/interpreter"
 )
 
 const (
@@ -28,8 +26,6 @@
 	drainMargin = 300 * time.Millisecond
 )
 
-func eventOf(s string) interpreter.Event { return interpreter.Event(s) }
-
 // Plan returns the orders that are due, in the order in which they should be
 // sent. Until proven this owner was not replaced: after more than the horizon it
 // starts nothing.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -32,7 +32,7 @@
 func newDesk(t *testing.T, epoch int64, workers ...planner.Worker) *desk {
 	c := quicktest.New(t)
 	p, err := planner.New(planner.Options{
-		Epoch: epoch, Horizon: 7 * time.Second, StopTime: time.Second, ViolationLimit: 4 * time.Second, RemoteSlowdown: 2, Keep: time.Minute,
+		Epoch: epoch, Horizon: 7 * time.Second, ViolationLimit: 4 * time.Second, Keep: time.Minute,
 		BlockedUntil: origin.Add(13 * time.Second), WallTime: func(t time.Time) time.Time { return t },
 	})
 	c.Assert(err, quicktest.IsNil)
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -20,6 +20,7 @@
 	"tarragonhead.example/tarragonhead/internal/planner"
 	"tarragonhead.example/tarragonhead/internal/sharder"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
+	"tarragonhead.example/tarragonhead/internal/waiter"
 )
 
 const (
@@ -347,7 +348,7 @@
 		}
 		if err != nil {
 			cause = err
-			wait(ctx, askRetry)
+			waiter.Wait(ctx, askRetry)
 			continue
 		}
 		reply, err := r.ask(ctx, q)
@@ -369,7 +370,7 @@
 				return planner.Queued, nil
 			}
 		}
-		wait(ctx, askRetry)
+		waiter.Wait(ctx, askRetry)
 	}
 	r.options.Log.Warn().Str("job", q.Job).Str("question", string(q.Kind)).AnErr("cause", cause).Msg("receiver: not answered")
 	return "", &RefusedError{"the owner of the shard can't be reached", returnAfter}
@@ -407,7 +408,7 @@
 		if err == nil {
 			return reply.Pending[queue], nil
 		}
-		wait(ctx, askRetry)
+		waiter.Wait(ctx, askRetry)
 	}
 	return 0, &RefusedError{"the owner of shard " + shard + " can't be reached", returnAfter}
 }
@@ -439,15 +440,6 @@
 	return conductor.DecodeOwner(e.Value)
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func newPlaced() *lru.Cache[string, string] {
 	c, err := lru.New[string, string](placedSize)
 	if err != nil {
--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/storeclient"
+	"tarragonhead.example/tarragonhead/internal/waiter"
 )
 
 const (
@@ -82,7 +83,7 @@
 		if err != nil {
 			s.failed(err)
 		}
-		pause(ctx, retryDelay)
+		waiter.Wait(ctx, retryDelay)
 	}
 	return 0, ctx.Err()
 }
@@ -99,7 +100,7 @@
 	if err != nil || before == 0 {
 		return 0, err
 	}
-	pause(ctx, settleTime)
+	waiter.Wait(ctx, settleTime)
 	after, err := s.list(ctx)
 	if err != nil || after != before {
 		return 0, err
@@ -136,12 +137,3 @@
 	defer cancel()
 	return s.workers(bounded)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/standins/replayer/replayer.go
+++ b/standins/replayer/replayer.go
@@ -188,7 +188,7 @@
 func (w *World) take() {
 	w.epoch++
 	p, err := planner.New(planner.Options{
-		Epoch: w.epoch, Horizon: horizon, StopTime: w.pattern.StopTime, ViolationLimit: w.pattern.ViolationLimit, RemoteSlowdown: 1.5,
+		Epoch: w.epoch, Horizon: horizon, ViolationLimit: w.pattern.ViolationLimit,
 		Keep: time.Hour, WallTime: func(t time.Time) time.Time { return t },
 		BlockedUntil: w.now.Add(horizon + time.Duration(slowClock*float64(maxLease))),
 		Note: func(d planner.Decision) {
