--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -343,12 +343,11 @@
 // answered, when the worker refuses the stop because it is not well.
 func TestUnclearStart(t *testing.T) {
 	s := newSite(t, 50*time.Millisecond)
-	var held []conductor.StartOrder
-	refuse := true
+	isLost, refuse := false, true
 	s.pool.order = func(kind string) error {
 		switch {
-		case kind == "start" && len(held) == 0:
-			held = append(held, conductor.StartOrder{})
+		case kind == "start" && !isLost:
+			isLost = true
 			return errors.New("no answer")
 		case kind == "stop" && refuse:
 			return &conductor.RefusedError{Reason: "unhealthy", IsSick: true}
