Hand lasting tasks without a place to shards with room

Cause: a job's shard was fixed when it was accepted.

Change: the owner takes waiting lasting tasks off its shard and gives them to the one with the most announced room, in one transaction under its head: its progress names where they went, the other shard's record of the job what arrived, with a number for each move, so that the latest one holds. A cancellation is written for every shard that has tasks in the transaction that stores it. Rooms announce what is kept for short work and the largest free worker. Attempts start above what earlier shards may have used.

Ruled out: moving workers between shards (their runs would have to move with them), and larger shards (one owner's processor).

TestHandover and the tests beside it fail without the handover.

--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,16 +28,26 @@
 		return
 	}
 	t := storeclient.Transaction{Expect: []storeclient.Expectation{{Key: c.keys.head(), Revision: c.headRevision}}}
+	entries := 1
 	for _, h := range changes {
 		value, err := planner.Encode(h.Progress)
 		if err != nil {
 			c.options.Log.Error().Err(err).Str("job", h.Job).Msg("conductor: progress not encoded")
 			return
 		}
+		if entries += 2 + len(h.Cancels); entries > storeclient.MaxTransactionEntries {
+			break
+		}
 		key := c.keys.progress(h.Job)
 		t.Expect = append(t.Expect, storeclient.Expectation{Key: key, Revision: c.revisions[key]})
 		t.Writes = append(t.Writes, storeclient.Write{Key: key, Value: value})
 	}
+	changes = changes[:len(t.Writes)]
+	for _, h := range changes {
+		for _, shard := range h.Cancels {
+			t.Writes = append(t.Writes, storeclient.Write{Key: keys{shard}.cancelled(h.Job), Value: []byte{}})
+		}
+	}
 	c.committing = true
 	c.transact(ctx, t, "progress", func(err error) {
 		c.committing = false
@@ -89,7 +100,9 @@
 		c.metrics.commits.WithLabelValues("committed").Inc()
 		c.confirmedAt = later(c.confirmedAt, sent)
 		for _, w := range t.Writes {
-			c.revisions[w.Key] = revision
+			if strings.HasPrefix(w.Key, c.keys.prefix()) {
+				c.revisions[w.Key] = revision
+			}
 		}
 		for _, key := range t.Remove {
 			delete(c.revisions, key)
@@ -101,7 +114,9 @@
 			return
 		}
 		for _, e := range t.Expect {
-			c.revisions[e.Key] = conflict.Revision(e.Key)
+			if strings.HasPrefix(e.Key, c.keys.prefix()) {
+				c.revisions[e.Key] = conflict.Revision(e.Key)
+			}
 		}
 		c.options.Log.Info().Str("what", what).Msg("conductor: an earlier commit was carried out without an answer")
 	default:
@@ -147,25 +162,33 @@
 		return
 	}
 	c.expiredAt = now
-	ids := c.planner.Expired(now)
-	for len(ids) > 0 {
-		n := min(len(ids), (storeclient.MaxTransactionEntries-1)/3)
+	jobs := c.planner.Expired(now)
+	for len(jobs) > 0 {
+		n := min(len(jobs), (storeclient.MaxTransactionEntries-1)/4)
 		t := storeclient.Transaction{Expect: []storeclient.Expectation{{Key: c.keys.head(), Revision: c.headRevision}}}
-		for _, id := range ids[:n] {
-			t.Remove = append(t.Remove, JobKey(c.options.Shard, id), c.keys.progress(id), IndexKey(id))
+		for _, j := range jobs[:n] {
+			t.Remove = append(t.Remove, JobKey(c.options.Shard, j.ID), c.keys.progress(j.ID))
+			if len(j.Arrived) > 0 || j.IsPart {
+				t.Remove = append(t.Remove, c.keys.cancelled(j.ID))
+			}
+			if !j.IsPart {
+				t.Remove = append(t.Remove, IndexKey(j.ID))
+			}
 		}
-		ids = ids[n:]
+		jobs = jobs[n:]
 		c.transact(ctx, t, "expiry", func(error) {})
 	}
 }
 
 // announce stores how much room the shard has, for those who accept jobs.
 func (c *Conductor) announce(ctx context.Context, now time.Time) {
-	if c.announcing || !c.options.Announces || now.Sub(c.announcedAt) < announceInterval {
+	if c.announcing || c.options.Place == nil || now.Sub(c.announcedAt) < announceInterval {
 		return
 	}
-	free, workers := c.planner.Room(now)
-	value, err := cbor.Marshal(Room{free, workers})
+	room := c.planner.Room(now)
+	c.options.Log.Info().Str("shard", c.options.Shard).Int64("free", room.Free).Int64("spare", room.Spare).Int64("largest", room.Largest.CPU).
+		Int("workers", room.Workers).Msg("conductor: room announced")
+	value, err := cbor.Marshal(room)
 	if err != nil {
 		c.options.Log.Error().Err(err).Msg("conductor: room not encoded")
 		return
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -75,8 +75,10 @@
 	// Reluctance is by how much later than others this daemon takes a vacant
 	// shard, for a daemon that is weak or owns another one; nil for none.
 	Reluctance func() time.Duration
-	// Announces is set where there are other shards to choose from.
-	Announces bool
+	// Place returns the shard that may have lasting tasks of one step, and how
+	// many of them; nil where there is one shard. The room of the shard is
+	// announced where it is set.
+	Place func(need planner.Resources, count int, isUrgent bool) (shard string, tasks int)
 	// Limits are the platform's times.
 	Limits Limits
 	Log    *log.Logger
@@ -153,21 +155,25 @@
 	// while that is under way.
 	announcedAt time.Time
 	announcing  bool
-	confirming  bool
-	config      planner.Config
-	hasConfig   bool
-	emptied     []string
-	workers     map[string]planner.Worker
-	background  sync.WaitGroup
-	cancels     map[string][]func(bool, error)
+	// handedAt is when tasks were last looked for that another shard may have.
+	handedAt   time.Time
+	confirming bool
+	config     planner.Config
+	hasConfig  bool
+	emptied    []string
+	workers    map[string]planner.Worker
+	background sync.WaitGroup
+	cancels    map[string][]func(bool, error)
 }
 
 type metrics struct {
 	orders  *prometheus.CounterVec
 	latency *prometheus.HistogramVec
 	commits *prometheus.CounterVec
-	isOwner prometheus.Gauge
-	jobs    *prometheus.GaugeVec
+	// handovers counts handovers of tasks to other shards.
+	handovers *prometheus.CounterVec
+	isOwner   prometheus.Gauge
+	jobs      *prometheus.GaugeVec
 }
 
 // New returns a conductor; Run makes it work.
@@ -181,11 +187,12 @@
 		options: o, chart: chart, role: chart.Start(), keys: keys{o.Shard},
 		events: make(chan func(), eventBuffer), ended: make(chan struct{}), calls: pond.NewPool(maxCalls),
 		metrics: metrics{
-			orders:  factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_orders_total", Help: "Orders to workers by kind and outcome."}, []string{"kind", "outcome"}),
-			latency: factory.NewHistogramVec(prometheus.HistogramOpts{Name: "tarragonhead_order_seconds", Help: "Time until a worker answered an order.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}, []string{"kind"}),
-			commits: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_commits_total", Help: "Commits of progress by outcome."}, []string{"outcome"}),
-			isOwner: factory.NewGauge(prometheus.GaugeOpts{Name: "tarragonhead_shard_owner", Help: "1 while this daemon owns the shard."}),
-			jobs:    factory.NewGaugeVec(prometheus.GaugeOpts{Name: "tarragonhead_planned", Help: "What the owner has planned, by kind."}, []string{"kind"}),
+			orders:    factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_orders_total", Help: "Orders to workers by kind and outcome."}, []string{"kind", "outcome"}),
+			latency:   factory.NewHistogramVec(prometheus.HistogramOpts{Name: "tarragonhead_order_seconds", Help: "Time until a worker answered an order.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}, []string{"kind"}),
+			commits:   factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_commits_total", Help: "Commits of progress by outcome."}, []string{"outcome"}),
+			handovers: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_handovers_total", Help: "Handovers of tasks to other shards by outcome."}, []string{"outcome"}),
+			isOwner:   factory.NewGauge(prometheus.GaugeOpts{Name: "tarragonhead_shard_owner", Help: "1 while this daemon owns the shard."}),
+			jobs:      factory.NewGaugeVec(prometheus.GaugeOpts{Name: "tarragonhead_planned", Help: "What the owner has planned, by kind."}, []string{"kind"}),
 		},
 		revisions: map[string]uint64{}, sessions: map[string]*session{}, workers: map[string]planner.Worker{},
 		cancels: map[string][]func(bool, error){},
@@ -257,6 +264,7 @@
 		c.recordWorkers(ctx, now)
 		c.plan(ctx, now)
 		c.commit(ctx, now)
+		c.handOver(ctx, now)
 		c.announce(ctx, now)
 		c.expire(ctx, now)
 	}
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -166,12 +166,26 @@
 // daemon runs a daemon until the returned function is called. With crash set it
 // then ends without giving the shard up.
 func (s *site) daemon(port uint16) (*conductor.Conductor, func()) {
+	return s.daemonOf(shard{name: "0", cpu: 64000, pool: s.pool}, port)
+}
+
+// shard is what the daemons of one shard share.
+type shard struct {
+	name string
+	// cpu is what its worker has.
+	cpu   int64
+	pool  *pool
+	place func(planner.Resources, int, bool) (string, int)
+}
+
+// daemonOf runs a daemon of a shard.
+func (s *site) daemonOf(h shard, port uint16) (*conductor.Conductor, func()) {
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 	var c *conductor.Conductor
 	c, err := conductor.New(conductor.Options{
-		Shard: "0", Self: fmt.Sprint("daemon", port), Address: address, Store: s.store(port), Workers: s.pool.calls(),
+		Shard: h.name, Self: fmt.Sprint("daemon", port), Address: address, Store: s.store(port), Workers: h.pool.calls(), Place: h.place,
 		Discover: func(ctx context.Context) {
-			c.SetWorkers(ctx, []planner.Worker{{ID: "w", Address: address, Service: "service", Domain: "domain", Rack: "rack", Capacity: planner.Resources{CPU: 64000, Memory: 1000}}}, nil)
+			c.SetWorkers(ctx, []planner.Worker{{ID: "w", Address: address, Service: "service", Domain: "domain", Rack: "rack", Capacity: planner.Resources{CPU: h.cpu, Memory: 1000}}}, nil)
 		},
 		Ask: func(ctx context.Context, owner netip.AddrPort, q conductor.Question) (conductor.Reply, error) {
 			s.mu.Lock()
--- a/internal/conductor/keys.go
+++ b/internal/conductor/keys.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"tarragonhead.example/tarragonhead/internal/planner"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
@@ -57,17 +58,9 @@
 	return r.Address, errors.Wrap(err, "owner record")
 }
 
-// Room is what the owner of a shard announces of its workers.
-type Room struct {
-	// FreeCPU is the processors that no run has reserved, in thousandths.
-	FreeCPU int64 `cbor:"free_cpu"`
-	// Workers is how many workers may get tasks.
-	Workers int `cbor:"workers"`
-}
-
 // DecodeRoom reads an announced room, and the name of its shard from the key.
-func DecodeRoom(e storeclient.Entry) (string, Room, error) {
-	var r Room
+func DecodeRoom(e storeclient.Entry) (string, planner.Room, error) {
+	var r planner.Room
 	err := cbor.Unmarshal(e.Value, &r)
 	return strings.TrimPrefix(e.Key, RoomsPrefix), r, errors.Wrap(err, "room record")
 }
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -99,7 +99,7 @@
 		c.revisions[c.keys.progress(id)] = e.Revision
 	}
 	for _, e := range l.jobs {
-		c.addJob(now, e, l.progress)
+		c.takeEntry(now, e, l.progress)
 	}
 	if !c.move("loaded") {
 		c.planner = nil
@@ -146,7 +146,7 @@
 				}
 				for _, e := range events {
 					if !e.Removed {
-						c.addJob(c.options.Now(), e.Entry, nil)
+						c.takeEntry(c.options.Now(), e.Entry, nil)
 					}
 				}
 			})
--- /dev/null
+++ b/internal/planner/handover_test.go
@@ -0,0 +1,123 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+// lasting is a job of lasting tasks.
+func lasting(id string, count int, cores int64) planner.Job {
+	s := step(count, cores)
+	s.Lasting = true
+	return job(id, s)
+}
+
+// homeless makes a desk with a full shard and tasks that wait in it.
+func homeless(t *testing.T, tasks int) *desk {
+	d := newDesk(t, 1, worker("a", 8)).ready()
+	d.add(lasting("1", tasks, 7))
+	d.Assert(d.starts(), quicktest.HasLen, 1)
+	d.Assert(d.p.Homeless(d.now), quicktest.HasLen, 0, quicktest.Commentf("a task may start here soon"))
+	d.pass(time.Second)
+	d.look("a")
+	d.starts()
+	return d
+}
+
+// TestHandover guards against lasting tasks that wait for years in a full shard,
+// and against tasks of which two shards think that they have them.
+func TestHandover(t *testing.T) {
+	d := homeless(t, 3)
+	list := d.p.Homeless(d.now)
+	d.Assert(list, quicktest.DeepEquals, []planner.Homeless{{Job: "1", Need: planner.Resources{CPU: 7000, Memory: 100}, Count: 2}})
+	h, ok := d.p.Depart(d.now, list[0], 1, "other")
+	d.Assert(ok, quicktest.IsTrue)
+	d.Assert(h.Job.IsPart, quicktest.IsTrue)
+	d.Assert(h.Job.Arrived, quicktest.HasLen, 1)
+	d.Assert(d.p.Homeless(d.now)[0].Count, quicktest.Equals, 1)
+
+	// With room for all, only the task that stayed starts here.
+	d.workers = append(d.workers, worker("b", 64))
+	d.ready()
+	d.Assert(d.starts(), quicktest.HasLen, 1)
+	d.p.Stayed(h)
+	again := d.starts()
+	d.Assert(again, quicktest.HasLen, 1, quicktest.Commentf("the handover was not stored"))
+	d.Assert(again[0].Run.Index, quicktest.Equals, h.Job.Arrived[0].Index)
+}
+
+// TestArrival guards against tasks that start under attempts which an earlier
+// shard has used, and against tasks that a shard takes without having got them.
+func TestArrival(t *testing.T) {
+	d := homeless(t, 3)
+	h, _ := d.p.Depart(d.now, d.p.Homeless(d.now)[0], 2, "other")
+	d.p.Departed(h)
+	h.Job.Arrived[0].Attempt = 4003
+	for name, tt := range map[string]struct {
+		epoch    int64
+		progress planner.Progress
+		want     int
+	}{
+		"first owner": {1, planner.Progress{}, 2},
+		"later owner": {3, planner.Progress{}, 2},
+		"handed on": {1, planner.Progress{Occurrences: []planner.OccurrenceProgress{{Tasks: []planner.TaskProgress{
+			{Index: h.Job.Arrived[1].Index, Departure: &planner.Departure{Shard: "third", Move: 2}},
+		}}}}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newDesk(t, tt.epoch, worker("b", 64)).ready()
+			o.p.AddJob(o.now, h.Job, tt.progress)
+			starts := o.starts()
+			o.Assert(starts, quicktest.HasLen, tt.want)
+			for _, s := range starts {
+				if s.Run.Index == h.Job.Arrived[0].Index {
+					o.Assert(s.Run.Attempt, quicktest.Equals, 4003+int(tt.epoch-1)*1000+1)
+				}
+			}
+		})
+	}
+}
+
+// TestReturn guards against a task that is lost when it comes back to a shard
+// that had handed it over.
+func TestReturn(t *testing.T) {
+	d := homeless(t, 2)
+	h, _ := d.p.Depart(d.now, d.p.Homeless(d.now)[0], 1, "other")
+	d.p.Departed(h)
+	d.workers = append(d.workers, worker("b", 64))
+	d.ready()
+	d.Assert(d.starts(), quicktest.HasLen, 0)
+	back := lasting("1", 2, 7)
+	back.Arrived = []planner.Arrival{{Index: h.Job.Arrived[0].Index, Attempt: 7, Move: 2}}
+	d.add(back)
+	starts := d.starts()
+	d.Assert(starts, quicktest.HasLen, 1)
+	d.Assert(starts[0].Run.Attempt, quicktest.Equals, 8)
+
+	// A later owner finds the same from what is stored.
+	o := newDesk(t, 2, worker("b", 64)).ready()
+	o.p.AddJob(o.now, back, h.Change.Progress)
+	o.Assert(o.starts(), quicktest.HasLen, 2)
+}
+
+// TestCancelNamesShards guards against a cancelled job whose tasks go on in the
+// shards that got some.
+func TestCancelNamesShards(t *testing.T) {
+	d := homeless(t, 3)
+	h, _ := d.p.Depart(d.now, d.p.Homeless(d.now)[0], 1, "other")
+	d.p.Departed(h)
+	d.p.Cancel(d.now, "1")
+	changes := d.p.Changes(10)
+	d.Assert(changes, quicktest.HasLen, 1)
+	d.Assert(changes[0].Cancels, quicktest.DeepEquals, []string{"other"})
+	back := lasting("1", 3, 7)
+	back.Arrived = []planner.Arrival{{Index: h.Job.Arrived[0].Index, Move: 2}}
+	d.add(back)
+	d.workers = append(d.workers, worker("b", 64))
+	d.ready()
+	d.Assert(d.starts(), quicktest.HasLen, 0)
+}
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -77,7 +77,7 @@
 // leavesHeadroom reports whether a lasting task may take processors now.
 func (p *Planner) leavesHeadroom(now time.Time, t *task) bool {
 	h := &p.headroom
-	mayHaveRun := t.attempt > 0 || t.step.occurrence.job.wasRead
+	mayHaveRun := t.attempt > 0 || t.floor > 0 || t.step.occurrence.job.wasRead
 	if mayHaveRun && now.Sub(t.readyAt) > headroomWait {
 		return true
 	}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -99,6 +99,11 @@
 	Interval time.Duration `cbor:"interval,omitempty"`
 	// Received is when the job arrived, by the time of day.
 	Received time.Time `cbor:"received"`
+	// IsPart is set in a shard that has only some of the job's tasks: those in
+	// Arrived.
+	IsPart bool `cbor:"is_part,omitempty"`
+	// Arrived has the tasks that other shards handed over to this one.
+	Arrived []Arrival `cbor:"arrived,omitempty"`
 }
 
 // MaxTasks bounds the tasks of one job.
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -189,7 +189,7 @@
 	p.move(r, "confirm")
 	w.take(r)
 	t.attempt = max(t.attempt, id.Attempt)
-	isSpare := t.done || j.state.isFinal() || (len(t.runs) > 0 && !t.step.Speculative)
+	isSpare := t.done || t.away || j.state.isFinal() || (len(t.runs) > 0 && !t.step.Speculative)
 	t.runs = append(t.runs, r)
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
 	j.begun = true
@@ -207,11 +207,7 @@
 	if j == nil || id.Occurrence < 0 || id.Occurrence >= max(1, j.Times) {
 		return nil
 	}
-	o := j.occurrence(id.Occurrence)
-	if id.Step < 0 || id.Step >= len(o.steps) || id.Index < 0 || id.Index >= len(o.steps[id.Step].tasks) {
-		return nil
-	}
-	return o.steps[id.Step].tasks[id.Index]
+	return j.task(id.Occurrence, id.Step, id.Index)
 }
 
 func (p *Planner) seeEnd(now time.Time, w *Worker, e RunEnd) {
@@ -235,8 +231,8 @@
 	}
 	if r := w.runs[e.Run]; r != nil {
 		p.endRun(r, "end", string(e.Kind))
-	} else if !t.done && len(t.runs) == 0 && !slices.Contains(t.step.waiting, t) {
-		t.step.waiting = append(t.step.waiting, t)
+	} else {
+		p.waitAgain(t)
 	}
 	w.unacknowledged = append(w.unacknowledged, ending{e.Number, j, j.version})
 }
@@ -326,9 +322,9 @@
 	w.giveBack(r)
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	p.note("run_ended", r, why)
-	if len(t.runs) == 0 && !t.done && !slices.Contains(t.step.waiting, t) {
-		t.step.waiting = append(t.step.waiting, t)
+	if len(t.runs) == 0 {
 		t.readyAt = time.Time{}
+		p.waitAgain(t)
 	}
 }
 
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -317,9 +317,9 @@
 }
 
 // nextAttempt numbers the next run of a task above all that it had under this
-// and earlier owners.
+// and earlier owners, and in earlier shards.
 func (p *Planner) nextAttempt(t *task) int {
-	return max(t.attempt+1, int(p.options.Epoch-1)*attemptsPerEpoch+1)
+	return max(t.attempt+1, t.floor+int(p.options.Epoch-1)*attemptsPerEpoch+1)
 }
 
 func (p *Planner) startRun(now time.Time, t *task, w *Worker, attempt int) {
@@ -334,7 +334,7 @@
 	t.runs = append(t.runs, r)
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
 	harm, _ := p.share.costOf(now, w, t)
-	p.note("start", r, fmt.Sprintf("load %.2f, harm %.2f, image %s, waited %s, job waited %s, due in %s", w.load(), harm, t.step.Image, now.Sub(t.readyAt), now.Sub(t.step.occurrence.job.arrived), t.step.occurrence.job.due.Sub(now)))
+	p.note("start", r, fmt.Sprintf("needs %d, load %.2f, harm %.2f, image %s, waited %s, job waited %s, due in %s", t.step.Need.CPU, w.load(), harm, t.step.Image, now.Sub(t.readyAt), now.Sub(t.step.occurrence.job.arrived), t.step.occurrence.job.due.Sub(now)))
 	p.commands = append(p.commands, Command{
 		Kind: StartRun, Run: r.id, WorkerID: w.ID, Payload: t.step.occurrence.job.Payload, Checkpoint: t.checkpoint,
 	})
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -180,10 +180,11 @@
 	}
 }
 
-// AddJob adds an accepted job with what the store has of its progress. A job
-// that is known already is left as it is.
+// AddJob adds an accepted job with what the store has of its progress. Of a job
+// that is known already only the tasks are taken that have arrived since.
 func (p *Planner) AddJob(now time.Time, d Job, r Progress) {
-	if p.jobs[d.ID] != nil {
+	if j := p.jobs[d.ID]; j != nil {
+		p.arrive(now, j, d.Arrived)
 		return
 	}
 	if q, ok := p.config.Queues[d.Queue.Name]; ok {
@@ -196,8 +197,12 @@
 	j.due = j.arrived.Add(j.objective())
 	if d.Times == 0 {
 		j.occurrence(0)
+		if d.IsPart {
+			j.leaveAll()
+		}
 	}
 	j.restore(r)
+	p.arrive(now, j, d.Arrived)
 	j.shown = j.state
 	p.jobs[d.ID] = j
 	p.all = append(p.all, j)
@@ -270,6 +275,9 @@
 	Job      string
 	Version  uint64
 	Progress Progress
+	// Cancels has the shards that have tasks of the job and must be told that
+	// they have to end.
+	Cancels []string
 }
 
 // Changes returns up to limit jobs whose progress is not committed.
@@ -277,7 +285,11 @@
 	var list []Change
 	for _, j := range p.all {
 		if j.version > j.committed {
-			list = append(list, Change{j.ID, j.version, j.progress()})
+			change := Change{Job: j.ID, Version: j.version, Progress: j.progress()}
+			if j.state.isFinal() {
+				change.Cancels = j.shardsOf()
+			}
+			list = append(list, change)
 			if len(list) == limit {
 				break
 			}
@@ -308,17 +320,17 @@
 
 // Expired returns the final jobs whose state need not be kept any longer, and
 // forgets them.
-func (p *Planner) Expired(now time.Time) []string {
-	var ids []string
+func (p *Planner) Expired(now time.Time) []Job {
+	var list []Job
 	p.all = slices.DeleteFunc(p.all, func(j *job) bool {
 		isOld := j.state.isFinal() && j.committed == j.version && now.Sub(j.finalAt) > p.options.Keep
 		if isOld {
-			ids = append(ids, j.ID)
+			list = append(list, j.Job)
 			delete(p.jobs, j.ID)
 		}
 		return isOld
 	})
-	return ids
+	return list
 }
 
 // Contact is what the driver needs to call a worker.
@@ -360,18 +372,6 @@
 // SuspectCount is how many workers of an earlier owner have not answered.
 func (p *Planner) SuspectCount() int { return len(p.suspects) }
 
-// Room returns the processors, in thousandths, that no run has reserved on the
-// workers that may get tasks, and how many workers these are.
-func (p *Planner) Room(now time.Time) (freeCPU int64, workers int) {
-	for _, w := range p.list {
-		if w.listed && w.fenced && !w.Draining && !p.emptied[w.Domain] && !w.isSick(now) {
-			freeCPU += w.free.CPU
-			workers++
-		}
-	}
-	return freeCPU, workers
-}
-
 // Usage counts what the planner knows, for metrics.
 type Usage struct{ Jobs, Waiting, Runs, Workers, Sick int }
 
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -31,6 +31,8 @@
 	// lists again counts once.
 	Failures   []int  `cbor:"failures,omitempty"`
 	Checkpoint string `cbor:"checkpoint,omitempty"`
+	// Departure is set when the task was handed over to another shard.
+	Departure *Departure `cbor:"departure,omitempty"`
 }
 
 // Encode returns the stored form of v, a Job or Progress.
@@ -60,8 +62,8 @@
 		op := OccurrenceProgress{Number: o.number}
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.done || len(t.failures) > 0 || t.checkpoint != "" {
-					op.Tasks = append(op.Tasks, TaskProgress{t.id.Step, t.id.Index, t.done, t.failures, t.checkpoint})
+				if t.done || len(t.failures) > 0 || t.checkpoint != "" || t.departure != nil {
+					op.Tasks = append(op.Tasks, TaskProgress{t.id.Step, t.id.Index, t.done, t.failures, t.checkpoint, t.departure})
 				}
 			}
 		}
@@ -93,6 +95,10 @@
 			s := o.steps[tp.Step]
 			t := s.tasks[tp.Index]
 			t.failures, t.checkpoint = tp.Failures, tp.Checkpoint
+			if tp.Departure != nil {
+				t.departure, t.move = tp.Departure, tp.Departure.Move
+				t.leave()
+			}
 			if tp.Done && !t.done {
 				t.done = true
 				s.left--
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -122,6 +122,15 @@
 	retryAt time.Time
 	// readyAt is when the task was first seen waiting in an open step.
 	readyAt time.Time
+	// away is set while another shard has the task; departure says which one got
+	// it last, and move counts the handovers.
+	away      bool
+	departure *Departure
+	move      int
+	// floor is the highest attempt that an earlier shard may have used, and
+	// arrivedAt is when the task came from it.
+	floor     int
+	arrivedAt time.Time
 }
 
 // run is a run of a task that may be on a worker.
--- a/internal/sharder/chooser.go
+++ b/internal/sharder/chooser.go
@@ -3,31 +3,26 @@
 import (
 	"math/rand/v2"
 	"sync"
-)
 
-// room is what is known of a shard: its workers, and the processors that are
-// free, less those of the jobs that were sent there since.
-type room struct {
-	workers int
-	free    int64
-}
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
 
 // Chooser chooses the shard of a new job. It is safe for concurrent use.
 type Chooser struct {
-	mu    sync.Mutex
-	rooms []room
+	mu sync.Mutex
+	// rooms has the announced room of each shard, less what was sent there since.
+	rooms []planner.Room
 }
 
 // NewChooser returns a chooser that knows nothing of the shards yet.
-func NewChooser(count int) *Chooser { return &Chooser{rooms: make([]room, count)} }
+func NewChooser(count int) *Chooser { return &Chooser{rooms: make([]planner.Room, count)} }
 
-// SetRoom notes the processors that a shard has free, in thousandths, and how
-// many workers it has.
-func (c *Chooser) SetRoom(shard int, free int64, workers int) {
+// SetRoom notes the room that a shard has announced.
+func (c *Chooser) SetRoom(shard int, r planner.Room) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if shard >= 0 && shard < len(c.rooms) {
-		c.rooms[shard] = room{workers, free}
+		c.rooms[shard] = r
 	}
 }
 
@@ -50,25 +45,59 @@
 	if other >= best {
 		other++
 	}
-	if c.rooms[other].free > c.rooms[best].free {
+	if c.rooms[other].Spare > c.rooms[best].Spare {
 		best = other
 	}
-	c.rooms[best].free -= lastingCPU
+	c.rooms[best].Spare -= lastingCPU
 	return best
 }
 
+// Place returns the shard with the most room for lasting tasks that find no place
+// in shard from, and how many of count it may get. Urgent tasks go, one at a
+// time, also where the room is kept for short work.
+func (c *Chooser) Place(from int, need planner.Resources, count int, isUrgent bool) (shard, tasks int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	best, fits := -1, 0
+	for n, r := range c.rooms {
+		if n == from || !r.Largest.Fits(need) {
+			continue
+		}
+		room := count
+		if need.CPU > 0 {
+			room = int(min(int64(count), r.Spare/need.CPU))
+		}
+		if room < 1 && isUrgent {
+			room = 1
+		}
+		if room >= 1 && (best < 0 || r.Spare > c.rooms[best].Spare) {
+			best, fits = n, room
+		}
+	}
+	if best < 0 {
+		return 0, 0
+	}
+	r := &c.rooms[best]
+	r.Spare -= int64(fits) * need.CPU
+	if r.Spare < 0 {
+		// The largest worker may be taken now; the next announcement tells.
+		r.Largest = planner.Resources{}
+	}
+	return best, fits
+}
+
 // byWorkers spreads ids in proportion to the workers of the shards.
 func (c *Chooser) byWorkers(id string) int {
 	total := 0
 	for _, r := range c.rooms {
-		total += r.workers
+		total += r.Workers
 	}
 	if total == 0 {
 		return OfJob(id, len(c.rooms))
 	}
 	at := hash(id, total)
 	for n, r := range c.rooms {
-		if at -= r.workers; at < 0 {
+		if at -= r.Workers; at < 0 {
 			return n
 		}
 	}
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -10,6 +10,7 @@
 	"github.com/frankban/quicktest"
 
 	"tarragonhead.example/tarragonhead/internal/keeper"
+	"tarragonhead.example/tarragonhead/internal/planner"
 	"tarragonhead.example/tarragonhead/internal/sharder"
 )
 
@@ -79,6 +80,38 @@
 	c.Assert(sharder.Count(0), quicktest.Equals, 1)
 }
 
+// TestPlace guards against tasks that are handed to a full shard, back to their
+// own, or all to the same one.
+func TestPlace(t *testing.T) {
+	need := planner.Resources{CPU: 7}
+	large := planner.Resources{CPU: 10}
+	for name, tt := range map[string]struct {
+		rooms  []planner.Room
+		urgent bool
+		want   [2]int
+	}{
+		"most room":         {[]planner.Room{{Spare: 99, Largest: large}, {Spare: 20, Largest: large}, {Spare: 30, Largest: large}}, false, [2]int{2, 4}},
+		"no worker fits":    {[]planner.Room{{}, {Spare: 20, Largest: large}, {Spare: 30}}, false, [2]int{1, 2}},
+		"none":              {[]planner.Room{{Spare: 99, Largest: large}, {Spare: 6, Largest: large}}, false, [2]int{0, 0}},
+		"kept but urgent":   {[]planner.Room{{Spare: 99, Largest: large}, {Spare: -6, Largest: large}}, true, [2]int{1, 1}},
+		"urgent, too large": {[]planner.Room{{}, {Spare: 20, Largest: planner.Resources{CPU: 6}}}, true, [2]int{0, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			h := sharder.NewChooser(len(tt.rooms))
+			for n, r := range tt.rooms {
+				h.SetRoom(n, r)
+			}
+			shard, tasks := h.Place(0, need, 5, tt.urgent)
+			c.Assert([2]int{shard, tasks}, quicktest.Equals, tt.want)
+			if tasks > 0 {
+				again, _ := h.Place(0, need, 5, false)
+				c.Assert(again != shard || tt.rooms[shard].Spare > int64(tasks)*need.CPU, quicktest.IsTrue)
+			}
+		})
+	}
+}
+
 // TestChooser guards against a shard that is full of lasting tasks while another
 // has room, also when many daemons choose at once, and against jobs that ignore
 // the sizes of the shards.
@@ -94,7 +127,7 @@
 	for range daemons {
 		h := sharder.NewChooser(shards)
 		for n, f := range free {
-			h.SetRoom(n, f, 70)
+			h.SetRoom(n, planner.Room{Spare: f, Workers: 70})
 		}
 		for range jobs {
 			got[h.Choose("a", 100)]++
@@ -105,9 +138,9 @@
 		c.Assert(n < 2*daemons*jobs/(shards-1), quicktest.IsTrue, quicktest.Commentf("%v", got))
 	}
 	h := sharder.NewChooser(3)
-	h.SetRoom(0, 100, 10)
-	h.SetRoom(1, 1000, 30)
-	h.SetRoom(2, 550, 20)
+	h.SetRoom(0, planner.Room{Spare: 100, Workers: 10})
+	h.SetRoom(1, planner.Room{Spare: 1000, Workers: 30})
+	h.SetRoom(2, planner.Room{Spare: 550, Workers: 20})
 	count := make([]int, 3)
 	for i := range 6000 {
 		count[h.Choose(fmt.Sprintf("%016x", i), 0)]++
