Spend what lasting tasks can bear on filling work that is in time

It was spent on late work like on work in time; half of the bundles were late. A lasting task on a hung worker reports a tail 600 times its target, which the regression took for harm of its company. What heavy fills do varies more than the regression said (error 0.4 beside little, 0.8 to 1.2 beside much), so they piled up on one worker. Short work that was late counted as demand to keep room for: the room kept grew to more than a shard has. Wide short jobs went to full shards.

Change: a task of a late job waits, for 10 s at most, where its service is busy and it would disturb; it is slowed first. Errors of the regression are clipped; the deviation of a tail grows with what disturbs it. Late work asks for no room. Estimates are learned from the rate of running tasks and decide the order; a worker is judged by them once four runs agree. Short jobs go to the better of two shards by free processors, and wide ones to the best.

Each new test was seen to fail without its change.

--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -13,7 +13,7 @@
 		return "job " + id + " is not known"
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "job %s of queue %s is %s, arrived %s ago, due in %s\n", id, j.Queue.Name, j.state, now.Sub(j.arrived), j.due.Sub(now))
+	fmt.Fprintf(&b, "job %s of queue %s is %s, arrived %s ago, due in %s\n", id, j.Queue.Name, j.state, now.Sub(j.arrived), j.due().Sub(now))
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
@@ -40,11 +40,11 @@
 		return fmt.Sprintf("starts again in %s after %d failures", t.retryAt.Sub(now), len(t.failures))
 	}
 	room, fit := 0, 0
-	list := p.candidates(now, s)
+	list, limit := p.candidates(now, s), p.harmLimitOf(now, t)
 	for _, w := range list {
 		if w.free.Fits(s.reserved()) {
 			room++
-			if _, ok := p.cost(now, t, w); ok && p.mayShare(t, w) {
+			if _, ok := p.cost(now, t, w, limit); ok && p.mayShare(t, w) {
 				fit++
 			}
 		}
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -14,6 +14,8 @@
 	// headroomShare is the share of all processors that is kept free before any
 	// short work has been seen: lasting work of a new deployment comes first.
 	headroomShare = 0.06
+	// headroomLimit is the most that is kept free, as a share of all processors.
+	headroomLimit = 0.33
 	// headroomWait is how long a lasting task that has run before may wait for
 	// the headroom: it serves users all the time, so it goes first then.
 	headroomWait = 4500 * time.Millisecond
@@ -43,7 +45,8 @@
 
 // kept is the processors that lasting tasks leave free, in thousandths.
 func (h *headroom) kept() float64 {
-	return max(headroomFactor*h.peak, headroomShare*float64(h.all)) - float64(h.short)
+	all := float64(h.all)
+	return min(max(headroomFactor*h.peak, headroomShare*all), headroomLimit*all) - float64(h.short)
 }
 
 // measureUrgent brings the headroom up to date before lasting tasks start.
@@ -65,7 +68,8 @@
 	for _, j := range p.active {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.open && !s.Lasting && !s.Fills {
+				// Late work is a backlog, and no sign of what is to come.
+				if s.open && !s.Lasting && !s.Fills && p.rank(now, s) == rankInTime {
 					demand += int64(len(s.waiting)) * s.Need.CPU
 				}
 			}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -150,26 +150,6 @@
 	return nil
 }
 
-// chain is the longest chain of estimated work.
-func (j *Job) chain() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	var longest time.Duration
-	for i := range j.Steps {
-		var from time.Duration
-		for _, a := range j.Steps[i].After {
-			from = max(from, ends[a])
-		}
-		ends[i] = from + j.Steps[i].Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// objective is how long the job may take from its arrival and be on time.
-func (j *Job) objective() time.Duration {
-	return time.Duration(j.Queue.Stretch*float64(j.chain())) + j.Queue.Slack
-}
-
 // isLasting reports whether the job runs until it is cancelled.
 func (j *Job) isLasting() bool {
 	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.Lasting })
--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -15,6 +15,9 @@
 
 func newSharer() *sharer { return &sharer{models: map[string]*model{}} }
 
+// maxInnovation bounds the error from which the fit learns at once.
+const maxInnovation = 1.0
+
 // model is the fit for one serving image.
 type model struct {
 	index map[string]int
@@ -79,8 +82,11 @@
 		scale += x[i] * gain[i]
 		predicted += x[i] * m.coefficients[i]
 	}
+	// A tail far off says that the task stands still, or has just begun, and
+	// nothing of its company.
+	off := max(-maxInnovation, min(maxInnovation, tail-predicted))
 	for i := range n {
-		m.coefficients[i] += gain[i] / scale * (tail - predicted)
+		m.coefficients[i] += gain[i] / scale * off
 	}
 	for i := range n {
 		for k := range n {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -47,11 +47,11 @@
 	limit float64
 }
 
-func keyOf(now time.Time, t *task) placeKey {
+func (p *Planner) keyOf(now time.Time, t *task) placeKey {
 	s := t.step
 	k := placeKey{candidateKey: candidateKey{s.occurrence.job.Queue.Service, s.RequiredLabel}}
 	if s.Fills {
-		k.image, k.limit = s.Image, harmLimitOf(now, t)
+		k.image, k.limit = s.Image, p.harmLimitOf(now, t)
 	}
 	return k
 }
@@ -59,7 +59,7 @@
 // isHopeless reports whether a task that needs no more has found no place in
 // this plan. With a long backlog this saves most of the work.
 func (p *Planner) isHopeless(now time.Time, t *task) bool {
-	least, ok := p.hopeless[keyOf(now, t)]
+	least, ok := p.hopeless[p.keyOf(now, t)]
 	return ok && t.step.Need.Fits(least)
 }
 
@@ -69,7 +69,7 @@
 	if t.step.MaxPerWorker > 0 {
 		return
 	}
-	key := keyOf(now, t)
+	key := p.keyOf(now, t)
 	if least, ok := p.hopeless[key]; !ok || least.Fits(t.step.Need) {
 		p.hopeless[key] = t.step.Need
 	}
@@ -79,13 +79,14 @@
 func (p *Planner) choose(now time.Time, t *task, candidates []*Worker) *Worker {
 	s := t.step
 	need := s.reserved()
+	limit := p.harmLimitOf(now, t)
 	var best *Worker
 	var lowest float64
 	for _, w := range candidates {
 		if !w.free.Fits(need) || !p.mayShare(t, w) || w.isKeptFrom(now, t) {
 			continue
 		}
-		cost, ok := p.cost(now, t, w)
+		cost, ok := p.cost(now, t, w, limit)
 		if ok && (best == nil || cost < lowest) {
 			best, lowest = w, cost
 		}
@@ -110,7 +111,7 @@
 
 // cost rates a place for a task, lower is better. It reports false where the
 // task would push a lasting one over its target.
-func (p *Planner) cost(now time.Time, t *task, w *Worker) (float64, bool) {
+func (p *Planner) cost(now time.Time, t *task, w *Worker, limit float64) (float64, bool) {
 	s := t.step
 	cost := w.load() + float64(s.Need.CPU)/float64(max(1, w.Capacity.CPU))
 	if s.PreferredRack != "" && w.Rack != s.PreferredRack {
@@ -125,7 +126,7 @@
 	if slices.Contains(t.avoid, w.ID) {
 		cost += avoidPenalty
 	}
-	harm, ok := p.share.costOf(now, w, t)
+	harm, ok := p.costOf(now, w, t, limit)
 	return cost + harm, ok
 }
 
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -32,6 +32,7 @@
 func (p *Planner) Plan(now, proven time.Time) []Command {
 	clear(p.candidatesFor)
 	clear(p.hopeless)
+	clear(p.busy)
 	p.dropLost(now, proven)
 	p.openOccurrences(now)
 	p.stopFinal(now)
@@ -163,7 +164,7 @@
 		if s.Fills && w.load() > fullLoad {
 			continue
 		}
-		expected := 100 / max(s.Estimate.Seconds(), 0.1)
+		expected := 100 / max(s.knownWork().Seconds(), 0.1)
 		switch {
 		case now.Sub(r.movedAt) > max(stillLimit, s.Estimate/10) && now.Sub(r.began) > stillLimit && p.hasRoomElsewhere(now, r):
 			if !w.isSick(now) {
@@ -262,17 +263,19 @@
 )
 
 func (p *Planner) rank(now time.Time, s *step) int {
+	if s.Lasting {
+		return rankLasting
+	}
 	j := s.occurrence.job
-	due := j.due
+	objective := j.objective()
+	due := j.arrived.Add(objective)
 	if j.Times > 0 {
-		due = now.Add(j.objective())
+		due = now.Add(objective)
 	}
 	switch {
-	case s.Lasting:
-		return rankLasting
-	case now.Add(s.Estimate).Before(due):
+	case now.Add(s.estimate()).Before(due):
 		return rankInTime
-	case now.Before(j.arrived.Add(lateFactor * j.objective())):
+	case now.Before(j.arrived.Add(lateFactor * objective)):
 		return rankLate
 	default:
 		return rankWorthless
@@ -333,8 +336,8 @@
 	w.take(r)
 	t.runs = append(t.runs, r)
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
-	harm, _ := p.share.costOf(now, w, t)
-	p.note("start", r, fmt.Sprintf("needs %d, load %.2f, harm %.2f, image %s, waited %s, job waited %s, due in %s", t.step.Need.CPU, w.load(), harm, t.step.Image, now.Sub(t.readyAt), now.Sub(t.step.occurrence.job.arrived), t.step.occurrence.job.due.Sub(now)))
+	harm, _ := p.costOf(now, w, t, p.harmLimitOf(now, t))
+	p.note("start", r, fmt.Sprintf("needs %d, load %.2f, harm %.2f, image %s, waited %s, job waited %s, due in %s", t.step.Need.CPU, w.load(), harm, t.step.Image, now.Sub(t.readyAt), now.Sub(t.step.occurrence.job.arrived), t.step.occurrence.job.due().Sub(now)))
 	p.commands = append(p.commands, Command{
 		Kind: StartRun, Run: r.id, WorkerID: w.ID, Payload: t.step.occurrence.job.Payload, Checkpoint: t.checkpoint,
 	})
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -94,6 +94,8 @@
 	// candidatesFor has the workers on which tasks may start, by service and
 	// label, for the plan that is being made.
 	candidatesFor map[candidateKey][]*Worker
+	// busy tells of each service whether it is busy, for the plan that is being made.
+	busy map[string]bool
 	// hopeless has what found no place in the plan that is being made.
 	hopeless map[placeKey]Resources
 	// strangers has listed runs whose job is not known yet.
@@ -139,7 +141,7 @@
 	return &Planner{
 		options: o, chart: c, jobs: map[string]*job{}, workers: map[string]*Worker{}, emptied: map[string]bool{},
 		suspects: map[string]bool{}, strangers: map[RunID]stranger{}, share: newSharer(),
-		candidatesFor: map[candidateKey][]*Worker{}, hopeless: map[placeKey]Resources{},
+		candidatesFor: map[candidateKey][]*Worker{}, hopeless: map[placeKey]Resources{}, busy: map[string]bool{},
 	}, nil
 }
 
@@ -194,7 +196,6 @@
 	// Clocks of instances differ, so the arrival is never in the future.
 	age := max(0, p.options.WallTime(now).Sub(d.Received))
 	j.arrived = now.Add(-age)
-	j.due = j.arrived.Add(j.objective())
 	if d.Times == 0 {
 		j.occurrence(0)
 		if d.IsPart {
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -35,13 +35,23 @@
 	// is left then: the load of a serving task swings within seconds.
 	tailSpread = 0.35
 	reversion  = 0.7
+	// disturbedSpread is the deviation of what filling tasks do, as a share of
+	// it, and disturbedBias by how much more that is than the regression says.
+	disturbedSpread = 0.7
+	disturbedBias   = 0.3
 	// harmLimit is the chance of pushing a lasting task over its target at which
 	// a filling task waits, and waitedHarmLimit the one after it has waited for
 	// waitLimit. After anywhereLimit it may start anywhere, and be slowed there.
+	// A lasting task over its target for 2 s costs what two filling tasks earn.
 	harmLimit       = 0.15
 	waitedHarmLimit = 0.35
-	waitLimit       = 1500 * time.Millisecond
-	anywhereLimit   = 6 * time.Second
+	// lateHarmLimit is the chance at which a task of a late job waits where its
+	// service is busy: such a job earns a seventh at best.
+	lateHarmLimit = 0.04
+	// lateWaitLimit is how long it does so at most.
+	lateWaitLimit = 10 * time.Second
+	waitLimit     = 1500 * time.Millisecond
+	anywhereLimit = 6 * time.Second
 	// slowedPace is the pace from which on a task has as good as no share, and
 	// slowedLimit how long it stays so before it is moved.
 	slowedPace  = 30
@@ -111,9 +121,9 @@
 	}
 }
 
-// level is the tail that is expected of a lasting task about a second later,
-// with what was placed or paced of late.
-func (s *sharer) level(now time.Time, w *Worker, v *run) float64 {
+// victim returns a lasting task with the tail that is expected about a second
+// later, with what was placed or paced of late.
+func (s *sharer) victim(now time.Time, w *Worker, v *run) victim {
 	m := s.model(v.task.step.Image)
 	base := m.coefficients[0]
 	measured, expected := 0.0, 0.0
@@ -130,25 +140,21 @@
 		expected += slope * cores
 	}
 	if now.Sub(v.tailAt) > tailAge {
-		return base + expected
+		return victim{v, m, base + expected, expected}
 	}
-	return base + reversion*(v.tail-measured-base) + expected
+	return victim{v, m, base + reversion*(v.tail-measured-base) + expected, expected}
 }
 
-// chanceOver is the chance that a tail with an expected level is over its
-// target.
-func chanceOver(level float64) float64 { return 0.5 * (1 + math.Erf(level/tailSpread/math.Sqrt2)) }
-
 // costOf rates the harm of a task to the lasting ones of a worker, and for a
 // lasting task the harm that it would meet there. It reports false where a
 // lasting task would go over its target.
-func (s *sharer) costOf(now time.Time, w *Worker, t *task) (float64, bool) {
+func (p *Planner) costOf(now time.Time, w *Worker, t *task, limit float64) (float64, bool) {
 	st := t.step
 	switch {
 	case st.Fills:
-		return s.fillCost(now, w, t)
+		return p.share.fillCost(now, w, t, limit)
 	case st.LatencyTarget > 0:
-		return s.companyCost(w, st), true
+		return p.share.companyCost(w, st), true
 	default:
 		return 0, true
 	}
@@ -216,7 +222,19 @@
 type victim struct {
 	run   *run
 	model *model
-	level float64
+	// level is the expected logarithm of its tail over its target, and disturbed
+	// the part of it that comes from the filling tasks beside it.
+	level, disturbed float64
+}
+
+// chanceOver is the chance that the tail is over its target when the filling
+// tasks raise it by rise more. What they do swings within seconds, the more so
+// the more they do, and it is more than the regression says, since the
+// processors that it learns from are rough figures.
+func (v *victim) chanceOver(rise float64) float64 {
+	disturbed := v.disturbed + rise
+	spread := math.Hypot(tailSpread, disturbedSpread*disturbed)
+	return 0.5 * (1 + math.Erf((v.level+rise+disturbedBias*disturbed)/spread/math.Sqrt2))
 }
 
 // victimsOf returns the lasting tasks with a target on a worker.
@@ -225,7 +243,7 @@
 		w.victims = []victim{}
 		for _, r := range w.order {
 			if r.task.step.LatencyTarget > 0 {
-				w.victims = append(w.victims, victim{r, s.model(r.task.step.Image), s.level(now, w, r)})
+				w.victims = append(w.victims, s.victim(now, w, r))
 			}
 		}
 		slices.SortFunc(w.victims, func(a, b victim) int { return compareRuns(a.run.id, b.run.id) })
@@ -238,7 +256,7 @@
 func (s *sharer) harm(now time.Time, w *Worker, st *step, cores float64) float64 {
 	sum := 0.0
 	for _, v := range s.victimsOf(now, w) {
-		sum += chanceOver(v.level+v.rise(st, cores)) - chanceOver(v.level)
+		sum += v.chanceOver(v.rise(st, cores)) - v.chanceOver(0)
 	}
 	return sum
 }
@@ -248,10 +266,13 @@
 	return v.model.slope(st.Image) * cores / cpuUnit
 }
 
-// harmLimitOf is the chance of harm that a filling task may bring; it grows with
-// the time for which the task has waited.
-func harmLimitOf(now time.Time, t *task) float64 {
+// harmLimitOf is the chance of harm that a filling task may bring. It grows with
+// the time for which the task has waited, unless its job is late and others need
+// the room.
+func (p *Planner) harmLimitOf(now time.Time, t *task) float64 {
 	switch waited := now.Sub(t.readyAt); {
+	case waited < lateWaitLimit && p.rank(now, t.step) != rankInTime && p.isBusy(t.step.occurrence.job.Queue.Service):
+		return lateHarmLimit
 	case waited > anywhereLimit:
 		return math.Inf(1)
 	case waited > waitLimit:
@@ -262,9 +283,8 @@
 }
 
 // fillCost rates the harm of one more filling task on a worker.
-func (s *sharer) fillCost(now time.Time, w *Worker, t *task) (float64, bool) {
+func (s *sharer) fillCost(now time.Time, w *Worker, t *task, limit float64) (float64, bool) {
 	cores := float64(t.step.Need.CPU) / 1000
-	limit := harmLimitOf(now, t)
 	harm := s.harm(now, w, t.step, cores)
 	// While a lasting task is over its target, its model is of no use: what the
 	// tasks beside it do is more than was expected.
@@ -324,9 +344,15 @@
 	if over > time.Duration(slowAllShare*float64(p.options.ViolationLimit)) {
 		least = worthSlowingLate
 	}
-	slices.SortStableFunc(fills, func(a, b *run) int {
-		return cmp.Compare(v.rise(b.task.step, b.needCPU()), v.rise(a.task.step, a.needCPU()))
-	})
+	// What earns little goes first.
+	weight := func(r *run) float64 {
+		rise := v.rise(r.task.step, r.needCPU())
+		if p.rank(now, r.task.step) != rankInTime {
+			rise *= lateWeight
+		}
+		return rise
+	}
+	slices.SortStableFunc(fills, func(a, b *run) int { return cmp.Compare(weight(b), weight(a)) })
 	excess := v.level - tailMargin
 	for _, f := range fills {
 		part := v.rise(f.task.step, f.needCPU())
@@ -346,6 +372,9 @@
 }
 
 const (
+	// lateWeight is how many times more a task of a late job counts when one is
+	// chosen to be slowed.
+	lateWeight = 4.0
 	// restoreInterval spaces the steps in which a slowed task gets its share
 	// back, since a tail shows a change late.
 	restoreInterval = 600 * time.Millisecond
@@ -368,8 +397,9 @@
 			continue
 		}
 		need := float64(f.task.step.Need.CPU) / 1000
+		limit := min(harmLimit, p.harmLimitOf(now, f.task))
 		for _, percent := range [...]int{100, (f.wanted + 100) / 2 / paceStep * paceStep} {
-			if percent > f.wanted && p.share.harm(now, w, f.task.step, need*float64(percent-f.wanted)/100) <= harmLimit {
+			if percent > f.wanted && p.share.harm(now, w, f.task.step, need*float64(percent-f.wanted)/100) <= limit {
 				p.setPace(now, f, percent, "tails have room")
 				break
 			}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -21,9 +21,8 @@
 	version, committed uint64
 	occurrences        []*occurrence
 	ended              map[int]bool
-	// arrived and due are on the planner's clock: when the job came, and when
-	// its objective ends.
-	arrived, due time.Time
+	// arrived is when the job came, on the planner's clock.
+	arrived time.Time
 	// recovered is set when an earlier owner may have started tasks of it.
 	recovered bool
 	// wasRead is set when the job was there before this owner.
@@ -80,7 +79,7 @@
 func (o *occurrence) workLeft() time.Duration {
 	var sum time.Duration
 	for _, s := range o.steps {
-		sum += time.Duration(s.left) * s.Estimate
+		sum += time.Duration(s.left) * s.estimate()
 	}
 	return sum
 }
@@ -97,6 +96,10 @@
 	tasks      []*task
 	// left counts the tasks that aren't done.
 	left int
+	// measured is the work of a task in seconds, as learned from those that run,
+	// and measurements how often it was.
+	measured     float64
+	measurements int
 	// open is set when every step in After is done.
 	open bool
 	// waiting has the tasks without a run, in the order of their numbers; some
@@ -185,6 +188,7 @@
 	if r.paceAt.Before(r.measuredAt) && r.pace == 100 {
 		r.rate = float64(r.percent-r.measuredPercent) / now.Sub(r.measuredAt).Seconds()
 		r.rateAt = now
+		r.learnEstimate()
 	}
 	r.measuredAt, r.measuredPercent = now, r.percent
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -50,9 +50,9 @@
 // Options are what a receiver depends on.
 type Options struct {
 	// Shards is the number of shards, and Choose chooses that of a new job by its
-	// id and the processors that it asks for as long as it lasts.
+	// id and what it reserves.
 	Shards int
-	Choose func(id string, lastingCPU int64) int
+	Choose func(id string, d sharder.Demand) int
 	Store  storeclient.PrefixStore
 	// Local answers where this daemon owns the question's shard, and Ask asks
 	// another one.
@@ -196,7 +196,7 @@
 		return &RefusedError{Reason: err.Error()}
 	}
 	index := storeclient.Expectation{Key: conductor.IndexKey(j.ID)}
-	shard := sharder.Name(r.options.Choose(j.ID, lastingCPU(j)))
+	shard := sharder.Name(r.options.Choose(j.ID, sharder.DemandOf(j)))
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	_, err = r.options.Store.Transact(bounded, storeclient.Transaction{
@@ -286,17 +286,6 @@
 	return cause
 }
 
-// lastingCPU is what the lasting tasks of a job reserve, in thousandths.
-func lastingCPU(j planner.Job) int64 {
-	var sum int64
-	for i := range j.Steps {
-		if s := &j.Steps[i]; s.Lasting {
-			sum += int64(s.Count) * s.Need.CPU
-		}
-	}
-	return sum
-}
-
 // shardOf returns the shard of an accepted job, from the store where this
 // daemon doesn't remember it.
 func (r *Receiver) shardOf(ctx context.Context, job string) (string, error) {
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -16,6 +16,7 @@
 	"tarragonhead.example/tarragonhead/internal/keeper"
 	"tarragonhead.example/tarragonhead/internal/planner"
 	"tarragonhead.example/tarragonhead/internal/receiver"
+	"tarragonhead.example/tarragonhead/internal/sharder"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
@@ -31,7 +32,7 @@
 
 func newReceiver(k *keeper.Keeper, now func() time.Time, peers []netip.AddrPort, r relay) *receiver.Receiver {
 	return receiver.New(receiver.Options{
-		Shards: 1, Choose: func(string, int64) int { return 0 }, Store: k.Store(), Log: quiet(), Registry: prometheus.NewRegistry(), Now: now,
+		Shards: 1, Choose: func(string, sharder.Demand) int { return 0 }, Store: k.Store(), Log: quiet(), Registry: prometheus.NewRegistry(), Now: now,
 		Peers: func() []netip.AddrPort { return peers }, Relay: r,
 		Local: func(context.Context, conductor.Question) (conductor.Reply, error) {
 			return conductor.Reply{}, &conductor.NotOwnerError{}
@@ -176,7 +177,7 @@
 			c := quicktest.New(t)
 			k := keeper.New(time.Now)
 			r := receiver.New(receiver.Options{
-				Shards: 1, Choose: func(string, int64) int { return 0 }, Store: k.Store(), Log: quiet(), Registry: prometheus.NewRegistry(), Now: time.Now,
+				Shards: 1, Choose: func(string, sharder.Demand) int { return 0 }, Store: k.Store(), Log: quiet(), Registry: prometheus.NewRegistry(), Now: time.Now,
 				Local: func(context.Context, conductor.Question) (conductor.Reply, error) { return conductor.Reply{}, nil },
 			})
 			if tt.isStored {
--- a/internal/sharder/chooser.go
+++ b/internal/sharder/chooser.go
@@ -26,29 +26,70 @@
 	}
 }
 
-// Choose returns the shard of a new job. Work that reserves processors for a
-// long time goes where more are free: there are few such jobs and they are
-// large, so that chance alone would fill one shard while another has room. Any
-// other job goes by the number of workers.
-func (c *Chooser) Choose(id string, lastingCPU int64) int {
+// Demand is what a job reserves, in thousandths of a core.
+type Demand struct {
+	// Lasting is what its lasting tasks reserve, and Short the most that the tasks
+	// of one of its other steps do.
+	Lasting, Short int64
+}
+
+// DemandOf returns the demand of a job.
+func DemandOf(j planner.Job) Demand {
+	var d Demand
+	for i := range j.Steps {
+		switch s := &j.Steps[i]; {
+		case s.Fills:
+		case s.Lasting:
+			d.Lasting += int64(s.Count) * s.Need.CPU
+		default:
+			d.Short = max(d.Short, int64(s.Count)*s.Need.CPU)
+		}
+	}
+	return d
+}
+
+// Choose returns the shard of a new job. Work that reserves processors goes where
+// more are free: a wide job may need more than one shard has at the moment, and
+// lasting ones would fill one shard while another has room. Work that fills goes
+// by the number of workers.
+func (c *Chooser) Choose(id string, d Demand) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.rooms) == 1 {
+	switch {
+	case len(c.rooms) == 1:
 		return 0
-	}
-	if lastingCPU == 0 {
+	case d.Lasting > 0:
+		n := c.better(func(r planner.Room) int64 { return r.Spare }, d.Lasting)
+		c.rooms[n].Spare -= d.Lasting
+		return n
+	case d.Short > 0:
+		n := c.better(func(r planner.Room) int64 { return r.Free }, d.Short)
+		c.rooms[n].Free -= d.Short
+		return n
+	default:
 		return c.byWorkers(id)
 	}
-	// The better of two at random: every daemon knows the rooms late, and all
-	// would send their jobs to the best one until they know more.
+}
+
+// better returns the better of two shards at random: every daemon knows the rooms
+// late, and all would send their jobs to the best one until they know more. Only
+// what neither has room for goes to the best of all.
+func (c *Chooser) better(room func(planner.Room) int64, need int64) int {
 	best, other := rand.IntN(len(c.rooms)), rand.IntN(len(c.rooms)-1)
 	if other >= best {
 		other++
 	}
-	if c.rooms[other].Spare > c.rooms[best].Spare {
+	if room(c.rooms[other]) > room(c.rooms[best]) {
 		best = other
 	}
-	c.rooms[best].Spare -= lastingCPU
+	if room(c.rooms[best]) >= need {
+		return best
+	}
+	for n, r := range c.rooms {
+		if room(r) > room(c.rooms[best]) {
+			best = n
+		}
+	}
 	return best
 }
 
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -112,6 +112,21 @@
 	}
 }
 
+// TestWideJob guards against a short job that waits in a full shard while another
+// one could start all its tasks at once.
+func TestWideJob(t *testing.T) {
+	c := quicktest.New(t)
+	wide := planner.Job{Steps: []planner.Step{{Count: 2, Need: planner.Resources{CPU: 10}}, {Count: 60, Need: planner.Resources{CPU: 10}, After: []int{0}}}}
+	for range 50 {
+		h := sharder.NewChooser(5)
+		for n, free := range []int64{50, 100, 700, 90, 550} {
+			h.SetRoom(n, planner.Room{Free: free, Workers: 70})
+		}
+		c.Assert(h.Choose("a", sharder.DemandOf(wide)), quicktest.Equals, 2)
+		c.Assert(h.Choose("b", sharder.DemandOf(wide)), quicktest.Equals, 4)
+	}
+}
+
 // TestChooser guards against a shard that is full of lasting tasks while another
 // has room, also when many daemons choose at once, and against jobs that ignore
 // the sizes of the shards.
@@ -130,7 +145,7 @@
 			h.SetRoom(n, planner.Room{Spare: f, Workers: 70})
 		}
 		for range jobs {
-			got[h.Choose("a", 100)]++
+			got[h.Choose("a", sharder.Demand{Lasting: 100})]++
 		}
 	}
 	c.Assert(got[0], quicktest.Equals, 0)
@@ -143,10 +158,10 @@
 	h.SetRoom(2, planner.Room{Spare: 550, Workers: 20})
 	count := make([]int, 3)
 	for i := range 6000 {
-		count[h.Choose(fmt.Sprintf("%016x", i), 0)]++
+		count[h.Choose(fmt.Sprintf("%016x", i), sharder.Demand{})]++
 	}
 	for n, want := range []int{1000, 3000, 2000} {
 		c.Assert(count[n] > want*8/10 && count[n] < want*12/10, quicktest.IsTrue, quicktest.Commentf("%v", count))
 	}
-	c.Assert(sharder.NewChooser(1).Choose("a", 1), quicktest.Equals, 0)
+	c.Assert(sharder.NewChooser(1).Choose("a", sharder.Demand{Lasting: 1}), quicktest.Equals, 0)
 }
--- a/standins/cmd/replay/main.go
+++ b/standins/cmd/replay/main.go
@@ -17,7 +17,7 @@
 
 func main() {
 	app := kingpin.New("replay", "Replays loads and faults on the planner in simulated time.")
-	load := app.Flag("load", "cellarlog or tricahue.").Default("cellarlog").Enum("cellarlog", "tricahue")
+	load := app.Flag("load", "cellarlog, tricahue, or grown: a shard of the grown deployment, with scale as the rate of its jobs.").Default("cellarlog").Enum("cellarlog", "tricahue", "grown")
 	scale := app.Flag("scale", "Share of the deployment's size.").Default("1").Float64()
 	seeds := app.Flag("seeds", "How many seeds, from 1.").Default("8").Int()
 	jobs := app.Flag("jobs", "Replays at a time.").Default("4").Int()
@@ -26,8 +26,11 @@
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
 	p := replayer.Cellarlog(*scale)
-	if *load == "tricahue" {
+	switch *load {
+	case "tricahue":
 		p = replayer.Tricahue(*scale)
+	case "grown":
+		p = replayer.Grown(*scale)
 	}
 	for _, text := range *fault {
 		f, err := parseFault(text)
@@ -61,7 +64,7 @@
 		fmt.Printf("seed %d: worth %.3f, %d starts", i+1, r.Worth(), r.Starts)
 		for _, name := range [...]string{"report", "bundle", "probe"} {
 			o := r.Classes[name]
-			fmt.Printf("; %s %d of %d in time, %d failed, at work %.3f", name, o.InTime, o.Accepted, o.Failed, o.AtWork)
+			fmt.Printf("; %s %d of %d in time, %d late, %d failed, at work %.3f, earned %.3f", name, o.InTime, o.Accepted, o.Late, o.Failed, o.AtWork, o.Earned)
 		}
 		fmt.Println()
 		for name, first := range r.First {
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -367,8 +367,11 @@
 		w.shown[id] = true
 		o := w.result.Classes[j.Queue.Name]
 		o.Done++
-		if w.now.Sub(w.arrived[id]) <= w.objective(j) {
+		switch took := w.now.Sub(w.arrived[id]); {
+		case took <= w.objective(j):
 			o.InTime++
+		case took <= 3*w.objective(j):
+			o.Late++
 		}
 		w.result.Classes[j.Queue.Name] = o
 	}
@@ -377,7 +380,11 @@
 func (w *World) objective(j *planner.Job) time.Duration {
 	var chain time.Duration
 	for i := range j.Steps {
-		chain += j.Steps[i].Estimate
+		var longest time.Duration
+		for n := range j.Steps[i].Count {
+			longest = max(longest, w.workOf(j, planner.TaskID{Job: j.ID, Step: i, Index: n}))
+		}
+		chain += longest
 	}
 	return time.Duration(j.Queue.Stretch*float64(chain)) + j.Queue.Slack
 }
@@ -394,6 +401,15 @@
 	if e.isAtWork(w.now) && e.tail <= 0 {
 		w.atWork[name][0] += tick
 	}
+	if e.isAtWork(w.now) && !w.cancelled[e.run.Job] && w.now.Sub(w.origin) < w.pattern.Length {
+		w.earned[name] += tick
+		switch {
+		case e.tail > 0 && quiet > 0:
+			w.earned[name] -= tick
+		case e.tail > 0:
+			w.earned[name] -= harmFactor * tick
+		}
+	}
 	if e.tail <= 0 || quiet > 0 || isExcused {
 		delete(w.over, e.run)
 		delete(w.harmed, e.run)
@@ -408,6 +424,10 @@
 	}
 }
 
+// harmFactor is how many times the time over its target counts that filling
+// tasks cause.
+const harmFactor = 4
+
 const (
 	// finishTime is after what time a job counts as forgotten of which nothing
 	// runs while under half of the processors are reserved, and stuckTime how
@@ -452,6 +472,9 @@
 		if t[1] > 0 {
 			o.AtWork = float64(t[0]) / float64(t[1])
 		}
+		if w.owed[name] > 0 {
+			o.Earned = max(0, float64(w.earned[name])/float64(w.owed[name]))
+		}
 		w.result.Classes[name] = o
 	}
 }
--- a/standins/replayer/machine.go
+++ b/standins/replayer/machine.go
@@ -143,6 +143,8 @@
 	// itself at its mean load, and loadSlope its rise with the load.
 	usualLevel = -0.8
 	loadSlope  = 2.6
+	// hungTail is the logarithm of the tail of a lasting task that stands still.
+	hungTail = 6.5
 	// tailNoise is the deviation of a reported tail.
 	tailNoise = 0.1
 )
@@ -157,7 +159,7 @@
 		quiet := level
 		for _, e := range m.sorted() {
 			if e.step.Fills {
-				level += w.slope(v.step.Image, e.step.Image) * e.cpu / 10
+				level += w.slope(v.step.Image, e.step.Image) * w.gust(e) * e.cpu / 10
 			}
 		}
 		v.tail += 0.1 * (level - v.tail)
@@ -212,6 +214,9 @@
 			if !e.isAtWork(w.now) {
 				s.Percent = 0
 			}
+			if m.hangs {
+				e.tail = hungTail
+			}
 			s.Tail = time.Duration(math.Exp(e.tail+tailNoise*w.noise.NormFloat64()) * float64(e.step.LatencyTarget))
 		} else {
 			s.Percent = int(100 * min(1, float64(e.done)/float64(e.work)))
--- a/standins/replayer/replayer.go
+++ b/standins/replayer/replayer.go
@@ -47,6 +47,12 @@
 	Step planner.Step
 	// Images is how many images the class has.
 	Images int
+	// Spread is the deviation of the logarithm of a job's width, and Misestimate
+	// that of the work of a step's tasks over its estimate; zero is an even
+	// spread and a good estimate.
+	Spread, Misestimate float64
+	// Stay is the mean time after which a lasting job is cancelled; zero is never.
+	Stay time.Duration
 	// Initial jobs arrive before time zero.
 	Initial int
 	// Hopeless is the share of jobs that can't be done.
@@ -77,6 +83,9 @@
 	// Drain is how long work goes on after the last arrival.
 	Drain  time.Duration
 	Faults []Fault
+	// Gusts is the amplitude of the logarithm of a filling task's disturbance,
+	// which swings within seconds.
+	Gusts float64
 	// Load is the share of its processors that a lasting task uses on average.
 	Load            float64
 	StopTime        time.Duration
@@ -87,9 +96,15 @@
 // Outcome is what became of the jobs of one class.
 type Outcome struct {
 	Accepted, InTime, Done, Failed, Cancelled int
-	// AtWork is the share of the time of lasting tasks at which they are at
-	// work under their target.
+	// Late jobs were done within three times their objective.
+	Late int
+	// AtWork is the share of the time of running lasting tasks at which they are
+	// at work under their target.
 	AtWork float64
+	// Earned is the share of the time of all lasting tasks that are owed in which
+	// they were at work, less what they were over their target, four times where
+	// filling tasks were the cause.
+	Earned float64
 }
 
 // Result is what a replay has counted.
@@ -140,7 +155,11 @@
 	over   map[planner.RunID]time.Time
 	harmed map[planner.RunID]bool
 	atWork map[string]*[2]time.Duration
-	result Result
+	// owed is the time of all lasting tasks by class, and earned what they were
+	// at work in it less what they lost by their tails.
+	owed, earned map[string]time.Duration
+	cancelled    map[string]bool
+	result       Result
 }
 
 type event struct {
@@ -157,7 +176,7 @@
 		accepted: map[string]*planner.Job{}, arrived: map[string]time.Time{}, progress: map[string]planner.Progress{},
 		saved: map[string]time.Duration{}, slopes: map[string]float64{}, salt: strconv.FormatUint(seed, 10), hopeless: map[string]bool{}, classOf: map[string]*Class{}, done: map[planner.TaskID]bool{}, void: map[planner.TaskID]bool{},
 		shown: map[string]bool{}, burst: 1, credit: map[string]float64{}, over: map[planner.RunID]time.Time{}, harmed: map[planner.RunID]bool{},
-		atWork: map[string]*[2]time.Duration{},
+		atWork: map[string]*[2]time.Duration{}, owed: map[string]time.Duration{}, earned: map[string]time.Duration{}, cancelled: map[string]bool{},
 		result: Result{Violations: map[string]int{}, First: map[string]string{}, Classes: map[string]Outcome{}},
 	}
 	for i := range p.Workers {
@@ -238,6 +257,9 @@
 		for _, m := range w.machines {
 			m.advance(w, tick)
 		}
+		if w.now.Before(end) {
+			w.noteOwed()
+		}
 		isListed := !w.now.Before(listAt) && !w.storeDown
 		if isListed {
 			listAt = w.now.Add(700 * time.Millisecond)
@@ -295,7 +317,7 @@
 	}
 	for i := range steps {
 		s := c.Step
-		s.Count = 1 + w.rng.IntN(2*c.Width-1)
+		s.Count = w.width(c)
 		s.Need, s.Estimate = c.Need, c.Work
 		if c.Images > 0 {
 			s.Image = c.Queue.Name + strconv.Itoa(int(w.hash(j.ID)%uint64(c.Images)))
@@ -308,6 +330,45 @@
 	w.accepted[j.ID], w.arrived[j.ID], w.classOf[j.ID] = j, w.now, c
 	w.hopeless[j.ID] = w.rng.Float64() < c.Hopeless
 	w.present().planner.AddJob(w.now, *j, planner.Progress{})
+	if c.Stay > 0 {
+		stay := float64(c.Stay) * math.Exp(staySpread*w.rng.NormFloat64()-staySpread*staySpread/2)
+		w.at(w.now.Add(time.Duration(stay)), func() {
+			w.cancelled[j.ID] = true
+			w.present().planner.Cancel(w.now, j.ID)
+		})
+	}
+}
+
+// staySpread is the deviation of the logarithm of a lasting job's life.
+const staySpread = 0.5
+
+// width draws the number of tasks of a step.
+func (w *World) width(c *Class) int {
+	if c.Spread == 0 {
+		return 1 + w.rng.IntN(2*c.Width-1)
+	}
+	drawn := float64(c.Width) * math.Exp(c.Spread*w.rng.NormFloat64()-c.Spread*c.Spread/2)
+	return min(max(1, int(drawn+0.5)), 6*c.Width)
+}
+
+// noteOwed counts the time of the lasting tasks that are to be at work.
+func (w *World) noteOwed() {
+	for id, j := range w.accepted {
+		if !w.cancelled[id] && j.Steps[0].Lasting {
+			w.owed[j.Queue.Name] += time.Duration(j.Steps[0].Count) * tick
+		}
+	}
+}
+
+// misestimate is the work of a step's tasks over its estimate.
+func (w *World) misestimate(j *planner.Job, number int) float64 {
+	c := w.classOf[j.ID]
+	if c == nil || c.Misestimate == 0 {
+		return 1
+	}
+	// The normal deviate of the unit by its logistic approximation.
+	u := w.unit(fmt.Sprint(j.ID, "estimate", number))
+	return math.Exp(c.Misestimate * math.Log(u/(1-u)) / 1.7)
 }
 
 func (w *World) hash(text string) uint64 { return xxhash.Sum64String(text) }
@@ -316,7 +377,7 @@
 func (w *World) unit(text string) float64 { return float64(w.hash(text)>>11) / (1 << 53) }
 
 func (w *World) workOf(j *planner.Job, t planner.TaskID) time.Duration {
-	return time.Duration(float64(j.Steps[t.Step].Estimate) * (0.7 + 0.6*w.unit(t.String())))
+	return time.Duration(float64(j.Steps[t.Step].Estimate) * w.misestimate(j, t.Step) * (0.7 + 0.6*w.unit(t.String())))
 }
 
 func (w *World) phaseOf(r planner.RunID) float64 { return 2 * math.Pi * w.unit(r.Job) }
@@ -334,6 +395,16 @@
 	return w.pattern.Load * (1 + 0.5*math.Sin(2*math.Pi*t/14+e.phase))
 }
 
+// gust is by how much the disturbance of a filling task differs now from its
+// usual strength.
+func (w *World) gust(e *execution) float64 {
+	if w.pattern.Gusts == 0 {
+		return 1
+	}
+	t := w.now.Sub(w.origin).Seconds()
+	return math.Exp(w.pattern.Gusts * math.Sin(2*math.Pi*t/5+e.phase))
+}
+
 // heavyShare is the share of the filling images that disturb one of the two
 // groups of serving images; the others hardly disturb any.
 const heavyShare = 0.6
