Keep a worker for urgent lasting tasks wherever they come; spread them over shards

One short job of a third of a shard kept lasting tasks out for half a minute. One instance owned three shards, as those of a new deployment that start first took all.

Change: the shard is drawn in proportion to its room; tasks that have waited for 2.5 s go where one worker has room for them besides its short tasks, and get it kept at once. A kept worker keeps only what its task needs. The remembered peak of short work halves in 6 s instead of 15. A reluctant daemon waits four times as long for a shard that never had an owner. Announced room counts only workers on which tasks may start.

--- a/internal/conductor/handover.go
+++ b/internal/conductor/handover.go
@@ -14,7 +14,7 @@
 
 // handoverInterval is the least time between two looks for tasks that another
 // shard may have.
-const handoverInterval = 250 * time.Millisecond
+const handoverInterval = 100 * time.Millisecond
 
 // cancelledSuffix follows the key of a job's record in the key by which a shard
 // tells another one that it has cancelled a job of which both have tasks.
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -25,6 +25,9 @@
 	// vacancyDelay spreads the daemons that want a vacant shard, so that they
 	// don't all write at once.
 	vacancyDelay = 250 * time.Millisecond
+	// bootstrapFactor is by how many times longer a reluctant daemon waits for a
+	// shard that has never had an owner.
+	bootstrapFactor = 4
 	// aliveTimeout bounds the question whether the last owner lives, and
 	// headStart is how long one that does may take to renew its entry: its lease
 	// lapses while the store is away, and a change of the owner costs more.
@@ -136,7 +139,13 @@
 	h.Write([]byte(c.options.Self + c.options.Shard))
 	delay := vacancyDelay * time.Duration(h.Sum32()%100) / 100
 	if c.options.Reluctance != nil {
-		delay += c.options.Reluctance()
+		reluctance := c.options.Reluctance()
+		if !c.Owner().IsValid() {
+			// The daemons of a new deployment don't start at the same moment, and
+			// nobody misses an owner yet.
+			reluctance *= bootstrapFactor
+		}
+		delay += reluctance
 	}
 	return delay
 }
--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -45,7 +45,8 @@
 	// Spare those of them which aren't kept for short work.
 	Free  int64 `cbor:"free"`
 	Spare int64 `cbor:"spare"`
-	// Largest is what the worker with the most free processors has.
+	// Largest is the most that a lasting task can get on one worker once the short
+	// tasks there have ended.
 	Largest Resources `cbor:"largest"`
 	// Workers is how many workers may get tasks.
 	Workers int `cbor:"workers"`
@@ -56,11 +57,11 @@
 	var usable []*Worker
 	var r Room
 	for _, w := range p.list {
-		if w.listed && w.fenced && !w.Draining && !p.emptied[w.Domain] && !w.isSick(now) {
+		if p.isUsable(now, w) {
 			usable = append(usable, w)
 			r.Free += w.free.CPU
-			if w.reserved.task == nil && w.free.CPU > r.Largest.CPU {
-				r.Largest = w.free
+			if room := w.roomForLasting(); !w.isKept(now) && room.CPU > r.Largest.CPU {
+				r.Largest = room
 			}
 		}
 	}
@@ -117,7 +118,7 @@
 
 func (p *Planner) isHomeless(now time.Time, t *task) bool {
 	s := t.step
-	if !s.Lasting || !s.open || t.away || len(t.runs) > 0 || t.readyAt.IsZero() || now.Before(t.retryAt) {
+	if !s.Lasting || !s.open || t.away || len(t.runs) > 0 || t.readyAt.IsZero() || now.Before(t.retryAt) || p.hasWorkerKept(now, t) {
 		return false
 	}
 	since := t.readyAt
--- a/internal/planner/handover_test.go
+++ b/internal/planner/handover_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -121,3 +122,64 @@
 	d.ready()
 	d.Assert(d.starts(), quicktest.HasLen, 0)
 }
+
+// TestUrgentTaskGetsWorker replays the end of a partition on a full fleet: lasting
+// tasks whose shard is full went from shard to shard, and in each the short work
+// took what became free before them. One that has waited for long gets the next
+// worker on which it fits once the short tasks there have ended, here or in the
+// shard that it comes to, and then stays.
+func TestUrgentTaskGetsWorker(t *testing.T) {
+	// The small workers have room, but none has enough.
+	d := newDesk(t, 1, worker("a", 40), worker("b", 15), worker("c", 15), worker("d", 15)).ready()
+	short := step(40, 1)
+	short.RequiredLabel = "rack-a"
+	d.add(job("short", short))
+	d.Assert(d.starts(), quicktest.HasLen, 40)
+	d.Assert(d.p.Room(d.now).Largest.CPU, quicktest.Equals, int64(40_000), quicktest.Commentf("the short tasks end soon"))
+	part := lasting("lasting", 2, 20)
+	part.IsPart, part.Arrived = true, []planner.Arrival{{Index: 1, Attempt: 3, Move: 1, Waited: 3 * time.Second}}
+	d.add(part)
+	d.Assert(d.starts(), quicktest.HasLen, 0)
+	d.pass(5 * time.Second)
+	d.ready()
+	d.add(job("more", short))
+	d.Assert(d.starts(), quicktest.HasLen, 0)
+	d.Assert(d.p.Homeless(d.now), quicktest.HasLen, 0, quicktest.Commentf("a worker is kept for it"))
+	for _, s := range slices.Clone(d.running["a"])[:20] {
+		d.end(planner.Command{Run: s.Run, WorkerID: "a"}, planner.EndDone)
+	}
+	started := d.starts()
+	d.Assert(started, quicktest.HasLen, 1)
+	d.Assert(started[0].Run.Job, quicktest.Equals, "lasting")
+	for _, s := range slices.Clone(d.running["a"])[:5] {
+		if s.Run.Job == "short" {
+			d.end(planner.Command{Run: s.Run, WorkerID: "a"}, planner.EndDone)
+		}
+	}
+	d.Assert(len(d.starts()) > 0, quicktest.IsTrue, quicktest.Commentf("the rest is for short work again"))
+}
+
+// TestKeptWorkerSharesItsRest guards against a large worker that stands idle
+// because a task which needs half of it waits.
+func TestKeptWorkerSharesItsRest(t *testing.T) {
+	d := newDesk(t, 1, worker("a", 40), worker("b", 15), worker("c", 15), worker("d", 15)).ready()
+	short := step(30, 1)
+	short.RequiredLabel = "rack-a"
+	d.add(job("short", short))
+	short.Count = 20
+	d.Assert(d.starts(), quicktest.HasLen, 30)
+	d.add(lasting("lasting", 1, 20))
+	d.starts()
+	d.pass(2 * time.Second)
+	d.ready()
+	d.starts()
+	for _, s := range slices.Clone(d.running["a"])[:15] {
+		d.end(planner.Command{Run: s.Run, WorkerID: "a"}, planner.EndDone)
+	}
+	d.add(job("more", short))
+	byJob := map[string]int{}
+	for _, o := range d.starts() {
+		byJob[o.Run.Job]++
+	}
+	d.Assert(byJob, quicktest.DeepEquals, map[string]int{"lasting": 1, "more": 5})
+}
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -7,8 +7,8 @@
 
 const (
 	// headroomMemory is the time in which the remembered peak of short work
-	// falls to a half.
-	headroomMemory = 15 * time.Second
+	// falls to a half: one wide job is no sign that another one comes.
+	headroomMemory = 6 * time.Second
 	// headroomFactor is how much more than that peak is kept free.
 	headroomFactor = 1.25
 	// headroomShare is the share of all processors that is kept free before any
@@ -17,8 +17,10 @@
 	// headroomLimit is the most that is kept free, as a share of all processors.
 	headroomLimit = 0.33
 	// headroomWait is how long a lasting task that has run before may wait for
-	// the headroom: it serves users all the time, so it goes first then.
-	headroomWait = 4500 * time.Millisecond
+	// the headroom: it serves users all the time, so it goes first then. It has to
+	// be at work again within 9 s, and may have to go to another shard and wait for
+	// short tasks to end there.
+	headroomWait = 2500 * time.Millisecond
 )
 
 // headroom keeps processors free for short work that reserves them. Lasting
@@ -64,18 +66,33 @@
 			}
 		}
 	}
-	demand := h.short
+	demand := int64(0)
 	for _, j := range p.active {
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				// Late work is a backlog, and no sign of what is to come.
-				if s.open && !s.Lasting && !s.Fills && p.rank(now, s) == rankInTime {
-					demand += int64(len(s.waiting)) * s.Need.CPU
-				}
+		demand += p.shortDemand(now, j)
+	}
+	h.note(now, demand)
+}
+
+// shortDemand is what the short tasks of a job use and wait for. Late work is a
+// backlog, and no sign of what is to come.
+func (p *Planner) shortDemand(now time.Time, j *job) int64 {
+	var demand int64
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if !s.open || s.Lasting || s.Fills {
+				continue
 			}
+			count := 0
+			for _, t := range s.tasks {
+				count += len(t.runs)
+			}
+			if p.rank(now, s) == rankInTime {
+				count += len(s.waiting)
+			}
+			demand += int64(count) * s.Need.CPU
 		}
 	}
-	h.note(now, demand)
+	return demand
 }
 
 // leavesHeadroom reports whether a lasting task may take processors now.
--- a/internal/planner/overload_test.go
+++ b/internal/planner/overload_test.go
@@ -111,3 +111,22 @@
 	d.add(lasting("lasting", 8, 8))
 	d.Assert(d.starts(), quicktest.HasLen, 8)
 }
+
+// TestWideJobIsForgotten replays a short job that is as wide as a third of its
+// service: for half a minute after it lasting tasks did not get back what it had
+// used.
+func TestWideJobIsForgotten(t *testing.T) {
+	d := newDesk(t, 1, worker("a", 50), worker("b", 50)).ready()
+	d.add(job("wide", step(33, 1)))
+	wide := d.starts()
+	d.Assert(wide, quicktest.HasLen, 33)
+	d.add(lasting("lasting", 18, 5))
+	before := len(d.starts())
+	for _, o := range wide {
+		d.end(o, planner.EndDone)
+	}
+	d.pass(15 * time.Second)
+	d.look("a")
+	d.look("b")
+	d.Assert(before+len(d.starts()), quicktest.Equals, 18)
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -27,12 +27,7 @@
 		return list
 	}
 	for _, w := range p.list {
-		switch {
-		case w.Service != key.service || !w.fenced || !w.recorded || !w.listed || w.Draining:
-		case p.emptied[w.Domain] || w.isSick(now) || w.hasStrangers:
-		case !w.failedSince.IsZero() && now.Sub(w.failedSince) > answerLimit:
-		case key.label != "" && !slices.Contains(w.Labels, key.label):
-		default:
+		if w.Service == key.service && p.isUsable(now, w) && (key.label == "" || slices.Contains(w.Labels, key.label)) {
 			list = append(list, w)
 		}
 	}
@@ -40,6 +35,12 @@
 	return list
 }
 
+// isUsable reports whether tasks may start on a worker now.
+func (p *Planner) isUsable(now time.Time, w *Worker) bool {
+	isSilent := !w.failedSince.IsZero() && now.Sub(w.failedSince) > answerLimit
+	return w.fenced && w.recorded && w.listed && !w.Draining && !p.emptied[w.Domain] && !w.isSick(now) && !w.hasStrangers && !isSilent
+}
+
 // placeKey is what decides besides its resources where a task may be placed.
 type placeKey struct {
 	candidateKey
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -25,17 +25,47 @@
 // isKeptFrom reports whether a worker is kept for another task than t. Filling
 // tasks take no processors, so they may go there.
 func (w *Worker) isKeptFrom(now time.Time, t *task) bool {
+	if w.reserved.task == t || t.step.Fills || !w.isKept(now) {
+		return false
+	}
+	// What the kept task doesn't need others may have, as long as it needs no
+	// more of them to end.
+	left := w.roomForLasting().minus(w.reserved.task.step.reserved())
+	if !t.step.Lasting {
+		left = left.minus(w.roomForLasting().minus(w.free))
+	}
+	return !left.Fits(t.step.reserved())
+}
+
+// isKept reports whether a worker is kept for any task.
+func (w *Worker) isKept(now time.Time) bool {
 	r := w.reserved
-	if r.task == nil || r.task == t || t.step.Fills {
+	if r.task == nil {
 		return false
 	}
-	isOver := r.task.done || len(r.task.runs) > 0 || r.task.step.occurrence.job.state.isFinal() || now.Sub(r.since) > reserveTime
+	isOver := r.task.done || r.task.away || len(r.task.runs) > 0 || r.task.step.occurrence.job.state.isFinal() || now.Sub(r.since) > reserveTime
 	if isOver {
 		w.reserved = reservation{}
 	}
 	return !isOver
 }
 
+// hasWorkerKept reports whether a worker is kept for t.
+func (p *Planner) hasWorkerKept(now time.Time, t *task) bool {
+	return slices.ContainsFunc(p.list, func(w *Worker) bool { return w.reserved.task == t && w.isKept(now) })
+}
+
+// roomForLasting is what a lasting task can get once the short tasks have ended.
+func (w *Worker) roomForLasting() Resources {
+	room := w.free
+	for _, r := range w.order {
+		if s := r.task.step; !s.Lasting && !s.Fills {
+			room = room.plus(s.reserved())
+		}
+	}
+	return room
+}
+
 // reserve keeps the worker for a lasting task on which it will fit soonest: that
 // with the most processors besides what lasting tasks hold. It does nothing when
 // the task has a worker, has not waited for long, or fits nowhere.
@@ -44,7 +74,7 @@
 	if now.Sub(t.readyAt) < reserveAfter || p.headroom.free < reserveFactor*t.step.Need.CPU {
 		return
 	}
-	if slices.ContainsFunc(p.list, func(w *Worker) bool { return w.reserved.task == t && now.Sub(w.reserved.since) <= reserveTime }) {
+	if p.hasWorkerKept(now, t) {
 		return
 	}
 	var best *Worker
@@ -53,12 +83,7 @@
 		if w.isKeptFrom(now, t) || !p.mayShare(t, w) || slices.Contains(t.avoid, w.ID) {
 			continue
 		}
-		room := w.free
-		for _, r := range w.order {
-			if s := r.task.step; !s.Lasting && !s.Fills {
-				room = room.plus(s.reserved())
-			}
-		}
+		room := w.roomForLasting()
 		if room.Fits(t.step.reserved()) && room.CPU > most {
 			best, most = w, room.CPU
 		}
--- a/internal/sharder/chooser.go
+++ b/internal/sharder/chooser.go
@@ -93,38 +93,42 @@
 	return best
 }
 
-// Place returns the shard with the most room for lasting tasks that find no place
-// in shard from, and how many of count it may get. Urgent tasks go, one at a
-// time, also where the room is kept for short work.
+// Place returns a shard for lasting tasks that find no place in shard from, and
+// how many of count it may get. Urgent tasks go also where the room is kept for
+// short work, as many as one worker has room for. The shard is drawn in proportion
+// to the room: owners know it late, and the best one would get the tasks of all.
 func (c *Chooser) Place(from int, need planner.Resources, count int, isUrgent bool) (shard, tasks int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	best, fits := -1, 0
+	unit := max(1, need.CPU)
+	fits := make([]int64, len(c.rooms))
+	var all int64
 	for n, r := range c.rooms {
 		if n == from || !r.Largest.Fits(need) {
 			continue
 		}
-		room := count
-		if need.CPU > 0 {
-			room = int(min(int64(count), r.Spare/need.CPU))
-		}
-		if room < 1 && isUrgent {
-			room = 1
-		}
-		if room >= 1 && (best < 0 || r.Spare > c.rooms[best].Spare) {
-			best, fits = n, room
+		fits[n] = max(0, r.Spare/unit)
+		if isUrgent {
+			fits[n] = max(fits[n], r.Largest.CPU/unit)
 		}
+		all += fits[n]
 	}
-	if best < 0 {
+	if all == 0 {
 		return 0, 0
 	}
-	r := &c.rooms[best]
-	r.Spare -= int64(fits) * need.CPU
+	drawn := rand.Int64N(all)
+	for drawn >= fits[shard] {
+		drawn -= fits[shard]
+		shard++
+	}
+	tasks = int(min(int64(count), fits[shard]))
+	r := &c.rooms[shard]
+	r.Spare -= int64(tasks) * need.CPU
 	if r.Spare < 0 {
 		// The largest worker may be taken now; the next announcement tells.
 		r.Largest = planner.Resources{}
 	}
-	return best, fits
+	return shard, tasks
 }
 
 // byWorkers spreads ids in proportion to the workers of the shards.
