Keep another worker for each urgent task; no company beside a lasting task over its target

Change: a kept worker stays with its task; after 3 s without success the task is offered to other shards too.

--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -118,7 +118,10 @@
 
 func (p *Planner) isHomeless(now time.Time, t *task) bool {
 	s := t.step
-	if !s.Lasting || !s.open || t.away || len(t.runs) > 0 || t.readyAt.IsZero() || now.Before(t.retryAt) || p.hasWorkerKept(now, t) {
+	if !s.Lasting || !s.open || t.away || len(t.runs) > 0 || t.readyAt.IsZero() || now.Before(t.retryAt) {
+		return false
+	}
+	if p.hasWorkerKept(now, t) && now.Sub(t.keptAt) < reserveTrust {
 		return false
 	}
 	since := t.readyAt
@@ -225,7 +228,7 @@
 			continue
 		}
 		t.move, t.floor, t.away, t.departure = a.Move, max(t.floor, a.Attempt), false, nil
-		t.readyAt, t.arrivedAt = now.Add(-a.Waited), now
+		t.readyAt, t.arrivedAt, t.keptAt = now.Add(-a.Waited), now, time.Time{}
 		p.waitAgain(t)
 	}
 }
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -323,7 +323,7 @@
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	p.note("run_ended", r, why)
 	if len(t.runs) == 0 {
-		t.readyAt = time.Time{}
+		t.readyAt, t.keptAt = time.Time{}, time.Time{}
 		p.waitAgain(t)
 	}
 }
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -10,6 +10,8 @@
 	// is kept free for it, and reserveTime for how long that is at most.
 	reserveAfter = 1500 * time.Millisecond
 	reserveTime  = 6 * time.Second
+	// reserveTrust is how long the task is not offered to other shards then.
+	reserveTrust = 3 * time.Second
 	// reserveFactor is how many times the processors that the task needs must be
 	// free over all workers.
 	reserveFactor = 2
@@ -80,7 +82,7 @@
 	var best *Worker
 	var most int64
 	for _, w := range candidates {
-		if w.isKeptFrom(now, t) || !p.mayShare(t, w) || slices.Contains(t.avoid, w.ID) {
+		if w.isKept(now) || !p.mayShare(t, w) || slices.Contains(t.avoid, w.ID) {
 			continue
 		}
 		room := w.roomForLasting()
@@ -90,6 +92,9 @@
 	}
 	if best != nil {
 		best.reserved = reservation{t, now}
+		if t.keptAt.IsZero() {
+			t.keptAt = now
+		}
 		p.noteWorker("worker_kept", best, "for "+t.id.String())
 	}
 }
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -273,7 +273,7 @@
 	switch waited := now.Sub(t.readyAt); {
 	case waited < lateWaitLimit && p.rank(now, t.step) != rankInTime && p.isBusy(t.step.occurrence.job.Queue.Service):
 		return lateHarmLimit
-	case waited > anywhereLimit:
+	case waited > busyAnywhereLimit, waited > anywhereLimit && !p.isBusy(t.step.occurrence.job.Queue.Service):
 		return math.Inf(1)
 	case waited > waitLimit:
 		return waitedHarmLimit
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -134,6 +134,8 @@
 	// arrivedAt is when the task came from it.
 	floor     int
 	arrivedAt time.Time
+	// keptAt is when a worker was first kept for the task since it waits here.
+	keptAt time.Time
 }
 
 // run is a run of a task that may be on a worker.
