--- a/internal/planner/overload_test.go
+++ b/internal/planner/overload_test.go
@@ -130,3 +130,20 @@
 	d.look("b")
 	d.Assert(before+len(d.starts()), quicktest.Equals, 18)
 }
+
+// TestNoCompanyOverTarget replays filling tasks that have waited for long in a
+// busy service: one after the other started beside a lasting task over its target,
+// which stayed there for as long as the rules allow, and longer.
+func TestNoCompanyOverTarget(t *testing.T) {
+	d := busyDesk(t, 0.5)
+	j := filling("batch")
+	j.Queue.Slack = time.Minute
+	d.add(j)
+	d.Assert(d.starts(), quicktest.HasLen, 0)
+	d.pass(8 * time.Second)
+	d.look("a")
+	d.Assert(d.starts(), quicktest.HasLen, 0)
+	d.pass(30 * time.Second)
+	d.look("a")
+	d.Assert(d.starts(), quicktest.HasLen, 1, quicktest.Commentf("it must not wait for ever"))
+}
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -52,6 +52,10 @@
 	lateWaitLimit = 10 * time.Second
 	waitLimit     = 1500 * time.Millisecond
 	anywhereLimit = 6 * time.Second
+	// busyAnywhereLimit replaces anywhereLimit where the service is busy: tasks
+	// that come one after the other to a lasting one over its target would hold it
+	// there.
+	busyAnywhereLimit = 30 * time.Second
 	// slowedPace is the pace from which on a task has as good as no share, and
 	// slowedLimit how long it stays so before it is moved.
 	slowedPace  = 30
