Add a fault soak of the daemon's processes

Random faults from outside the processes: loopback proxies that delay, reset, silence and cut one way, before the store of each instance and each worker; signals that stop, pause, kill and restart; a store that loses answers, refuses calls and drops its history; configurations and reloads. They come in series and overlap. What clients and workers see is checked: no task twice, order, no start of refused work, nothing accepted lost, done shown only when all is done, cancelled tasks gone, lasting ones at work again.

The worker stand-in ends its runs by itself where asked to, not only when it is called, and reports what happens to runs.

--- /dev/null
+++ b/standins/cmd/soak/main.go
@@ -0,0 +1,72 @@
+// Command soak runs the daemon's processes under random faults and checks what
+// their clients and workers see. It ends with status 1 if a promise was broken.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"tarragonhead.example/tarragonhead/standins/soaker"
+)
+
+func main() {
+	app := kingpin.New("soak", "Runs tarragond under random faults and checks its promises.")
+	from := app.Flag("from", "First seed.").Default("1").Uint64()
+	seeds := app.Flag("seeds", "How many seeds.").Default("10").Int()
+	jobs := app.Flag("jobs", "Soaks at a time.").Default("2").Int()
+	length := app.Flag("length", "For how long faults are injected.").Default("20s").Duration()
+	instances := app.Flag("instances", "Instances of a soak.").Default("3").Int()
+	workers := app.Flag("workers", "Workers of a soak.").Default("6").Int()
+	clients := app.Flag("clients", "Clients of a soak.").Default("4").Int()
+	verbose := app.Flag("verbose", "Print the injected faults of each seed.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	dir, err := os.MkdirTemp("", "soak")
+	app.FatalIfError(err, "directory")
+	binary := filepath.Join(dir, "tarragond")
+	if output, err := exec.Command("go", "build", "-o", binary, "tarragonhead.example/tarragonhead/cmd/tarragond").CombinedOutput(); err != nil {
+		app.Fatalf("build: %v\n%s", err, output)
+	}
+	var mu sync.Mutex
+	broken := 0
+	limit := make(chan struct{}, max(1, *jobs))
+	var done sync.WaitGroup
+	for n := range *seeds {
+		done.Go(func() {
+			limit <- struct{}{}
+			defer func() { <-limit }()
+			seed := *from + uint64(n)
+			sub := filepath.Join(dir, fmt.Sprint(seed))
+			app.FatalIfError(os.Mkdir(sub, 0o700), "directory")
+			r, err := soaker.Run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: *instances, Workers: *workers, Clients: *clients, Length: *length})
+			app.FatalIfError(err, "seed %d", seed)
+			mu.Lock()
+			defer mu.Unlock()
+			fmt.Printf("seed %d: %d jobs, %d accepted, %d starts, %d faults injected, %d promises broken\n", seed, r.Jobs, r.Accepted, r.Starts, len(r.Injected), len(r.Faults))
+			for _, f := range r.Faults {
+				fmt.Println("  broken:", f)
+			}
+			if *verbose || len(r.Faults) > 0 {
+				for _, i := range r.Injected {
+					fmt.Println("  injected:", i)
+				}
+			}
+			if len(r.Faults) == 0 {
+				_ = os.RemoveAll(sub)
+				return
+			}
+			broken++
+			fmt.Println("  log:", filepath.Join(sub, fmt.Sprintf("soak-%d.log", seed)))
+		})
+	}
+	done.Wait()
+	if broken > 0 {
+		app.Fatalf("%d of %d seeds broke a promise", broken, *seeds)
+	}
+	_ = os.RemoveAll(dir)
+}
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -41,6 +41,31 @@
 	Length time.Duration
 	// Output receives what the instances log.
 	Output *os.File
+	// Via returns the address at which instances reach a server at another one,
+	// such as that of a proxy; nil is the server itself. The name is that of the
+	// worker, or of the instance that reaches the store.
+	Via func(name, address string) (string, error)
+	// Observe receives what happens to runs, in the order on each worker; nil for
+	// nobody. It must not call the platform.
+	Observe func(Event)
+}
+
+// Event is what a worker has done with a run.
+type Event struct {
+	Worker  string
+	Task    string
+	Attempt int
+	// Kind is start, the way in which the run ended, or noted, when its end was
+	// acknowledged.
+	Kind string
+}
+
+// via returns the address for instances of a server.
+func (p *Platform) via(name, address string) (string, error) {
+	if p.options.Via == nil {
+		return address, nil
+	}
+	return p.options.Via(name, address)
 }
 
 // Platform is a stand-in of the platform with its instances.
@@ -74,9 +99,12 @@
 	for n := range o.Workers {
 		w := &Worker{
 			id: fmt.Sprintf("i-%d", n), length: o.Length, born: time.Now(),
-			runs: map[runKey]time.Time{}, barred: map[string]int{}, starts: map[string]int{},
+			runs: map[runKey]time.Time{}, barred: map[string]int{}, starts: map[string]int{}, observe: o.Observe,
 		}
 		address, err := p.listen(w.serve)
+		if err == nil {
+			address, err = p.via(w.id, address)
+		}
 		if err != nil {
 			p.Stop()
 			return nil, err
@@ -89,8 +117,17 @@
 		p.Keeper.Put("servers/"+w.id, entry)
 		p.Workers = append(p.Workers, w)
 	}
+	if err := p.PutConfig(1); err != nil {
+		p.Stop()
+		return nil, err
+	}
+	return p, nil
+}
+
+// PutConfig puts a version of the configuration in force.
+func (p *Platform) PutConfig(version int) error {
 	config, err := json.Marshal(map[string]any{
-		"version": 1,
+		"version": version,
 		"routes": []map[string]any{{
 			"name": "queue", "host": Host, "prefix": Prefix, "kind": "non_idempotent", "timeoutMs": 3000, "sloMs": 1000,
 			"priority": 0, "service": service, "attempts": 2, "stretchFactor": 2.0,
@@ -99,11 +136,10 @@
 		"limits":   map[string]int{"maxBodyBytes": 262144},
 	})
 	if err != nil {
-		p.Stop()
-		return nil, errors.Wrap(err, "configuration")
+		return errors.Wrap(err, "configuration")
 	}
 	p.Keeper.Put("op/config", config)
-	return p, nil
+	return nil
 }
 
 // listen serves a handler at a free address of this machine.
@@ -138,6 +174,10 @@
 		}
 	}
 	i := &Instance{Front: addresses[0], name: name, control: addresses[2], done: make(chan struct{})}
+	store, err := p.via(name, p.store)
+	if err != nil {
+		return nil, err
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var seeds []string
@@ -166,7 +206,7 @@
 platform.writesPerS=400
 platform.readsPerS=2000
 platform.minTtlMs=500
-`, name, domain, addresses[0], addresses[1], addresses[2], strings.Join(seeds, ","), p.store)
+`, name, domain, addresses[0], addresses[1], addresses[2], strings.Join(seeds, ","), store)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
--- a/standins/platformer/worker.go
+++ b/standins/platformer/worker.go
@@ -5,12 +5,17 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 )
 
+// LastingID begins the ids of jobs whose tasks run until they are stopped: the
+// stand-in doesn't get the steps of a job.
+const LastingID = "1a57"
+
 // runKey is a run on the wire: the task's name and the attempt.
 type runKey struct {
 	task    string
@@ -22,17 +27,18 @@
 	id     string
 	length time.Duration
 
-	mu       sync.Mutex
-	born     time.Time
-	fence    int64
-	runs     map[runKey]time.Time
-	barred   map[string]int
-	ends     [][]any
-	count    int
-	lease    time.Time
-	starts   map[string]int
-	together []string
-	silent   bool
+	mu     sync.Mutex
+	born   time.Time
+	fence  int64
+	runs   map[runKey]time.Time
+	barred map[string]int
+	ends   [][]any
+	count  int
+	lease  time.Time
+	starts map[string]int
+	silent bool
+	// observe receives what happens to runs; nil for nobody.
+	observe func(Event)
 }
 
 // StartsByTask returns how often each task was started.
@@ -120,13 +126,20 @@
 		}
 		w.runs[k] = time.Now()
 		w.starts[o.Task]++
+		w.note(k, "start")
 	}
 	write(ctx, fasthttp.StatusOK, map[string]any{"clockMs": w.clock()})
 }
 
 // hold answers at once: a stand-in needs no long poll.
 func (w *Worker) hold(ctx *fasthttp.RequestCtx, o order) {
-	w.ends = slices.DeleteFunc(w.ends, func(e []any) bool { return e[0].(int) <= o.Ack })
+	w.ends = slices.DeleteFunc(w.ends, func(e []any) bool {
+		isNoted := e[0].(int) <= o.Ack
+		if isNoted {
+			w.note(runKey{e[1].(string), e[2].(int)}, "noted")
+		}
+		return isNoted
+	})
 	running := [][]any{}
 	for k, began := range w.runs {
 		running = append(running, []any{k.task, k.attempt, "", int(99 * time.Since(began) / w.length), 0})
@@ -142,7 +155,7 @@
 func (w *Worker) advance() {
 	for k, began := range w.runs {
 		switch {
-		case time.Since(began) >= w.length:
+		case time.Since(began) >= w.length && !strings.HasPrefix(k.task, LastingID):
 			w.end(k, "done")
 		case time.Now().After(w.lease):
 			w.end(k, "lapsed")
@@ -158,6 +171,31 @@
 	w.barred[k.task] = max(w.barred[k.task], k.attempt)
 	w.count++
 	w.ends = append(w.ends, []any{w.count, k.task, k.attempt, how, ""})
+	w.note(k, how)
+}
+
+func (w *Worker) note(k runKey, kind string) {
+	if w.observe != nil {
+		w.observe(Event{w.id, k.task, k.attempt, kind})
+	}
+}
+
+// advanceInterval is how often a worker ends runs that nobody asks about.
+const advanceInterval = 20 * time.Millisecond
+
+// Advance ends the runs that are done or whose lease has lapsed, until stop is
+// closed; without it they end with the next call.
+func (w *Worker) Advance(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(advanceInterval):
+			w.mu.Lock()
+			w.advance()
+			w.mu.Unlock()
+		}
+	}
 }
 
 // entry is what the worker writes of itself in the store.
@@ -168,3 +206,6 @@
 		"clockMs": w.clock(), "seq": 1, "born": w.born.UnixMilli(),
 	})
 }
+
+// ID returns the worker's id.
+func (w *Worker) ID() string { return w.id }
--- /dev/null
+++ b/standins/soaker/proxy.go
@@ -0,0 +1,141 @@
+package soaker
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Weather is what a proxy does to the connections through it.
+type Weather struct {
+	// Delay holds each piece of data up.
+	Delay time.Duration
+	// DropTo and DropFrom swallow the data to the server and from it; both are a
+	// silent cut.
+	DropTo, DropFrom bool
+	// Refuse resets new connections.
+	Refuse bool
+}
+
+// Proxy forwards connections to a server on this machine.
+type Proxy struct {
+	listener net.Listener
+	target   string
+
+	mu      sync.Mutex
+	weather Weather
+	open    map[net.Conn]bool
+}
+
+// NewProxy listens at a free loopback address for a server.
+func NewProxy(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "proxy")
+	}
+	p := &Proxy{listener: l, target: target, open: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// Address is where clients reach the server.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes the weather for open and new connections.
+func (p *Proxy) Set(w Weather) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.weather = w
+}
+
+// Reset resets a share of the open connections.
+func (p *Proxy) Reset(share float64, rng *rand.Rand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		if rng.Float64() < share {
+			reset(c)
+		}
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		_ = c.Close()
+	}
+}
+
+// reset closes a connection so that its peer sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *Proxy) now() Weather {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.weather
+}
+
+func (p *Proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.now().Refuse {
+			reset(c)
+			continue
+		}
+		go p.forward(c)
+	}
+}
+
+func (p *Proxy) forward(c net.Conn) {
+	s, err := net.Dial("tcp4", p.target)
+	if err != nil {
+		reset(c)
+		return
+	}
+	p.mu.Lock()
+	p.open[c], p.open[s] = true, true
+	p.mu.Unlock()
+	var done sync.WaitGroup
+	done.Go(func() { p.copy(s, c, func(w Weather) bool { return w.DropTo }) })
+	done.Go(func() { p.copy(c, s, func(w Weather) bool { return w.DropFrom }) })
+	done.Wait()
+	p.mu.Lock()
+	delete(p.open, c)
+	delete(p.open, s)
+	p.mu.Unlock()
+}
+
+// copy passes data on until one side ends. Data that was dropped leaves the
+// connection without use, as bytes lost in a partition do.
+func (p *Proxy) copy(to, from net.Conn, isDropped func(Weather) bool) {
+	defer func() { _ = to.Close(); _ = from.Close() }()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		w := p.now()
+		if n > 0 && !isDropped(w) {
+			time.Sleep(w.Delay)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) || err != nil {
+			return
+		}
+	}
+}
