--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -135,11 +135,24 @@
 	byPort map[uint16]*conductor.Conductor
 	// noGrant has the daemon that gets no lease.
 	noGrant uint16
+	// held, when set, holds transactions up until it is closed.
+	held chan struct{}
 }
 
 // store is the store as one daemon reaches it.
 func (s *site) store(port uint16) storeclient.PrefixStore {
 	p := s.keeper.Store()
+	transact := p.Transact
+	p.Transact = func(ctx context.Context, t storeclient.Transaction) (uint64, error) {
+		s.mu.Lock()
+		held := s.held
+		s.mu.Unlock()
+		if held != nil {
+			<-held
+			return 0, &storeclient.UnavailableError{Op: "transact", Err: errors.New("held up")}
+		}
+		return transact(ctx, t)
+	}
 	grant := p.Grant
 	p.Grant = func(ctx context.Context, ttl time.Duration) (storeclient.LeaseID, error) {
 		s.mu.Lock()
@@ -320,6 +333,35 @@
 	s.Assert(state(first, "b"), quicktest.Equals, planner.Done, quicktest.Commentf("the owner has changed"))
 }
 
+// TestOwnerAgain guards against an owner that commits nothing any more because it
+// lost the shard while a commit was under way and then got it again. Found by the
+// soak (seeds 30 and 47).
+func TestOwnerAgain(t *testing.T) {
+	s := newSite(t, 50*time.Millisecond)
+	c, stop := s.daemon(1)
+	defer stop()
+	s.submit("a", 1)
+	s.eventually("done", patience, func() bool { return state(c, "a") == planner.Done })
+	hold := func(held chan struct{}) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.held = held
+	}
+	held := make(chan struct{})
+	hold(held)
+	s.submit("b", 1)
+	s.eventually("ended, not committed", patience, func() bool { return len(s.pool.startsOf("b")) == 1 })
+	time.Sleep(200 * time.Millisecond)
+	head, err := s.keeper.Store().Get(context.Background(), "th/0/head")
+	s.Assert(err, quicktest.IsNil)
+	s.keeper.Put("th/0/head", head.Value)
+	s.eventually("lost", patience, func() bool { return !c.IsOwner() })
+	hold(nil)
+	s.eventually("owner again", patience, c.IsOwner)
+	close(held)
+	s.eventually("done", patience, func() bool { return state(c, "b") == planner.Done })
+}
+
 // TestLostAnswers guards against commits that are carried out without an answer
 // and then stop all later ones.
 func TestLostAnswers(t *testing.T) {
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -356,6 +356,8 @@
 	c.metrics.isOwner.Set(0)
 	c.isOwner.Store(false)
 	c.planner = nil
+	// The answers to transactions under way are ignored from now on.
+	c.committing, c.recording, c.announcing = false, false, false
 	if c.stopFollowing != nil {
 		c.stopFollowing()
 		c.stopFollowing = nil
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -56,7 +56,8 @@
 	Task    string
 	Attempt int
 	// Kind is start, the way in which the run ended, or noted, when its end was
-	// acknowledged.
+	// acknowledged: void where a lease of the worker had lapsed in between, so that
+	// the task may have been started again.
 	Kind string
 }
 
@@ -99,7 +100,7 @@
 	for n := range o.Workers {
 		w := &Worker{
 			id: fmt.Sprintf("i-%d", n), length: o.Length, born: time.Now(),
-			runs: map[runKey]time.Time{}, barred: map[string]int{}, starts: map[string]int{}, observe: o.Observe,
+			runs: map[runKey]time.Time{}, barred: map[string]int{}, starts: map[string]int{}, endedAt: map[runKey]time.Time{}, observe: o.Observe,
 		}
 		address, err := p.listen(w.serve)
 		if err == nil {
--- a/standins/platformer/worker.go
+++ b/standins/platformer/worker.go
@@ -33,10 +33,13 @@
 	runs   map[runKey]time.Time
 	barred map[string]int
 	ends   [][]any
-	count  int
-	lease  time.Time
-	starts map[string]int
-	silent bool
+	// endedAt has when each run ended, and lapsedAt is when a lease last lapsed.
+	endedAt  map[runKey]time.Time
+	lapsedAt time.Time
+	count    int
+	lease    time.Time
+	starts   map[string]int
+	silent   bool
 	// observe receives what happens to runs; nil for nobody.
 	observe func(Event)
 }
@@ -135,8 +138,13 @@
 func (w *Worker) hold(ctx *fasthttp.RequestCtx, o order) {
 	w.ends = slices.DeleteFunc(w.ends, func(e []any) bool {
 		isNoted := e[0].(int) <= o.Ack
-		if isNoted {
-			w.note(runKey{e[1].(string), e[2].(int)}, "noted")
+		k := runKey{e[1].(string), e[2].(int)}
+		switch {
+		case isNoted && w.lapsedAt.After(w.endedAt[k]):
+			// A lease that lapsed before the end was acknowledged voids it.
+			w.note(k, "void")
+		case isNoted:
+			w.note(k, "noted")
 		}
 		return isNoted
 	})
@@ -153,6 +161,9 @@
 
 // advance ends the runs that are done or whose lease has lapsed.
 func (w *Worker) advance() {
+	if now := time.Now(); !w.lease.IsZero() && now.After(w.lease) {
+		w.lapsedAt = now
+	}
 	for k, began := range w.runs {
 		switch {
 		case time.Since(began) >= w.length && !strings.HasPrefix(k.task, LastingID):
@@ -171,6 +182,7 @@
 	w.barred[k.task] = max(w.barred[k.task], k.attempt)
 	w.count++
 	w.ends = append(w.ends, []any{w.count, k.task, k.attempt, how, ""})
+	w.endedAt[k] = time.Now()
 	w.note(k, how)
 }
 
--- a/standins/soaker/checker_test.go
+++ b/standins/soaker/checker_test.go
@@ -49,6 +49,14 @@
 			c.observe(event("w", "a.0.0.0", 2, "start"))
 			c.observe(event("v", "a.0.0.0", 1, "noted"))
 		}, "twice"},
+		"after an end that a lapsed lease voids": {func(c *checker, _ *job) {
+			c.observe(event("v", "a.0.0.0", 1, "start"))
+			c.observe(event("v", "a.0.0.0", 1, "done"))
+			c.observe(event("w", "a.0.0.0", 2, "start"))
+			c.observe(event("w", "a.0.0.0", 2, "done"))
+			c.observe(event("w", "a.0.0.0", 2, "noted"))
+			c.observe(event("v", "a.0.0.0", 1, "void"))
+		}, ""},
 		"order":        {func(c *checker, _ *job) { c.observe(event("v", "a.0.1.0", 1, "start")) }, "order"},
 		"unasked":      {func(c *checker, _ *job) { c.observe(event("v", "b.0.0.0", 1, "start")) }, "unasked"},
 		"refused":      {func(c *checker, j *job) { j.refused = true; c.observe(event("v", "a.0.0.0", 1, "start")) }, "refused"},
--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -20,6 +20,10 @@
 var seeds = map[string]uint64{
 	"short run":       1,
 	"short run again": 2,
+	// The owner got its shard again after a commit was under way when it lost it,
+	// and committed nothing any more (TestOwnerAgain).
+	"owner again":       30,
+	"owner again, late": 47,
 }
 
 // TestSoak guards the promises to clients and workers under random faults: no
