Compute a job's objective once; name handovers and impairments by usual terms

Each decision about a task asked for the objective of its job, which walked the job's steps and allocated. It is kept until the queue or an estimate changes; TestObjectiveIsCurrent fails without either invalidation.

Homeless, Depart, Stayed, Weather and gusts were private words: unplaced tasks, handovers that are done or have failed, impairments, and fluctuation.

--- a/internal/conductor/handover.go
+++ b/internal/conductor/handover.go
@@ -29,12 +29,12 @@
 		return
 	}
 	c.handedAt = now
-	for _, h := range c.planner.Homeless(now) {
+	for _, h := range c.planner.Unplaced(now) {
 		to, count := c.options.Place(h.Need, h.Count, h.IsUrgent)
 		if count == 0 {
 			continue
 		}
-		handover, ok := c.planner.Depart(now, h, count, to)
+		handover, ok := c.planner.HandOver(now, h, count, to)
 		if !ok {
 			continue
 		}
@@ -49,7 +49,7 @@
 	progress, err := planner.Encode(h.Change.Progress)
 	if err != nil {
 		c.options.Log.Error().Err(err).Str("job", h.Job.ID).Msg("conductor: progress not encoded")
-		c.planner.Stayed(h)
+		c.planner.HandoverFailed(h)
 		return
 	}
 	c.committing = true
@@ -130,10 +130,10 @@
 	c.options.Log.Info().Str("job", h.Job.ID).Str("shard", c.options.Shard).Str("to", h.To).Int("tasks", len(h.Job.Arrived)).
 		Int64("epoch", c.epoch).Bool("stored", isStored).AnErr("cause", err).Msg("conductor: tasks handed over")
 	if isStored {
-		c.planner.Departed(h)
+		c.planner.HandedOver(h)
 		return
 	}
-	c.planner.Stayed(h)
+	c.planner.HandoverFailed(h)
 }
 
 // hasArrived reports whether the other shard's record has the tasks of a
--- a/internal/planner/estimate.go
+++ b/internal/planner/estimate.go
@@ -28,6 +28,7 @@
 		s.measured = measured
 	}
 	s.measured += estimateWeight * (measured - s.measured)
+	s.occurrence.job.known = 0
 }
 
 // estimate is how long a task of the step is expected to take.
@@ -93,5 +94,8 @@
 
 // objective is how long the job may take from its arrival and be on time.
 func (j *job) objective() time.Duration {
-	return time.Duration(j.Queue.Stretch*float64(j.chain())) + j.Queue.Slack
+	if j.known == 0 {
+		j.known = time.Duration(j.Queue.Stretch*float64(j.chain())) + j.Queue.Slack
+	}
+	return j.known
 }
--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -71,8 +71,8 @@
 	return r
 }
 
-// Homeless is a group of equal lasting tasks that find no place in the shard.
-type Homeless struct {
+// Unplaced is a group of equal lasting tasks that find no place in the shard.
+type Unplaced struct {
 	Job   string
 	Step  int
 	Need  Resources
@@ -82,11 +82,11 @@
 	IsUrgent bool
 }
 
-// Homeless returns the lasting tasks that another shard may have, those that
+// Unplaced returns the lasting tasks that another shard may have, those that
 // wait longest first. Tasks that may still have a run here are not among them.
-func (p *Planner) Homeless(now time.Time) []Homeless {
+func (p *Planner) Unplaced(now time.Time) []Unplaced {
 	type group struct {
-		Homeless
+		Unplaced
 		waited time.Duration
 	}
 	var all []group
@@ -95,9 +95,9 @@
 			continue
 		}
 		for _, s := range j.occurrences[0].steps {
-			g := group{Homeless: Homeless{Job: j.ID, Step: s.number, Need: s.reserved()}}
+			g := group{Unplaced: Unplaced{Job: j.ID, Step: s.number, Need: s.reserved()}}
 			for _, t := range s.waiting {
-				if p.isHomeless(now, t) {
+				if p.isUnplaced(now, t) {
 					g.Count++
 					g.waited = max(g.waited, now.Sub(t.readyAt))
 				}
@@ -109,14 +109,14 @@
 		}
 	}
 	slices.SortStableFunc(all, func(a, b group) int { return cmp.Compare(b.waited, a.waited) })
-	list := make([]Homeless, len(all))
+	list := make([]Unplaced, len(all))
 	for i := range all {
-		list[i] = all[i].Homeless
+		list[i] = all[i].Unplaced
 	}
 	return list
 }
 
-func (p *Planner) isHomeless(now time.Time, t *task) bool {
+func (p *Planner) isUnplaced(now time.Time, t *task) bool {
 	s := t.step
 	if !s.Lasting || !s.open || t.away || len(t.runs) > 0 || t.readyAt.IsZero() || now.Before(t.retryAt) {
 		return false
@@ -141,19 +141,19 @@
 	// stored together with the record.
 	Change Change
 	// undo has what is known of the tasks without the handover.
-	undo []departed
+	undo []moved
 }
 
-type departed struct {
+type moved struct {
 	task *task
 	from *Departure
 	move int
 }
 
-// Depart takes up to count homeless tasks of a step off this shard. The handover
-// counts once Departed has been called; until Stayed is called the tasks can't
+// HandOver takes up to count unplaced tasks of a step off this shard. The handover
+// counts once HandedOver has been called; until HandoverFailed is called the tasks can't
 // start here. The result is false when there is no such task any more.
-func (p *Planner) Depart(now time.Time, h Homeless, count int, to string) (Handover, bool) {
+func (p *Planner) HandOver(now time.Time, h Unplaced, count int, to string) (Handover, bool) {
 	j := p.jobs[h.Job]
 	if j == nil || j.state.isFinal() || len(j.occurrences) == 0 || h.Step >= len(j.occurrences[0].steps) {
 		return Handover{}, false
@@ -166,10 +166,10 @@
 	record.IsPart, record.Arrived = true, nil
 	out := Handover{To: to}
 	for _, t := range slices.Clone(s.waiting) {
-		if len(out.undo) == count || !p.isHomeless(now, t) {
+		if len(out.undo) == count || !p.isUnplaced(now, t) {
 			continue
 		}
-		out.undo = append(out.undo, departed{t, t.departure, t.move})
+		out.undo = append(out.undo, moved{t, t.departure, t.move})
 		t.move++
 		t.departure = &Departure{to, t.move}
 		t.leave()
@@ -184,8 +184,8 @@
 	return out, true
 }
 
-// Departed notes that the store has a handover.
-func (p *Planner) Departed(h Handover) {
+// HandedOver notes that the store has a handover.
+func (p *Planner) HandedOver(h Handover) {
 	p.Committed([]Change{h.Change})
 	j := p.jobs[h.Job.ID]
 	if j == nil {
@@ -199,8 +199,8 @@
 	p.noteJob("handed_over", j, h.To)
 }
 
-// Stayed notes that a handover was not and will not be stored.
-func (p *Planner) Stayed(h Handover) {
+// HandoverFailed notes that a handover was not and will not be stored.
+func (p *Planner) HandoverFailed(h Handover) {
 	for _, d := range h.undo {
 		d.task.departure, d.task.move, d.task.away = d.from, d.move, false
 		p.waitAgain(d.task)
--- a/internal/planner/handover_test.go
+++ b/internal/planner/handover_test.go
@@ -17,12 +17,12 @@
 	return job(id, s)
 }
 
-// homeless makes a desk with a full shard and tasks that wait in it.
-func homeless(t *testing.T, tasks int) *desk {
+// unplaced makes a desk with a full shard and tasks that wait in it.
+func unplaced(t *testing.T, tasks int) *desk {
 	d := newDesk(t, 1, worker("a", 8)).ready()
 	d.add(lasting("1", tasks, 7))
 	d.Assert(d.starts(), quicktest.HasLen, 1)
-	d.Assert(d.p.Homeless(d.now), quicktest.HasLen, 0, quicktest.Commentf("a task may start here soon"))
+	d.Assert(d.p.Unplaced(d.now), quicktest.HasLen, 0, quicktest.Commentf("a task may start here soon"))
 	d.pass(time.Second)
 	d.look("a")
 	d.starts()
@@ -32,20 +32,20 @@
 // TestHandover guards against lasting tasks that wait for years in a full shard,
 // and against tasks of which two shards think that they have them.
 func TestHandover(t *testing.T) {
-	d := homeless(t, 3)
-	list := d.p.Homeless(d.now)
-	d.Assert(list, quicktest.DeepEquals, []planner.Homeless{{Job: "1", Need: planner.Resources{CPU: 7000, Memory: 100}, Count: 2}})
-	h, ok := d.p.Depart(d.now, list[0], 1, "other")
+	d := unplaced(t, 3)
+	list := d.p.Unplaced(d.now)
+	d.Assert(list, quicktest.DeepEquals, []planner.Unplaced{{Job: "1", Need: planner.Resources{CPU: 7000, Memory: 100}, Count: 2}})
+	h, ok := d.p.HandOver(d.now, list[0], 1, "other")
 	d.Assert(ok, quicktest.IsTrue)
 	d.Assert(h.Job.IsPart, quicktest.IsTrue)
 	d.Assert(h.Job.Arrived, quicktest.HasLen, 1)
-	d.Assert(d.p.Homeless(d.now)[0].Count, quicktest.Equals, 1)
+	d.Assert(d.p.Unplaced(d.now)[0].Count, quicktest.Equals, 1)
 
 	// With room for all, only the task that stayed starts here.
 	d.workers = append(d.workers, worker("b", 64))
 	d.ready()
 	d.Assert(d.starts(), quicktest.HasLen, 1)
-	d.p.Stayed(h)
+	d.p.HandoverFailed(h)
 	again := d.starts()
 	d.Assert(again, quicktest.HasLen, 1, quicktest.Commentf("the handover was not stored"))
 	d.Assert(again[0].Run.Index, quicktest.Equals, h.Job.Arrived[0].Index)
@@ -54,9 +54,9 @@
 // TestArrival guards against tasks that start under attempts which an earlier
 // shard has used, and against tasks that a shard takes without having got them.
 func TestArrival(t *testing.T) {
-	d := homeless(t, 3)
-	h, _ := d.p.Depart(d.now, d.p.Homeless(d.now)[0], 2, "other")
-	d.p.Departed(h)
+	d := unplaced(t, 3)
+	h, _ := d.p.HandOver(d.now, d.p.Unplaced(d.now)[0], 2, "other")
+	d.p.HandedOver(h)
 	h.Job.Arrived[0].Attempt = 4003
 	for name, tt := range map[string]struct {
 		epoch    int64
@@ -86,9 +86,9 @@
 // TestReturn guards against a task that is lost when it comes back to a shard
 // that had handed it over.
 func TestReturn(t *testing.T) {
-	d := homeless(t, 2)
-	h, _ := d.p.Depart(d.now, d.p.Homeless(d.now)[0], 1, "other")
-	d.p.Departed(h)
+	d := unplaced(t, 2)
+	h, _ := d.p.HandOver(d.now, d.p.Unplaced(d.now)[0], 1, "other")
+	d.p.HandedOver(h)
 	d.workers = append(d.workers, worker("b", 64))
 	d.ready()
 	d.Assert(d.starts(), quicktest.HasLen, 0)
@@ -108,9 +108,9 @@
 // TestCancelNamesShards guards against a cancelled job whose tasks go on in the
 // shards that got some.
 func TestCancelNamesShards(t *testing.T) {
-	d := homeless(t, 3)
-	h, _ := d.p.Depart(d.now, d.p.Homeless(d.now)[0], 1, "other")
-	d.p.Departed(h)
+	d := unplaced(t, 3)
+	h, _ := d.p.HandOver(d.now, d.p.Unplaced(d.now)[0], 1, "other")
+	d.p.HandedOver(h)
 	d.p.Cancel(d.now, "1")
 	changes := d.p.Changes(10)
 	d.Assert(changes, quicktest.HasLen, 1)
@@ -144,7 +144,7 @@
 	d.ready()
 	d.add(job("more", short))
 	d.Assert(d.starts(), quicktest.HasLen, 0)
-	d.Assert(d.p.Homeless(d.now), quicktest.HasLen, 0, quicktest.Commentf("a worker is kept for it"))
+	d.Assert(d.p.Unplaced(d.now), quicktest.HasLen, 0, quicktest.Commentf("a worker is kept for it"))
 	for _, s := range slices.Clone(d.running["a"])[:20] {
 		d.end(planner.Command{Run: s.Run, WorkerID: "a"}, planner.EndDone)
 	}
@@ -199,11 +199,11 @@
 	d.starts()
 	d.starts()
 	d.Assert(d.noted["worker_kept"], quicktest.Equals, 1)
-	list := d.p.Homeless(d.now)
+	list := d.p.Unplaced(d.now)
 	d.Assert(list, quicktest.HasLen, 1)
 	d.Assert(list[0].Count, quicktest.Equals, 1, quicktest.Commentf("the other task has a worker kept"))
 	d.pass(4 * time.Second)
 	d.ready()
 	d.starts()
-	d.Assert(d.p.Homeless(d.now)[0].Count, quicktest.Equals, 2, quicktest.Commentf("what was kept for long did not help"))
+	d.Assert(d.p.Unplaced(d.now)[0].Count, quicktest.Equals, 2, quicktest.Commentf("what was kept for long did not help"))
 }
--- a/internal/planner/overload_test.go
+++ b/internal/planner/overload_test.go
@@ -147,3 +147,35 @@
 	d.look("a")
 	d.Assert(d.starts(), quicktest.HasLen, 1, quicktest.Commentf("it must not wait for ever"))
 }
+
+// TestObjectiveIsCurrent guards against an objective that is kept after what it
+// follows from has changed: the queue, or the estimates of the tasks.
+func TestObjectiveIsCurrent(t *testing.T) {
+	t.Run("queue", func(t *testing.T) {
+		d := busyDesk(t, -0.35)
+		j := filling("batch")
+		j.Received = j.Received.Add(-20 * time.Second)
+		d.add(j)
+		d.Assert(d.starts(), quicktest.HasLen, 0)
+		q := j.Queue
+		q.Slack = time.Hour
+		d.p.SetConfig(planner.Config{Queues: map[string]planner.Queue{q.Name: q}})
+		d.Assert(d.starts(), quicktest.HasLen, 1)
+	})
+	t.Run("estimate", func(t *testing.T) {
+		d := newDesk(t, 1, worker("a", 1)).ready()
+		s := step(2, 1)
+		s.Estimate = 100 * time.Millisecond
+		d.add(job("long", s))
+		d.Assert(d.starts(), quicktest.HasLen, 1)
+		d.Assert(d.p.Explain(d.now, "long"), quicktest.Contains, "due in 1.2s")
+		for range 3 {
+			// A tenth in a second: the tasks take ten seconds.
+			d.pass(time.Second)
+			d.running["a"][0].Percent += 10
+			d.running["a"][0].CPU = 1000
+			d.look("a")
+		}
+		d.Assert(d.p.Explain(d.now, "long"), quicktest.Contains, "due in 18s")
+	})
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -169,7 +169,7 @@
 	p.config = c
 	for _, j := range p.active {
 		if q, ok := c.Queues[j.Queue.Name]; ok {
-			j.Queue = q
+			j.Queue, j.known = q, 0
 		}
 	}
 }
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -23,6 +23,9 @@
 	ended              map[int]bool
 	// arrived is when the job came, on the planner's clock.
 	arrived time.Time
+	// known is the objective by the present queue and estimates, zero until it is
+	// asked for: each decision about a task asks for it.
+	known time.Duration
 	// recovered is set when an earlier owner may have started tasks of it.
 	recovered bool
 	// wasRead is set when the job was there before this owner.
--- a/standins/replayer/machine.go
+++ b/standins/replayer/machine.go
@@ -159,7 +159,7 @@
 		quiet := level
 		for _, e := range m.sorted() {
 			if e.step.Fills {
-				level += w.slope(v.step.Image, e.step.Image) * w.gust(e) * e.cpu / 10
+				level += w.slope(v.step.Image, e.step.Image) * w.fluctuation(e) * e.cpu / 10
 			}
 		}
 		v.tail += 0.1 * (level - v.tail)
--- a/standins/replayer/pattern.go
+++ b/standins/replayer/pattern.go
@@ -60,7 +60,7 @@
 	batch.Need, batch.Work, batch.Images = planner.Resources{CPU: 3500, Memory: 6400}, 2200*time.Millisecond, 18
 	lasting.PerSecond, lasting.Initial, lasting.Width, lasting.Spread, lasting.Stay = 0.13*times, 23, 14, 0.4, 70*time.Second
 	lasting.Images = 10
-	p.Gusts = 0.9
+	p.Fluctuation = 0.9
 	return p
 }
 
--- a/standins/replayer/replayer.go
+++ b/standins/replayer/replayer.go
@@ -83,9 +83,9 @@
 	// Drain is how long work goes on after the last arrival.
 	Drain  time.Duration
 	Faults []Fault
-	// Gusts is the amplitude of the logarithm of a filling task's disturbance,
+	// Fluctuation is the amplitude of the logarithm of a filling task's disturbance,
 	// which swings within seconds.
-	Gusts float64
+	Fluctuation float64
 	// Load is the share of its processors that a lasting task uses on average.
 	Load            float64
 	StopTime        time.Duration
@@ -395,14 +395,14 @@
 	return w.pattern.Load * (1 + 0.5*math.Sin(2*math.Pi*t/14+e.phase))
 }
 
-// gust is by how much the disturbance of a filling task differs now from its
+// fluctuation is by how much the disturbance of a filling task differs now from its
 // usual strength.
-func (w *World) gust(e *execution) float64 {
-	if w.pattern.Gusts == 0 {
+func (w *World) fluctuation(e *execution) float64 {
+	if w.pattern.Fluctuation == 0 {
 		return 1
 	}
 	t := w.now.Sub(w.origin).Seconds()
-	return math.Exp(w.pattern.Gusts * math.Sin(2*math.Pi*t/5+e.phase))
+	return math.Exp(w.pattern.Fluctuation * math.Sin(2*math.Pi*t/5+e.phase))
 }
 
 // heavyShare is the share of the filling images that disturb one of the two
--- a/standins/soaker/proxy.go
+++ b/standins/soaker/proxy.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 )
 
-// Weather is what a proxy does to the connections through it.
-type Weather struct {
+// Impairment is what a proxy does to the connections through it.
+type Impairment struct {
 	// Delay holds each piece of data up.
 	Delay time.Duration
 	// DropTo and DropFrom swallow the data to the server and from it; both are a
@@ -27,7 +27,7 @@
 	target   string
 
 	mu      sync.Mutex
-	weather Weather
+	impairment Impairment
 	open    map[net.Conn]bool
 }
 
@@ -45,11 +45,11 @@
 // Address is where clients reach the server.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-// Set changes the weather for open and new connections.
-func (p *Proxy) Set(w Weather) {
+// Set changes the impairment of open and new connections.
+func (p *Proxy) Set(w Impairment) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.weather = w
+	p.impairment = w
 }
 
 // Reset resets a share of the open connections.
@@ -81,10 +81,10 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) now() Weather {
+func (p *Proxy) now() Impairment {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.weather
+	return p.impairment
 }
 
 func (p *Proxy) accept() {
@@ -111,8 +111,8 @@
 	p.open[c], p.open[s] = true, true
 	p.mu.Unlock()
 	var done sync.WaitGroup
-	done.Go(func() { p.copy(s, c, func(w Weather) bool { return w.DropTo }) })
-	done.Go(func() { p.copy(c, s, func(w Weather) bool { return w.DropFrom }) })
+	done.Go(func() { p.copy(s, c, func(w Impairment) bool { return w.DropTo }) })
+	done.Go(func() { p.copy(c, s, func(w Impairment) bool { return w.DropFrom }) })
 	done.Wait()
 	p.mu.Lock()
 	delete(p.open, c)
@@ -122,7 +122,7 @@
 
 // copy passes data on until one side ends. Data that was dropped leaves the
 // connection without use, as bytes lost in a partition do.
-func (p *Proxy) copy(to, from net.Conn, isDropped func(Weather) bool) {
+func (p *Proxy) copy(to, from net.Conn, isDropped func(Impairment) bool) {
 	defer func() { _ = to.Close(); _ = from.Close() }()
 	buffer := make([]byte, 32<<10)
 	for {
--- a/standins/soaker/proxy_test.go
+++ b/standins/soaker/proxy_test.go
@@ -13,15 +13,15 @@
 // TestProxy guards against faults that aren't injected at all.
 func TestProxy(t *testing.T) {
 	for name, tt := range map[string]struct {
-		weather         Weather
+		impairment         Impairment
 		reset           bool
 		isEchoed, isCut bool
 	}{
-		"clear":    {Weather{}, false, true, false},
-		"slow":     {Weather{Delay: 20 * time.Millisecond}, false, true, false},
-		"cut to":   {Weather{DropTo: true}, false, false, false},
-		"cut from": {Weather{DropFrom: true}, false, false, false},
-		"reset":    {Weather{}, true, false, true},
+		"clear":    {Impairment{}, false, true, false},
+		"slow":     {Impairment{Delay: 20 * time.Millisecond}, false, true, false},
+		"cut to":   {Impairment{DropTo: true}, false, false, false},
+		"cut from": {Impairment{DropFrom: true}, false, false, false},
+		"reset":    {Impairment{}, true, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -50,7 +50,7 @@
 				return err
 			}
 			c.Assert(echo(), quicktest.IsNil)
-			p.Set(tt.weather)
+			p.Set(tt.impairment)
 			if tt.reset {
 				p.Reset(1, rand.New(rand.NewPCG(1, 1)))
 			}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -205,12 +205,12 @@
 		case 2:
 			s.pause(i)
 		case 3:
-			s.weather(i.name, "store of ")
+			s.impair(i.name, "store of ")
 		case 4:
-			s.weather(s.platform.Workers[s.rng.IntN(len(s.platform.Workers))].ID(), "")
+			s.impair(s.platform.Workers[s.rng.IntN(len(s.platform.Workers))].ID(), "")
 		case 5:
 			for _, o := range s.instances {
-				s.weather(o.name, "store of ")
+				s.impair(o.name, "store of ")
 			}
 		case 6:
 			s.share(&s.lossy, "answers of the store lost")
@@ -290,10 +290,10 @@
 	s.later(length, func() { _ = p.Signal(syscall.SIGCONT) })
 }
 
-// weather changes the weather before a server for a while.
-func (s *soak) weather(name, what string) {
+// impair impairs the connections to a server for a while.
+func (s *soak) impair(name, what string) {
 	length := s.between(200*time.Millisecond, 5*time.Second)
-	w := [...]Weather{
+	w := [...]Impairment{
 		{DropTo: true, DropFrom: true}, {DropFrom: true}, {DropTo: true}, {Refuse: true}, {Delay: s.between(50*time.Millisecond, 400*time.Millisecond)},
 	}[s.rng.IntN(5)]
 	s.mu.Lock()
@@ -304,7 +304,7 @@
 	if w.Refuse {
 		p.Reset(s.rng.Float64(), s.rng)
 	}
-	s.later(length, func() { p.Set(Weather{}) })
+	s.later(length, func() { p.Set(Impairment{}) })
 }
 
 // share sets a share of the store's calls that go wrong for a while.
