--- a/standins/soaker/proxy.go
+++ b/standins/soaker/proxy.go
@@ -26,9 +26,9 @@
 	listener net.Listener
 	target   string
 
-	mu      sync.Mutex
+	mu         sync.Mutex
 	impairment Impairment
-	open    map[net.Conn]bool
+	open       map[net.Conn]bool
 }
 
 // NewProxy listens at a free loopback address for a server.
--- a/standins/soaker/proxy_test.go
+++ b/standins/soaker/proxy_test.go
@@ -13,7 +13,7 @@
 // TestProxy guards against faults that aren't injected at all.
 func TestProxy(t *testing.T) {
 	for name, tt := range map[string]struct {
-		impairment         Impairment
+		impairment      Impairment
 		reset           bool
 		isEchoed, isCut bool
 	}{
