Remember the worker kept for a task instead of searching all workers

Whether a worker is kept for a lasting task was looked up among all workers, for each waiting task in each plan. The tests of kept workers and the replays pass as before.

--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -121,7 +121,7 @@
 	if !s.Lasting || !s.open || t.away || len(t.runs) > 0 || t.readyAt.IsZero() || now.Before(t.retryAt) {
 		return false
 	}
-	if p.hasWorkerKept(now, t) && now.Sub(t.keptAt) < reserveTrust {
+	if t.hasWorkerKept(now) && now.Sub(t.keptAt) < reserveTrust {
 		return false
 	}
 	since := t.readyAt
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -52,9 +52,9 @@
 	return !isOver
 }
 
-// hasWorkerKept reports whether a worker is kept for t.
-func (p *Planner) hasWorkerKept(now time.Time, t *task) bool {
-	return slices.ContainsFunc(p.list, func(w *Worker) bool { return w.reserved.task == t && w.isKept(now) })
+// hasWorkerKept reports whether a worker is kept for the task.
+func (t *task) hasWorkerKept(now time.Time) bool {
+	return t.kept != nil && t.kept.reserved.task == t && t.kept.isKept(now)
 }
 
 // roomForLasting is what a lasting task can get once the short tasks have ended.
@@ -76,7 +76,7 @@
 	if now.Sub(t.readyAt) < reserveAfter || p.headroom.free < reserveFactor*t.step.Need.CPU {
 		return
 	}
-	if p.hasWorkerKept(now, t) {
+	if t.hasWorkerKept(now) {
 		return
 	}
 	var best *Worker
@@ -91,7 +91,7 @@
 		}
 	}
 	if best != nil {
-		best.reserved = reservation{t, now}
+		best.reserved, t.kept = reservation{t, now}, best
 		if t.keptAt.IsZero() {
 			t.keptAt = now
 		}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -137,7 +137,9 @@
 	// arrivedAt is when the task came from it.
 	floor     int
 	arrivedAt time.Time
-	// keptAt is when a worker was first kept for the task since it waits here.
+	// kept is the worker that was last kept for the task, which may be over, and
+	// keptAt is when one was first kept since it waits here.
+	kept   *Worker
 	keptAt time.Time
 }
 
