Make tests of handovers fail without what they guard

TestKeptWorkerSharesItsRest could not fail: a short task fits beside what a worker keeps only once the kept task fits too, and that one goes first.

The client's call of the soak and of the stand-in's tests is one function.

--- a/internal/conductor/handover_test.go
+++ b/internal/conductor/handover_test.go
@@ -108,6 +108,23 @@
 				}
 				return sum == 9
 			})
+			// With room again the full shard must not start what it has handed over.
+			s.keeper.SetFault(nil)
+			cancelled := ""
+			for i := range 3 {
+				if onFull, _ := s.runsOf(fmt.Sprint("job", i)); onFull > 0 {
+					cancelled = fmt.Sprint("job", i)
+				}
+			}
+			s.Assert(cancelled, quicktest.Not(quicktest.Equals), "")
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			_, err := s.owners[0].Cancel(ctx, cancelled)
+			s.Assert(err, quicktest.IsNil)
+			s.eventually("cancelled", patience, func() bool {
+				onFull, onRoomy := s.runsOf(cancelled)
+				return onFull+onRoomy == 0
+			})
 			time.Sleep(500 * time.Millisecond)
 			for i := range 3 {
 				id := fmt.Sprint("job", i)
@@ -144,6 +161,37 @@
 	})
 }
 
+// TestExpiryOfHandedOver guards against a shard that forgets the id of a job of
+// which it only had tasks: the job's own shard still answers for it.
+func TestExpiryOfHandedOver(t *testing.T) {
+	s := &twoShards{site: newSite(t, time.Minute)}
+	s.full = shard{name: "0", cpu: 1500, pool: s.pool, place: func(_ planner.Resources, n int, _ bool) (string, int) { return "1", n }}
+	s.roomy = shard{name: "1", cpu: 64000, pool: newPool(time.Minute), place: func(planner.Resources, int, bool) (string, int) { return "0", 0 }, keep: time.Millisecond}
+	for i, h := range []shard{s.full, s.roomy} {
+		c, stop := s.daemonOf(h, uint16(i+1))
+		s.owners[i] = c
+		t.Cleanup(stop)
+	}
+	s.submitLasting("a", 3)
+	s.eventually("handed over", patience, func() bool {
+		onFull, onRoomy := s.runsOf("a")
+		return onFull == 1 && onRoomy == 2
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := s.owners[0].Cancel(ctx, "a")
+	s.Assert(err, quicktest.IsNil)
+	var missing *storeclient.NotFoundError
+	s.eventually("the part is removed", patience, func() bool {
+		_, err := s.keeper.Store().Get(ctx, conductor.JobKey("1", "a"))
+		return errors.As(err, &missing)
+	})
+	_, err = s.keeper.Store().Get(ctx, "th/1/job/a/cancelled")
+	s.Assert(errors.As(err, &missing), quicktest.IsTrue, quicktest.Commentf("%v", err))
+	_, err = s.keeper.Store().Get(ctx, conductor.IndexKey("a"))
+	s.Assert(err, quicktest.IsNil)
+}
+
 // TestHandoverOutlivesOwners guards against tasks that a new owner of either
 // shard forgets or takes back.
 func TestHandoverOutlivesOwners(t *testing.T) {
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -30,13 +30,10 @@
 	if w.reserved.task == t || t.step.Fills || !w.isKept(now) {
 		return false
 	}
-	// What the kept task doesn't need others may have, as long as it needs no
-	// more of them to end.
+	// Short tasks would take each part as soon as it is free. A lasting one may
+	// have what the kept task doesn't need once the short ones have ended.
 	left := w.roomForLasting().minus(w.reserved.task.step.reserved())
-	if !t.step.Lasting {
-		left = left.minus(w.roomForLasting().minus(w.free))
-	}
-	return !left.Fits(t.step.reserved())
+	return !t.step.Lasting || !left.Fits(t.step.reserved())
 }
 
 // isKept reports whether a worker is kept for any task.
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -225,6 +225,24 @@
 	return i, nil
 }
 
+// Call makes a client's call about a job to the instance. Status 0 is no answer;
+// the text is then the cause.
+func (i *Instance) Call(method, id, body string, timeout time.Duration) (status int, text string) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + i.Front + Prefix + id)
+	request.UseHostHeader = true
+	request.Header.SetHost(Host)
+	request.Header.SetMethod(method)
+	request.Header.SetContentType("application/json")
+	request.SetBodyString(body)
+	if err := fasthttp.DoTimeout(request, response, timeout); err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode(), string(response.Body())
+}
+
 // Signal sends a signal to the instance's process.
 func (i *Instance) Signal(s syscall.Signal) error { return i.command.Process.Signal(s) }
 
