Log which process a worker entry stands for, and count decisions

The log of a lost worker named only the worker and a reason. Neither a list that shows an ended process, an expired lease nor a change of the owner could be told from it as the cause of a second run. worker_found and worker_lost now carry the address, the start time and the store's revision at which the entry was created, and worker_lost the number of runs that it ended. tarragonhead_decisions_total counts the planner's decisions by event.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -234,6 +234,7 @@
 
 // logDecision logs a decision of the planner.
 func (c *Conductor) logDecision(d planner.Decision) {
+	c.metrics.decisions.WithLabelValues(d.Event).Inc()
 	e := c.options.Log.Info().Str("event", d.Event).Int64("epoch", c.epoch)
 	if d.Job != "" {
 		e = e.Str("job", d.Job)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -207,6 +207,8 @@
 	orders  *prometheus.CounterVec
 	latency *prometheus.HistogramVec
 	commits *prometheus.CounterVec
+	// decisions counts the planner's decisions.
+	decisions *prometheus.CounterVec
 	// handovers counts handovers of tasks to other shards.
 	handovers *prometheus.CounterVec
 	isOwner   prometheus.Gauge
@@ -227,6 +229,7 @@
 			orders:    factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_orders_total", Help: "Orders to workers by kind and outcome."}, []string{"kind", "outcome"}),
 			latency:   factory.NewHistogramVec(prometheus.HistogramOpts{Name: "tarragonhead_order_seconds", Help: "Time until a worker answered an order.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}, []string{"kind"}),
 			commits:   factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_commits_total", Help: "Commits of progress by outcome."}, []string{"outcome"}),
+			decisions: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_decisions_total", Help: "Decisions of the planner by event, such as start or worker_lost."}, []string{"event"}),
 			handovers: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_handovers_total", Help: "Handovers of tasks to other shards by outcome."}, []string{"outcome"}),
 			isOwner:   factory.NewGauge(prometheus.GaugeOpts{Name: "tarragonhead_shard_owner", Help: "1 while this daemon owns the shard."}),
 			jobs:      factory.NewGaugeVec(prometheus.GaugeOpts{Name: "tarragonhead_planned", Help: "What the owner has planned, by kind."}, []string{"kind"}),
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -128,7 +128,10 @@
 }
 
 func (k *Keeper) write(key string, value []byte, id storeclient.LeaseID) {
-	e := storeclient.Entry{Key: key, Value: slices.Clone(value), Revision: k.revision}
+	e := storeclient.Entry{Key: key, Value: slices.Clone(value), Revision: k.revision, Created: k.revision}
+	if old, ok := k.entries[key]; ok {
+		e.Created = old.Created
+	}
 	k.entries[key] = entry{e, id}
 	k.history = append(k.history, storeclient.Event{Entry: e})
 	k.notifyWatchers()
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -235,6 +235,9 @@
 	Rack     string         `cbor:"rack"`
 	Labels   []string       `cbor:"labels"`
 	Capacity Resources      `cbor:"capacity"`
+	// EntryCreated is the store's revision at which the worker's entry in the
+	// list of workers was created, for the log.
+	EntryCreated uint64 `cbor:"-"`
 	// Draining is set when the worker is shutting down; Remaining is the least
 	// time for which it continues to run.
 	Draining  bool          `cbor:"-"`
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -44,7 +45,7 @@
 			p.removeReplaced(n)
 			w = &n
 			p.addWorker(w)
-			p.reportWorker("worker_found", w, w.Domain)
+			p.reportWorker("worker_found", w, fmt.Sprintf("at %s in %s, born %d, entry created at revision %d", w.Address, w.Domain, w.Born, w.EntryCreated))
 		}
 		w.isListed, w.missingSince = true, time.Time{}
 		if n.Draining && !w.Draining {
@@ -81,7 +82,7 @@
 }
 
 func (p *Planner) removeWorker(w *Worker, reason string) {
-	p.reportWorker("worker_lost", w, reason)
+	p.reportWorker("worker_lost", w, fmt.Sprintf("%s; at %s, born %d, entry created at revision %d, %d runs", reason, w.Address, w.Born, w.EntryCreated, len(w.runs)))
 	for _, r := range runsOf(w) {
 		p.endRun(r, "lapse", "worker lost: "+reason)
 	}
--- a/internal/storeclient/http.go
+++ b/internal/storeclient/http.go
@@ -101,7 +101,7 @@
 	if r.status == fasthttp.StatusNotFound {
 		return Entry{}, &NotFoundError{key}
 	}
-	return Entry{key, r.body, r.revision}, nil
+	return Entry{Key: key, Value: r.body, Revision: r.revision}, nil
 }
 
 func (c *httpClient) compareAndSwap(ctx context.Context, key string, value []byte, expected uint64, lease LeaseID) (uint64, error) {
@@ -128,7 +128,7 @@
 			return Entry{}, err
 		}
 		if r.status == fasthttp.StatusOK {
-			return Entry{key, r.body, r.revision}, nil
+			return Entry{Key: key, Value: r.body, Revision: r.revision}, nil
 		}
 	}
 }
--- a/internal/storeclient/store.go
+++ b/internal/storeclient/store.go
@@ -17,6 +17,9 @@
 	Value []byte
 	// Revision increases over the whole store: no two writes have the same one.
 	Revision uint64
+	// Created is the revision of the write that created the entry; zero if the
+	// store does not tell it.
+	Created uint64
 }
 
 // MaxValueBytes is the largest value that the store accepts.
--- a/standins/platformer/store.go
+++ b/standins/platformer/store.go
@@ -25,10 +25,13 @@
 	Key     string `json:"key"`
 	Value   []byte `json:"value"`
 	Rev     uint64 `json:"rev"`
+	Created uint64 `json:"created,omitempty"`
 	Removed bool   `json:"removed,omitempty"`
 }
 
-func toItem(e storeclient.Entry) item { return item{Key: e.Key, Value: e.Value, Rev: e.Revision} }
+func toItem(e storeclient.Entry) item {
+	return item{Key: e.Key, Value: e.Value, Rev: e.Revision, Created: e.Created}
+}
 
 // transaction is the JSON form of a transaction.
 type transaction struct {
