Hold tasks back while the earlier owner's workers are unknown

Callers could see two runs of a task after a change of owner: if the stored list of workers could not be decoded, the new owner went on as if it had no predecessor, and started every waiting task at once. It also replaced the list with its own workers, so that later owners didn't wait either.

The planner now holds every task back until each lease that the earlier owner may have granted has expired, as it does for a worker that never answers. The list is stored again only after that: a successor that takes the shard over in the meantime finds the same list and waits too. Runs that known workers list are adopted as before.

A list that decodes in part is not used at all, because its entries may lack ids.

--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -90,7 +90,10 @@
 		c.revisions[c.keys.workers()] = records.workers.Revision
 		var unverified []planner.Worker
 		if err := cbor.Unmarshal(records.workers.Value, &unverified); err != nil {
-			c.options.Log.Error().Err(err).Msg("conductor: list of workers can't be decoded")
+			c.options.Log.Error().Err(err).Msg("conductor: list of workers can't be decoded; tasks wait until every earlier lease has expired")
+			p.AddUnknownWorkers()
+			// Some entries may have been decoded in part.
+			unverified = nil
 		}
 		for _, w := range unverified {
 			p.AddUnverifiedWorker(w)
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -35,6 +35,8 @@
 		return fmt.Sprintf("run %d is %s on %s since %s, at %d%%, pace %d%%", r.id.Attempt, r.state, r.worker.ID, now.Sub(r.startedAt), r.percent, r.pace)
 	case !s.isOpen:
 		return fmt.Sprintf("waits for steps %v", s.After)
+	case p.hasUnknownWorkers:
+		return "may run on workers that this owner can't identify"
 	case s.occurrence.job.mayHaveUnverifiedRuns && len(p.unverified) > 0 && !s.Speculative:
 		return fmt.Sprintf("may run on one of %d workers that have not answered this owner", len(p.unverified))
 	case now.Before(t.retryAt):
--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -96,7 +96,7 @@
 	}
 	var all []group
 	for _, j := range p.activeJobs {
-		if j.Times > 0 || (j.mayHaveUnverifiedRuns && len(p.unverified) > 0) {
+		if j.Times > 0 || (j.mayHaveUnverifiedRuns && p.hasUnverifiedWorkers()) {
 			continue
 		}
 		for _, s := range j.occurrences[0].steps {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -36,6 +36,7 @@
 	clear(p.candidateCache)
 	clear(p.unplaceable)
 	clear(p.busyServices)
+	p.dropUnknownWorkers(proven)
 	p.dropLost(now, proven)
 	p.openOccurrences(now)
 	p.stopFinalJobs(now)
@@ -239,7 +240,7 @@
 	}
 	var all []ranked
 	for _, j := range p.activeJobs {
-		if j.mayHaveUnverifiedRuns && len(p.unverified) == 0 {
+		if j.mayHaveUnverifiedRuns && !p.hasUnverifiedWorkers() {
 			j.mayHaveUnverifiedRuns = false
 		}
 		for _, o := range j.occurrences {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -95,6 +95,9 @@
 	// unverified holds the ids of the unverified workers, on which an earlier
 	// owner may have started tasks.
 	unverified map[string]bool
+	// hasUnknownWorkers is set while an earlier owner may have started tasks on
+	// workers that this owner can't identify. Nothing is recorded meanwhile.
+	hasUnknownWorkers bool
 	// isRecordStale is set when the stored list includes a worker that is gone.
 	isRecordStale bool
 	// hadPredecessor is set when the shard had an earlier owner whose workers
@@ -203,7 +206,7 @@
 	if q, ok := p.config.Queues[d.Queue.Name]; ok {
 		d.Queue = q
 	}
-	j := &job{Job: d, ended: map[int]bool{}, mayHaveUnverifiedRuns: len(p.unverified) > 0, mayPredateOwner: p.hadPredecessor}
+	j := &job{Job: d, ended: map[int]bool{}, mayHaveUnverifiedRuns: p.hasUnverifiedWorkers(), mayPredateOwner: p.hadPredecessor}
 	// Clocks of instances differ, so the arrival is clamped to the present.
 	age := max(0, p.options.WallTime(now).Sub(d.Received))
 	j.arrived = now.Add(-age)
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -15,6 +15,23 @@
 	p.hadPredecessor = true
 }
 
+// AddUnknownWorkers records that an earlier owner may have started tasks on
+// workers that this owner can't identify. Only the end of every lease that the
+// earlier owner may have granted shows that these tasks have ended.
+func (p *Planner) AddUnknownWorkers() { p.hasUnknownWorkers, p.hadPredecessor = true, true }
+
+// dropUnknownWorkers treats the unknown workers as lost once every lease has
+// expired.
+func (p *Planner) dropUnknownWorkers(proven time.Time) {
+	if p.hasUnknownWorkers && proven.After(p.options.PredecessorLeaseEnd) {
+		p.hasUnknownWorkers = false
+	}
+}
+
+// hasUnverifiedWorkers reports whether an earlier owner may have started tasks
+// on workers that have not answered this owner.
+func (p *Planner) hasUnverifiedWorkers() bool { return p.hasUnknownWorkers || len(p.unverified) > 0 }
+
 func (p *Planner) addWorker(w *Worker) {
 	w.free, w.runs, w.runsInOrder = w.Capacity, map[RunID]*run{}, nil
 	p.workers[w.ID] = w
@@ -96,8 +113,12 @@
 // NeedsRecord reports whether the stored list of workers differs from the
 // workers that may have runs. No task starts on a worker that is not stored,
 // and a worker that stays stored after it is gone delays a successor, which
-// waits for its answer.
+// waits for its answer. A list that this owner could not use is kept while it
+// may name workers with tasks, so that a successor waits for them too.
 func (p *Planner) NeedsRecord(now time.Time) bool {
+	if p.hasUnknownWorkers {
+		return false
+	}
 	return p.isRecordStale || slices.ContainsFunc(p.sortedWorkers, func(w *Worker) bool { return w.isRecorded != w.mayHaveRuns(now) })
 }
 
