Don't count a refused stop as confirmed

A task whose first start was not answered could be started again while the worker could still carry out the first start: a stop that a healthy worker refused, for any reason but a higher epoch, counted as confirmed. A worker that refuses a stop has not recorded it, and only a recorded stop makes it reject the run. Such a stop is now repeated until it is done, or until the worker lists the end of the run, is lost or lets its leases expire. The interface defines no refusal of a stop for a healthy worker but that of a lower epoch.

TestRefusedStop failed before for 400 and for a 409 with another reason: the task was started again within 1.5 s. The case of an unhealthy worker passed.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -134,9 +134,9 @@
 			c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Started, "")
 		}
 	case planner.StopRun:
-		// An unhealthy worker refuses stops too, and may still carry out a
-		// start.
-		if err == nil || isRefused && !refused.IsUnhealthy {
+		// A worker that refuses a stop has done nothing, and may still carry
+		// out a start of the run that is under way.
+		if err == nil {
 			c.planner.StopAnswered(now, o.Run, o.WorkerID)
 		}
 	case planner.PaceRun:
--- /dev/null
+++ b/internal/conductor/refused_stop_test.go
@@ -0,0 +1,48 @@
+package conductor_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/conductor"
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+// TestRefusedStop guards against a second run of a task whose first start was not
+// answered, when the worker refuses the stop. The worker has done nothing then,
+// so it may still carry out the first start.
+func TestRefusedStop(t *testing.T) {
+	for name, refusal := range map[string]conductor.RefusedError{
+		"conflict":  {Reason: "room"},
+		"malformed": {Reason: "status 400"},
+		"unhealthy": {Reason: "status 503", IsUnhealthy: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestCluster(t, 50*time.Millisecond)
+			isLost, isRefusing := false, true
+			s.pool.intercept = func(kind string) error {
+				switch {
+				case kind == "start" && !isLost:
+					isLost = true
+					return errors.New("no answer")
+				case kind == "stop" && isRefusing:
+					return &refusal
+				}
+				return nil
+			}
+			c, stop := s.startDaemon(1)
+			defer stop()
+			s.submit("a", 1)
+			time.Sleep(1500 * time.Millisecond)
+			s.Assert(s.pool.startsOf("a"), quicktest.HasLen, 0, quicktest.Commentf("started again though the first start may still be carried out"))
+			s.pool.mu.Lock()
+			isRefusing = false
+			s.pool.mu.Unlock()
+			s.eventually("done", testTimeout, func() bool { return state(c, "a") == planner.Done })
+			s.checkEachStartedOnce("a", 1)
+		})
+	}
+}
