End a worker's runs only when a call proves that its process has ended

Cause: the planner took the list of workers as evidence. The list shows the entry of an ended process until it expires, beside that of its successor at the same address, and SetWorkers removed one of the two with its runs for the other at each reading.

Now a listing is only a hint. Two processes never share an address, so an answer to a poll ends every other process that was known at the address before the poll was sent, and an answer by another process ends the one that was called. Contested workers are polled at once and get no task until then. An ended process isn't added again as long as it is listed; when it is forgotten and listed once more, the first call tells. A new owner needs nothing that its predecessor knew: it asks again. The life cycle of a process is a chart.

Processes are now told apart by id and start time in any order, and starts that the ended process never listed are stopped on the new one before the task may start again.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -30,6 +30,8 @@
 
 // session is the state of an owner's calls to one worker.
 type session struct {
+	// born is the start time of the worker's process.
+	born int64
 	// isPolling is set while a poll is unanswered.
 	isPolling  bool
 	nextPollAt time.Time
@@ -62,12 +64,29 @@
 func (c *Conductor) session(w planner.Worker) *session {
 	s := c.sessions[w.ID]
 	if s == nil {
-		s = &session{}
+		s = &session{born: w.Born}
 		c.sessions[w.ID] = s
 	}
 	return s
 }
 
+// endSession ends the session with a worker's process. Answers to its calls that
+// are still under way are then ignored.
+func (c *Conductor) endSession(workerID string, s *session) {
+	s.isStale = true
+	delete(c.sessions, workerID)
+}
+
+// endUnusedSessions ends the sessions with processes that the planner no longer
+// knows.
+func (c *Conductor) endUnusedSessions() {
+	for id, s := range c.sessions {
+		if w, ok := c.planner.Worker(id); !ok || s.born != 0 && w.Born != s.born {
+			c.endSession(id, s)
+		}
+	}
+}
+
 // sendOrder sends one of the planner's orders.
 func (c *Conductor) sendOrder(ctx context.Context, now time.Time, o planner.Command) {
 	w, ok := c.planner.Worker(o.WorkerID)
@@ -157,9 +176,8 @@
 		c.loseOwnership("worker " + workerID + " has seen a higher epoch")
 		return false
 	case errors.As(err, &other):
-		s.isStale = true
-		delete(c.sessions, workerID)
-		c.planner.Restarted(workerID)
+		c.endSession(workerID, s)
+		c.planner.OtherProcessAnswered(workerID)
 		return false
 	case err == nil || errors.As(err, &refused):
 		c.planner.Answered(now, workerID)
@@ -191,8 +209,9 @@
 	}
 	c.planner.Leased(w.ID, expiry)
 	o := PollOrder{Epoch: epoch, Acknowledge: contact.Acknowledge, Deadline: deadline, Wait: pollWait}
-	if s.clockReceivedAt.IsZero() {
-		// The first poll returns the worker's clock, which leases need.
+	if s.clockReceivedAt.IsZero() || contact.IsContested {
+		// The first poll returns the worker's clock, which leases need. That of
+		// a contested worker tells which process has its address.
 		o.Wait = 0
 	}
 	c.background.Go(func() {
@@ -216,9 +235,6 @@
 // time.
 func (c *Conductor) applyPollResult(w planner.Worker, s *session, a PollAnswer, received time.Time, err error) {
 	now := c.options.Now()
-	if err == nil && a.ProcessStart != 0 && w.Born != 0 && a.ProcessStart != w.Born {
-		err = &OtherProcessError{w.ID}
-	}
 	if !c.applyAnswer(now, w.ID, s, err) {
 		return
 	}
@@ -227,6 +243,14 @@
 		c.options.Log.Info().Str("worker", w.ID).Int64("epoch", c.epoch).Err(err).Msg("conductor: poll not answered")
 		return
 	}
+	if a.ProcessStart != 0 && w.Born != 0 && a.ProcessStart != w.Born {
+		// Another process has the id. Its clock started anew, so the lease that
+		// the poll granted may last for the longest time from its arrival.
+		c.endSession(w.ID, s)
+		w.Born = a.ProcessStart
+		s = c.session(w)
+		c.planner.Leased(w.ID, received.Add(longestLease(c.options.Limits.MaxLease)))
+	}
 	s.clock, s.clockReceivedAt = a.Clock, received
 	a.IsPartial = len(a.Ended) >= maxEndsPerPoll
 	c.planner.PollAnswered(now, w.ID, a.PollResult)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -10,6 +10,8 @@
 	_ "embed"
 	"fmt"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -372,7 +374,9 @@
 	for _, w := range c.workers {
 		list = append(list, w)
 	}
+	slices.SortFunc(list, func(a, b planner.Worker) int { return strings.Compare(a.ID, b.ID) })
 	c.planner.SetWorkers(c.options.Now(), list)
+	c.endUnusedSessions()
 }
 
 // Answer is a job's state as known to its owner.
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -72,11 +72,10 @@
 	}
 	now := c.options.Now()
 	limits := c.options.Limits
-	longestLease := time.Duration(float64(limits.MaxLease) / (1 - maxClockDrift))
 	p, err := planner.New(planner.Options{
 		Epoch: c.epoch, Horizon: horizon, ViolationLimit: limits.ViolationLimit,
 		Retention: limits.StateRetention, WallTime: c.options.WallTime,
-		PredecessorLeaseEnd: now.Add(horizon + longestLease), OnDecision: c.logDecision,
+		PredecessorLeaseEnd: now.Add(horizon + longestLease(limits.MaxLease)), OnDecision: c.logDecision,
 	})
 	if err != nil {
 		c.options.Log.Error().Err(err).Msg("conductor: planner not created")
--- a/internal/conductor/orders.go
+++ b/internal/conductor/orders.go
@@ -49,8 +49,6 @@
 	planner.PollResult
 	// Clock is the worker's clock, which starts with its process.
 	Clock time.Duration
-	// ProcessStart is when the worker's process started, or zero if unknown.
-	ProcessStart int64
 }
 
 // WorkerCalls are the calls to a worker. Each is safe for concurrent use.
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -59,6 +59,12 @@
 	jobsWatchWait = 5 * time.Second
 )
 
+// longestLease returns the longest time that a lease lasts on a worker whose
+// clock runs slow.
+func longestLease(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) / (1 - maxClockDrift))
+}
+
 // leaseState is the lease of the owner's entry.
 type leaseState struct {
 	id         storeclient.LeaseID
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -54,9 +54,12 @@
 // PollResult is a worker's answer to a poll.
 type PollResult struct {
 	// Sent is when the poll was sent.
-	Sent    time.Time
-	Running []RunStatus
-	Ended   []RunEnd
+	Sent time.Time
+	// ProcessStart is when the process that answered was started, or zero if it
+	// does not tell.
+	ProcessStart int64
+	Running      []RunStatus
+	Ended        []RunEnd
 	// IsPartial is set when the worker has more ends to list. Runs that are
 	// missing from a partial answer may still exist.
 	IsPartial bool
@@ -91,13 +94,17 @@
 	}
 }
 
-// PollAnswered applies a worker's answer to a poll. The answer also proves that
-// the worker rejects calls of earlier owners from now on.
+// PollAnswered applies a worker's answer to a poll. The answer also proves which
+// process is alive, and that it rejects calls of earlier owners from now on.
 func (p *Planner) PollAnswered(now time.Time, workerID string, result PollResult) {
 	w := p.workers[workerID]
 	if w == nil {
 		return
 	}
+	if isOtherProcess(w.Born, result.ProcessStart) {
+		w = p.replaceProcess(now, w, result.ProcessStart)
+	}
+	p.proveAlive(w, result.Sent)
 	p.Answered(now, workerID)
 	w.hasUnknownRuns = false
 	seen := make(map[RunID]bool, len(result.Running))
@@ -112,7 +119,7 @@
 			p.applyRunEnd(now, w, e)
 		}
 	}
-	w.isFenced, w.polledAt = true, now
+	w.polledAt = now
 	if p.unverified[w.ID] && !result.IsPartial {
 		delete(p.unverified, w.ID)
 		w.isUnverified = false
@@ -152,6 +159,7 @@
 			r.targetPace = r.pace
 		}
 	}
+	r.isListed = true
 	if r.state == "starting" {
 		p.confirmStart(now, r)
 	}
--- a/internal/planner/lost_test.go
+++ b/internal/planner/lost_test.go
@@ -26,11 +26,21 @@
 			d.running["b"] = []planner.RunStatus{{Run: planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}}}
 			d.poll("b")
 		}, 0},
-		"worker process was replaced": {step(1, 1), func(d *driver) {
-			n := worker("b", 8)
-			n.ID, n.Born = "c", 2
-			d.p.SetWorkers(d.now, []planner.Worker{d.workers[0], n})
+		"another process is listed at its address": {step(1, 1), func(d *driver) {
+			d.p.SetWorkers(d.now, []planner.Worker{d.workers[0], successor("c", d.workers[1])})
+		}, 0},
+		"another process at its address answers": {step(1, 1), func(d *driver) {
+			d.p.SetWorkers(d.now, []planner.Worker{d.workers[0], successor("c", d.workers[1])})
+			d.poll("c")
+		}, 1},
+		"another process answers a call for it": {step(1, 1), func(d *driver) { d.p.OtherProcessAnswered("b") }, 1},
+		"another process has its id": {step(1, 1), func(d *driver) {
+			d.p.PollAnswered(d.now, "b", planner.PollResult{Sent: d.now, ProcessStart: 2})
 		}, 1},
+		"another process has its id and the run": {step(1, 1), func(d *driver) {
+			run := planner.RunStatus{Run: planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}}
+			d.p.PollAnswered(d.now, "b", planner.PollResult{Sent: d.now, ProcessStart: 2, Running: []planner.RunStatus{run}})
+		}, 0},
 		"every lease has expired": {step(1, 1), func(d *driver) { d.advance(14 * time.Second) }, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -62,7 +62,7 @@
 	for _, w := range slices.Clone(p.sortedWorkers) {
 		switch {
 		case p.unverified[w.ID] && proven.After(p.options.PredecessorLeaseEnd):
-			p.removeWorker(w, "no answer before every lease expired")
+			p.removeWorker(w, "leases_expired", "no answer before every lease expired")
 		case !p.unverified[w.ID] && !w.failedSince.IsZero() && proven.After(w.leaseEnd) && len(w.runs) > 0 && w.answeredAt.Before(w.leaseEnd):
 			p.reportWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s", now.Sub(w.failedSince)))
 			for _, r := range runsOf(w) {
@@ -70,6 +70,7 @@
 			}
 		case w.isGone(now) && len(w.runs) == 0 && !p.unverified[w.ID]:
 			p.reportWorker("worker_gone", w, "not listed")
+			p.applyProcessEvent(w, "entry_expired")
 			p.forgetWorker(w)
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -39,6 +39,9 @@
 //go:embed charts/run.yaml
 var runChart []byte
 
+//go:embed charts/process.yaml
+var processChart []byte
+
 // Config is the part of the operators' configuration that the planner uses.
 type Config struct {
 	// Queues maps the names of queues to their definitions.
@@ -82,9 +85,11 @@
 // advances while the process is suspended.
 type Planner struct {
 	options Options
-	chart   *interpreter.Chart
-	config  Config
-	jobs    map[string]*job
+	// chart is the life cycle of a run, and processChart that of a worker's
+	// process.
+	chart, processChart *interpreter.Chart
+	config              Config
+	jobs                map[string]*job
 	// allJobs holds every job in order of arrival.
 	allJobs    []*job
 	activeJobs []*job
@@ -92,6 +97,9 @@
 	// sortedWorkers holds the workers sorted by id.
 	sortedWorkers    []*Worker
 	evacuatedDomains map[string]bool
+	// endedProcesses holds the processes that have ended and that the list may
+	// still show.
+	endedProcesses map[processID]bool
 	// unverified holds the ids of the unverified workers, on which an earlier
 	// owner may have started tasks.
 	unverified map[string]bool
@@ -148,8 +156,12 @@
 	if err != nil {
 		return nil, err
 	}
+	processes, err := interpreter.Load("process", processChart)
+	if err != nil {
+		return nil, err
+	}
 	return &Planner{
-		options: o, chart: c, jobs: map[string]*job{}, workers: map[string]*Worker{}, evacuatedDomains: map[string]bool{},
+		options: o, chart: c, processChart: processes, endedProcesses: map[processID]bool{}, jobs: map[string]*job{}, workers: map[string]*Worker{}, evacuatedDomains: map[string]bool{},
 		unverified: map[string]bool{}, unknownRuns: map[RunID]unknownRun{}, interference: newTailModels(),
 		candidateCache: map[candidateKey][]*Worker{}, unplaceable: map[placeKey]Resources{}, busyServices: map[string]bool{},
 	}, nil
@@ -353,8 +365,11 @@
 	// IsFailing is set while calls go unanswered. A poll then grants no lease,
 	// so that the leases granted before expire.
 	IsFailing bool
-	// NeedsPoll is set when the worker has runs, has ends to acknowledge, or
-	// has not answered this owner yet.
+	// IsContested is set while another process may have the worker's address. A
+	// poll that is answered immediately tells sooner.
+	IsContested bool
+	// NeedsPoll is set when the worker has runs, has ends to acknowledge, is
+	// contested, or has not answered this owner yet.
 	NeedsPoll bool
 }
 
@@ -362,13 +377,14 @@
 func (p *Planner) Contacts(now time.Time) []Contact {
 	list := make([]Contact, 0, len(p.workers))
 	for _, w := range p.sortedWorkers {
-		needsPoll := len(w.runs) > 0 || !w.isFenced || w.acknowledged < w.cursor
+		needsPoll := len(w.runs) > 0 || !w.isProved() || w.acknowledged < w.cursor
 		// A worker with unacknowledged ends answers a poll immediately, so the
 		// poll is deferred until the ends already read are committed.
 		if len(w.unacknowledgedEnds) > 0 && now.Sub(w.polledAt) < acknowledgeWait {
 			needsPoll = false
 		}
-		list = append(list, Contact{Worker: *w, Acknowledge: w.acknowledged, IsFailing: !w.failedSince.IsZero(), NeedsPoll: needsPoll})
+		needsPoll = needsPoll || w.isContested
+		list = append(list, Contact{Worker: *w, Acknowledge: w.acknowledged, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll})
 	}
 	return list
 }
--- a/internal/planner/process_test.go
+++ b/internal/planner/process_test.go
@@ -43,3 +43,153 @@
 		})
 	}
 }
+
+// answer answers a poll, sent at a given time, as the process started at born,
+// which has no runs unless it is the worker's own.
+func (d *driver) answer(w planner.Worker, sent time.Time, born int64) {
+	result := planner.PollResult{Sent: sent, ProcessStart: born}
+	if born == w.Born {
+		result.Running = d.running[w.ID]
+	}
+	d.p.PollAnswered(d.now, w.ID, result)
+}
+
+// TestEvidenceOfEndedProcess guards against runs that are taken for ended while
+// their worker's process is alive, and against tasks that wait although it has
+// ended.
+func TestEvidenceOfEndedProcess(t *testing.T) {
+	w, other := worker("a", 8), worker("c", 8)
+	next := successor("b", w)
+	lateEntry := w
+	lateEntry.ID, lateEntry.EntryCreated = "late", 9
+	sameID := successor("a", w)
+	earlier := w
+	earlier.Born = -1
+	for name, tt := range map[string]struct {
+		do func(d *driver)
+		// again is set if the task starts again.
+		again bool
+	}{
+		"another process is listed at its address":     {func(d *driver) { d.list(w, next, other) }, false},
+		"only another process is listed":               {func(d *driver) { d.list(next, other) }, false},
+		"an entry at its address was created later":    {func(d *driver) { d.list(w, lateEntry, other) }, false},
+		"another process is listed under its id":       {func(d *driver) { d.list(sameID, other) }, false},
+		"one started earlier is listed under its id":   {func(d *driver) { d.list(earlier, other) }, false},
+		"another process at its address answers":       {func(d *driver) { d.list(w, next, other); d.answer(next, d.now, next.Born) }, true},
+		"another process answered before it was known": {func(d *driver) { d.list(w, next, other); d.answer(next, origin.Add(-time.Second), next.Born) }, false},
+		"another process answers a call for it":        {func(d *driver) { d.p.OtherProcessAnswered("a") }, true},
+		"another process answers under its id":         {func(d *driver) { d.answer(w, d.now, sameID.Born) }, true},
+		"one started earlier answers under its id":     {func(d *driver) { d.answer(w, d.now, earlier.Born) }, true},
+		"it answers while another is listed under its id": {func(d *driver) {
+			d.list(sameID, other)
+			d.answer(w, d.now, w.Born)
+			d.list(sameID, other)
+		}, false},
+		"it answers while another is listed at its address": {func(d *driver) {
+			d.list(w, next, other)
+			d.answer(w, d.now, w.Born)
+			d.list(w, next, other)
+			d.p.OtherProcessAnswered("b")
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 1, w, other).registerWorkers()
+			d.p.SetEvacuatedDomains([]string{other.Domain})
+			d.add(job("1", step(1, 1)))
+			d.Assert(d.startTasks(), quicktest.HasLen, 1)
+			d.poll(w.ID)
+			d.p.SetEvacuatedDomains([]string{w.Domain})
+			d.advance(100 * time.Millisecond)
+			tt.do(d)
+			want := 0
+			if tt.again {
+				want = 1
+			}
+			d.Assert(d.startTasks(), quicktest.HasLen, want)
+		})
+	}
+}
+
+func (d *driver) list(workers ...planner.Worker) { d.p.SetWorkers(d.now, workers) }
+
+// TestContestedWorkerGetsNoTask guards against starts on a process that may have
+// ended.
+func TestContestedWorkerGetsNoTask(t *testing.T) {
+	w := worker("a", 8)
+	next := successor("b", w)
+	for name, list := range map[string][]planner.Worker{
+		"same address": {w, next},
+		"same id":      {successor("a", w)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 1, w).registerWorkers()
+			d.list(list...)
+			d.add(job("1", step(1, 1)))
+			d.Assert(d.startTasks(), quicktest.HasLen, 0)
+			for _, c := range d.p.Contacts(d.now) {
+				d.Assert(c.NeedsPoll && c.IsContested, quicktest.IsTrue)
+			}
+			d.answer(w, d.now, w.Born)
+			d.list(w)
+			d.Assert(d.startTasks(), quicktest.HasLen, 1)
+		})
+	}
+}
+
+// TestStartReachesNewProcessOfSameID guards against a second run of a task whose
+// first start was sent to an ended process and reaches the one that has its id.
+func TestStartReachesNewProcessOfSameID(t *testing.T) {
+	for name, outcome := range map[string]planner.StartOutcome{
+		"start answered":   planner.Started,
+		"start unanswered": planner.Unclear,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, other := worker("a", 8), worker("c", 8)
+			d := newDriver(t, 1, w, other).registerWorkers()
+			d.p.SetEvacuatedDomains([]string{other.Domain})
+			d.add(job("1", step(1, 1)))
+			start := d.p.Plan(d.now, d.proven())[0]
+			d.p.StartAnswered(d.now, start.Run, start.WorkerID, outcome, "")
+			d.p.Plan(d.now, d.proven())
+			d.p.SetEvacuatedDomains([]string{w.Domain})
+			d.advance(time.Millisecond)
+			d.answer(w, d.now, 2)
+			commands := d.p.Plan(d.now, d.proven())
+			d.Assert(commands, quicktest.HasLen, 1)
+			d.Assert(commands[0].Kind, quicktest.Equals, planner.StopRun)
+			d.Assert(commands[0].Run, quicktest.Equals, start.Run)
+			d.advance(time.Millisecond)
+			d.answer(w, d.now, 2)
+			d.Assert(d.startTasks(), quicktest.HasLen, 0, quicktest.Commentf("the stop is not confirmed"))
+			d.p.StopAnswered(d.now, start.Run, start.WorkerID)
+			d.advance(time.Millisecond)
+			d.answer(w, d.now, 2)
+			d.Assert(d.startTasks(), quicktest.HasLen, 1)
+		})
+	}
+}
+
+// TestEndsOfNewProcessAreRead guards against ends that are skipped because the
+// worker's earlier process had listed more of them.
+func TestEndsOfNewProcessAreRead(t *testing.T) {
+	w := worker("a", 8)
+	d := newDriver(t, 1, w).registerWorkers()
+	d.add(job("1", step(2, 1)))
+	for _, o := range d.startTasks() {
+		d.endRun(o, planner.EndFailed)
+	}
+	d.commit()
+	d.advance(time.Second)
+	d.answer(w, d.now, 2)
+	d.list(successor("a", w))
+	d.p.SetRecorded(d.p.Recorded(d.now))
+	again := d.startTasks()
+	d.Assert(again, quicktest.HasLen, 2)
+	d.advance(time.Second)
+	d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now, ProcessStart: 2, Ended: []planner.RunEnd{
+		{Number: 1, Run: again[0].Run, Kind: planner.EndDone}, {Number: 2, Run: again[1].Run, Kind: planner.EndDone},
+	}})
+	d.commit()
+	state, _ := d.p.JobState("1")
+	d.Assert(state, quicktest.Equals, planner.Done)
+}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"slices"
@@ -158,6 +159,9 @@
 	// startedAt is when the start was sent or confirmed, or when a run of an
 	// earlier owner was first listed.
 	startedAt time.Time
+	// isListed is set once the worker's process has listed the run. The start of
+	// any other run may still be under way.
+	isListed bool
 	// stopConfirmed is when the worker confirmed the stop.
 	stopConfirmed time.Time
 	// stopSent is when the stop was last sent.
@@ -247,9 +251,19 @@
 	// when it was first missing.
 	isListed     bool
 	missingSince time.Time
-	// isFenced is set once the worker has answered a poll of this owner, which
-	// proves that it rejects the calls of earlier owners.
-	isFenced bool
+	// process is the state of the worker's process. A proved process has answered
+	// a poll of this owner, so it also rejects the calls of earlier owners.
+	process interpreter.State
+	// knownSince is when the process became known; zero if an earlier owner knew
+	// it.
+	knownSince time.Time
+	// relisted is the process that the list shows under the same id with another
+	// start time, until a poll tells which of them is alive.
+	relisted *Worker
+	// isContested is set while another process may have the worker's address:
+	// another worker has the same address, or relisted is set. No task starts on
+	// a contested worker.
+	isContested bool
 	// isUnverified is set for a worker on which an earlier owner may have
 	// started tasks, until the worker has listed its runs to this owner.
 	isUnverified bool
@@ -301,6 +315,25 @@
 	version uint64
 }
 
+// isProved reports whether the worker's process has answered a poll of this
+// owner.
+func (w *Worker) isProved() bool { return w.process == "proved" }
+
+// describe returns what identifies the worker's process, for the log.
+func (w *Worker) describe() string {
+	return fmt.Sprintf("at %s in %s, born %d, entry created at revision %d", w.Address, w.Domain, w.Born, w.EntryCreated)
+}
+
+// update takes over the description of the process from its entry n.
+func (w *Worker) update(n Worker) {
+	if w.Born == 0 {
+		w.Born = n.Born
+	}
+	w.Service, w.Domain, w.Rack, w.Labels, w.EntryCreated = n.Service, n.Domain, n.Rack, n.Labels, n.EntryCreated
+	w.free = w.free.plus(n.Capacity).minus(w.Capacity)
+	w.Capacity = n.Capacity
+}
+
 func (w *Worker) isGone(now time.Time) bool {
 	return !w.isListed && !w.missingSince.IsZero() && now.Sub(w.missingSince) > missingLimit
 }
@@ -314,8 +347,11 @@
 // of the stored list, because a successor would have to wait for its answer.
 func (w *Worker) mayHaveRuns(now time.Time) bool {
 	switch {
-	case len(w.runs) > 0 || w.isUnverified || !w.isFenced:
+	case len(w.runs) > 0 || w.isUnverified:
 		return true
+	case !w.isProved():
+		// A contested process has probably ended.
+		return !w.isContested
 	case !w.failedSince.IsZero() && now.Sub(w.failedSince) > lostAfter:
 		return false
 	default:
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -4,49 +4,56 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"tarragonhead.example/tarragonhead/internal/interpreter"
 )
 
 // AddUnverifiedWorker adds a worker on which an earlier owner may have started
 // tasks.
 func (p *Planner) AddUnverifiedWorker(w Worker) {
 	w.isRecorded, w.isUnverified = true, true
-	p.addWorker(&w)
+	p.addWorker(time.Time{}, &w)
 	p.unverified[w.ID] = true
 	p.hadPredecessor = true
 }
 
-func (p *Planner) addWorker(w *Worker) {
+func (p *Planner) addWorker(now time.Time, w *Worker) {
 	w.free, w.runs, w.runsInOrder = w.Capacity, map[RunID]*run{}, nil
+	w.process, w.knownSince = p.processChart.Start(), now
 	p.workers[w.ID] = w
 	at, _ := slices.BinarySearchFunc(p.sortedWorkers, w, func(a, b *Worker) int { return compareStrings(a.ID, b.ID) })
 	p.sortedWorkers = slices.Insert(p.sortedWorkers, at, w)
+	p.updateContested(w)
 }
 
 func (p *Planner) forgetWorker(w *Worker) {
 	p.isRecordStale = p.isRecordStale || w.isRecorded
 	delete(p.workers, w.ID)
 	p.sortedWorkers = slices.DeleteFunc(p.sortedWorkers, func(o *Worker) bool { return o == w })
+	p.updateContested(w)
 }
 
-// SetWorkers applies the list of workers from discovery.
+// SetWorkers applies the list of workers from discovery. The list adds workers,
+// but ends no process: see process.go.
 func (p *Planner) SetWorkers(now time.Time, list []Worker) {
-	listed := map[string]bool{}
+	listed, ended := map[string]bool{}, map[processID]bool{}
 	for _, n := range list {
-		listed[n.ID] = true
+		if p.endedProcesses[n.processID()] {
+			ended[n.processID()] = true
+			continue
+		}
 		w := p.workers[n.ID]
-		if w != nil && w.Born != n.Born {
-			if w.Born != 0 && n.Born < w.Born {
-				continue
-			}
-			p.removeWorker(w, "restarted under its id")
-			w = nil
+		if w != nil && isOtherProcess(w.Born, n.Born) {
+			p.noteRelisted(now, w, n)
+			continue
 		}
+		listed[n.ID] = true
 		if w == nil {
-			p.removeReplaced(n)
 			w = &n
-			p.addWorker(w)
-			p.reportWorker("worker_found", w, fmt.Sprintf("at %s in %s, born %d, entry created at revision %d", w.Address, w.Domain, w.Born, w.EntryCreated))
+			p.addWorker(now, w)
+			p.reportWorker("worker_found", w, w.describe())
 		}
+		w.update(n)
 		w.isListed, w.missingSince = true, time.Time{}
 		if n.Draining && !w.Draining {
 			p.reportWorker("worker_draining", w, n.Remaining.String())
@@ -56,6 +63,7 @@
 			w.drainingSince = now
 		}
 	}
+	p.endedProcesses = ended
 	for _, w := range p.sortedWorkers {
 		if !listed[w.ID] && (w.isListed || w.missingSince.IsZero()) {
 			w.isListed, w.missingSince = false, now
@@ -63,26 +71,11 @@
 	}
 }
 
-// removeReplaced removes the worker that had the address of a new one. Its
-// process must have ended, because two processes cannot listen on one address.
-func (p *Planner) removeReplaced(n Worker) {
-	for _, w := range slices.Clone(p.sortedWorkers) {
-		if w.Address == n.Address && w.ID != n.ID {
-			p.removeWorker(w, "address used by "+n.ID)
-		}
-	}
-}
-
-// Restarted removes a worker and its runs after a different process answered at
-// its address.
-func (p *Planner) Restarted(workerID string) {
-	if w := p.workers[workerID]; w != nil {
-		p.removeWorker(w, "another process answered")
-	}
-}
-
-func (p *Planner) removeWorker(w *Worker, reason string) {
-	p.reportWorker("worker_lost", w, fmt.Sprintf("%s; at %s, born %d, entry created at revision %d, %d runs", reason, w.Address, w.Born, w.EntryCreated, len(w.runs)))
+// removeWorker removes a worker and ends its runs. The event ends the life cycle
+// of the worker's process.
+func (p *Planner) removeWorker(w *Worker, event interpreter.Event, reason string) {
+	p.applyProcessEvent(w, event)
+	p.reportWorker("worker_lost", w, fmt.Sprintf("%s; %s, %d runs", reason, w.describe(), len(w.runs)))
 	for _, r := range runsOf(w) {
 		p.endRun(r, "lapse", "worker lost: "+reason)
 	}
