Test that a process which uses an id again is served like a new one

The jobs of a worker end although its process was replaced under the same id, with a later or an earlier start time.

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -26,7 +26,9 @@
 	mu           sync.Mutex
 	taskDuration time.Duration
 	epoch        int64
-	runs         map[planner.RunID]time.Time
+	// born is the start time of the workers' process; zero if they don't tell.
+	born int64
+	runs map[planner.RunID]time.Time
 	ends         []planner.RunEnd
 	lastEnd      uint64
 	// barredAttempts has the highest attempt of each task that ended or was
@@ -109,7 +111,7 @@
 			p.end(r, planner.EndDone)
 		}
 	}
-	a := conductor.PollAnswer{Clock: time.Hour}
+	a := conductor.PollAnswer{Clock: time.Hour, PollResult: planner.PollResult{ProcessStart: p.born}}
 	for r := range p.runs {
 		a.Running = append(a.Running, planner.RunStatus{Run: r, Percent: 50})
 	}
@@ -199,15 +201,29 @@
 	retention time.Duration
 }
 
+func localAddress(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+}
+
+// worker returns the worker that the daemon at a port discovers.
+func (*testCluster) worker(port uint16, cpu int64) planner.Worker {
+	return planner.Worker{
+		ID: "w", Address: localAddress(port), Service: "service", Domain: "domain", Rack: "rack",
+		Capacity: planner.Resources{CPU: cpu, Memory: 1000},
+	}
+}
+
 // startDaemonOf runs a daemon of a shard. The returned function stops it.
 func (s *testCluster) startDaemonOf(sh testShard, port uint16) (*conductor.Conductor, func()) {
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+	address := localAddress(port)
 	var c *conductor.Conductor
 	c, err := conductor.New(conductor.Options{
 		Shard: sh.name, Self: fmt.Sprint("daemon", port), Address: address, Store: s.store(port), Workers: sh.pool.calls(), Place: sh.place,
 		ExtraAcquireDelay: func() time.Duration { return sh.extraDelay },
 		Discover: func(ctx context.Context) {
-			c.SetWorkers(ctx, []planner.Worker{{ID: "w", Address: address, Service: "service", Domain: "domain", Rack: "rack", Capacity: planner.Resources{CPU: sh.cpu, Memory: 1000}}}, nil)
+			w := s.worker(port, sh.cpu)
+			w.Born = sh.pool.born
+			c.SetWorkers(ctx, []planner.Worker{w}, nil)
 		},
 		Ask: func(ctx context.Context, owner netip.AddrPort, q conductor.Question) (conductor.Reply, error) {
 			s.mu.Lock()
