--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -27,10 +27,10 @@
 	taskDuration time.Duration
 	epoch        int64
 	// born is the start time of the workers' process; zero if they don't tell.
-	born int64
-	runs map[planner.RunID]time.Time
-	ends         []planner.RunEnd
-	lastEnd      uint64
+	born    int64
+	runs    map[planner.RunID]time.Time
+	ends    []planner.RunEnd
+	lastEnd uint64
 	// barredAttempts has the highest attempt of each task that ended or was
 	// stopped. It and earlier attempts must not start.
 	barredAttempts map[planner.TaskID]int
