Find the shard of a job whose id was used before

After the state of a job has expired, its id may be used again, and the new job may be in another shard. A daemon that had cached the shard of the earlier job asked that shard's owner, which doesn't know the job, and then answered queued for as long as the cache held the entry, or left cancellations unanswered.

The owner's answer that it doesn't know a job makes the daemon read the shard from the store, as it read before whether the job exists, and ask again if the shard differs. With one shard nothing changes.

TestReusedID failed before: the state was queued instead of done, and the cancellation was refused after 1.2 s.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -305,6 +305,12 @@
 	if shard, ok := r.shardByJob.Get(job); ok {
 		return shard, nil
 	}
+	return r.readShard(ctx, job)
+}
+
+// readShard reads the shard of an accepted job from the store and caches it. The
+// error is an UnknownJobError if there is no such job.
+func (r *Receiver) readShard(ctx context.Context, job string) (string, error) {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	e, err := r.options.Store.Get(bounded, conductor.IndexKey(job))
@@ -361,13 +367,16 @@
 		if err == nil {
 			// The owner may not have read the job yet, so the store decides
 			// whether it exists.
-			known, err := r.isAccepted(ctx, q.Job)
+			shard, err := r.readShard(ctx, q.Job)
 			switch {
+			case errors.As(err, &unknown):
+				r.options.Log.Info().Str("job", q.Job).Str("question", string(q.Kind)).Msg("receiver: no such job")
+				return "", err
 			case err != nil:
 				cause = err
-			case !known:
-				r.options.Log.Info().Str("job", q.Job).Str("question", string(q.Kind)).Msg("receiver: no such job")
-				return "", &UnknownJobError{q.Job}
+			case shard != q.Shard && r.options.Shards > 1:
+				// The cached shard was that of an earlier job with this id.
+				continue
 			case q.Kind == conductor.AskState:
 				return planner.Queued, nil
 			}
@@ -378,17 +387,6 @@
 	return "", &RefusedError{"the owner of the shard can't be reached", retryAfter}
 }
 
-func (r *Receiver) isAccepted(ctx context.Context, id string) (bool, error) {
-	bounded, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	_, err := r.options.Store.Get(bounded, conductor.IndexKey(id))
-	var missing *storeclient.NotFoundError
-	if errors.As(err, &missing) {
-		return false, nil
-	}
-	return err == nil, err
-}
-
 // Pending returns how many accepted jobs of a queue have no started task.
 func (r *Receiver) Pending(ctx context.Context, queue string) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -213,3 +213,31 @@
 	c.Assert(outcome(r.Submit(context.Background(), testJob())), quicktest.Equals, "refused")
 	c.Assert(calls, quicktest.Equals, 2)
 }
+
+// TestReusedID guards against answers about an earlier job with the same id, which
+// another shard had: the id may be used again after the state of the earlier job
+// has expired.
+func TestReusedID(t *testing.T) {
+	for name, ask := range map[string]func(*receiver.Receiver, context.Context, string) (planner.State, error){
+		"state":  (*receiver.Receiver).State,
+		"cancel": (*receiver.Receiver).Cancel,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			k := keeper.New(time.Now)
+			id := testJob().ID
+			r := receiver.New(receiver.Options{
+				Shards: 2, Choose: func(string, sharder.Demand) int { return 0 }, Store: k.Store(), Log: discardLogger(), Registry: prometheus.NewRegistry(), Now: time.Now,
+				Local: func(_ context.Context, q conductor.Question) (conductor.Reply, error) {
+					return conductor.Reply{Answer: conductor.Answer{State: planner.Done, Known: q.Shard == "1"}}, nil
+				},
+			})
+			c.Assert(r.Store(context.Background(), testJob()), quicktest.IsNil)
+			k.Remove(conductor.JobKey("0", id))
+			k.Put(conductor.IndexKey(id), []byte("1"))
+			state, err := ask(r, context.Background(), id)
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(state, quicktest.Equals, planner.Done)
+		})
+	}
+}
