--- /dev/null
+++ b/internal/planner/record_test.go
@@ -0,0 +1,97 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+// TestNothingStartsWhileLeftOutOfStore guards against a second run of a task under
+// a successor that doesn't know its worker. A list without the worker that is
+// being stored may take effect at any time, also if the write isn't answered.
+func TestNothingStartsWhileLeftOutOfStore(t *testing.T) {
+	w, b := worker("a", 8), worker("b", 8)
+	for name, tt := range map[string]struct {
+		workers []planner.Worker
+		// leave makes the stored list leave the worker out, and comeBack makes
+		// it usable again.
+		leave, comeBack func(d *driver)
+	}{
+		"its leases expired and then it answers": {
+			[]planner.Worker{w, b},
+			func(d *driver) {
+				d.add(job("1", step(1, 1)))
+				start := d.startTasks()[0]
+				d.p.Leased(start.WorkerID, d.now.Add(6*time.Second))
+				d.p.Unanswered(d.now, start.WorkerID)
+				d.advance(7 * time.Second)
+				d.p.Cancel(d.now, "1")
+				d.startTasks()
+			},
+			func(d *driver) {
+				d.running["a"] = nil
+				d.poll("a")
+			},
+		},
+		"an ended process is listed at its address": {
+			[]planner.Worker{b},
+			func(d *driver) {
+				d.list(w, b)
+				d.p.SetRecorded(d.p.Recorded(d.now))
+				d.list(successor("late", w), w, b)
+			},
+			func(d *driver) {
+				d.advance(time.Millisecond)
+				d.answer(w, d.now, w.Born)
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 1, tt.workers...).registerWorkers()
+			d.p.SetEvacuatedDomains([]string{b.Domain})
+			tt.leave(d)
+			stored := d.p.Recorded(d.now)
+			d.Assert(stored, quicktest.HasLen, 1)
+			d.Assert(stored[0].ID, quicktest.Equals, "b")
+			tt.comeBack(d)
+			d.add(job("2", step(1, 1)))
+			d.Assert(d.startTasks(), quicktest.HasLen, 0)
+			d.p.SetRecorded(stored)
+			d.Assert(d.startTasks(), quicktest.HasLen, 0)
+			d.Assert(d.p.NeedsRecord(d.now), quicktest.IsTrue)
+			d.p.SetRecorded(d.p.Recorded(d.now))
+			d.Assert(d.startTasks(), quicktest.HasLen, 1)
+		})
+	}
+}
+
+// TestLapsedWorkerIsPolled guards against a worker that is never used again, and
+// whose ends are never acknowledged, because it didn't answer until its leases had
+// expired and is then not called any more.
+func TestLapsedWorkerIsPolled(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+	d.add(job("1", step(1, 1)))
+	start := d.startTasks()[0]
+	d.p.Leased(start.WorkerID, d.now.Add(6*time.Second))
+	d.p.Unanswered(d.now, start.WorkerID)
+	d.advance(7 * time.Second)
+	d.list(d.workers...)
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	d.Assert(d.decisionCounts["worker_lapsed"], quicktest.Equals, 1)
+	d.Assert(d.p.Contacts(d.now)[0].NeedsPoll, quicktest.IsTrue)
+}
+
+// TestLastEndsAreAcknowledged guards against ends that a worker lists for ever
+// because it has no more runs, so that no poll tells it that they are committed.
+func TestLastEndsAreAcknowledged(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+	d.add(job("1", step(1, 1)))
+	d.endRun(d.startTasks()[0], planner.EndDone)
+	d.commit()
+	c := d.p.Contacts(d.now)[0]
+	d.Assert(c.Acknowledge, quicktest.Equals, uint64(1))
+	d.Assert(c.NeedsPoll, quicktest.IsTrue)
+}
