Acknowledge ends only to the process that has just listed them

A task could run again after it was done, or once more than its queue allows, when a new process had taken its worker's id: a poll acknowledged ends of the ended process to the new one, which then forgot ends of its own with the same numbers. A poll now acknowledges only within 150 ms of the last answer; any other poll first shows which process is there. It is answered at once, since the worker still lists the ends.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -27,6 +27,11 @@
 	// acknowledgeWait limits how long a poll is deferred until the ends already
 	// read are committed.
 	acknowledgeWait = 400 * time.Millisecond
+	// acknowledgeWindow is how long after an answered poll ends may be
+	// acknowledged. In a shorter time no process ends and a new one runs a task
+	// under its id; such a process would forget ends of its own that were never
+	// read.
+	acknowledgeWindow = 150 * time.Millisecond
 	// unknownRunLimit is how long a listed run of an unknown job may wait for
 	// the job to arrive from the store before it is stopped.
 	unknownRunLimit = 5 * time.Second
@@ -363,7 +368,8 @@
 // Contact holds what a caller needs to poll a worker.
 type Contact struct {
 	Worker
-	// Acknowledge is the number of the last end whose effect is committed.
+	// Acknowledge is the number of the last end whose effect is committed, or
+	// zero if the poll must not acknowledge any.
 	Acknowledge uint64
 	// IsFailing is set while calls go unanswered. A poll then grants no lease,
 	// so that the leases granted before expire.
@@ -387,7 +393,11 @@
 			needsPoll = false
 		}
 		needsPoll = needsPoll || w.isContested
-		list = append(list, Contact{Worker: *w, Acknowledge: w.acknowledged, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll})
+		contact := Contact{Worker: *w, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll}
+		if now.Sub(w.polledAt) <= acknowledgeWindow {
+			contact.Acknowledge = w.acknowledged
+		}
+		list = append(list, contact)
 	}
 	return list
 }
