Start nothing on a worker that a list under way leaves out

A task could run twice after a change of the owner: it started on a worker while the owner was storing a list without that worker, which had just become usable again. A successor that read this list didn't wait for the worker. If the write was not answered, no later one followed, since the worker counted as stored.

A worker now counts as not stored from the moment at which a list without it is made, and a list is due until one has been confirmed.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -111,7 +111,8 @@
 	// hasUnknownWorkers is set while an earlier owner may have started tasks on
 	// workers that this owner can't identify. Nothing is recorded meanwhile.
 	hasUnknownWorkers bool
-	// isRecordStale is set when the stored list includes a worker that is gone.
+	// isRecordStale is set when the stored list may include a worker that need
+	// not be stored.
 	isRecordStale bool
 	// hadPredecessor is set when the shard had an earlier owner whose workers
 	// were added.
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -116,10 +116,14 @@
 }
 
 // Recorded returns the workers to store: those that have runs or may get some.
+// The others count as not stored from now on, since the write may take effect at
+// any time, also if it is not answered.
 func (p *Planner) Recorded(now time.Time) []Worker {
 	var list []Worker
 	for _, w := range p.sortedWorkers {
 		if !w.mayHaveRuns(now) {
+			p.isRecordStale = p.isRecordStale || w.isRecorded
+			w.isRecorded = false
 			continue
 		}
 		list = append(list, Worker{ID: w.ID, Born: w.Born, Address: w.Address, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity})
