Keep a worker that this owner has leased runs on

A task started again 13 s after a takeover although its worker answered: each answer was a partial list of ends, so the worker stayed unverified, and it was removed once the earlier owner's leases had expired although the new owner had renewed them. The worker is now kept until the leases of both have expired.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -62,7 +62,7 @@
 func (p *Planner) dropLost(now, proven time.Time) {
 	for _, w := range slices.Clone(p.sortedWorkers) {
 		switch {
-		case p.unverified[w.ID] && proven.After(p.options.PredecessorLeaseEnd):
+		case p.unverified[w.ID] && proven.After(p.options.PredecessorLeaseEnd) && proven.After(w.leaseEnd):
 			p.removeWorker(w, "leases_expired", "no answer before every lease expired")
 		case !p.unverified[w.ID] && !w.failedSince.IsZero() && proven.After(w.leaseEnd) && len(w.runs) > 0 && w.answeredAt.Before(w.leaseEnd):
 			p.reportWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s", now.Sub(w.failedSince)))
