Call a listed worker again after its leases have expired

A worker that answered nothing until its leases had expired got no task any more as long as it was listed, since only workers with runs were polled and only an answer makes it usable. A worker that is listed and did not answer the last call is now polled.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -379,7 +379,8 @@
 	// poll that is answered immediately tells sooner.
 	IsContested bool
 	// NeedsPoll is set when the worker has runs, has ends to acknowledge, is
-	// contested, or has not answered this owner yet.
+	// contested, has not answered this owner yet, or is listed and did not
+	// answer the last call.
 	NeedsPoll bool
 }
 
@@ -393,7 +394,8 @@
 		if len(w.unacknowledgedEnds) > 0 && now.Sub(w.polledAt) < acknowledgeWait {
 			needsPoll = false
 		}
-		needsPoll = needsPoll || w.isContested
+		isSilent := w.isListed && !w.failedSince.IsZero()
+		needsPoll = needsPoll || w.isContested || isSilent
 		contact := Contact{Worker: *w, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll}
 		if now.Sub(w.polledAt) <= acknowledgeWindow {
 			contact.Acknowledge = w.acknowledged
