Poll a worker until its last ends are acknowledged

A worker whose last run had ended was not polled any more once the end was committed, so no poll acknowledged it: the worker listed it for ever, and its lease expired with the end not taken note of. A worker is now polled until an answered poll has acknowledged all ends that were read.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -219,7 +219,7 @@
 		defer cancel()
 		sent := c.options.Now()
 		answer, err := c.options.Workers.Poll(bounded, w, o)
-		answer.Sent = sent
+		answer.Sent, answer.Acknowledged = sent, o.Acknowledge
 		received := c.options.Now()
 		c.post(ctx, func() {
 			if s.isStale || c.planner == nil || c.epoch != epoch {
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -58,6 +58,8 @@
 	// ProcessStart is when the process that answered was started, or zero if it
 	// does not tell.
 	ProcessStart int64
+	// Acknowledged is the number of the last end that the poll acknowledged.
+	Acknowledged uint64
 	Running      []RunStatus
 	Ended        []RunEnd
 	// IsPartial is set when the worker has more ends to list. Runs that are
@@ -119,7 +121,7 @@
 			p.applyRunEnd(now, w, e)
 		}
 	}
-	w.polledAt = now
+	w.polledAt, w.delivered = now, max(w.delivered, result.Acknowledged)
 	if p.unverified[w.ID] && !result.IsPartial {
 		delete(p.unverified, w.ID)
 		w.isUnverified = false
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -388,7 +388,7 @@
 func (p *Planner) Contacts(now time.Time) []Contact {
 	list := make([]Contact, 0, len(p.workers))
 	for _, w := range p.sortedWorkers {
-		needsPoll := len(w.runs) > 0 || !w.isProved() || w.acknowledged < w.cursor
+		needsPoll := len(w.runs) > 0 || !w.isProved() || w.delivered < w.cursor
 		// A worker with unacknowledged ends answers a poll immediately, so the
 		// poll is deferred until the ends already read are committed.
 		if len(w.unacknowledgedEnds) > 0 && now.Sub(w.polledAt) < acknowledgeWait {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -290,9 +290,10 @@
 	// observedAt is when the interference models last observed the worker.
 	observedAt time.Time
 	victims    []victim
-	// cursor is the number of the last end that was read, and acknowledged the
-	// number of the last end whose effect is committed.
-	cursor, acknowledged uint64
+	// cursor is the number of the last end that was read, acknowledged the number
+	// of the last end whose effect is committed, and delivered the number of the
+	// last end that an answered poll acknowledged.
+	cursor, acknowledged, delivered uint64
 	unacknowledgedEnds   []unacknowledgedEnd
 	// leaseEnd is when the last lease granted to the worker has certainly
 	// expired.
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -213,7 +213,7 @@
 			m.leaseEnd = lease
 		}
 		m.ends = slices.DeleteFunc(m.ends, func(e planner.RunEnd) bool { return e.Number <= c.Acknowledge })
-		o.answerPoll(m, sent, w.now.Add(pollWait))
+		o.answerPoll(m, c.Acknowledge, sent, w.now.Add(pollWait))
 	})
 }
 
@@ -226,17 +226,18 @@
 
 // answerPoll answers a poll once the worker has the end of a run to report or
 // until has passed.
-func (o *owner) answerPoll(m *machine, sent, until time.Time) {
+func (o *owner) answerPoll(m *machine, acknowledged uint64, sent, until time.Time) {
 	w := o.world
 	if !o.canReach(m) {
 		w.schedule(w.now.Add(pollWait), func() { o.handlePollFailure(m.ID) })
 		return
 	}
 	if len(m.ends) == 0 && w.now.Before(until) {
-		w.schedule(w.now.Add(tick), func() { o.answerPoll(m, sent, until) })
+		w.schedule(w.now.Add(tick), func() { o.answerPoll(m, acknowledged, sent, until) })
 		return
 	}
 	r := m.pollResult(w, sent)
+	r.Acknowledged = acknowledged
 	w.schedule(w.now.Add(delay), func() {
 		if !o.isRemoved() {
 			o.polling[m.ID] = false
