Restart the workers of the stand-in at their addresses, and test for runs that start twice

A worker of the stand-in is now a sequence of processes at one address. A process writes its entry under a lease of three heartbeats, so that the entry of a killed process stays beside that of its successor. The successor has a new id or the same one, and may report an earlier start. Connections to the ended process are closed or stay silent, and its last heartbeat may take effect after its successor's.

Instances restart at the addresses that they had.

--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -8,8 +8,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +29,9 @@
 	domain  = "domain"
 )
 
+// Attempts is the number of failed runs of a task after which it isn't started again.
+const Attempts = 2
+
 // shutdownTimeout bounds the wait for open connections when the platform stops.
 const shutdownTimeout = 50 * time.Millisecond
 
@@ -49,17 +54,23 @@
 	// Observe, if not nil, receives the events of runs, those of each worker in
 	// order. It must not call the platform.
 	Observe func(Event)
+	// Fails, if not nil, reports whether a run of a task that is not long-running
+	// ends as failed instead of done.
+	Fails func(task string, attempt int) bool
 }
 
 // Event is an event of a run on a worker.
 type Event struct {
-	Worker  string
+	Worker string
+	// Process counts the processes of the worker from 1.
+	Process int
 	Task    string
 	Attempt int
-	// Kind is "start" when the run starts, and "done", "stopped" or "lapsed" when it
-	// ends as done, stopped or with an expired lease. It is "noted" when that end
-	// is acknowledged, or "void" if a lease of the worker expired between the end
-	// and its acknowledgement, so that the task may have been started again.
+	// Kind is "start" when the run starts, and "done", "failed", "stopped" or
+	// "lapsed" when it ends as done, failed, stopped or with an expired lease. It is
+	// "noted" when that end is acknowledged, or "void" if before that the lease
+	// expired or the process ended, so that the task may have been started again. It
+	// is "killed" when the process ends during the run.
 	Kind string
 }
 
@@ -78,8 +89,12 @@
 	Workers      []*Worker
 	storeAddress string
 	servers      []*fasthttp.Server
-	mu           sync.Mutex
-	started      []*Instance
+	// stopped is closed when the platform stops.
+	stopped chan struct{}
+	mu      sync.Mutex
+	started []*Instance
+	// addressesByName holds the addresses that instances were given, by name.
+	addressesByName map[string][3]string
 }
 
 // Instance is a tarragond process on the platform.
@@ -90,35 +105,37 @@
 	control string
 	command *exec.Cmd
 	done    chan struct{}
+	// client keeps connections open until the process closes them, and repeats no
+	// call, since the caller counts responses. dials counts its connections.
+	client *fasthttp.Client
+	dials  atomic.Int64
 }
 
+// idleTimeout is how long a client keeps an unused connection: longer than a test.
+const idleTimeout = 10 * time.Minute
+
 // New starts a store and workers, without instances.
 func New(o Options) (*Platform, error) {
-	p := &Platform{options: o, Keeper: keeper.New(time.Now)}
+	p := &Platform{options: o, Keeper: keeper.New(time.Now), stopped: make(chan struct{}), addressesByName: map[string][3]string{}}
 	var err error
 	if p.storeAddress, err = p.listen(func(ctx *fasthttp.RequestCtx) { serveStore(p.Keeper, ctx) }); err != nil {
 		return nil, err
 	}
 	for n := range o.Workers {
-		w := &Worker{
-			id: fmt.Sprintf("i-%d", n), taskDuration: o.TaskDuration, startedAt: time.Now(),
-			runs: map[runKey]time.Time{}, refusedUpTo: map[string]int{}, startCounts: map[string]int{}, endedAt: map[runKey]time.Time{}, observe: o.Observe,
+		w := newWorker(n, o, p.Keeper.Store(), p.stopped)
+		first := w.newProcess(1, 0)
+		if err = w.listen(first); err == nil {
+			p.Workers = append(p.Workers, w)
+			w.entryAddress, err = p.proxyAddress(w.name, w.address)
 		}
-		address, err := p.listen(w.serve)
 		if err == nil {
-			address, err = p.proxyAddress(w.id, address)
+			err = w.writeEntry(first)
 		}
 		if err != nil {
 			p.Stop()
 			return nil, err
 		}
-		entry, err := w.encodeEntry(address, service, domain, n)
-		if err != nil {
-			p.Stop()
-			return nil, errors.Wrap(err, "encode worker entry")
-		}
-		p.Keeper.Put("servers/"+w.id, entry)
-		p.Workers = append(p.Workers, w)
+		go w.sendHeartbeats(first)
 	}
 	if err := p.PutConfig(1); err != nil {
 		p.Stop()
@@ -133,7 +150,7 @@
 		"version": version,
 		"routes": []map[string]any{{
 			"name": "queue", "host": Host, "prefix": Prefix, "kind": "non_idempotent", "timeoutMs": 3000, "sloMs": 1000,
-			"priority": 0, "service": service, "attempts": 2, "stretchFactor": 2.0,
+			"priority": 0, "service": service, "attempts": Attempts, "stretchFactor": 2.0,
 		}},
 		"services": []map[string]any{{"name": service, "healthPath": "/healthz", "enforcesCapacity": false}},
 		"limits":   map[string]int{"maxBodyBytes": 262144},
@@ -157,36 +174,56 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address on which no process listens.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "listen on a free port")
+// instanceAddress is where instances listen, on ports that are free when they are
+// chosen. Connections to other servers leave from 127.0.0.1, so that no other socket
+// gets such a port before an instance uses it, or while the instance is down.
+const instanceAddress = "127.0.0.3:0"
+
+// addresses returns the addresses for clients, readiness checks and peers of the
+// instance with the given name, which all its processes use. The caller holds p.mu.
+func (p *Platform) addresses(name string) ([3]string, error) {
+	list, ok := p.addressesByName[name]
+	if ok {
+		return list, nil
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	for n := range list {
+		l, err := net.Listen("tcp4", instanceAddress)
+		if err != nil {
+			return list, errors.Wrap(err, "listen on a free port")
+		}
+		defer func() { _ = l.Close() }()
+		list[n] = l.Addr().String()
+	}
+	p.addressesByName[name] = list
+	return list, nil
 }
 
 // Start starts an instance with the given name. Its seeds are the instances that
 // were started before.
 func (p *Platform) Start(name string) (*Instance, error) {
-	var addresses [3]string
-	for n := range addresses {
-		var err error
-		if addresses[n], err = freeAddress(); err != nil {
-			return nil, err
-		}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	addresses, err := p.addresses(name)
+	if err != nil {
+		return nil, err
 	}
 	i := &Instance{Front: addresses[0], name: name, control: addresses[2], done: make(chan struct{})}
+	i.client = &fasthttp.Client{
+		MaxIdleConnDuration: idleTimeout, MaxIdemponentCallAttempts: 1,
+		Dial: func(address string) (net.Conn, error) {
+			i.dials.Add(1)
+			return fasthttp.Dial(address)
+		},
+	}
 	store, err := p.proxyAddress(name, p.storeAddress)
 	if err != nil {
 		return nil, err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	var seeds []string
 	for _, o := range p.started {
-		seeds = append(seeds, o.control)
+		if o.name != name && !slices.Contains(seeds, o.control) {
+			seeds = append(seeds, o.control)
+		}
 	}
 	settings := filepath.Join(p.options.Directory, name+".conf")
 	text := fmt.Sprintf(`nodeName=%s
@@ -241,12 +278,15 @@
 	request.Header.SetMethod(method)
 	request.Header.SetContentType("application/json")
 	request.SetBodyString(body)
-	if err := fasthttp.DoTimeout(request, response, timeout); err != nil {
+	if err := i.client.DoTimeout(request, response, timeout); err != nil {
 		return 0, err.Error()
 	}
 	return response.StatusCode(), string(response.Body())
 }
 
+// Dials returns the number of connections that calls have opened.
+func (i *Instance) Dials() int64 { return i.dials.Load() }
+
 // Signal sends a signal to the instance's process.
 func (i *Instance) Signal(s syscall.Signal) error { return i.command.Process.Signal(s) }
 
@@ -268,6 +308,10 @@
 			<-i.done
 		}
 	}
+	close(p.stopped)
+	for _, w := range p.Workers {
+		w.stop()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	for _, s := range p.servers {
--- a/standins/platformer/platformer_test.go
+++ b/standins/platformer/platformer_test.go
@@ -48,11 +48,17 @@
 }
 
 func newTestPlatform(t *testing.T, taskDuration time.Duration) *testPlatform {
+	return newTestPlatformWith(t, platformer.Options{TaskDuration: taskDuration})
+}
+
+// newTestPlatformWith starts a platform of three workers with the other options in o.
+func newTestPlatformWith(t *testing.T, o platformer.Options) *testPlatform {
 	c := quicktest.New(t)
 	dir := t.TempDir()
 	log, err := os.Create(filepath.Join(dir, "log"))
 	c.Assert(err, quicktest.IsNil)
-	p, err := platformer.New(platformer.Options{Binary: binary, Directory: dir, Workers: 3, TaskDuration: taskDuration, Output: log})
+	o.Binary, o.Directory, o.Workers, o.Output = binary, dir, 3, log
+	p, err := platformer.New(o)
 	c.Assert(err, quicktest.IsNil)
 	t.Cleanup(p.Stop)
 	return &testPlatform{c, p, log.Name()}
--- a/standins/platformer/store.go
+++ b/standins/platformer/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -165,6 +166,8 @@
 	}
 }
 
+func closeConnection(c net.Conn) { _ = c.Close() }
+
 func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/standins/platformer/worker.go
+++ b/standins/platformer/worker.go
@@ -1,15 +1,19 @@
 package platformer
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
 // LongRunningPrefix is the prefix of the ids of jobs with long-running tasks.
@@ -17,42 +21,69 @@
 // whether the task is long-running.
 const LongRunningPrefix = "1a57"
 
-// runKey identifies a run, as on the wire, by the name of its task and its attempt.
-type runKey struct {
-	task    string
-	attempt int
-}
+const (
+	// heartbeatInterval is how often a process writes its entry to the store. The
+	// entry has a lease of entryLease, so that the entry of a killed process stays
+	// in the store until up to three heartbeats later.
+	heartbeatInterval = 1100 * time.Millisecond
+	entryLease        = 3 * heartbeatInterval
+	// heartbeatRetryDelay is the delay before a failed heartbeat is repeated.
+	heartbeatRetryDelay = 200 * time.Millisecond
+	// storeTimeout bounds the calls of a heartbeat.
+	storeTimeout = time.Second
+
+	// workerAddress is where processes of workers listen, on ports that the system
+	// chooses first. Connections to other servers leave from 127.0.0.1, so that no
+	// other socket gets the port of a worker while the worker is down.
+	workerAddress = "127.0.0.2:0"
+)
 
-// Worker is a stand-in for a worker, which the platform calls a runner.
+// Worker is a stand-in for a worker, which the platform calls a runner. Its
+// processes follow one another at the same address.
 type Worker struct {
-	id           string
-	taskDuration time.Duration
-
-	mu        sync.Mutex
-	startedAt time.Time
-	// fence is the highest fencing token received. Calls with a lower one are refused.
-	fence int64
-	// runs holds the start time of each current run.
-	runs map[runKey]time.Time
-	// refusedUpTo holds, by task, the highest attempt that ended or was stopped.
-	// Starts of attempts up to that one are refused.
-	refusedUpTo map[string]int
-	// finished holds the ends that are not acknowledged yet, as on the wire: a number
-	// from endCount, the task, the attempt, the result and a reason.
-	finished [][]any
-	// endedAt holds the time at which each run ended, and leaseExpiredAt the last
-	// time at which the lease was found expired.
-	endedAt        map[runKey]time.Time
-	leaseExpiredAt time.Time
-	endCount       int
-	// leaseEnd is when the lease on all runs expires.
-	leaseEnd    time.Time
+	name    string
+	index   int
+	options Options
+	store   storeclient.PrefixStore
+	// address is where processes listen, and entryAddress what their entries name.
+	address, entryAddress string
+	// stopped is closed when the platform stops.
+	stopped chan struct{}
+	// restart is held while the process is killed and replaced.
+	restart sync.Mutex
+
+	mu sync.Mutex
+	// process is the current process, or the last one while the worker is down.
+	process     *process
 	startCounts map[string]int
-	isSilent    bool
-	// observe, if not nil, receives the events of runs.
-	observe func(Event)
 }
 
+// Restart says how the process of a worker ends and how the next one starts.
+type Restart struct {
+	// Downtime is how long no process listens at the worker's address.
+	Downtime time.Duration
+	// KeepsID says that the next process has the id of the ended one.
+	KeepsID bool
+	// BornShift is added to the start time that the next process reports.
+	BornShift time.Duration
+	// IsSilent says that the connections to the ended process stay open without a
+	// response, as after a loss of power. Otherwise they are closed.
+	IsSilent bool
+	// LateWriteDelay is how long after its end the last heartbeat of the process
+	// takes effect; 0 for no such heartbeat.
+	LateWriteDelay time.Duration
+}
+
+func newWorker(index int, o Options, store storeclient.PrefixStore, stopped chan struct{}) *Worker {
+	return &Worker{
+		name: fmt.Sprintf("i-%d", index), index: index, options: o, store: store, address: workerAddress,
+		stopped: stopped, startCounts: map[string]int{},
+	}
+}
+
+// Name returns the name of the worker, which is the id of its first process.
+func (w *Worker) Name() string { return w.name }
+
 // StartsByTask returns the number of starts of each task.
 func (w *Worker) StartsByTask() map[string]int {
 	w.mu.Lock()
@@ -64,153 +95,116 @@
 	return counts
 }
 
-// SetSilent sets whether the worker closes connections without a response.
-func (w *Worker) SetSilent(isSilent bool) {
+// Restart kills the process and starts the next one after the downtime. It returns
+// when the next process listens; concurrent calls are served one after another.
+func (w *Worker) Restart(r Restart) error {
+	w.restart.Lock()
+	defer w.restart.Unlock()
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.isSilent = isSilent
-}
-
-func closeConnection(c net.Conn) { _ = c.Close() }
-
-// order is the JSON body of a call to a worker. Each call uses some of the fields.
-type order struct {
-	Task     string `json:"task"`
-	Attempt  int    `json:"attempt"`
-	Deadline int64  `json:"deadlineMs"`
-	Fence    int64  `json:"fence"`
-	Ack      int    `json:"ackCursor"`
-	Wait     int64  `json:"waitMs"`
-}
-
-// clockMs returns the time since the start of the worker in milliseconds.
-func (w *Worker) clockMs() int64 { return time.Since(w.startedAt).Milliseconds() }
-
-func (w *Worker) serve(ctx *fasthttp.RequestCtx) {
-	var o order
-	if !decode(ctx, &o) {
-		return
+	ended := w.process
+	ended.kill(r.IsSilent)
+	w.mu.Unlock()
+	if r.LateWriteDelay > 0 {
+		time.AfterFunc(r.LateWriteDelay, func() { _ = w.writeEntry(ended) })
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.advance()
-	expectedInstance := string(ctx.Request.Header.Peek("Tarragonhead-Expect-Instance"))
-	switch {
-	case w.isSilent:
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(closeConnection)
-		return
-	case expectedInstance != "" && expectedInstance != w.id:
-		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
-		return
-	case o.Fence < w.fence:
-		w.refuse(ctx, "fence")
-		return
+	time.Sleep(r.Downtime)
+	next := w.newProcess(ended.number+1, r.BornShift)
+	if r.KeepsID {
+		next.id = ended.id
 	}
-	w.fence = o.Fence
-	if o.Deadline > 0 {
-		if deadline := w.startedAt.Add(time.Duration(o.Deadline) * time.Millisecond); deadline.After(w.leaseEnd) {
-			w.leaseEnd = deadline
-		}
-	}
-	switch string(ctx.Path()) {
-	case "/v1/run-start":
-		w.startRun(ctx, o)
-	case "/v1/run-stop":
-		w.endRun(runKey{o.Task, o.Attempt}, "stopped")
-		w.refusedUpTo[o.Task] = max(w.refusedUpTo[o.Task], o.Attempt)
-		writeJSON(ctx, fasthttp.StatusOK, map[string]any{"clockMs": w.clockMs()})
-	case "/v1/hold":
-		w.servePoll(ctx, o)
-	default:
-		writeJSON(ctx, fasthttp.StatusOK, map[string]any{"clockMs": w.clockMs()})
+	if err := w.listen(next); err != nil {
+		return err
 	}
+	go w.sendHeartbeats(next)
+	return nil
 }
 
-func (w *Worker) refuse(ctx *fasthttp.RequestCtx, reason string) {
-	writeJSON(ctx, fasthttp.StatusConflict, map[string]any{"clockMs": w.clockMs(), "reason": reason})
+// newProcess returns a process with an id that no other process has. The id of a
+// process sorts before that of its predecessor or after it, since the list of
+// workers is in the order of ids.
+func (w *Worker) newProcess(number int, bornShift time.Duration) *process {
+	now := time.Now()
+	p := &process{
+		worker: w, id: w.name, number: number, startedAt: now, born: now.Add(bornShift).UnixMilli(), ended: make(chan struct{}),
+		runs: map[runKey]time.Time{}, refusedUpTo: map[string]int{}, endedAt: map[runKey]time.Time{},
+	}
+	if number > 1 {
+		p.id = fmt.Sprintf("%c-%s-%d", "az"[(number+w.index)%2], w.name, number)
+	}
+	return p
 }
 
-func (w *Worker) startRun(ctx *fasthttp.RequestCtx, o order) {
-	k := runKey{o.Task, o.Attempt}
-	if _, ok := w.runs[k]; !ok {
-		if w.refusedUpTo[o.Task] >= o.Attempt {
-			w.refuse(ctx, "old")
-			return
-		}
-		w.runs[k] = time.Now()
-		w.startCounts[o.Task]++
-		w.emit(k, "start")
+// listen starts the process's server at the worker's address and makes the process
+// the current one.
+func (w *Worker) listen(p *process) error {
+	l, err := net.Listen("tcp4", w.address)
+	if err != nil {
+		return errors.Wrapf(err, "listen at the address of worker %s", w.name)
 	}
-	writeJSON(ctx, fasthttp.StatusOK, map[string]any{"clockMs": w.clockMs()})
+	p.listener = &listener{Listener: l, open: map[net.Conn]bool{}}
+	// The server would report each connection that kill closes.
+	server := &fasthttp.Server{Handler: p.serve, Logger: log.New(io.Discard, "", 0)}
+	w.mu.Lock()
+	w.address, w.process = l.Addr().String(), p
+	w.mu.Unlock()
+	go func() { _ = server.Serve(p.listener) }()
+	return nil
 }
 
-// servePoll serves /v1/hold. It responds immediately: a stand-in needs no long poll.
-func (w *Worker) servePoll(ctx *fasthttp.RequestCtx, o order) {
-	w.finished = slices.DeleteFunc(w.finished, func(e []any) bool {
-		isAcknowledged := e[0].(int) <= o.Ack
-		k := runKey{e[1].(string), e[2].(int)}
-		switch {
-		case isAcknowledged && w.leaseExpiredAt.After(w.endedAt[k]):
-			// The lease expired before the end was acknowledged, so the owner
-			// may have started the task again and the end no longer counts.
-			w.emit(k, "void")
-		case isAcknowledged:
-			w.emit(k, "noted")
-		}
-		return isAcknowledged
-	})
-	running := [][]any{}
-	for k, began := range w.runs {
-		running = append(running, []any{k.task, k.attempt, "", int(99 * time.Since(began) / w.taskDuration), 0})
-	}
-	finished := w.finished
-	if finished == nil {
-		finished = [][]any{}
+// stop ends the current process. The platform has closed w.stopped.
+func (w *Worker) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.process.hasEnded() {
+		w.process.kill(false)
 	}
-	writeJSON(ctx, fasthttp.StatusOK, map[string]any{"clockMs": w.clockMs(), "born": w.startedAt.UnixMilli(), "running": running, "finished": finished})
 }
 
-// advance ends the runs that are done or whose lease has expired. The caller holds
-// w.mu.
-func (w *Worker) advance() {
-	if now := time.Now(); !w.leaseEnd.IsZero() && now.After(w.leaseEnd) {
-		w.leaseExpiredAt = now
-	}
-	for k, began := range w.runs {
-		switch {
-		case time.Since(began) >= w.taskDuration && !strings.HasPrefix(k.task, LongRunningPrefix):
-			w.endRun(k, "done")
-		case time.Now().After(w.leaseEnd):
-			w.endRun(k, "lapsed")
+// sendHeartbeats writes the entry of the process to the store until the process
+// ends.
+func (w *Worker) sendHeartbeats(p *process) {
+	for {
+		delay := heartbeatInterval
+		if w.writeEntry(p) != nil {
+			delay = heartbeatRetryDelay
+		}
+		select {
+		case <-p.ended:
+			return
+		case <-time.After(delay):
 		}
 	}
 }
 
-// endRun ends a run, unless it has ended already. The caller holds w.mu.
-func (w *Worker) endRun(k runKey, result string) {
-	if _, ok := w.runs[k]; !ok {
-		return
+// writeEntry writes the entry of the process under a new lease.
+func (w *Worker) writeEntry(p *process) error {
+	w.mu.Lock()
+	p.seq++
+	entry, err := json.Marshal(map[string]any{
+		"service": service, "addr": w.entryAddress, "zone": domain, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+		"capacity": map[string]int64{"cpu": 16000, "memMb": 32768, "gpu": 0}, "labels": []string{"a", fmt.Sprintf("r-%d", w.index/8)},
+		"clockMs": p.clockMs(), "seq": p.seq, "born": p.born,
+	})
+	w.mu.Unlock()
+	if err != nil {
+		return errors.Wrap(err, "encode worker entry")
 	}
-	delete(w.runs, k)
-	w.refusedUpTo[k.task] = max(w.refusedUpTo[k.task], k.attempt)
-	w.endCount++
-	w.finished = append(w.finished, []any{w.endCount, k.task, k.attempt, result, ""})
-	w.endedAt[k] = time.Now()
-	w.emit(k, result)
-}
-
-func (w *Worker) emit(k runKey, kind string) {
-	if w.observe != nil {
-		w.observe(Event{w.id, k.task, k.attempt, kind})
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	lease, err := w.store.Grant(ctx, entryLease)
+	if err != nil {
+		return errors.Wrapf(err, "grant a lease for worker %s", p.id)
 	}
+	_, err = w.store.Transact(ctx, storeclient.Transaction{Writes: []storeclient.Write{{Key: "servers/" + p.id, Value: entry, Lease: lease}}})
+	return errors.Wrapf(err, "write the entry of worker %s", p.id)
 }
 
 // advanceInterval is the interval at which Advance ends runs.
 const advanceInterval = 20 * time.Millisecond
 
-// Advance regularly ends the runs that are done or whose lease has expired, until
-// stop is closed. Without Advance, such runs end only at the next call to the worker.
+// Advance regularly ends the runs that are complete or whose lease has expired,
+// until stop is closed. Without Advance, such runs end only at the next call to the
+// worker.
 func (w *Worker) Advance(stop <-chan struct{}) {
 	for {
 		select {
@@ -218,20 +212,38 @@
 			return
 		case <-time.After(advanceInterval):
 			w.mu.Lock()
-			w.advance()
+			if !w.process.hasEnded() {
+				w.process.advance()
+			}
 			w.mu.Unlock()
 		}
 	}
 }
 
-// encodeEntry returns the entry of the worker in the store as JSON.
-func (w *Worker) encodeEntry(address, service, domain string, n int) ([]byte, error) {
-	return json.Marshal(map[string]any{
-		"service": service, "addr": address, "zone": domain, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-		"capacity": map[string]int64{"cpu": 16000, "memMb": 32768, "gpu": 0}, "labels": []string{"a", fmt.Sprintf("r-%d", n/8)},
-		"clockMs": w.clockMs(), "seq": 1, "born": w.startedAt.UnixMilli(),
-	})
+// listener keeps the connections that it accepted, to close them with the process.
+type listener struct {
+	net.Listener
+
+	mu   sync.Mutex
+	open map[net.Conn]bool
 }
 
-// ID returns the worker's id.
-func (w *Worker) ID() string { return w.id }
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = true
+	return c, nil
+}
+
+func (l *listener) closeConnections() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		_ = c.Close()
+	}
+}
--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -30,7 +30,7 @@
 type checker struct {
 	mu   sync.Mutex
 	jobs map[string]*job
-	// running holds the current runs of each task, each as worker/attempt.
+	// running holds the current runs of each task, by worker, process and attempt.
 	running map[string]map[string]bool
 	// done holds the tasks with a run that ended as done, and acknowledged those
 	// for which the end of such a run was acknowledged.
@@ -56,7 +56,7 @@
 func (c *checker) observe(e platformer.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	run := fmt.Sprintf("%s/%d", e.Worker, e.Attempt)
+	run := fmt.Sprintf("%s process %d attempt %d", e.Worker, e.Process, e.Attempt)
 	switch e.Kind {
 	case "start":
 		c.starts++
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -218,7 +218,7 @@
 		case 3:
 			s.impair(i.name, "store connection of ")
 		case 4:
-			s.impair(s.platform.Workers[s.rng.IntN(len(s.platform.Workers))].ID(), "")
+			s.impair(s.platform.Workers[s.rng.IntN(len(s.platform.Workers))].Name(), "")
 		case 5:
 			for _, o := range s.instances {
 				s.impair(o.name, "store connection of ")
