Soak with workers that are killed and back within a second

Runs of batch tasks fail at random.

The checker knows that the death of a process ends its runs and voids ends that were not acknowledged, and that a task has a number of failed runs. A process that ends by itself is reported.

--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -57,6 +57,10 @@
 	// Fails, if not nil, reports whether a run of a task that is not long-running
 	// ends as failed instead of done.
 	Fails func(task string, attempt int) bool
+	// TransactionDelay and OrderDelay, if not nil, return for each transaction of an
+	// instance with the store and each call to a worker how much later it takes
+	// effect. It then gets no response. With 0 it takes effect at once.
+	TransactionDelay, OrderDelay func() time.Duration
 }
 
 // Event is an event of a run on a worker.
@@ -118,7 +122,7 @@
 func New(o Options) (*Platform, error) {
 	p := &Platform{options: o, Keeper: keeper.New(time.Now), stopped: make(chan struct{}), addressesByName: map[string][3]string{}}
 	var err error
-	if p.storeAddress, err = p.listen(func(ctx *fasthttp.RequestCtx) { serveStore(p.Keeper, ctx) }); err != nil {
+	if p.storeAddress, err = p.listen(func(ctx *fasthttp.RequestCtx) { serveStore(p.Keeper, o.TransactionDelay, ctx) }); err != nil {
 		return nil, err
 	}
 	for n := range o.Workers {
--- a/standins/platformer/process.go
+++ b/standins/platformer/process.go
@@ -85,8 +85,36 @@
 	if !decode(ctx, &o) {
 		return
 	}
+	if delay := p.worker.options.OrderDelay; delay != nil {
+		if d := delay(); d > 0 {
+			p.executeLater(ctx, o, d)
+			dropResponse(ctx)
+			return
+		}
+	}
 	p.worker.mu.Lock()
 	defer p.worker.mu.Unlock()
+	p.execute(ctx, o)
+}
+
+// executeLater executes a call after the delay. A start or a stop may then reach
+// the process that has replaced this one. A poll may not: nothing in it protects the
+// ends that a new process with the same id has not reported yet.
+func (p *process) executeLater(ctx *fasthttp.RequestCtx, o order, delay time.Duration) {
+	var late fasthttp.RequestCtx
+	ctx.Request.CopyTo(&late.Request)
+	time.AfterFunc(delay, func() {
+		w := p.worker
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if current := w.process; !current.hasEnded() && (current == p || o.Task != "") {
+			current.execute(&late, o)
+		}
+	})
+}
+
+// execute executes a call. The caller holds the worker's mutex.
+func (p *process) execute(ctx *fasthttp.RequestCtx, o order) {
 	if p.hasEnded() {
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(c net.Conn) {
--- a/standins/platformer/store.go
+++ b/standins/platformer/store.go
@@ -49,7 +49,7 @@
 }
 
 // serveStore serves the HTTP interface of the store.
-func serveStore(k *keeper.Keeper, ctx *fasthttp.RequestCtx) {
+func serveStore(k *keeper.Keeper, transactionDelay func() time.Duration, ctx *fasthttp.RequestCtx) {
 	s := k.Store()
 	callCtx, cancel := context.WithTimeout(context.Background(), maxWait)
 	defer cancel()
@@ -79,7 +79,7 @@
 		}
 		respond(ctx, map[string]any{"events": items, "storeRevision": revision}, err)
 	case path == "/v1/kv-txn":
-		serveTransaction(callCtx, ctx, s)
+		serveTransaction(callCtx, ctx, s, transactionDelay)
 	case path == "/v1/kv-lease":
 		var in struct {
 			TTL int64 `json:"ttlMs"`
@@ -109,7 +109,7 @@
 	return 0, false
 }
 
-func serveTransaction(callCtx context.Context, ctx *fasthttp.RequestCtx, s storeclient.PrefixStore) {
+func serveTransaction(callCtx context.Context, ctx *fasthttp.RequestCtx, s storeclient.PrefixStore, delay func() time.Duration) {
 	var in transaction
 	if !decode(ctx, &in) {
 		return
@@ -121,6 +121,14 @@
 	for _, w := range in.Writes {
 		t.Writes = append(t.Writes, storeclient.Write(w))
 	}
+	if delay != nil {
+		if d := delay(); d > 0 {
+			// Its conditions are checked when it takes effect.
+			time.AfterFunc(d, func() { _, _ = s.Transact(context.Background(), t) })
+			dropResponse(ctx)
+			return
+		}
+	}
 	revision, err := s.Transact(callCtx, t)
 	var conflict *storeclient.ExpectationError
 	if errors.As(err, &conflict) {
@@ -161,12 +169,15 @@
 	case errors.As(err, &refused):
 		ctx.SetStatusCode(refused.Status)
 	default:
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(closeConnection)
+		dropResponse(ctx)
 	}
 }
 
-func closeConnection(c net.Conn) { _ = c.Close() }
+// dropResponse closes the connection without a response.
+func dropResponse(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+}
 
 func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
 	data, err := json.Marshal(body)
--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -21,8 +21,9 @@
 	// the client tries to cancel the job. refused is set while every response to
 	// the submission was a definite refusal, so that the job must never run.
 	accepted, cancelled, refused bool
-	// isReportedDone is set once a client has received the state "done".
-	isReportedDone bool
+	// isReportedDone and isReportedFailed are set once a client has received the
+	// state "done" or "failed".
+	isReportedDone, isReportedFailed bool
 }
 
 // checker compares what workers and clients observe with what the system
@@ -39,12 +40,26 @@
 	// holds those after which the task was started again, which violates the
 	// guarantees if the end of such a run is ever acknowledged.
 	doneRuns, restartedAfter map[string]map[string]bool
+	// failedRuns holds the runs of each task that ended as failed, and whether that
+	// end was acknowledged. failedBefore holds those before the last start.
+	failedRuns, failedBefore map[string]map[string]bool
 	violations               []string
-	starts                   int
+	starts, kills            int
 }
 
 func newChecker() *checker {
-	return &checker{jobs: map[string]*job{}, running: map[string]map[string]bool{}, done: map[string]bool{}, acknowledged: map[string]bool{}, doneRuns: map[string]map[string]bool{}, restartedAfter: map[string]map[string]bool{}}
+	return &checker{
+		jobs: map[string]*job{}, running: map[string]map[string]bool{}, done: map[string]bool{}, acknowledged: map[string]bool{},
+		doneRuns: map[string]map[string]bool{}, restartedAfter: map[string]map[string]bool{},
+		failedRuns: map[string]map[string]bool{}, failedBefore: map[string]map[string]bool{},
+	}
+}
+
+// failSoak records a failure of the soak itself.
+func (c *checker) failSoak(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fail("soak: %v", err)
 }
 
 // fail records a violation, or a failure of the soak itself. The caller holds c.mu.
@@ -65,33 +80,62 @@
 		if c.doneRuns[e.Task][run] {
 			c.acknowledged[e.Task] = true
 			if c.restartedAfter[e.Task][run] {
-				c.fail("twice: %s was started again after a run whose end is now acknowledged", e.Task)
+				c.fail("twice: %s was started again after a run whose end is now acknowledged, %s", e.Task, run)
 			}
 		}
+		if _, hasFailed := c.failedRuns[e.Task][run]; hasFailed {
+			c.failedRuns[e.Task][run] = true
+			c.checkBudget(e.Task)
+		}
 	case "void":
 	default:
 		delete(c.running[e.Task], run)
-		if e.Kind == "done" {
+		switch e.Kind {
+		case "done":
 			c.done[e.Task] = true
-			if c.doneRuns[e.Task] == nil {
-				c.doneRuns[e.Task] = map[string]bool{}
-			}
-			c.doneRuns[e.Task][run] = true
+			put(c.doneRuns, e.Task, run, true)
+		case "failed":
+			put(c.failedRuns, e.Task, run, false)
+		case "killed":
+			c.kills++
+		}
+	}
+}
+
+// put sets a value in a map of maps.
+func put(m map[string]map[string]bool, outer, inner string, value bool) {
+	if m[outer] == nil {
+		m[outer] = map[string]bool{}
+	}
+	m[outer][inner] = value
+}
+
+// checkBudget checks that the last start of a task does not follow the last failed
+// run that the task may have. Only acknowledged ends count. The caller holds c.mu.
+func (c *checker) checkBudget(task string) {
+	count := 0
+	for run := range c.failedBefore[task] {
+		if c.failedRuns[task][run] {
+			count++
 		}
 	}
+	if count >= platformer.Attempts {
+		c.fail("budget: %s was started after %d failed runs: %v", task, count, c.failedBefore[task])
+	}
 }
 
 // checkStart checks the start of a run. The caller holds c.mu.
 func (c *checker) checkStart(e platformer.Event, run string) {
-	if c.running[e.Task] == nil {
-		c.running[e.Task] = map[string]bool{}
-	}
 	if len(c.running[e.Task]) > 0 {
-		c.fail("twice: %s attempt %d starts on %s while %v still run", e.Task, e.Attempt, e.Worker, c.running[e.Task])
+		c.fail("twice: %s starts on %s while %v still run", e.Task, run, c.running[e.Task])
 	}
-	c.running[e.Task][run] = true
+	put(c.running, e.Task, run, true)
 	if c.acknowledged[e.Task] {
-		c.fail("twice: %s is started after its end was acknowledged", e.Task)
+		c.fail("twice: %s is started on %s after its end was acknowledged", e.Task, run)
+	}
+	if len(c.failedRuns[e.Task]) > 0 {
+		c.failedBefore[e.Task] = maps.Clone(c.failedRuns[e.Task])
+		c.checkBudget(e.Task)
 	}
 	if len(c.doneRuns[e.Task]) > 0 {
 		c.restartedAfter[e.Task] = maps.Clone(c.doneRuns[e.Task])
@@ -140,6 +184,8 @@
 	switch {
 	case status == 410 && j.accepted && !j.cancelled:
 		c.fail("lost: %s was accepted and is no longer known", j.id)
+	case state == "failed" && c.mayHaveFailed(j):
+		j.isReportedFailed = true
 	case state == "failed" || state == "canceled" && !j.cancelled:
 		c.fail("lost: %s is reported as %s without a cause", j.id, state)
 	case state == "done":
@@ -154,6 +200,19 @@
 	}
 }
 
+// mayHaveFailed reports whether a task of the job has used up its failed runs. The
+// caller holds c.mu.
+func (c *checker) mayHaveFailed(j *job) bool {
+	for s, count := range j.taskCounts {
+		for n := range count {
+			if len(c.failedRuns[fmt.Sprintf("%s.0.%d.%d", j.id, s, n)]) >= platformer.Attempts {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // checkFinalState checks the guarantees that hold once the faults have ended and
 // the jobs have had time to complete.
 func (c *checker) checkFinalState() {
@@ -172,8 +231,8 @@
 		case !j.accepted || j.cancelled:
 		case j.isLongRunning && running < j.taskCounts[0]:
 			c.fail("lost: only %d of %d long-running tasks of %s run", running, j.taskCounts[0], j.id)
-		case !j.isLongRunning && !j.isReportedDone:
-			c.fail("lost: %s was accepted but is not done", j.id)
+		case !j.isLongRunning && !j.isReportedDone && !j.isReportedFailed:
+			c.fail("lost: %s was accepted but has not ended", j.id)
 		}
 	}
 }
--- a/standins/soaker/checker_test.go
+++ b/standins/soaker/checker_test.go
@@ -57,6 +57,54 @@
 			c.observe(event("w", "a.0.0.0", 2, "noted"))
 			c.observe(event("v", "a.0.0.0", 1, "void"))
 		}, ""},
+		"restart after the process was killed": {func(c *checker, _ *job) {
+			c.observe(event("v", "a.0.0.0", 1, "start"))
+			c.observe(event("v", "a.0.0.0", 1, "killed"))
+			c.observe(event("v", "a.0.0.0", 2, "start"))
+		}, ""},
+		"start after an end that the death of the process voids": {func(c *checker, _ *job) {
+			c.observe(event("v", "a.0.0.0", 1, "start"))
+			c.observe(event("v", "a.0.0.0", 1, "done"))
+			c.observe(event("v", "a.0.0.0", 1, "void"))
+			c.observe(event("v", "a.0.0.0", 2, "start"))
+		}, ""},
+		"same attempt on the next process": {func(c *checker, _ *job) {
+			c.observe(event("v", "a.0.0.0", 1, "start"))
+			c.observe(platformer.Event{Worker: "v", Process: 1, Task: "a.0.0.0", Attempt: 1, Kind: "start"})
+		}, "twice"},
+		"start after the last failed run": {func(c *checker, _ *job) {
+			for attempt := range platformer.Attempts + 1 {
+				c.observe(event("v", "a.0.0.0", attempt, "start"))
+				c.observe(event("v", "a.0.0.0", attempt, "failed"))
+				c.observe(event("v", "a.0.0.0", attempt, "noted"))
+			}
+		}, "budget"},
+		"start after failed runs that are acknowledged later": {func(c *checker, _ *job) {
+			for attempt := range platformer.Attempts {
+				c.observe(event("v", "a.0.0.0", attempt, "start"))
+				c.observe(event("v", "a.0.0.0", attempt, "failed"))
+			}
+			c.observe(event("w", "a.0.0.0", 9, "start"))
+			for attempt := range platformer.Attempts {
+				c.observe(event("v", "a.0.0.0", attempt, "noted"))
+			}
+		}, "budget"},
+		"start after failed runs that are void": {func(c *checker, _ *job) {
+			for attempt := range platformer.Attempts {
+				c.observe(event("v", "a.0.0.0", attempt, "start"))
+				c.observe(event("v", "a.0.0.0", attempt, "failed"))
+				c.observe(event("v", "a.0.0.0", attempt, "void"))
+			}
+			c.observe(event("w", "a.0.0.0", 9, "start"))
+		}, ""},
+		"failed after its failed runs": {func(c *checker, j *job) {
+			for attempt := range platformer.Attempts {
+				c.observe(event("v", "a.0.0.0", attempt, "start"))
+				c.observe(event("v", "a.0.0.0", attempt, "failed"))
+			}
+			c.checkState(j, 200, "failed")
+			c.checkFinalState()
+		}, ""},
 		"order":                   {func(c *checker, _ *job) { c.observe(event("v", "a.0.1.0", 1, "start")) }, "order"},
 		"unknown job":             {func(c *checker, _ *job) { c.observe(event("v", "b.0.0.0", 1, "start")) }, "unrequested"},
 		"refused":                 {func(c *checker, j *job) { j.refused = true; c.observe(event("v", "a.0.0.0", 1, "start")) }, "refused"},
--- a/standins/soaker/client.go
+++ b/standins/soaker/client.go
@@ -127,15 +127,15 @@
 }
 
 // poll queries the state of an accepted job, unless the job is cancelled or known to
-// be done. It reports whether no further poll is needed, which is also the case for
+// have ended. It reports whether no further poll is needed, which is also the case for
 // a long-running job.
 func (c *client) poll(j *job) bool {
-	if !j.accepted || j.cancelled || j.isReportedDone {
+	if !j.accepted || j.cancelled || j.isReportedDone || j.isReportedFailed {
 		return true
 	}
 	status, state := c.call(fasthttp.MethodGet, j.id, "")
 	c.soak.checker.checkState(j, status, state)
-	return j.isLongRunning || j.isReportedDone
+	return j.isLongRunning || j.isReportedDone || j.isReportedFailed
 }
 
 // pollAll polls all jobs and reports whether any needs a further poll.
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -1,8 +1,9 @@
 // Package soaker runs tarragond in separate processes, together with a stand-in
 // for the platform, and injects faults from outside. Proxies delay and drop data,
 // reset connections and refuse new ones; signals stop, pause and kill processes,
-// which are then restarted; the store loses responses, refuses calls and compacts
-// its history. The package checks the guarantees to clients and workers against
+// which are then restarted; workers are killed and back within a second; the store
+// loses responses, refuses calls, executes transactions late and compacts its
+// history. The package checks the guarantees to clients and workers against
 // what these observe.
 package soaker
 
@@ -17,8 +18,6 @@
 
 	"github.com/pkg/errors"
 
-	"tarragonhead.example/tarragonhead/internal/keeper"
-	"tarragonhead.example/tarragonhead/internal/storeclient"
 	"tarragonhead.example/tarragonhead/standins/platformer"
 )
 
@@ -60,41 +59,44 @@
 	// Jobs is the number of jobs that clients submitted, and Accepted the number
 	// of those that were accepted.
 	Jobs, Accepted int
-	// Starts is the number of runs that workers started.
-	Starts int
+	// Starts is the number of runs that workers started, and Kills the number of
+	// those that ended with their process.
+	Starts, Kills int
 }
 
 // soak holds the state of one soak.
 type soak struct {
 	options   Options
-	rng       *rand.Rand
+	seed      uint64
 	platform  *platformer.Platform
 	checker   *checker
 	startedAt time.Time
-	injected  []string
 	// activeFaults counts the injected faults that have not ended yet.
 	activeFaults sync.WaitGroup
 
 	mu        sync.Mutex
 	proxies   map[string]*Proxy
 	instances []*instance
-	// lostShare is the share of the calls to the store whose response is lost, and
-	// refusedShare the share of those that are refused.
-	lostShare, refusedShare float64
-	storeRNG                *rand.Rand
+	injected  []string
+	shares    faultShares
+	// configVersion is the last version of the configuration that was written.
+	configVersion int
+	storeRNG      *rand.Rand
 }
 
 // instance is an instance of a fixed name. Its process is replaced after it ends.
 type instance struct {
 	name    string
 	process *platformer.Instance
+	// replacing is held while an ended process is replaced.
+	replacing sync.Mutex
 }
 
 // Run runs one soak with random faults drawn from seed. The error says that the
 // soak could not run; violated guarantees are in the report.
 func Run(seed uint64, o Options) (Report, error) {
 	s := &soak{
-		options: o, rng: rand.New(rand.NewPCG(seed, 1)), storeRNG: rand.New(rand.NewPCG(seed, 2)),
+		options: o, seed: seed, configVersion: 1, storeRNG: rand.New(rand.NewPCG(seed, 2)),
 		checker: newChecker(), startedAt: time.Now(), proxies: map[string]*Proxy{},
 	}
 	output, err := os.Create(filepath.Join(o.Directory, fmt.Sprintf("soak-%d.log", seed)))
@@ -103,7 +105,10 @@
 	}
 	defer func() { _ = output.Close() }()
 	s.platform, err = platformer.New(platformer.Options{
-		Binary: o.Binary, Directory: o.Directory, Workers: o.Workers, TaskDuration: taskDuration, Output: output, ProxyAddress: s.proxyAddress, Observe: s.checker.observe,
+		Binary: o.Binary, Directory: o.Directory, Workers: o.Workers, TaskDuration: taskDuration, Output: output, ProxyAddress: s.proxyAddress,
+		Observe: s.checker.observe, Fails: s.runFails,
+		TransactionDelay: func() time.Duration { return s.delay(&s.shares.lateTransactions) },
+		OrderDelay:       func() time.Duration { return s.delay(&s.shares.lateOrders) },
 	})
 	if err != nil {
 		return Report{}, err
@@ -128,14 +133,15 @@
 	for _, c := range clients {
 		clientsDone.Go(func() { c.run(stopClients) })
 	}
-	if err := s.injectFaults(); err != nil {
-		return Report{}, err
-	}
+	var injectors sync.WaitGroup
+	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 1))}).injectInstanceFaults)
+	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 3))}).injectWorkerFaults)
+	injectors.Wait()
 	close(stopClients)
 	clientsDone.Wait()
 	s.activeFaults.Wait()
 	s.awaitCompletion(clients)
-	r := Report{Seed: seed, Violations: s.checker.violations, InjectedFaults: s.injected, Jobs: len(s.checker.jobs), Starts: s.checker.starts}
+	r := Report{Seed: seed, Violations: s.checker.violations, InjectedFaults: s.injected, Jobs: len(s.checker.jobs), Starts: s.checker.starts, Kills: s.checker.kills}
 	for _, j := range s.checker.jobs {
 		if j.accepted {
 			r.Accepted++
@@ -169,78 +175,6 @@
 	return p.Address(), nil
 }
 
-// storeFault returns the fault of a call to the store.
-func (s *soak) storeFault(op, _ string) keeper.Fault {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch x := s.storeRNG.Float64(); {
-	case x < s.refusedShare:
-		return keeper.Fault{Before: &storeclient.RefusedError{Op: op, Status: 503}}
-	case x < s.refusedShare+s.lostShare:
-		return keeper.Fault{After: &storeclient.UnavailableError{Op: op, MayHaveApplied: true, Err: errors.New("response lost")}}
-	}
-	return keeper.Fault{}
-}
-
-// recordFault adds an injected fault to the report.
-func (s *soak) recordFault(format string, args ...any) {
-	s.injected = append(s.injected, fmt.Sprintf("%.2f s: ", time.Since(s.startedAt).Seconds())+fmt.Sprintf(format, args...))
-}
-
-// randomDuration returns a random duration in [low, high).
-func (s *soak) randomDuration(low, high time.Duration) time.Duration {
-	return low + time.Duration(s.rng.Int64N(int64(high-low)))
-}
-
-// endLater calls end, which ends a fault, after a delay. It does not block, so that
-// further faults may overlap with this one.
-func (s *soak) endLater(delay time.Duration, end func()) {
-	s.activeFaults.Go(func() {
-		time.Sleep(delay)
-		end()
-	})
-}
-
-// injectFaults injects random faults, one after another, until the duration of the
-// soak is over. Their effects may overlap.
-func (s *soak) injectFaults() error {
-	time.Sleep(s.randomDuration(time.Second, 2*time.Second))
-	version := 1
-	for time.Since(s.startedAt) < s.options.Duration {
-		i := s.instances[s.rng.IntN(len(s.instances))]
-		switch s.rng.IntN(9) {
-		case 0:
-			s.restart(i, syscall.SIGKILL)
-		case 1:
-			s.restart(i, syscall.SIGTERM)
-		case 2:
-			s.pause(i)
-		case 3:
-			s.impair(i.name, "store connection of ")
-		case 4:
-			s.impair(s.platform.Workers[s.rng.IntN(len(s.platform.Workers))].Name(), "")
-		case 5:
-			for _, o := range s.instances {
-				s.impair(o.name, "store connection of ")
-			}
-		case 6:
-			s.setStoreFaultShare(&s.lostShare, "store responses lost")
-		case 7:
-			s.setStoreFaultShare(&s.refusedShare, "store calls refused")
-		case 8:
-			version++
-			s.recordFault("configuration version %d written, store history compacted, settings reloaded", version)
-			if err := s.platform.PutConfig(version); err != nil {
-				return err
-			}
-			s.platform.Keeper.Compact()
-			s.signal(i, syscall.SIGHUP)
-		}
-		time.Sleep(s.randomDuration(50*time.Millisecond, 1500*time.Millisecond))
-	}
-	return nil
-}
-
 // currentProcess returns the latest process of an instance.
 func (s *soak) currentProcess(i *instance) *platformer.Instance {
 	s.mu.Lock()
@@ -248,37 +182,18 @@
 	return i.process
 }
 
-// signal sends a signal to the process of an instance, which may have ended.
-func (s *soak) signal(i *instance, signal syscall.Signal) {
-	if err := s.currentProcess(i).Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		s.checker.mu.Lock()
-		s.checker.fail("soak: sending signal %s: %v", signal, err)
-		s.checker.mu.Unlock()
+// signal sends a signal to a process, which may have ended.
+func (s *soak) signal(p *platformer.Instance, signal syscall.Signal) {
+	if err := p.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		s.checker.failSoak(errors.Wrapf(err, "send signal %s", signal))
 	}
 }
 
-// restart ends the process of an instance with a signal and starts another one
-// after a random time.
-func (s *soak) restart(i *instance, signal syscall.Signal) {
-	downtime := s.randomDuration(100*time.Millisecond, 2500*time.Millisecond)
-	s.recordFault("%s receives signal %s, restarted %s after its end", i.name, signal, downtime)
-	p := s.currentProcess(i)
-	s.signal(i, signal)
-	s.activeFaults.Go(func() {
-		select {
-		case <-p.Ended():
-		case <-time.After(stopTimeout + time.Second):
-			_ = p.Signal(syscall.SIGKILL)
-			<-p.Ended()
-		}
-		time.Sleep(downtime)
-		s.replaceProcess(i, p)
-	})
-}
-
 // replaceProcess starts a process for an instance whose process has ended, unless
 // another fault has replaced that process already.
 func (s *soak) replaceProcess(i *instance, ended *platformer.Instance) {
+	i.replacing.Lock()
+	defer i.replacing.Unlock()
 	if s.currentProcess(i) != ended {
 		return
 	}
@@ -286,60 +201,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		s.checker.mu.Lock()
-		s.checker.fail("soak: restarting %s: %v", i.name, err)
-		s.checker.mu.Unlock()
+		s.checker.failSoak(errors.Wrapf(err, "restart %s", i.name))
 		return
 	}
 	i.process = next
 }
 
-// pause stops the process of an instance for a random time.
-func (s *soak) pause(i *instance) {
-	length := s.randomDuration(200*time.Millisecond, 6*time.Second)
-	s.recordFault("%s is paused for %s", i.name, length)
-	p := s.currentProcess(i)
-	s.signal(i, syscall.SIGSTOP)
-	s.endLater(length, func() { _ = p.Signal(syscall.SIGCONT) })
-}
-
-// impair impairs the connections through a proxy for a random time.
-func (s *soak) impair(name, what string) {
-	length := s.randomDuration(200*time.Millisecond, 5*time.Second)
-	impairment := [...]Impairment{
-		{DropToServer: true, DropFromServer: true}, {DropFromServer: true}, {DropToServer: true}, {Refuse: true}, {Delay: s.randomDuration(50*time.Millisecond, 400*time.Millisecond)},
-	}[s.rng.IntN(5)]
-	s.mu.Lock()
-	p := s.proxies[name]
-	s.mu.Unlock()
-	s.recordFault("%s%s is impaired by %+v for %s", what, name, impairment, length)
-	p.Set(impairment)
-	if impairment.Refuse {
-		p.Reset(s.rng.Float64(), s.rng)
-	}
-	s.endLater(length, func() { p.Set(Impairment{}) })
-}
-
-// setStoreFaultShare sets lostShare or refusedShare to a random value for a random
-// time.
-func (s *soak) setStoreFaultShare(value *float64, what string) {
-	length, fraction := s.randomDuration(200*time.Millisecond, 4*time.Second), 0.6*s.rng.Float64()
-	s.recordFault("%.2f of the %s for %s", fraction, what, length)
-	set := func(x float64) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		*value = x
-	}
-	set(fraction)
-	s.endLater(length, func() { set(0) })
-}
-
-// awaitCompletion ends the faults of the store, replaces ended processes, waits for
-// all accepted work at most completionTimeout, and makes the final checks.
+// awaitCompletion ends the faults of the store, replaces processes that ended by
+// themselves, waits for all accepted work at most completionTimeout, and makes the
+// final checks.
 func (s *soak) awaitCompletion(clients []*client) {
 	s.platform.Keeper.SetFault(nil)
 	for _, i := range s.instances {
 		if p := s.currentProcess(i); hasEnded(p) {
+			s.checker.failSoak(errors.Errorf("a process of %s ended by itself", i.name))
 			s.replaceProcess(i, p)
 		}
 	}
