--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -153,9 +153,9 @@
 			c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Started, "")
 		}
 	case planner.StopRun:
-		// An unhealthy worker refuses stops too, and may still carry out a
-		// start.
-		if err == nil || isRefused && !refused.IsUnhealthy {
+		// A worker that refuses a stop has done nothing, and may still carry
+		// out a start of the run that is under way.
+		if err == nil {
 			c.planner.StopAnswered(now, o.Run, o.WorkerID)
 		}
 	case planner.PaceRun:
@@ -219,7 +219,7 @@
 		defer cancel()
 		sent := c.options.Now()
 		answer, err := c.options.Workers.Poll(bounded, w, o)
-		answer.Sent = sent
+		answer.Sent, answer.Acknowledged = sent, o.Acknowledge
 		received := c.options.Now()
 		c.post(ctx, func() {
 			if s.isStale || c.planner == nil || c.epoch != epoch {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -36,6 +36,7 @@
 	clear(p.candidateCache)
 	clear(p.unplaceable)
 	clear(p.busyServices)
+	p.dropUnknownWorkers(proven)
 	p.dropLost(now, proven)
 	p.openOccurrences(now)
 	p.stopFinalJobs(now)
@@ -61,7 +62,7 @@
 func (p *Planner) dropLost(now, proven time.Time) {
 	for _, w := range slices.Clone(p.sortedWorkers) {
 		switch {
-		case p.unverified[w.ID] && proven.After(p.options.PredecessorLeaseEnd):
+		case p.unverified[w.ID] && proven.After(p.options.PredecessorLeaseEnd) && proven.After(w.leaseEnd):
 			p.removeWorker(w, "leases_expired", "no answer before every lease expired")
 		case !p.unverified[w.ID] && !w.failedSince.IsZero() && proven.After(w.leaseEnd) && len(w.runs) > 0 && w.answeredAt.Before(w.leaseEnd):
 			p.reportWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s", now.Sub(w.failedSince)))
@@ -240,7 +241,7 @@
 	}
 	var all []ranked
 	for _, j := range p.activeJobs {
-		if j.mayHaveUnverifiedRuns && len(p.unverified) == 0 {
+		if j.mayHaveUnverifiedRuns && !p.hasUnverifiedWorkers() {
 			j.mayHaveUnverifiedRuns = false
 		}
 		for _, o := range j.occurrences {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -27,6 +27,11 @@
 	// acknowledgeWait limits how long a poll is deferred until the ends already
 	// read are committed.
 	acknowledgeWait = 400 * time.Millisecond
+	// acknowledgeWindow is how long after an answered poll ends may be
+	// acknowledged. In a shorter time no process ends and a new one runs a task
+	// under its id; such a process would forget ends of its own that were never
+	// read.
+	acknowledgeWindow = 150 * time.Millisecond
 	// unknownRunLimit is how long a listed run of an unknown job may wait for
 	// the job to arrive from the store before it is stopped.
 	unknownRunLimit = 5 * time.Second
@@ -103,7 +108,11 @@
 	// unverified holds the ids of the unverified workers, on which an earlier
 	// owner may have started tasks.
 	unverified map[string]bool
-	// isRecordStale is set when the stored list includes a worker that is gone.
+	// hasUnknownWorkers is set while an earlier owner may have started tasks on
+	// workers that this owner can't identify. Nothing is recorded meanwhile.
+	hasUnknownWorkers bool
+	// isRecordStale is set when the stored list may include a worker that need
+	// not be stored.
 	isRecordStale bool
 	// hadPredecessor is set when the shard had an earlier owner whose workers
 	// were added.
@@ -215,7 +224,7 @@
 	if q, ok := p.config.Queues[d.Queue.Name]; ok {
 		d.Queue = q
 	}
-	j := &job{Job: d, ended: map[int]bool{}, mayHaveUnverifiedRuns: len(p.unverified) > 0, mayPredateOwner: p.hadPredecessor}
+	j := &job{Job: d, ended: map[int]bool{}, mayHaveUnverifiedRuns: p.hasUnverifiedWorkers(), mayPredateOwner: p.hadPredecessor}
 	// Clocks of instances differ, so the arrival is clamped to the present.
 	age := max(0, p.options.WallTime(now).Sub(d.Received))
 	j.arrived = now.Add(-age)
@@ -360,7 +369,8 @@
 // Contact holds what a caller needs to poll a worker.
 type Contact struct {
 	Worker
-	// Acknowledge is the number of the last end whose effect is committed.
+	// Acknowledge is the number of the last end whose effect is committed, or
+	// zero if the poll must not acknowledge any.
 	Acknowledge uint64
 	// IsFailing is set while calls go unanswered. A poll then grants no lease,
 	// so that the leases granted before expire.
@@ -369,7 +379,8 @@
 	// poll that is answered immediately tells sooner.
 	IsContested bool
 	// NeedsPoll is set when the worker has runs, has ends to acknowledge, is
-	// contested, or has not answered this owner yet.
+	// contested, has not answered this owner yet, or is listed and did not
+	// answer the last call.
 	NeedsPoll bool
 }
 
@@ -377,14 +388,19 @@
 func (p *Planner) Contacts(now time.Time) []Contact {
 	list := make([]Contact, 0, len(p.workers))
 	for _, w := range p.sortedWorkers {
-		needsPoll := len(w.runs) > 0 || !w.isProved() || w.acknowledged < w.cursor
+		needsPoll := len(w.runs) > 0 || !w.isProved() || w.delivered < w.cursor
 		// A worker with unacknowledged ends answers a poll immediately, so the
 		// poll is deferred until the ends already read are committed.
 		if len(w.unacknowledgedEnds) > 0 && now.Sub(w.polledAt) < acknowledgeWait {
 			needsPoll = false
 		}
-		needsPoll = needsPoll || w.isContested
-		list = append(list, Contact{Worker: *w, Acknowledge: w.acknowledged, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll})
+		isSilent := w.isListed && !w.failedSince.IsZero()
+		needsPoll = needsPoll || w.isContested || isSilent
+		contact := Contact{Worker: *w, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll}
+		if now.Sub(w.polledAt) <= acknowledgeWindow {
+			contact.Acknowledge = w.acknowledged
+		}
+		list = append(list, contact)
 	}
 	return list
 }
