--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -294,7 +294,7 @@
 	// of the last end whose effect is committed, and delivered the number of the
 	// last end that an answered poll acknowledged.
 	cursor, acknowledged, delivered uint64
-	unacknowledgedEnds   []unacknowledgedEnd
+	unacknowledgedEnds              []unacknowledgedEnd
 	// leaseEnd is when the last lease granted to the worker has certainly
 	// expired.
 	leaseEnd time.Time
