Bind every call to a worker to the process that is meant

A start named neither a worker nor a process. Where a worker was new at the address of an ended one, it carried out a start that was placed on the other: the attempt ran where no reservation was held for it. A renewal extended the leases of whichever worker answered, up to 10 s past the end that its own session had recorded, and an epoch of another shard's owner made that worker refuse its own. A start that was under way for long could also reach a process that restarted: it knows neither the epoch nor the smallest transit time, so nothing showed that the start was late.

Cause: an address and a worker's id were taken as proof of which process answers, and only the status, not the commands, was checked against them.

Each process now has an incarnation, which its status reports. Every request names worker and incarnation, and any other process refuses it with 421 before it looks at the epoch. A session starts nothing until the process has answered. After a restart under the same id it asks for the status at once, without a lease, and the attempts of the old process end with that status, as before. After another worker has answered they end when their leases have expired, as before: the shard has no need to hurry there.

TestRestartedWorker fails in all cases of the same id if the session doesn't ask the new process: it gets no work. It passes if only the worker's check is missing; the numbers of attempts hold there.

Ruled out: an acknowledgement that deletes an end of the new process. It names an attempt, and an attempt is started in one process only.

--- a/internal/controller/session.go
+++ b/internal/controller/session.go
@@ -56,6 +56,10 @@
 	wake chan struct{}
 
 	mu sync.Mutex
+	// incarnation is the process of the worker that has answered last. It is
+	// empty before the first answer, and after another process has answered
+	// until the worker does so again. Nothing is started meanwhile.
+	incarnation string
 	// leaseExpiry is, by class, when all leases on this worker have expired,
 	// including those from earlier owners.
 	leaseExpiry map[declarer.Class]time.Time
@@ -195,32 +199,63 @@
 	}
 }
 
+// process returns the process that requests are meant for, and whether it has
+// answered. If not, only a status may be requested.
+func (s *session) process() (dispatcher.Process, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return dispatcher.Process{Worker: s.id, Incarnation: s.incarnation}, s.incarnation != ""
+}
+
+// setIncarnation sets the process that requests are meant for, and reports
+// whether it is another one than before.
+func (s *session) setIncarnation(incarnation string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.incarnation != incarnation
+	s.incarnation = incarnation
+	return changed
+}
+
 // requestStatus asks for the worker's status and renews its leases. It doesn't
-// renew them with the first request, from which the worker estimates the
-// transit time of messages, nor after an unanswered request, so that the
-// leases of an unreachable worker expire.
+// renew them with the first request to a process, from which the process
+// estimates the transit time of messages, nor after an unanswered request, so
+// that the leases of an unreachable worker expire.
 func (s *session) requestStatus(ctx context.Context, sent time.Time) {
-	r := dispatcher.RenewRequest{Shard: s.shard, Epoch: s.epoch, SentAt: sent}
-	if s.hasAnswered && s.unansweredRequests == 0 {
+	process, isKnown := s.process()
+	r := dispatcher.RenewRequest{Shard: s.shard, Process: process, Epoch: s.epoch, SentAt: sent}
+	if isKnown && s.unansweredRequests == 0 {
 		r.Lease, r.Horizons = leaseLength, s.remaining(sent)
 		for class, left := range r.Horizons {
 			s.extendLease(class, sent.Add(lengthen(min(leaseLength, left))+callTimeout))
 		}
 	}
-	s.mu.Lock()
-	r.Acknowledged = s.acknowledged
-	s.mu.Unlock()
+	if isKnown {
+		s.mu.Lock()
+		r.Acknowledged = s.acknowledged
+		s.mu.Unlock()
+	}
 	status, err := s.worker.Renew(ctx, r)
 	var refused *dispatcher.RefusedError
+	var other *dispatcher.OtherProcessError
 	switch {
-	case err == nil && status.Worker == s.id:
+	case err == nil && status.Process.Worker == s.id && (!isKnown || status.Process == process):
 		s.mu.Lock()
 		s.acknowledged = s.acknowledged[len(r.Acknowledged):]
 		s.mu.Unlock()
 		s.handleStatus(sent, status)
 	case errors.As(err, &refused) && refused.Epoch > s.epoch:
 		s.post(input{from: s, laterEpoch: refused.Epoch})
+	case errors.As(err, &other) && other.Process.Worker == s.id:
+		// The worker has restarted. The next request asks for the status of the
+		// new process, which ends the attempts of the old one.
+		s.setIncarnation("")
+		s.isRenewalDue = true
 	case ctx.Err() == nil:
+		if err == nil || other != nil {
+			// The address belongs to another worker by now.
+			s.setIncarnation("")
+		}
 		s.handleNoAnswer(time.Now())
 	}
 }
@@ -228,6 +263,7 @@
 func (s *session) handleStatus(sent time.Time, status dispatcher.Status) {
 	now := time.Now()
 	first := !s.hasAnswered
+	isNewProcess := s.setIncarnation(status.Process.Incarnation)
 	s.mu.Lock()
 	clear(s.expiredClasses)
 	if first {
@@ -241,7 +277,7 @@
 		}
 	}
 	s.mu.Unlock()
-	if first || s.unansweredRequests > 0 {
+	if isNewProcess || s.unansweredRequests > 0 {
 		s.post(input{from: s, event: scheduler.Event{WorkerSeen: &s.seen}})
 		s.isRenewalDue = true
 	}
@@ -264,7 +300,7 @@
 }
 
 func toWorkerReport(s dispatcher.Status) *scheduler.WorkerReport {
-	r := &scheduler.WorkerReport{Worker: s.Worker, MeasuredAt: s.MeasuredAt}
+	r := &scheduler.WorkerReport{Worker: s.Process.Worker, MeasuredAt: s.MeasuredAt}
 	for _, a := range s.Running {
 		r.Running = append(r.Running, scheduler.RunningAttempt{Task: scheduler.TaskID(a.Task), Attempt: a.Attempt, Usage: a.Usage, Slowdown: a.Slowdown, Load: a.Load, Addr: a.Addr})
 	}
@@ -288,15 +324,18 @@
 }
 
 func (s *session) execute(ctx context.Context, c scheduler.Command) {
+	process, isKnown := s.process()
 	switch {
 	case c.Start != nil:
 		s.sendStart(ctx, c.Start)
+	case !isKnown:
+		// The core repeats the command if the worker still runs the attempt.
 	case c.Stop != nil:
-		s.sendWithRetry(ctx, s.worker.Stop, dispatcher.AttemptRequest{Epoch: s.epoch, Task: string(c.Stop.Task), Attempt: c.Stop.Attempt})
+		s.sendWithRetry(ctx, s.worker.Stop, dispatcher.AttemptRequest{Process: process, Epoch: s.epoch, Task: string(c.Stop.Task), Attempt: c.Stop.Attempt})
 	case c.Checkpoint != nil:
-		s.sendWithRetry(ctx, s.worker.Checkpoint, dispatcher.AttemptRequest{Epoch: s.epoch, Task: string(c.Checkpoint.Task), Attempt: c.Checkpoint.Attempt})
+		s.sendWithRetry(ctx, s.worker.Checkpoint, dispatcher.AttemptRequest{Process: process, Epoch: s.epoch, Task: string(c.Checkpoint.Task), Attempt: c.Checkpoint.Attempt})
 	case c.Throttle != nil:
-		s.sendWithRetry(ctx, s.worker.Throttle, dispatcher.AttemptRequest{Epoch: s.epoch, Task: string(c.Throttle.Task), Attempt: c.Throttle.Attempt, Share: c.Throttle.Share})
+		s.sendWithRetry(ctx, s.worker.Throttle, dispatcher.AttemptRequest{Process: process, Epoch: s.epoch, Task: string(c.Throttle.Task), Attempt: c.Throttle.Attempt, Share: c.Throttle.Share})
 	}
 }
 
@@ -319,6 +358,11 @@
 	withdraw := func(reason string) {
 		s.post(input{from: s, event: scheduler.Event{StartRefused: &scheduler.StartRefused{Task: c.Task, Attempt: c.Attempt, Reason: reason, Withdrawn: true}}})
 	}
+	process, isKnown := s.process()
+	if !isKnown {
+		withdraw("the worker does not answer at its address")
+		return
+	}
 	sent := time.Now()
 	if age := sent.Sub(c.ConfirmedAt); age > scheduler.ConfigMaxAge {
 		withdraw("configuration was confirmed " + age.Round(time.Millisecond).String() + " ago")
@@ -335,9 +379,14 @@
 		return
 	}
 	err := s.worker.Start(ctx, dispatcher.StartRequest{
-		Epoch: s.epoch, SentAt: sent, ValidFor: startValidity, Task: string(c.Task), Attempt: c.Attempt, Class: c.Class, Kind: c.Kind,
+		Process: process, Epoch: s.epoch, SentAt: sent, ValidFor: startValidity, Task: string(c.Task), Attempt: c.Attempt, Class: c.Class, Kind: c.Kind,
 		Service: c.Service, Reserved: c.Reserved, RunTime: c.RunTime, Checkpoint: c.Checkpoint, Lease: lease,
 	})
+	var other *dispatcher.OtherProcessError
+	if errors.As(err, &other) {
+		withdraw(other.Error())
+		return
+	}
 	var refused *dispatcher.RefusedError
 	if errors.As(err, &refused) {
 		if refused.Epoch > s.epoch {
--- a/internal/dispatcher/protocol.go
+++ b/internal/dispatcher/protocol.go
@@ -7,9 +7,22 @@
 	"tarragonhead.example/tarragonhead/internal/declarer"
 )
 
+// Process identifies a process of a worker. An address and a worker's id are
+// used again by later processes, so every request names the process that it is
+// meant for, and any other process refuses it.
+type Process struct {
+	Worker string `json:"worker"`
+	// Incarnation is different for each process. It is empty in a request to
+	// whichever process of the worker answers.
+	Incarnation string `json:"incarnation,omitempty"`
+}
+
 // RenewRequest extends the leases of a worker's attempts.
 type RenewRequest struct {
 	Shard string `json:"shard"`
+	// Process has an Incarnation unless the request only asks for the status:
+	// one that extends a lease or acknowledges an end is refused without it.
+	Process Process `json:"process"`
 	// Epoch is the epoch of the shard's owner; the worker refuses one lower
 	// than it has seen.
 	Epoch uint64 `json:"epoch"`
@@ -34,8 +47,10 @@
 
 // StartRequest starts an attempt.
 type StartRequest struct {
-	Epoch  uint64    `json:"epoch"`
-	SentAt time.Time `json:"sent_at"`
+	// Process always has an Incarnation.
+	Process Process   `json:"process"`
+	Epoch   uint64    `json:"epoch"`
+	SentAt  time.Time `json:"sent_at"`
 	// ValidFor is how long after SentAt the attempt may be started.
 	ValidFor   time.Duration      `json:"valid_for"`
 	Task       string             `json:"task"`
@@ -52,9 +67,11 @@
 
 // AttemptRequest stops, checkpoints or throttles an attempt.
 type AttemptRequest struct {
-	Epoch   uint64 `json:"epoch"`
-	Task    string `json:"task"`
-	Attempt uint64 `json:"attempt"`
+	// Process always has an Incarnation.
+	Process Process `json:"process"`
+	Epoch   uint64  `json:"epoch"`
+	Task    string  `json:"task"`
+	Attempt uint64  `json:"attempt"`
 	// Share is the share of the reserved processors that a throttled attempt
 	// may use.
 	Share float64 `json:"share,omitempty"`
@@ -62,7 +79,8 @@
 
 // Status is a worker's report of its attempts.
 type Status struct {
-	Worker     string          `json:"worker"`
+	// Process is the process that answers.
+	Process    Process         `json:"process"`
 	MeasuredAt time.Time       `json:"measured_at"`
 	Running    []RunningStatus `json:"running"`
 	Ended      []EndedStatus   `json:"ended"`
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -15,7 +15,8 @@
 )
 
 // Worker has the calls to a worker of the platform. Each function is safe for
-// concurrent use; errors are a RefusedError or an UnreachableError.
+// concurrent use; errors are a RefusedError, an OtherProcessError or an
+// UnreachableError.
 type Worker struct {
 	Renew      func(ctx context.Context, r RenewRequest) (Status, error)
 	Start      func(ctx context.Context, r StartRequest) error
@@ -36,6 +37,18 @@
 	return fmt.Sprintf("worker %s refused: %s", e.Worker, e.Reason)
 }
 
+// OtherProcessError reports a request that was refused because another process
+// than the one it is meant for has received it. Nothing was done.
+type OtherProcessError struct {
+	Addr netip.AddrPort
+	// Process is the process that has refused the request.
+	Process Process
+}
+
+func (e *OtherProcessError) Error() string {
+	return fmt.Sprintf("process %s of worker %s has the address %s", e.Process.Incarnation, e.Process.Worker, e.Addr)
+}
+
 // UnreachableError reports a command without a valid answer; it may have been
 // carried out.
 type UnreachableError struct {
@@ -111,6 +124,12 @@
 	case status == fasthttp.StatusConflict:
 		epoch, _ := strconv.ParseUint(string(response.Header.Peek(EpochHeader)), 10, 64)
 		return &RefusedError{addr, string(response.Body()), epoch}
+	case status == fasthttp.StatusMisdirectedRequest:
+		other := &OtherProcessError{Addr: addr}
+		if err := json.Unmarshal(response.Body(), &other.Process); err != nil {
+			return &UnreachableError{addr, errors.Wrap(err, "decode process")}
+		}
+		return other
 	case status != fasthttp.StatusOK:
 		return &UnreachableError{addr, errors.Errorf("status %d: %s", status, response.Body())}
 	}
--- a/standins/emulator/emulator.go
+++ b/standins/emulator/emulator.go
@@ -58,6 +58,8 @@
 	workerIDs map[netip.AddrPort]string
 	// retired holds the former addresses of moved workers.
 	retired map[netip.AddrPort]bool
+	// killed holds the records of the processes that have ended.
+	killed []worker.Attempt
 }
 
 // Daemon is the controller of one daemon with its connections.
@@ -122,25 +124,6 @@
 	return netip.MustParseAddrPort("10.255.0.1:1"), func() {}, nil
 }
 
-// Move starts a new process of a worker at another address, without any state,
-// and lists that address instead of the old one. The old process continues to
-// run, unlisted, until its leases expire.
-func (s *System) Move(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for addr, name := range s.workerIDs {
-		if name != id || s.retired[addr] {
-			continue
-		}
-		s.retired[addr] = true
-		old := s.workers[addr]
-		moved := netip.AddrPortFrom(addr.Addr(), addr.Port()+1)
-		s.workers[moved] = worker.New(worker.Options{ID: id, Domain: old.Domain(), Capacity: s.options.Capacity, TimeScale: 1, StartRunner: startRunner})
-		s.workerIDs[moved] = id
-		return
-	}
-}
-
 // TakeDomainOut takes a domain out of service.
 func (s *System) TakeDomainOut(domain string) error {
 	_, err := s.Daemons()[0].config.Propose(s.ctx, configurer.Change{ID: "out-" + domain, Operator: "emulator", Summary: "take out " + domain, Edit: func(c *declarer.Config) error {
@@ -260,9 +243,12 @@
 // daemon is dead.
 func (d *Daemon) workerClient(addr netip.AddrPort) dispatcher.Worker {
 	s := d.system
-	s.mu.Lock()
-	w := s.workers[addr].Client(d.Link(s.workerIDs[addr]))
-	s.mu.Unlock()
+	// current returns the client of the process that has the address now.
+	current := func() dispatcher.Worker {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.workers[addr].Client(d.Link(s.workerIDs[addr]))
+	}
 	checkAlive := func() error {
 		d.waitWhilePaused()
 		if d.isDead.Load() {
@@ -270,12 +256,12 @@
 		}
 		return nil
 	}
-	guarded := func(f func(context.Context, dispatcher.AttemptRequest) error) func(context.Context, dispatcher.AttemptRequest) error {
+	guarded := func(f func(dispatcher.Worker) func(context.Context, dispatcher.AttemptRequest) error) func(context.Context, dispatcher.AttemptRequest) error {
 		return func(ctx context.Context, r dispatcher.AttemptRequest) error {
 			if err := checkAlive(); err != nil {
 				return err
 			}
-			return f(ctx, r)
+			return f(current())(ctx, r)
 		}
 	}
 	return dispatcher.Worker{
@@ -283,15 +269,17 @@
 			if err := checkAlive(); err != nil {
 				return dispatcher.Status{}, err
 			}
-			return w.Renew(ctx, r)
+			return current().Renew(ctx, r)
 		},
 		Start: func(ctx context.Context, r dispatcher.StartRequest) error {
 			if err := checkAlive(); err != nil {
 				return err
 			}
-			return w.Start(ctx, r)
+			return current().Start(ctx, r)
 		},
-		Stop: guarded(w.Stop), Checkpoint: guarded(w.Checkpoint), Throttle: guarded(w.Throttle),
+		Stop:       guarded(func(w dispatcher.Worker) func(context.Context, dispatcher.AttemptRequest) error { return w.Stop }),
+		Checkpoint: guarded(func(w dispatcher.Worker) func(context.Context, dispatcher.AttemptRequest) error { return w.Checkpoint }),
+		Throttle:   guarded(func(w dispatcher.Worker) func(context.Context, dispatcher.AttemptRequest) error { return w.Throttle }),
 	}
 }
 
@@ -448,22 +436,6 @@
 	return time.Since(began), true
 }
 
-// Records returns the records of all workers, with the address of the process
-// as the worker.
-func (s *System) Records() []worker.Attempt {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var records []worker.Attempt
-	for addr, w := range s.workers {
-		for _, r := range w.Recorded() {
-			// The address distinguishes two processes of one worker.
-			r.Worker = addr.String()
-			records = append(records, r)
-		}
-	}
-	return records
-}
-
 // Stop stops all daemons and workers and waits for them.
 func (s *System) Stop() {
 	for _, d := range s.Daemons() {
--- /dev/null
+++ b/standins/emulator/restart_test.go
@@ -0,0 +1,43 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestRestartedWorker guards against tasks that are lost or run twice when the
+// process of a worker is replaced at its address within its leases, once or
+// again and again, under the same id or another one. It also guards against a
+// process that gets no work at an address or under an id that was used before.
+func TestRestartedWorker(t *testing.T) {
+	for name, ids := range map[string][]string{
+		"once":                   {"a-w0"},
+		"under another id":       {"other"},
+		"three times":            {"a-w0", "a-w0", "a-w0"},
+		"to another id and back": {"other", "a-w0"},
+	} {
+		for _, pause := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second} {
+			t.Run(name+" after "+pause.String(), func(t *testing.T) {
+				runSystem(t, oneDomain, func(c *quicktest.C, s *System) {
+					startJob(c, s, "a", 20, 20*time.Second)
+					id := "a-w0"
+					for _, next := range ids {
+						time.Sleep(pause)
+						s.Restart(id, next)
+						id = next
+					}
+					awaitJob(c, s, "a", 20, 5*time.Minute)
+					c.Assert(countCompletedOnce(s), quicktest.Equals, 20)
+					s.Submit("a", job("k", 30, time.Second))
+					_, ok := WaitUntil(time.Minute, func() bool { return countDone(s, "a", "k") == 30 })
+					c.Assert(ok, quicktest.IsTrue)
+					for _, w := range s.workers {
+						c.Assert(len(w.Recorded()) > 0, quicktest.IsTrue, quicktest.Commentf("%s has run nothing", w.Process()))
+					}
+				})
+			})
+		}
+	}
+}
--- a/standins/worker/client.go
+++ b/standins/worker/client.go
@@ -49,18 +49,21 @@
 	return err
 }
 
-// send calls f, subject to the faults of l, and converts a RefusedError into that
-// of the dispatcher. For a dropped request or response it returns an
-// UnreachableError after callTimeout or at the end of ctx.
+// send calls f, subject to the faults of l, and converts a RefusedError or an
+// OtherProcessError into that of the dispatcher. For a dropped request or
+// response it returns an UnreachableError after callTimeout or at the end of ctx.
 func send[T any](ctx context.Context, l *Link, f func() (T, error)) (T, error) {
 	var zero T
 	if !l.DropRequests.Load() {
 		v, err := f()
 		var refused *RefusedError
+		var other *OtherProcessError
 		switch {
 		case l.DropResponses.Load():
 		case errors.As(err, &refused):
 			return zero, &dispatcher.RefusedError{Reason: refused.Reason, Epoch: refused.Epoch}
+		case errors.As(err, &other):
+			return zero, &dispatcher.OtherProcessError{Process: other.Process}
 		default:
 			return v, err
 		}
--- a/standins/worker/http.go
+++ b/standins/worker/http.go
@@ -37,7 +37,8 @@
 
 // handleCall decodes the JSON body of the request, calls f and encodes its result.
 // It answers a RefusedError with status 409 and, if the command had a lower
-// epoch, the epoch of the worker in a header.
+// epoch, the epoch of the worker in a header, and an OtherProcessError with
+// status 421 and the worker's process.
 func handleCall[T, U any](ctx *fasthttp.RequestCtx, f func(T) (U, error)) {
 	var request T
 	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil && len(ctx.PostBody()) > 0 {
@@ -45,6 +46,11 @@
 		return
 	}
 	response, err := f(request)
+	var other *OtherProcessError
+	if errors.As(err, &other) {
+		writeJSON(ctx, fasthttp.StatusMisdirectedRequest, other.Process)
+		return
+	}
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		ctx.Error(refused.Reason, fasthttp.StatusConflict)
@@ -57,10 +63,15 @@
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
 	}
-	body, err := json.Marshal(response)
+	writeJSON(ctx, fasthttp.StatusOK, response)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	body, err := json.Marshal(v)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
 	}
+	ctx.SetStatusCode(status)
 	ctx.SetBody(body)
 }
--- a/standins/worker/worker.go
+++ b/standins/worker/worker.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
@@ -44,9 +46,10 @@
 	Record func(Attempt)
 }
 
-// Worker simulates a worker. It is safe for concurrent use.
+// Worker simulates one process of a worker. It is safe for concurrent use.
 type Worker struct {
 	options Options
+	process dispatcher.Process
 
 	mu sync.Mutex
 	// epoch is the highest epoch seen; it is the fencing token for commands of
@@ -86,7 +89,7 @@
 	if o.UsageShare == 0 {
 		o.UsageShare = 1
 	}
-	return &Worker{options: o, attempts: map[string]uint64{}, running: map[string]*runningAttempt{}, ended: map[dispatcher.AttemptName]dispatcher.EndedStatus{}}
+	return &Worker{options: o, process: dispatcher.Process{Worker: o.ID, Incarnation: uuid.NewString()}, attempts: map[string]uint64{}, running: map[string]*runningAttempt{}, ended: map[dispatcher.AttemptName]dispatcher.EndedStatus{}}
 }
 
 // RefusedError reports a command that the worker has not carried out.
@@ -103,6 +106,24 @@
 	return &RefusedError{Reason: fmt.Sprintf(format, args...)}
 }
 
+// OtherProcessError reports a request that is meant for another process. Nothing
+// was done.
+type OtherProcessError struct{ Process dispatcher.Process }
+
+func (e *OtherProcessError) Error() string {
+	return fmt.Sprintf("this is process %s of worker %s", e.Process.Incarnation, e.Process.Worker)
+}
+
+// checkProcess refuses a request that is meant for another process, or for any
+// process of the worker unless mayBeAny is set. It comes before acceptEpoch,
+// since the epochs of different shards can't be compared.
+func (w *Worker) checkProcess(p dispatcher.Process, mayBeAny bool) error {
+	if p == w.process || (mayBeAny && p == dispatcher.Process{Worker: w.process.Worker}) {
+		return nil
+	}
+	return &OtherProcessError{w.process}
+}
+
 // acceptEpoch refuses an epoch below the highest one seen, and records a higher
 // one. The caller holds w.mu.
 func (w *Worker) acceptEpoch(epoch uint64) error {
@@ -129,6 +150,9 @@
 func (w *Worker) Renew(r dispatcher.RenewRequest) (dispatcher.Status, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if err := w.checkProcess(r.Process, r.Lease == 0 && len(r.Acknowledged) == 0); err != nil {
+		return dispatcher.Status{}, err
+	}
 	if err := w.acceptEpoch(r.Epoch); err != nil {
 		return dispatcher.Status{}, err
 	}
@@ -138,7 +162,7 @@
 	now := time.Now()
 	sent := now.Add(-w.transitDelay(r.SentAt))
 	w.advance(now)
-	s := dispatcher.Status{Worker: w.options.ID}
+	s := dispatcher.Status{Process: w.process}
 	usage := w.reportedSample(now)
 	s.MeasuredAt = usage.at
 	for task, a := range w.running {
@@ -160,6 +184,9 @@
 func (w *Worker) Start(r dispatcher.StartRequest) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if err := w.checkProcess(r.Process, false); err != nil {
+		return err
+	}
 	if err := w.acceptEpoch(r.Epoch); err != nil {
 		return err
 	}
@@ -233,6 +260,9 @@
 func (w *Worker) withAttempt(r dispatcher.AttemptRequest, f func(*runningAttempt)) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if err := w.checkProcess(r.Process, false); err != nil {
+		return err
+	}
 	if err := w.acceptEpoch(r.Epoch); err != nil {
 		return err
 	}
@@ -285,5 +315,19 @@
 	w.advance(time.Now())
 }
 
+// Kill ends all attempts, as the end of the process does. The worker must not be
+// called any more.
+func (w *Worker) Kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(time.Now())
+	for _, a := range w.running {
+		w.finish(a, scheduler.OutcomeStopped, "", "process ended")
+	}
+}
+
+// Process returns the process that the worker simulates.
+func (w *Worker) Process() dispatcher.Process { return w.process }
+
 // Domain returns the worker's failure domain.
 func (w *Worker) Domain() string { return w.options.Domain }
