Leave a job out whose progress can't be decoded, also when it is delivered again

Tasks that were done started again after a change of owner if the stored progress of their job could not be decoded. The load skipped the job, but the watch on the jobs, which starts after the load with a read of all of them, delivered it once more; without the map of progress it counted as a new job.

Such a job now stays out until the next load. It is not run, and the error is logged.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -180,6 +180,8 @@
 	// revisions has the known store revision of each record of the shard, by
 	// key.
 	revisions map[string]uint64
+	// unusableJobs has the ids of the jobs whose stored progress can't be decoded.
+	unusableJobs map[string]bool
 	// sessions has the session with each worker, by worker id.
 	sessions           map[string]*session
 	isCommitting       bool
@@ -236,7 +238,7 @@
 			isOwner:   factory.NewGauge(prometheus.GaugeOpts{Name: "tarragonhead_shard_owner", Help: "1 while this daemon owns the shard."}),
 			jobs:      factory.NewGaugeVec(prometheus.GaugeOpts{Name: "tarragonhead_planned", Help: "What the owner has planned, by kind."}, []string{"kind"}),
 		},
-		revisions: map[string]uint64{}, sessions: map[string]*session{}, workers: map[string]planner.Worker{},
+		revisions: map[string]uint64{}, unusableJobs: map[string]bool{}, sessions: map[string]*session{}, workers: map[string]planner.Worker{},
 		cancelReplies: map[string][]func(bool, error){},
 	}, nil
 }
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -85,6 +85,7 @@
 	p.SetConfig(c.config)
 	p.SetEvacuatedDomains(c.evacuatedDomains)
 	clear(c.revisions)
+	clear(c.unusableJobs)
 	if records.workers.Revision > 0 {
 		c.revisions[c.keys.workers()] = records.workers.Revision
 		var unverified []planner.Worker
@@ -116,9 +117,14 @@
 }
 
 // addJob decodes a stored job and its progress, if any, and adds the job to the
-// planner. It logs and skips a record that can't be used.
+// planner. It logs and skips a record that can't be used. A job whose progress
+// can't be used stays out also when its record is delivered again without the
+// progress, because its tasks may be done.
 func (c *Conductor) addJob(now time.Time, e storeclient.Entry, progress map[string]storeclient.Entry) {
 	id := strings.TrimPrefix(e.Key, c.keys.jobs())
+	if c.unusableJobs[id] {
+		return
+	}
 	d, err := planner.Decode[planner.Job](e.Value)
 	if err == nil {
 		err = d.Check()
@@ -131,6 +137,7 @@
 	if stored, ok := progress[id]; ok {
 		if r, err = planner.Decode[planner.Progress](stored.Value); err != nil {
 			c.options.Log.Error().Str("job", id).Err(err).Msg("conductor: progress record can't be used")
+			c.unusableJobs[id] = true
 			return
 		}
 	}
