Stop withdrawn starts on a new process with the worker's id

What callers saw: a task that was done ran again.

Cause: a start without an answer was stopped, the process confirmed the stop, and the task ran elsewhere. The process that then had the id knew of no stop. It carried the start out late; the lease in it had not expired there, because the clock of the new process began anew. The planner handed only runs that had not ended over to the new process.

Withdrawn starts are now remembered for 15 s, and stopped on each new process with the worker's id until it confirms.

A start that arrives before that stop is still carried out, and a new owner does not know what its predecessor withdrew.

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -326,6 +326,7 @@
 	}
 	t, w := r.task, r.worker
 	w.removeRun(r)
+	w.noteWithdrawn(r)
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	p.reportRun("run_ended", r, reason)
 	if len(t.runs) == 0 {
@@ -367,6 +368,7 @@
 		}
 		p.endRun(r, "refuse", "start refused: "+reason)
 	case Unclear:
+		r.isUnanswered = true
 		p.stop(now, r, "start without an answer")
 	}
 }
@@ -387,6 +389,7 @@
 // StopAnswered records that a worker confirmed a stop.
 func (p *Planner) StopAnswered(now time.Time, id RunID, workerID string) {
 	if w := p.workers[workerID]; w != nil {
+		w.confirmWithdrawal(id)
 		if r := w.runs[id]; r != nil && p.transition(r, "confirm_stop") {
 			r.stopConfirmed = now
 		}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -120,6 +120,7 @@
 				p.commands = append(p.commands, Command{Kind: StopRun, Run: r.id, WorkerID: w.ID})
 			}
 		}
+		p.sendWithdrawals(now, w)
 	}
 }
 
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -130,5 +130,10 @@
 		p.reportRun("stop", r, "its worker's process was replaced before it was listed")
 		p.commands = append(p.commands, Command{Kind: StopRun, Run: r.id, WorkerID: n.ID})
 	}
+	n.withdrawnStarts = w.withdrawnStarts
+	for i := range n.withdrawnStarts {
+		n.withdrawnStarts[i].isConfirmed, n.withdrawnStarts[i].stopSent = false, time.Time{}
+	}
+	p.sendWithdrawals(now, n)
 	return n
 }
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -162,6 +162,8 @@
 	// isListed is set once the worker's process has listed the run. The start of
 	// any other run may still be under way.
 	isListed bool
+	// isUnanswered is set when the start was not answered.
+	isUnanswered bool
 	// stopConfirmed is when the worker confirmed the stop.
 	stopConfirmed time.Time
 	// stopSent is when the stop was last sent.
@@ -298,6 +300,9 @@
 	// last end that an answered poll acknowledged.
 	cursor, acknowledged, delivered uint64
 	unacknowledgedEnds              []unacknowledgedEnd
+	// withdrawnStarts holds the unanswered starts whose runs have ended before the
+	// process listed them.
+	withdrawnStarts []withdrawnStart
 	// leaseEnd is when the last lease granted to the worker has certainly
 	// expired.
 	leaseEnd time.Time
--- /dev/null
+++ b/internal/planner/withdraw.go
@@ -0,0 +1,51 @@
+package planner
+
+import (
+	"slices"
+	"time"
+)
+
+// lateStartLimit is how long after it was sent an unanswered start may still be
+// carried out: seconds, says the workers' protocol. The lease that it carries
+// limits it to 6 s, but not on a new process, whose clock starts anew.
+const lateStartLimit = 15 * time.Second
+
+// withdrawnStart is an unanswered start whose run has ended. The process that
+// confirmed the stop rejects the start if it arrives late. A new process with the
+// same id would carry it out, so the stop is sent there too.
+type withdrawnStart struct {
+	run RunID
+	// sentAt is when the start was sent, and stopSent when the stop was last sent
+	// to the present process.
+	sentAt, stopSent time.Time
+	// isConfirmed is set while the present process rejects the start.
+	isConfirmed bool
+}
+
+// noteWithdrawn records that an unanswered start has ended without a run.
+func (w *Worker) noteWithdrawn(r *run) {
+	if r.isUnanswered && !r.isListed {
+		w.withdrawnStarts = append(w.withdrawnStarts, withdrawnStart{run: r.id, sentAt: r.startedAt, isConfirmed: true})
+	}
+}
+
+func (w *Worker) confirmWithdrawal(id RunID) {
+	for i := range w.withdrawnStarts {
+		if s := &w.withdrawnStarts[i]; s.run == id && !s.stopSent.IsZero() {
+			s.isConfirmed = true
+		}
+	}
+}
+
+// sendWithdrawals sends the stops of withdrawn starts that the worker's process
+// has not confirmed, and forgets the starts that can't arrive any more.
+func (p *Planner) sendWithdrawals(now time.Time, w *Worker) {
+	w.withdrawnStarts = slices.DeleteFunc(w.withdrawnStarts, func(s withdrawnStart) bool { return now.Sub(s.sentAt) > lateStartLimit })
+	for i := range w.withdrawnStarts {
+		s := &w.withdrawnStarts[i]
+		if !s.isConfirmed && now.Sub(s.stopSent) > stopInterval {
+			s.stopSent = now
+			p.commands = append(p.commands, Command{Kind: StopRun, Run: s.run, WorkerID: w.ID})
+		}
+	}
+}
