Take a runner at an address that was used before for a new target

A runner got no requests if an earlier runner of its task had been leaving at the same address and the daemon had read no routing table between the two. The same happened after the list of instances or the earlier runner's own response had shown that it was leaving. Callers saw "no target" or a full queue for as long as the new runner lived.

Cause: a target was known by address, task and service, and once it was seen leaving it stayed so. The mark, the latency, the back-off and the connections of the ended process passed to the new one.

The routing table now names the attempt that a runner executes, and the router keeps one target for each attempt. Table and list count as long as the newest one shows the target as leaving; the target's own response counts for that attempt. Since a mark is no longer kept, the table must be right: a runner whose task was being stopped, or whose worker was leaving, became available again once the worker was unreachable. The owner now keeps it as leaving.

--- a/internal/controller/intake.go
+++ b/internal/controller/intake.go
@@ -91,6 +91,7 @@
 		case old.seen.Addr != in.Addr:
 			o.replaceSession(old, seen)
 		}
+		o.leavingWorkers[in.ID] = in.Leaving
 		if in.Leaving {
 			o.handleEvent(scheduler.Event{WorkerLeaving: &scheduler.WorkerLeaving{ID: in.ID}})
 		}
--- a/internal/controller/routes.go
+++ b/internal/controller/routes.go
@@ -26,12 +26,20 @@
 	for _, a := range r.Running {
 		if a.Addr.IsValid() {
 			o.runners[a.Task] = &messenger.Route{
-				Task: string(a.Task), Addr: a.Addr.String(), Worker: worker, Domain: o.shard.name, Slots: runnerSlots, Connections: runnerConnections,
+				Task: string(a.Task), Attempt: a.Attempt, Addr: a.Addr.String(), Worker: worker, Domain: o.shard.name, Slots: runnerSlots, Connections: runnerConnections,
 			}
 		}
 	}
 }
 
+// isLeaving reports whether the runner of a task gets no new requests. A task
+// whose worker is unreachable or lost may have been ending before.
+func (o *owner) isLeaving(t scheduler.Task) bool {
+	w, _ := o.core.LookupWorker(t.Worker)
+	isServing := t.State == scheduler.Running || (t.State == scheduler.Unknown && !t.Cancelling && !t.Evicting)
+	return !isServing || w.State == scheduler.Leaving || o.leavingWorkers[t.Worker]
+}
+
 // publishRoutes publishes a new version of the routing table if the routes
 // have changed. A runner whose task is ending or whose worker is leaving stays
 // in the table as leaving until it has ended.
@@ -41,13 +49,12 @@
 	for _, id := range slices.Sorted(maps.Keys(o.runners)) {
 		route := o.runners[id]
 		t, ok := o.core.Lookup(id)
-		if !ok || t.Worker != route.Worker {
+		if !ok || t.Worker != route.Worker || t.Attempt != route.Attempt {
 			continue
 		}
-		w, _ := o.core.LookupWorker(route.Worker)
 		table.Routes = append(table.Routes, &messenger.Route{
-			Service: t.Owner, Task: route.Task, Addr: route.Addr, Worker: route.Worker, Domain: route.Domain, Slots: route.Slots, Connections: route.Connections,
-			Leaving: (t.State != scheduler.Running && t.State != scheduler.Unknown) || w.State == scheduler.Leaving,
+			Service: t.Owner, Task: route.Task, Attempt: route.Attempt, Addr: route.Addr, Worker: route.Worker, Domain: route.Domain, Slots: route.Slots, Connections: route.Connections,
+			Leaving: o.isLeaving(t),
 		})
 	}
 	if areRoutesEqual(old.Routes, table.Routes) {
@@ -59,6 +66,6 @@
 
 func areRoutesEqual(a, b []*messenger.Route) bool {
 	return slices.EqualFunc(a, b, func(x, y *messenger.Route) bool {
-		return x.Task == y.Task && x.Addr == y.Addr && x.Leaving == y.Leaving
+		return x.Task == y.Task && x.Attempt == y.Attempt && x.Addr == y.Addr && x.Leaving == y.Leaving
 	})
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -150,7 +150,7 @@
 		t.shareBackoffUntil.Store(now + int64(shareBackoff))
 		t.spareBackoffUntil.Store(now + int64(spareBackoff))
 	case leaving:
-		t.isLeaving.Store(true)
+		t.hasEnded.Store(true)
 	case lost:
 		// The target may be slow or gone. The time of the attempt counts as a
 		// latency, so that a slow target is chosen less often.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -52,7 +52,8 @@
 	// tables holds the newest routing table of each shard.
 	tables  map[string]*messenger.RoutingTable
 	targets map[targetKey]*target
-	// leavingWorkers are the workers on leaving instances, as last set.
+	// leavingWorkers are the workers on leaving instances, as last set, in
+	// order.
 	leavingWorkers []string
 	// members holds the ids of the live daemons in order.
 	members []string
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -110,7 +110,7 @@
 			r := newTestRouter(Options{}, route("127.0.0.1:1", "t"))
 			r.options.Self = id
 			r.SetMembers(ids)
-			tg := r.targets[targetKey{"127.0.0.1:1", "t", "s"}]
+			tg := r.targets[targetKey{addr: "127.0.0.1:1", task: "t", service: "s"}]
 			slots += tg.share.Load()
 			connections += int64(tg.pool.limit)
 			c.Check(tg.limit.Load() <= 8, qt.IsTrue)
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -51,27 +51,25 @@
 }
 
 // SetLeaving sets the workers that the platform's list of instances shows as
-// leaving. Their targets get no new requests.
+// leaving. Their targets get no new requests as long as the list shows that.
 func (r *Router) SetLeaving(workers []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.leavingWorkers = workers
-	for _, t := range r.targets {
-		r.markLeaving(t)
+	workers = slices.Sorted(slices.Values(workers))
+	if slices.Equal(workers, r.leavingWorkers) {
+		return
 	}
+	r.leavingWorkers = workers
+	r.rebuild()
 }
 
-// markLeaving marks a target whose worker is leaving. The caller holds r.mu.
-func (r *Router) markLeaving(t *target) {
-	if slices.Contains(r.leavingWorkers, t.worker) {
-		t.isLeaving.Store(true)
-	}
+// targetKey identifies a process of a runner. The address alone does not: it may
+// be used again by the runner of another task, or of a later attempt of the task.
+type targetKey struct {
+	addr, task, service string
+	attempt             uint64
 }
 
-// targetKey identifies a runner. Another task at the same address is another
-// runner.
-type targetKey struct{ addr, task, service string }
-
 // rebuild updates the targets and services from the tables and the members. The
 // caller holds r.mu.
 func (r *Router) rebuild() {
@@ -79,7 +77,7 @@
 	lists := map[string][]*target{}
 	for _, table := range r.tables {
 		for _, route := range table.Routes {
-			key := targetKey{route.Addr, route.Task, route.Service}
+			key := targetKey{route.Addr, route.Task, route.Service, route.Attempt}
 			if targets[key] != nil {
 				continue
 			}
@@ -87,16 +85,14 @@
 			if t == nil {
 				t = r.newTarget(route)
 			}
-			if route.Leaving {
-				t.isLeaving.Store(true)
-			}
+			t.isLeaving.Store(route.Leaving || slices.Contains(r.leavingWorkers, route.Worker))
 			targets[key] = t
 			lists[route.Service] = append(lists[route.Service], t)
 		}
 	}
 	for key, t := range r.targets {
 		if targets[key] == nil {
-			t.isLeaving.Store(true)
+			t.hasEnded.Store(true)
 			t.pool.close()
 		}
 	}
@@ -112,13 +108,11 @@
 }
 
 func (r *Router) newTarget(route *messenger.Route) *target {
-	t := &target{
-		addr: route.Addr, task: route.Task, worker: route.Worker, domain: route.Domain, slots: int(route.Slots), connections: int(route.Connections),
+	return &target{
+		addr: route.Addr, task: route.Task, domain: route.Domain, slots: int(route.Slots), connections: int(route.Connections),
 		service: r.ensureService(route.Service),
 		pool:    &pool{addr: route.Addr, dial: r.options.Dial},
 	}
-	r.markLeaving(t)
-	return t
 }
 
 // memberIndex returns the index of this daemon among the members, and their
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -28,7 +28,7 @@
 	latencyWeight = 0.1
 )
 
-// target is a runner to which requests are sent.
+// target is one process of a runner, to which requests are sent.
 type target struct {
 	addr, task, domain string
 	worker             string
@@ -41,7 +41,12 @@
 	// spare slots, which are assigned to other daemons and free.
 	share, limit atomic.Int64
 	outstanding  atomic.Int64
-	isLeaving    atomic.Bool
+	// isLeaving is set while the newest routing table or the newest list of
+	// instances shows the target as leaving.
+	isLeaving atomic.Bool
+	// hasEnded is set once the target has refused a request because it leaves,
+	// or is in no routing table any more. Neither changes for a process.
+	hasEnded atomic.Bool
 	// This daemon sends nothing to the target before shareBackoffUntil and
 	// downUntil, and nothing in spare slots before spareBackoffUntil. The times
 	// are those of the router's clock.
@@ -95,10 +100,13 @@
 	return float64(t.outstanding.Load()+1) * (t.latency.decayed(now) + float64(10*time.Microsecond))
 }
 
+// isAvailable reports whether the target takes new requests.
+func (t *target) isAvailable() bool { return !t.isLeaving.Load() && !t.hasEnded.Load() }
+
 // acquire takes a slot of this daemon's share, or, if mayUseSpare is set, any
 // free slot. It reports whether a request may be sent; release must follow.
 func (t *target) acquire(now int64, mayUseSpare bool) bool {
-	if t.isLeaving.Load() || now < t.downUntil.Load() || now < t.shareBackoffUntil.Load() {
+	if !t.isAvailable() || now < t.downUntil.Load() || now < t.shareBackoffUntil.Load() {
 		return false
 	}
 	allowed := t.share.Load()
@@ -225,7 +233,7 @@
 	var n int64
 	for _, ts := range *s.tiers.Load() {
 		for _, t := range ts {
-			if !t.isLeaving.Load() {
+			if t.isAvailable() {
 				n += t.limit.Load()
 			}
 		}
--- a/standins/emulator/restart_test.go
+++ b/standins/emulator/restart_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"tarragonhead.example/tarragonhead/internal/declarer"
 )
 
 // TestRestartedWorker guards against tasks that are lost or run twice when the
@@ -41,3 +43,39 @@
 		}
 	}
 }
+
+// TestLeavingRoutesOfUnreachableWorker guards against a runner that gets new
+// requests again because its worker, which was leaving, has become unreachable.
+func TestLeavingRoutesOfUnreachableWorker(t *testing.T) {
+	o := oneDomain
+	o.Services = []declarer.Service{{Name: "web", Team: "team", Replicas: 8, Resources: taskSize}}
+	runSystem(t, o, func(c *quicktest.C, s *System) {
+		count := func() (all, leaving int) {
+			owner := s.Owner("a")
+			if owner == nil {
+				return 0, 0
+			}
+			for _, r := range owner.Controller.Routes("a").GetRoutes() {
+				if r.Worker != "a-w0" {
+					continue
+				}
+				all++
+				if r.Leaving {
+					leaving++
+				}
+			}
+			return all, leaving
+		}
+		_, ok := WaitUntil(20*time.Second, func() bool { all, _ := count(); return all == 4 })
+		c.Assert(ok, quicktest.IsTrue)
+		s.Store.SetLeaving("a-w0", true)
+		_, ok = WaitUntil(10*time.Second, func() bool { _, leaving := count(); return leaving == 4 })
+		c.Assert(ok, quicktest.IsTrue)
+		s.Owner("a").Link("a-w0").DropRequests.Store(true)
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			all, leaving := count()
+			c.Assert(leaving, quicktest.Equals, all)
+		}
+	})
+}
