Let a worker get work again that is no longer listed as leaving

A worker that was leaving and came back within its leases, or from which the platform took the mark away, got no work any more: only the loss of the worker led out of the state leaving. A process that restarts quickly is never lost, so it inherited the state of the process that had its id before.

A worker is leaving now as long as the newest list of instances shows it so.

--- a/internal/controller/intake.go
+++ b/internal/controller/intake.go
@@ -77,7 +77,7 @@
 
 // handleInstances opens a session with each listed worker of the shard's domain
 // that has none, replaces the session of a worker whose address has changed, and
-// tells the core which workers are leaving.
+// tells the core which workers are leaving and which no longer are.
 func (o *owner) handleInstances(list []dispatcher.Instance) {
 	for _, in := range list {
 		if in.Role != dispatcher.RoleWorker || in.Domain != o.shard.name {
@@ -92,8 +92,12 @@
 			o.replaceSession(old, seen)
 		}
 		o.leavingWorkers[in.ID] = in.Leaving
-		if in.Leaving {
+		w, _ := o.core.LookupWorker(in.ID)
+		switch {
+		case in.Leaving:
 			o.handleEvent(scheduler.Event{WorkerLeaving: &scheduler.WorkerLeaving{ID: in.ID}})
+		case w.State == scheduler.Leaving:
+			o.handleEvent(scheduler.Event{WorkerStaying: &scheduler.WorkerStaying{ID: in.ID}})
 		}
 	}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -207,6 +207,8 @@
 		c.handOverAll(e.ForeignOwner.To)
 	case e.WorkerLeaving != nil:
 		c.transitionWorker(e.WorkerLeaving.ID, "leave", "worker is listed as leaving")
+	case e.WorkerStaying != nil:
+		c.transitionWorker(e.WorkerStaying.ID, "stay", "worker is no longer listed as leaving")
 	case e.Report != nil:
 		c.handleReport(now, e.Report)
 	case e.StartRefused != nil:
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -17,6 +17,7 @@
 	Unreachable     *WorkerUnreachable
 	ForeignOwner    *ForeignOwner
 	WorkerLeaving   *WorkerLeaving
+	WorkerStaying   *WorkerStaying
 	Report          *WorkerReport
 	StartRefused    *StartRefused
 	Offered         *TransferOffered
@@ -118,6 +119,10 @@
 // WorkerLeaving reports that a worker accepts no new work.
 type WorkerLeaving struct{ ID string }
 
+// WorkerStaying reports that a worker that was leaving accepts new work again,
+// or that another process has its id.
+type WorkerStaying struct{ ID string }
+
 // WorkerReport is the status of one worker.
 type WorkerReport struct {
 	Worker string
--- a/internal/scheduler/matrix_worker_test.go
+++ b/internal/scheduler/matrix_worker_test.go
@@ -56,6 +56,7 @@
 var triggerWorkerEvent = map[string]func(*world){
 	"suspect":    func(w *world) { failJobs(w, workerSuspectThreshold) },
 	"leave":      leaveWorker,
+	"stay":       func(w *world) { w.east().step(Event{WorkerStaying: &WorkerStaying{suspectID}}) },
 	"lose":       loseSuspect,
 	"clear":      func(w *world) { w.clearFaults(); w.submit("c", 2); w.run(6 * time.Second) },
 	"quarantine": func(w *world) { failJobs(w, 1); w.run(3 * time.Second) },
--- a/standins/emulator/restart_test.go
+++ b/standins/emulator/restart_test.go
@@ -1,12 +1,14 @@
 package emulator
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/scheduler"
 )
 
 // TestRestartedWorker guards against tasks that are lost or run twice when the
@@ -44,6 +46,56 @@
 	}
 }
 
+// TestReplacementOfLeavingWorker guards against a worker that gets no work because
+// an earlier process with its id was leaving, or because the platform had listed
+// it as leaving for a while.
+func TestReplacementOfLeavingWorker(t *testing.T) {
+	for name, restart := range map[string]bool{"restarted": true, "not restarted": false} {
+		t.Run(name, func(t *testing.T) {
+			runSystem(t, oneDomain, func(c *quicktest.C, s *System) {
+				startJob(c, s, "a", 20, 20*time.Second)
+				isLeaving := func() bool {
+					return slices.ContainsFunc(s.Report("a").Workers, func(w scheduler.Worker) bool { return w.ID == "a-w0" && w.State == scheduler.Leaving })
+				}
+				s.Store.SetLeaving("a-w0", true)
+				_, ok := WaitUntil(10*time.Second, isLeaving)
+				c.Assert(ok, quicktest.IsTrue)
+				if restart {
+					s.Restart("a-w0", "a-w0")
+				}
+				s.Store.SetLeaving("a-w0", false)
+				time.Sleep(5 * time.Second)
+				c.Assert(isLeaving(), quicktest.IsFalse)
+				awaitJob(c, s, "a", 20, 5*time.Minute)
+				before := countStartsOn(s, "a-w0")
+				s.Submit("a", job("k", 30, time.Second))
+				_, ok = WaitUntil(time.Minute, func() bool { return countDone(s, "a", "k") == 30 })
+				c.Assert(ok, quicktest.IsTrue)
+				c.Assert(countStartsOn(s, "a-w0") > before, quicktest.IsTrue)
+			})
+		})
+	}
+}
+
+// countStartsOn returns how many attempts the present processes with a worker's
+// id have started.
+func countStartsOn(s *System, id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, w := range s.workers {
+		if w.Process().Worker != id {
+			continue
+		}
+		for _, r := range w.Recorded() {
+			if r.End.IsZero() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // TestLeavingRoutesOfUnreachableWorker guards against a runner that gets new
 // requests again because its worker, which was leaving, has become unreachable.
 func TestLeavingRoutesOfUnreachableWorker(t *testing.T) {
