Stop withdrawn starts on a new process of the same id

A start that is not answered may take effect seconds later. The owner stops it, and after the answer to the stop the process refuses the start. A new process under the same id knows nothing of the stop: it carried the start out, beside another run of the task or after its acknowledged end. replaceProcess stopped only starts that were still pending.

Withdrawn starts are now remembered for 10 s. The owner polls the worker as long, and stops them on a process that takes the id. Ruled out: leases (none expired) and a new owner (the epoch did not change between).

A start that arrives between the birth of the process and the stop still runs. Nothing in a start tells the process apart: its fence is 0, its clock starts anew and the id is the expected one.

TestWithdrawnStartReachesNewProcessOfSameID failed before ("task runs elsewhere" and "task is done": no stop is sent), and with the poll alone left out ("task runs elsewhere").

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -144,6 +144,9 @@
 		case r.state == "running" && r.startedAt.Before(sent):
 			p.endRun(r, "vanish", "not listed")
 		case r.state == "settling" && r.stopConfirmed.Before(sent):
+			if !r.isListed {
+				w.addWithdrawn(sent, withdrawnStart{r.id, r.startedAt})
+			}
 			p.endRun(r, "vanish", "stopped")
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -379,8 +379,8 @@
 	// poll that is answered immediately tells sooner.
 	IsContested bool
 	// NeedsPoll is set when the worker has runs, has ends to acknowledge, is
-	// contested, has not answered this owner yet, or is listed and did not
-	// answer the last call.
+	// contested, has not answered this owner yet, is listed and did not answer
+	// the last call, or may get a start late.
 	NeedsPoll bool
 }
 
@@ -395,7 +395,7 @@
 			needsPoll = false
 		}
 		isSilent := w.isListed && !w.failedSince.IsZero()
-		needsPoll = needsPoll || w.isContested || isSilent
+		needsPoll = needsPoll || w.isContested || isSilent || w.mayStartLate(now)
 		contact := Contact{Worker: *w, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll}
 		if now.Sub(w.polledAt) <= acknowledgeWindow {
 			contact.Acknowledge = w.acknowledged
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -100,11 +100,50 @@
 	}
 }
 
+// lateStartLimit is how long after it was sent a start may still take effect.
+const lateStartLimit = 10 * time.Second
+
+// withdrawnStart is a start that a worker's process will refuse.
+type withdrawnStart struct {
+	run  RunID
+	sent time.Time
+}
+
+func (s withdrawnStart) isPast(now time.Time) bool { return now.Sub(s.sent) > lateStartLimit }
+
+// addWithdrawn adds a withdrawn start and forgets those that are past.
+func (w *Worker) addWithdrawn(now time.Time, s withdrawnStart) {
+	w.withdrawn = append(slices.DeleteFunc(w.withdrawn, func(o withdrawnStart) bool { return o.isPast(now) }), s)
+}
+
+// mayStartLate reports whether a withdrawn start may still take effect, should
+// another process take the worker's id. Only polls tell soon enough that one has.
+func (w *Worker) mayStartLate(now time.Time) bool {
+	return slices.ContainsFunc(w.withdrawn, func(s withdrawnStart) bool { return !s.isPast(now) })
+}
+
+// restoreWithdrawn returns runs for the withdrawn starts of a worker that may still
+// take effect.
+func (p *Planner) restoreWithdrawn(now time.Time, w *Worker) []*run {
+	var list []*run
+	for _, s := range w.withdrawn {
+		t := p.findTask(s.run.TaskID)
+		if t == nil || s.isPast(now) {
+			continue
+		}
+		r := &run{id: s.run, task: t, state: p.chart.Start(), startedAt: s.sent, pace: 100, targetPace: 100}
+		t.runs = append(t.runs, r)
+		t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
+		list = append(list, r)
+	}
+	return list
+}
+
 // replaceProcess replaces a worker by the process that was started at the given
 // time under the same id, and returns the new worker. Its description is that of
 // the ended process until the list shows its own. A start that the ended process
 // has never listed may have been sent to it and still reach the new one, so the
-// new worker takes over such runs in order to stop them.
+// new worker takes over such runs, withdrawn ones too, in order to stop them.
 func (p *Planner) replaceProcess(now time.Time, w *Worker, born int64) *Worker {
 	var pending []*run
 	for _, r := range runsOf(w) {
@@ -113,6 +152,7 @@
 			w.removeRun(r)
 		}
 	}
+	pending = append(pending, p.restoreWithdrawn(now, w)...)
 	n := &Worker{
 		ID: w.ID, Born: born, Address: w.Address, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels,
 		Capacity: w.Capacity, missingSince: now, leaseEnd: w.leaseEnd, isUnverified: w.isUnverified,
--- a/internal/planner/process_test.go
+++ b/internal/planner/process_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -169,6 +170,48 @@
 	}
 }
 
+// TestWithdrawnStartReachesNewProcessOfSameID guards against a run of a task whose
+// start was withdrawn from a process that has ended and then reaches the one that
+// has its id, which knows nothing of the stop.
+func TestWithdrawnStartReachesNewProcessOfSameID(t *testing.T) {
+	for name, tt := range map[string]struct {
+		// do acts on the second start of the task.
+		do     func(d *driver, again planner.Command)
+		age    time.Duration
+		isSent bool
+	}{
+		"task runs elsewhere": {func(*driver, planner.Command) {}, time.Second, true},
+		"task is done":        {func(d *driver, again planner.Command) { d.endRun(again, planner.EndDone); d.commit() }, time.Second, true},
+		"long ago":            {func(*driver, planner.Command) {}, 20 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, other := worker("a", 8), worker("c", 8)
+			d := newDriver(t, 1, w, other).registerWorkers()
+			d.p.SetEvacuatedDomains([]string{other.Domain})
+			d.add(job("1", step(1, 1)))
+			start := d.p.Plan(d.now, d.proven())[0]
+			d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Unclear, "")
+			d.p.StopAnswered(d.now, start.Run, start.WorkerID)
+			d.advance(time.Millisecond)
+			d.answer(w, d.now, 1)
+			d.p.SetEvacuatedDomains([]string{w.Domain})
+			again := d.startTasks()
+			d.Assert(again, quicktest.HasLen, 1)
+			tt.do(d, again[0])
+			d.advance(tt.age)
+			d.answer(w, d.now, 1)
+			d.p.Plan(d.now, d.proven())
+			isPolled := slices.ContainsFunc(d.p.Contacts(d.now), func(c planner.Contact) bool { return c.ID == w.ID && c.NeedsPoll })
+			d.Assert(isPolled, quicktest.Equals, tt.isSent)
+			d.answer(w, d.now, 2)
+			isSent := slices.ContainsFunc(d.p.Plan(d.now, d.proven()), func(o planner.Command) bool {
+				return o.Kind == planner.StopRun && o.Run == start.Run && o.WorkerID == w.ID
+			})
+			d.Assert(isSent, quicktest.Equals, tt.isSent)
+		})
+	}
+}
+
 // TestEndsOfNewProcessAreRead guards against ends that are skipped because the
 // worker's earlier process had listed more of them.
 func TestEndsOfNewProcessAreRead(t *testing.T) {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -276,6 +276,9 @@
 	// runsInOrder holds the same runs in order of arrival, so that decisions do
 	// not depend on the iteration order of a map.
 	runsInOrder []*run
+	// withdrawn holds the starts that the process was told to stop before it
+	// listed them. The process refuses them, but one that takes its id would not.
+	withdrawn []withdrawnStart
 	// reservation is the task for which the worker is reserved, if any.
 	reservation reservation
 	// hasUnknownRuns is set when the worker lists runs of unknown jobs. The
