--- a/internal/planner/withdraw.go
+++ b/internal/planner/withdraw.go
@@ -6,13 +6,14 @@
 )
 
 // lateStartLimit is how long after it was sent an unanswered start may still be
-// carried out: seconds, says the workers' protocol. The lease that it carries
-// limits it to 6 s, but not on a new process, whose clock starts anew.
+// carried out. Workers carry out late orders up to 12 s after they were sent. The
+// lease in a start doesn't limit that on a new process, whose clock starts anew.
 const lateStartLimit = 15 * time.Second
 
 // withdrawnStart is an unanswered start whose run has ended. The process that
 // confirmed the stop rejects the start if it arrives late. A new process with the
-// same id would carry it out, so the stop is sent there too.
+// same id would carry it out, so the stop is sent there too. The worker is polled
+// meanwhile, so that a new process is noticed before the start arrives.
 type withdrawnStart struct {
 	run RunID
 	// sentAt is when the start was sent, and stopSent when the stop was last sent
