Ignore changes that a newer read of the prefix already has

A follower restored an entry that was removed, if an older read, or an older answer of a watch, arrived after a read that no longer had the entry, and the copy had never had it: only removals of known entries were remembered. A removed owner, operators' key or announced room came back until the next read, within a second; the readers of these keys then took an ended owner for the present one, which can delay a takeover by that time.

Cause: the order of arrival was taken for the order of the changes. A read has every change up to its revision, so such a change that arrives later is obsolete, whether or not the copy has the key.

TestObsoleteChange fails in both cases without the change. Prefixes that are only watched (the jobs) have one reader and were not affected.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -59,6 +59,9 @@
 	// removed has the revision at which a key was removed, or an upper bound of
 	// it.
 	removed map[string]tombstone
+	// readRevision is the highest revision of a read of the prefix. The copy has
+	// every change up to it, so such a change that arrives later is obsolete.
+	readRevision uint64
 	// watchRevision is the revision after which the next watch starts; zero if
 	// the prefix must be read first.
 	watchRevision uint64
@@ -170,6 +173,7 @@
 			changes = append(changes, event)
 		}
 	}
+	f.readRevision = max(f.readRevision, revision)
 	if f.watchRevision == 0 {
 		f.watchRevision = revision
 	}
@@ -187,6 +191,9 @@
 
 // isNewer reports whether an event is newer than the copy.
 func (f *Follower) isNewer(e storeclient.Event) bool {
+	if e.Revision <= f.readRevision {
+		return false
+	}
 	known, ok := f.revisions[e.Key]
 	if e.Removed {
 		return ok && e.Revision > known
