Replay workers that restart quickly

The fault kinds restart and restart_same_id end a worker's process and start a new one at its address. The list of workers, in any order, shows the ended process until its entry expires, and sometimes again after a late write. The new process has a new id or the same one, a start time that may be earlier, and numbers of ends and a clock of its own; it answers the calls for the ended one, and carries out late commands if it has the same id. Owners keep a session for each process, as the conductor does.

The checks now also count a start after the last failed attempt. An end that was voided once is no longer voided again in each tick, which hid a later second run. A start whose lease has expired is refused on every path. A process that has ended carries out no late command; before, a crashed one did until it was replaced.

--- a/standins/cmd/replay/main.go
+++ b/standins/cmd/replay/main.go
@@ -21,7 +21,7 @@
 	scale := app.Flag("scale", "Size relative to that of the deployment.").Default("1").Float64()
 	seeds := app.Flag("seeds", "Number of seeds, starting at 1.").Default("8").Int()
 	parallelism := app.Flag("jobs", "Number of replays to run concurrently.").Default("4").Int()
-	faults := app.Flag("fault", "Fault such as burst:8s:6s:0:2.6 (kind:at:for:share:factor); may be repeated.").Strings()
+	faults := app.Flag("fault", "Fault such as burst:8s:6s:0:2.6 or restart:6s:500ms:0.3:3 (kind:at:for:share:factor; see replayer.Fault for the kinds); may be repeated.").Strings()
 	trace := app.Flag("trace", "Print the decisions about this job, run or worker, for seed 1 only.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
--- a/standins/replayer/machine.go
+++ b/standins/replayer/machine.go
@@ -20,6 +20,17 @@
 	// ended on this machine. It rejects late starts of these attempts.
 	finishedAttempts map[planner.TaskID]int
 	leaseEnd         time.Time
+	// isDown is set when the process has ended, and no new one has started.
+	isDown bool
+	// isOff is set when the machine is off, so that nothing answers calls.
+	isOff bool
+	// incarnation counts the processes that the machine had before.
+	incarnation int
+	// clockStart is when the process's clock started, and listedAt when the list
+	// of workers first shows it.
+	clockStart, listedAt time.Time
+	// voidedThrough is the number of the last end that was voided.
+	voidedThrough uint64
 
 	// The faults of the machine: it doesn't answer, its tasks make no progress,
 	// its tasks fail, or they take slowness times as long.
@@ -193,13 +204,11 @@
 
 // start executes a start command and reports whether the machine accepted it.
 func (m *machine) start(w *World, c planner.Command, epoch int64, lease time.Time) bool {
-	if epoch < m.epoch || m.finishedAttempts[c.Run.TaskID] >= c.Run.Attempt {
+	if epoch < m.epoch || m.finishedAttempts[c.Run.TaskID] >= c.Run.Attempt || !w.now.Before(lease) {
 		return false
 	}
 	m.epoch = epoch
-	if lease.After(m.leaseEnd) {
-		m.leaseEnd = lease
-	}
+	m.renew(lease)
 	if m.runs[c.Run] != nil {
 		return true
 	}
@@ -212,6 +221,13 @@
 	return true
 }
 
+// renew extends the lease of the machine's runs. A lease never gets shorter.
+func (m *machine) renew(lease time.Time) {
+	if lease.After(m.leaseEnd) {
+		m.leaseEnd = lease
+	}
+}
+
 func (m *machine) stop(w *World, run planner.RunID) {
 	m.finishedAttempts[run.TaskID] = max(m.finishedAttempts[run.TaskID], run.Attempt)
 	if e := m.runs[run]; e != nil && e.stopAt.IsZero() {
@@ -221,7 +237,7 @@
 
 // pollResult returns the machine's answer to a poll.
 func (m *machine) pollResult(w *World, sent time.Time) planner.PollResult {
-	r := planner.PollResult{Sent: sent, Ended: slices.Clone(m.ends)}
+	r := planner.PollResult{Sent: sent, ProcessStart: m.Born, Ended: slices.Clone(m.ends)}
 	for _, e := range m.sortedRuns() {
 		s := planner.RunStatus{Run: e.run, Checkpoint: w.checkpoint(e), Percent: 100}
 		if e.step.LongRunning {
--- a/standins/replayer/replayer.go
+++ b/standins/replayer/replayer.go
@@ -2,7 +2,8 @@
 // any I/O. It counts the invariants that the planner violates and the jobs that
 // it finishes in time. The model has workers whose tasks share CPU, interference
 // that depends on the pair of images, late commands, lost answers, unhealthy
-// workers, outages of the store and changes of the owner.
+// workers, workers that restart while the list still shows the ended process,
+// outages of the store and changes of the owner.
 package replayer
 
 import (
@@ -72,14 +73,17 @@
 	// At is when the fault starts, relative to the start of the replay, and For
 	// how long it lasts.
 	At, For time.Duration
-	// Kind is silent, hang, fail, slow, crash, drain, late, outage, takeover,
-	// split or burst.
+	// Kind is silent, hang, fail, slow, crash, restart, restart_same_id, drain,
+	// late, outage, takeover, split or burst. After a crash the list of workers
+	// no longer shows the ended process. After a restart it does, until the entry
+	// expires.
 	Kind string
 	// Share is the share of the workers or, for late, of the commands that are
 	// affected.
 	Share float64
 	// Factor multiplies the run times for slow and the arrival rate of best-effort
-	// jobs for burst.
+	// jobs for burst. For restarts it is how often each worker restarts, at least
+	// once.
 	Factor float64
 }
 
@@ -159,15 +163,21 @@
 	alwaysFails map[string]bool
 	classOf     map[string]*Class
 	// done holds the tasks that a run has completed, and voided those whose
-	// completion was lost because the lease expired before the end was
-	// acknowledged.
+	// completion was lost because the lease expired or the process ended before
+	// the end was acknowledged. failures counts the failed runs of a task, less
+	// those lost.
 	done, voided map[planner.TaskID]bool
+	failures     map[planner.TaskID]int
 	reportedDone map[string]bool
 
 	storeDown bool
-	// partitioned holds the workers that can be reached only by owners that were
+	// partitioned holds the addresses of the workers that can be reached only by owners that were
 	// replaced.
-	partitioned map[string]bool
+	partitioned map[netip.AddrPort]bool
+	// staleEntries holds the entries of ended processes that the list of workers
+	// shows, and restarts draws what differs between restarts.
+	staleEntries []staleEntry
+	restarts     *rand.Rand
 	// delayedShare is the share of commands that arrive late, and burst
 	// multiplies the arrival rate of best-effort jobs.
 	delayedShare float64
@@ -205,13 +215,15 @@
 	w := &World{
 		pattern: p, onDecision: onDecision, rng: rand.New(rand.NewPCG(seed, 1)), noise: rand.New(rand.NewPCG(seed, 2)), now: origin, origin: origin,
 		accepted: map[string]*planner.Job{}, arrivedAt: map[string]time.Time{}, progress: map[string]planner.Progress{},
-		checkpoints: map[string]time.Duration{}, interferenceCache: map[string]float64{}, salt: strconv.FormatUint(seed, 10), alwaysFails: map[string]bool{}, classOf: map[string]*Class{}, done: map[planner.TaskID]bool{}, voided: map[planner.TaskID]bool{},
+		checkpoints: map[string]time.Duration{}, interferenceCache: map[string]float64{}, salt: strconv.FormatUint(seed, 10), alwaysFails: map[string]bool{}, classOf: map[string]*Class{}, done: map[planner.TaskID]bool{}, voided: map[planner.TaskID]bool{}, failures: map[planner.TaskID]int{}, restarts: rand.New(rand.NewPCG(seed, 3)),
 		reportedDone: map[string]bool{}, burst: 1, credit: map[string]float64{}, overTargetSince: map[planner.RunID]time.Time{}, harmCounted: map[planner.RunID]bool{},
 		targetTimes: map[string]*[2]time.Duration{}, requiredTime: map[string]time.Duration{}, creditedTime: map[string]time.Duration{}, cancelled: map[string]bool{},
 		result: Result{Violations: map[string]int{}, First: map[string]string{}, Classes: map[string]Outcome{}},
 	}
 	for i := range p.Workers {
-		w.machines = append(w.machines, newMachine(p, i, 0))
+		m := newMachine(p, i, 0)
+		m.clockStart = origin
+		w.machines = append(w.machines, m)
 	}
 	w.addOwner()
 	return w
@@ -226,11 +238,11 @@
 	}
 	return &machine{
 		Worker: planner.Worker{
-			ID: fmt.Sprintf("w%03d-%d", i, incarnation), Born: int64(incarnation + 1), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 80),
+			ID: fmt.Sprintf("w%03d-%d", i, incarnation), Born: firstBorn + int64(incarnation), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 80),
 			Service: "service", Domain: "domain" + strconv.Itoa(i%p.Domains), Rack: "rack" + strconv.Itoa(i/8),
 			Labels: []string{"kind", "rack" + strconv.Itoa(i/8)}, Capacity: p.Capacity,
 		},
-		runs: map[planner.RunID]*execution{}, finishedAttempts: map[planner.TaskID]int{},
+		runs: map[planner.RunID]*execution{}, finishedAttempts: map[planner.TaskID]int{}, incarnation: incarnation,
 	}
 }
 
@@ -250,7 +262,7 @@
 	if err != nil {
 		panic(err)
 	}
-	o := &owner{world: w, planner: p, epoch: w.epoch, polling: map[string]bool{}, provenAt: w.now}
+	o := &owner{world: w, planner: p, epoch: w.epoch, sessions: map[string]*session{}, provenAt: w.now}
 	w.owners = append(w.owners, o)
 	for _, r := range w.recorded {
 		p.AddUnverifiedWorker(r)
--- a/standins/replayer/replayer_test.go
+++ b/standins/replayer/replayer_test.go
@@ -38,14 +38,41 @@
 		replayer.Fault{Kind: "silent", At: 9 * time.Second, For: 6 * time.Second, Share: 0.2}, replayer.Fault{Kind: "takeover", At: 10 * time.Second}),
 	"new owner while commands are late": replayer.Cellarlog(scale).With(
 		replayer.Fault{Kind: "late", At: 5 * time.Second, For: 8 * time.Second, Share: 0.1}, replayer.Fault{Kind: "takeover", At: 10 * time.Second}),
-	"partitioned with the owner":          replayer.Cellarlog(scale).With(replayer.Fault{Kind: "split", At: 8 * time.Second, For: 5500 * time.Millisecond, Share: 0.25}),
-	"partitioned with the owner for long": replayer.Cellarlog(scale).With(replayer.Fault{Kind: "split", At: 8 * time.Second, For: 12 * time.Second, Share: 0.25}),
+	"partitioned with the owner":           replayer.Cellarlog(scale).With(replayer.Fault{Kind: "split", At: 8 * time.Second, For: 5500 * time.Millisecond, Share: 0.25}),
+	"partitioned with the owner for long":  replayer.Cellarlog(scale).With(replayer.Fault{Kind: "split", At: 8 * time.Second, For: 12 * time.Second, Share: 0.25}),
+	"quick restarts":                       replayer.Cellarlog(scale).With(restart(5*time.Second, time.Second, 1), restart(14*time.Second, 300*time.Millisecond, 1)),
+	"quick restarts, small workers":        replayer.Tricahue(scale).With(restart(5*time.Second, 500*time.Millisecond, 1), restart(14*time.Second, 4*time.Second, 1)),
+	"quick restarts under the same id":     replayer.Cellarlog(scale).With(restartSameID(5*time.Second, time.Second, 1), restartSameID(14*time.Second, 300*time.Millisecond, 1)),
+	"series of restarts":                   replayer.Cellarlog(scale).With(restart(5*time.Second, 400*time.Millisecond, 6)),
+	"series of restarts under the same id": replayer.Cellarlog(scale).With(restartSameID(5*time.Second, 400*time.Millisecond, 6)),
+	"quick restarts, both ids, in series":  replayer.Cellarlog(scale).With(restart(5*time.Second, 400*time.Millisecond, 4), restartSameID(5500*time.Millisecond, 700*time.Millisecond, 4)),
+	"quick restarts while a new owner takes over": replayer.Cellarlog(scale).With(
+		restart(9*time.Second, time.Second, 1), replayer.Fault{Kind: "takeover", At: 9500 * time.Millisecond}, restartSameID(14*time.Second, time.Second, 1), replayer.Fault{Kind: "takeover", At: 15200 * time.Millisecond}),
+	"quick restarts while commands are late": replayer.Cellarlog(scale).With(
+		replayer.Fault{Kind: "late", At: 5 * time.Second, For: 8 * time.Second, Share: 0.1}, restart(6*time.Second, 500*time.Millisecond, 3)),
+	"quick restarts under the same id while commands are late": replayer.Cellarlog(scale).With(
+		replayer.Fault{Kind: "late", At: 5 * time.Second, For: 8 * time.Second, Share: 0.1}, restartSameID(6*time.Second, 500*time.Millisecond, 3)),
+	"quick restarts while partitioned with the owner": replayer.Cellarlog(scale).With(
+		replayer.Fault{Kind: "split", At: 8 * time.Second, For: 5500 * time.Millisecond, Share: 0.25}, restart(9*time.Second, time.Second, 2), restartSameID(11*time.Second, 500*time.Millisecond, 2)),
+	"quick restarts during an outage": replayer.Cellarlog(scale).With(
+		replayer.Fault{Kind: "outage", At: 8 * time.Second, For: 5 * time.Second}, restart(8500*time.Millisecond, time.Second, 2), restartSameID(10*time.Second, 700*time.Millisecond, 2)),
 	"new owner during an outage": replayer.Cellarlog(scale).With(
 		replayer.Fault{Kind: "outage", At: 8 * time.Second, For: 3 * time.Second}, replayer.Fault{Kind: "takeover", At: 11 * time.Second}),
 }
 
-// TestInvariants guards against concurrent runs of one task, overcommitted
-// workers, steps out of order, lost jobs, jobs reported as done too early, and
+// restart returns a fault with which a third of the workers end and are back
+// under a new id after the given time, as often as times says.
+func restart(at, away time.Duration, times float64) replayer.Fault {
+	return replayer.Fault{Kind: "restart", At: at, For: away, Share: 0.3, Factor: times}
+}
+
+// restartSameID is like restart, but the workers keep their ids.
+func restartSameID(at, away time.Duration, times float64) replayer.Fault {
+	return replayer.Fault{Kind: "restart_same_id", At: at, For: away, Share: 0.3, Factor: times}
+}
+
+// TestInvariants guards against concurrent runs of one task, runs after the last
+// attempt or after a noted end, overcommitted workers, steps out of order, lost jobs, jobs reported as done too early, and
 // long-running tasks that best-effort tasks hold over their latency target.
 func TestInvariants(t *testing.T) {
 	for name, p := range patterns {
