Send a request to a runner with the task that is meant

A request named its target by address alone. Where the runner of another service had the address of one that had ended, it ran the request and echoed its id, so that the caller got the complete response of a service that it had not asked. The routing table showed the old runner for up to 10 s if its worker was lost with it.

Cause: as with the workers, the address was taken as proof of who answers. The id of a request tells apart requests, not runners.

Each request carries the task in Runner-Task. A runner of another task refuses it like one that is leaving: it has not run, is tried elsewhere, and the target gets nothing more. A later attempt of the same task may answer, since it serves the same requests. A caller's own Runner-Task is dropped, as Deadline-Ms is.

TestRequestIsPassedOn now asks for the header too.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -98,7 +98,7 @@
 	if c.isBusy.Swap(true) {
 		p.router.reportViolation("one_request_per_connection", "two requests on a connection to "+t.addr)
 	}
-	p.buffer = encodeAttempt(p.buffer, p.head, p.body, t.addr, span.Traceparent(), p.deadline.Sub(start))
+	p.buffer = encodeAttempt(p.buffer, p.head, p.body, t.addr, t.task, span.Traceparent(), p.deadline.Sub(start))
 	outcome, isReusable, err := p.exchangeWithHedge(t, c, response)
 	now := time.Now()
 	c.isBusy.Store(false)
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -194,7 +194,7 @@
 var hopByHopRequestHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Upgrade", "Expect", "Transfer-Encoding"}
 
 // encodeHead sets the head that all attempts share. encodeAttempt adds the
-// host and the deadline, which differ between attempts.
+// host, the runner's task and the deadline, which differ between attempts.
 func (p *pendingRequest) encodeHead(h *fasthttp.RequestHeader, uri []byte) {
 	p.span = p.router.options.Tracer.Start(h.Peek(TraceparentHeader), "request")
 	if p.span != nil {
@@ -204,6 +204,7 @@
 		h.Del(name)
 	}
 	h.Del(DeadlineHeader)
+	h.Del(RunnerTaskHeader)
 	h.ResetConnectionClose()
 	h.SetProtocol("HTTP/1.1")
 	h.SetNoDefaultContentType(true)
@@ -221,10 +222,12 @@
 
 // encodeAttempt encodes the whole request for one target into buffer and
 // returns it.
-func encodeAttempt(buffer, head, body []byte, addr, traceparent string, remaining time.Duration) []byte {
+func encodeAttempt(buffer, head, body []byte, addr, task, traceparent string, remaining time.Duration) []byte {
 	buffer = append(buffer[:0], head...)
 	buffer = append(buffer, "Host: "...)
 	buffer = append(buffer, addr...)
+	buffer = append(buffer, "\r\n"+RunnerTaskHeader+": "...)
+	buffer = append(buffer, task...)
 	buffer = append(buffer, "\r\n"+DeadlineHeader+": "...)
 	buffer = strconv.AppendInt(buffer, max(1, remaining.Milliseconds()), 10)
 	if traceparent != "" {
--- a/internal/router/result.go
+++ b/internal/router/result.go
@@ -9,10 +9,13 @@
 // The headers of a request and its response. The values of the headers that end
 // in Ms are integers in milliseconds. TimeoutHeader is how long the caller waits
 // for a response; DeadlineHeader, which targets get, is what remains of that time
-// when an attempt is sent.
+// when an attempt is sent. RunnerTaskHeader, which targets get too, names the task
+// of the runner that the request is meant for: another runner may have the address
+// by now, and refuses the request like one that is leaving.
 const (
 	RequestIDHeader      = "Request-Id"
 	DeadlineHeader       = "Deadline-Ms"
+	RunnerTaskHeader     = "Runner-Task"
 	TimeoutHeader        = "Request-Timeout-Ms"
 	ClassHeader          = "Request-Class"
 	IdempotencyKeyHeader = "Idempotency-Key"
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -73,11 +73,11 @@
 	r := newTestRouter(Options{}, route(addr, "t"))
 	ctx := sendRequest(r, call{
 		method: "POST", path: "/v1/services/s/a%2Fb?q=%20x", id: "id-1", timeout: "3000", body: "hello",
-		headers: map[string]string{"Traceparent": "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", "Te": "trailers", "X-Own": "1", DeadlineHeader: "9"},
+		headers: map[string]string{"Traceparent": "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", "Te": "trailers", "X-Own": "1", RunnerTaskHeader: "spoofed", DeadlineHeader: "9"},
 	})
 	c.Check(resultOf(ctx), qt.Equals, "ok")
 	got := <-seen
-	for _, want := range []string{"POST /a%2Fb?q=%20x HTTP/1.1", "Request-Id: id-1", "X-Own: 1", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", "Host: " + addr, "Content-Length: 5", "\r\n\r\nhello"} {
+	for _, want := range []string{"POST /a%2Fb?q=%20x HTTP/1.1", "Request-Id: id-1", "X-Own: 1", "Runner-Task: t\r\n", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", "Host: " + addr, "Content-Length: 5", "\r\n\r\nhello"} {
 		c.Check(got, qt.Contains, want)
 	}
 	c.Check(got, qt.Not(qt.Contains), "Te:")
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -82,7 +82,8 @@
 	id := string(ctx.Request.Header.Peek(router.RequestIDHeader))
 	ctx.Response.Header.Set(router.RequestIDHeader, id)
 	fault := r.faults.choose(string(ctx.QueryArgs().Peek("fault")))
-	if r.leaving.Load() {
+	task := string(ctx.Request.Header.Peek(router.RunnerTaskHeader))
+	if r.leaving.Load() || (task != "" && task != r.options.Name) {
 		refuse(ctx, fasthttp.StatusServiceUnavailable, router.AdmissionLeaving)
 		return
 	}
