Measure the delay of starts against the clock of the present owner

A worker kept the smallest difference between its own time and that of any sender. After an owner whose clock was ahead, the starts of the next owner looked late by that difference: above 1 s the worker refused them all, and it shortened their leases by it, until it restarted.

Cause: the clock of one process was taken for that of another. Differences are kept for one epoch now.

TestOwnersWithDifferentClocks failed before: "start request was delayed by 9.999999335s, longer than its validity of 1s". It also checks that a late start is still refused.

--- a/standins/worker/worker.go
+++ b/standins/worker/worker.go
@@ -59,8 +59,8 @@
 	attempts map[string]uint64
 	running  map[string]*runningAttempt
 	ended    map[dispatcher.AttemptName]dispatcher.EndedStatus
-	// minOffset is the smallest difference seen between this clock at the
-	// arrival and the sender's clock at the sending of a message.
+	// minOffset is the smallest difference seen in this epoch between this clock
+	// at the arrival and the owner's clock at the sending of a message.
 	minOffset    time.Duration
 	hasMinOffset bool
 	samples      []sample
@@ -130,7 +130,10 @@
 	if epoch < w.epoch {
 		return &RefusedError{fmt.Sprintf("epoch %d is below the highest seen epoch %d", epoch, w.epoch), w.epoch}
 	}
-	w.epoch = epoch
+	if epoch > w.epoch {
+		// Offsets to the clocks of different owners can't be compared.
+		w.epoch, w.hasMinOffset = epoch, false
+	}
 	return nil
 }
 
--- a/standins/worker/worker_test.go
+++ b/standins/worker/worker_test.go
@@ -83,3 +83,22 @@
 	var other *OtherProcessError
 	c.Assert(errors.As(err, &other), quicktest.IsTrue)
 }
+
+// TestOwnersWithDifferentClocks guards against a start that is refused as late
+// because the clock of an earlier owner was ahead.
+func TestOwnersWithDifferentClocks(t *testing.T) {
+	c := quicktest.New(t)
+	w := New(Options{ID: "w"})
+	const ahead = 10 * time.Second
+	renew := func(epoch uint64, at time.Time) {
+		_, err := w.Renew(dispatcher.RenewRequest{Process: w.Process(), Epoch: epoch, SentAt: at})
+		c.Assert(err, quicktest.IsNil)
+	}
+	start := func(epoch, attempt uint64, at time.Time) error {
+		return w.Start(dispatcher.StartRequest{Process: w.Process(), Epoch: epoch, SentAt: at, ValidFor: time.Second, Task: "t", Attempt: attempt, Class: declarer.ClassBatch, Lease: time.Minute})
+	}
+	renew(1, time.Now().Add(ahead))
+	renew(2, time.Now())
+	c.Assert(start(2, 1, time.Now().Add(-2*time.Second)), quicktest.ErrorMatches, ".*longer than its validity.*")
+	c.Assert(start(2, 1, time.Now()), quicktest.IsNil)
+}
