Soak with restarts of daemons and workers that overlap

The soak lacked: daemons that are back at once under their name and address, several at once, a signal during a start, an outage of the whole store, a pause across restarts of workers, a worker killed several times between two polls, a worker at the address of one that left (drained and removed, or expired), and connections that stay silent when they are opened while a worker is without power. A third injector adds these with random numbers of its own, so that the faults of other injectors stay those of the seed.

The end of an earlier fault cleared a later one: impairments of a proxy, shares of calls and pauses are now kept for each fault (TestOverlappingFaultsEndSeparately). Overlapping restarts were already guarded; TestOverlappingRestartsStartOneProcess shows it. TestEndedWorker covers the entry and the connections of an ended worker.

A violation says whether the start was sent to an earlier process of the worker, since no owner can prevent such a start before it knows of the new process. It still counts.

Listening is now retried for a second while the address is in use, and killing an ended process does nothing. SIGHUP goes only to processes older than a second: sent 0, 5 and 10 ms after the start it ended tarragond, from 20 ms on it did not.

--- a/standins/cmd/soak/main.go
+++ b/standins/cmd/soak/main.go
@@ -48,7 +48,7 @@
 			app.FatalIfError(err, "seed %d", seed)
 			mu.Lock()
 			defer mu.Unlock()
-			fmt.Printf("seed %d: %d jobs, %d accepted, %d starts, %d runs killed, %d faults injected, %d guarantees violated\n", seed, r.Jobs, r.Accepted, r.Starts, r.Kills, len(r.InjectedFaults), len(r.Violations))
+			fmt.Printf("seed %d: %d jobs, %d accepted, %d starts, %d workers restarted, %d runs killed, %d faults injected, %d guarantees violated\n", seed, r.Jobs, r.Accepted, r.Starts, r.Restarts, r.Kills, len(r.InjectedFaults), len(r.Violations))
 			for _, v := range r.Violations {
 				fmt.Println("  violated:", v)
 			}
--- /dev/null
+++ b/standins/platformer/ended_test.go
@@ -0,0 +1,78 @@
+package platformer_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/storeclient"
+	"tarragonhead.example/tarragonhead/standins/platformer"
+)
+
+// TestEndedWorker guards against a stand-in that shows less of an ended process than
+// the platform does: its entry, and connections to its address.
+func TestEndedWorker(t *testing.T) {
+	for name, tt := range map[string]struct {
+		restart platformer.Restart
+		// stateBefore and stateAfter are the states in the entry while the process
+		// may drain and after its end; empty for no entry.
+		stateBefore, stateAfter string
+		isRefused               bool
+	}{
+		"killed":         {platformer.Restart{}, "ready", "ready", true},
+		"without power":  {platformer.Restart{IsSilent: true}, "ready", "ready", false},
+		"left":           {platformer.Restart{DrainTime: 400 * time.Millisecond}, "draining", "", true},
+		"left, put back": {platformer.Restart{DrainTime: 400 * time.Millisecond, LateWriteDelay: 10 * time.Millisecond}, "draining", "draining", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			p, err := platformer.New(platformer.Options{Directory: t.TempDir(), Workers: 1, TaskDuration: time.Second})
+			c.Assert(err, quicktest.IsNil)
+			t.Cleanup(p.Stop)
+			w := p.Workers[0]
+			var entry struct {
+				Address string `json:"addr"`
+				State   string `json:"state"`
+			}
+			readState := func() string {
+				e, err := p.Keeper.Store().Get(context.Background(), "servers/"+w.Name())
+				var notFound *storeclient.NotFoundError
+				if errors.As(err, &notFound) {
+					return ""
+				}
+				c.Assert(err, quicktest.IsNil)
+				c.Assert(json.Unmarshal(e.Value, &entry), quicktest.IsNil)
+				return entry.State
+			}
+			c.Assert(readState(), quicktest.Equals, "ready")
+			tt.restart.Downtime = time.Second
+			restarted := make(chan error, 1)
+			go func() { restarted <- w.Restart(tt.restart) }()
+			time.Sleep(tt.restart.DrainTime / 2)
+			c.Assert(readState(), quicktest.Equals, tt.stateBefore)
+			time.Sleep(tt.restart.DrainTime/2 + 300*time.Millisecond)
+			c.Assert(readState(), quicktest.Equals, tt.stateAfter)
+			conn, err := net.Dial("tcp4", entry.Address)
+			c.Assert(err != nil, quicktest.Equals, tt.isRefused)
+			if err == nil {
+				defer func() { _ = conn.Close() }()
+				_, err = conn.Write([]byte("POST /v1/hold HTTP/1.1\r\nHost: w\r\nContent-Length: 2\r\n\r\n{}"))
+				c.Assert(err, quicktest.IsNil)
+				c.Assert(conn.SetReadDeadline(time.Now().Add(200*time.Millisecond)), quicktest.IsNil)
+				_, err = conn.Read(make([]byte, 1))
+				c.Assert(errors.Is(err, os.ErrDeadlineExceeded), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			}
+			c.Assert(<-restarted, quicktest.IsNil)
+			conn, err = net.Dial("tcp4", entry.Address)
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(conn.Close(), quicktest.IsNil)
+		})
+	}
+}
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -70,6 +70,9 @@
 	Process int
 	Task    string
 	Attempt int
+	// IsFromEarlier says, of a start, that it was sent to an earlier process of the
+	// worker, whose id the process has.
+	IsFromEarlier bool
 	// Kind is "start" when the run starts, and "done", "failed", "stopped" or
 	// "lapsed" when it ends as done, failed, stopped or with an expired lease. It is
 	// "noted" when that end is acknowledged, or "void" if before that the lease
@@ -109,6 +112,8 @@
 	control string
 	command *exec.Cmd
 	done    chan struct{}
+	// startedAt is when the process was started.
+	startedAt time.Time
 	// client keeps connections open until the process closes them, and repeats no
 	// call, since the caller counts responses. dials counts its connections.
 	client *fasthttp.Client
@@ -261,6 +266,7 @@
 	if err := i.command.Start(); err != nil {
 		return nil, errors.Wrap(err, "start instance")
 	}
+	i.startedAt = time.Now()
 	p.started = append(p.started, i)
 	go func() {
 		_ = i.command.Wait()
@@ -294,12 +300,29 @@
 // Signal sends a signal to the instance's process.
 func (i *Instance) Signal(s syscall.Signal) error { return i.command.Process.Signal(s) }
 
+// Age returns the time since the start of the instance's process.
+func (i *Instance) Age() time.Duration { return time.Since(i.startedAt) }
+
 // Ended returns a channel that is closed when the process has ended.
 func (i *Instance) Ended() <-chan struct{} { return i.done }
 
 // Control returns the address that peers of the instance call.
 func (i *Instance) Control() string { return i.control }
 
+// Processes returns the number of processes that were started for the instance with
+// the given name.
+func (p *Platform) Processes(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, i := range p.started {
+		if i.name == name {
+			count++
+		}
+	}
+	return count
+}
+
 // Stop kills the instances and stops the servers of the stand-in.
 func (p *Platform) Stop() {
 	p.mu.Lock()
--- a/standins/platformer/process.go
+++ b/standins/platformer/process.go
@@ -34,8 +34,10 @@
 	// seq numbers the heartbeats.
 	seq      int
 	listener *listener
-	// ended is closed when the process has ended, and isSilent says that its open
-	// connections then stay open without a response.
+	// isDraining says that heartbeats report the process as draining.
+	isDraining bool
+	// ended is closed when the process has ended, and isSilent says that connections
+	// then stay open without a response until the next process starts.
 	ended    chan struct{}
 	isSilent bool
 
@@ -66,6 +68,8 @@
 	Fence    int64  `json:"fence"`
 	Ack      int    `json:"ackCursor"`
 	Wait     int64  `json:"waitMs"`
+	// isFromEarlier says that the call was sent to an earlier process.
+	isFromEarlier bool
 }
 
 // clockMs returns the time since the start of the process in milliseconds.
@@ -108,6 +112,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if current := w.process; !current.hasEnded() && (current == p || o.Task != "") {
+			o.isFromEarlier = current != p
 			current.execute(&late, o)
 		}
 	})
@@ -172,7 +177,7 @@
 		}
 		p.runs[k] = time.Now()
 		p.worker.startCounts[o.Task]++
-		p.emit(k, "start")
+		p.emitEvent(Event{Task: k.task, Attempt: k.attempt, Kind: "start", IsFromEarlier: o.isFromEarlier})
 	}
 	writeJSON(ctx, fasthttp.StatusOK, map[string]any{"clockMs": p.clockMs()})
 }
@@ -239,6 +244,9 @@
 // kill ends the process. Its runs end with it, and the ends that are not
 // acknowledged yet never are. The caller holds the worker's mutex.
 func (p *process) kill(isSilent bool) {
+	if p.hasEnded() {
+		return
+	}
 	p.advance()
 	p.isSilent = isSilent
 	close(p.ended)
@@ -248,14 +256,19 @@
 	for _, e := range p.finished {
 		p.emit(runKey{e[1].(string), e[2].(int)}, "void")
 	}
-	_ = p.listener.Close()
 	if !isSilent {
+		_ = p.listener.Close()
 		p.listener.closeConnections()
 	}
 }
 
 func (p *process) emit(k runKey, kind string) {
+	p.emitEvent(Event{Task: k.task, Attempt: k.attempt, Kind: kind})
+}
+
+func (p *process) emitEvent(e Event) {
 	if observe := p.worker.options.Observe; observe != nil {
-		observe(Event{Worker: p.worker.name, Process: p.number, Task: k.task, Attempt: k.attempt, Kind: kind})
+		e.Worker, e.Process = p.worker.name, p.number
+		observe(e)
 	}
 }
--- a/standins/platformer/worker.go
+++ b/standins/platformer/worker.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +30,8 @@
 	entryLease        = 3 * heartbeatInterval
 	// heartbeatRetryDelay is the delay before a failed heartbeat is repeated.
 	heartbeatRetryDelay = 200 * time.Millisecond
+	// listenTimeout is how long a process tries to listen at an address in use.
+	listenTimeout = time.Second
 	// storeTimeout bounds the calls of a heartbeat.
 	storeTimeout = time.Second
 
@@ -60,6 +63,9 @@
 
 // Restart says how the process of a worker ends and how the next one starts.
 type Restart struct {
+	// DrainTime is how long the process reports that it is draining before it ends,
+	// after which its entry is removed; 0 for a process that is killed.
+	DrainTime time.Duration
 	// Downtime is how long no process listens at the worker's address.
 	Downtime time.Duration
 	// KeepsID says that the next process has the id of the ended one.
@@ -67,7 +73,8 @@
 	// BornShift is added to the start time that the next process reports.
 	BornShift time.Duration
 	// IsSilent says that the connections to the ended process stay open without a
-	// response, as after a loss of power. Otherwise they are closed.
+	// response, also those that are opened before the next process starts, as after
+	// a loss of power. Otherwise they are closed, and new ones refused.
 	IsSilent bool
 	// LateWriteDelay is how long after its end the last heartbeat of the process
 	// takes effect; 0 for no such heartbeat.
@@ -102,8 +109,19 @@
 	defer w.restart.Unlock()
 	w.mu.Lock()
 	ended := w.process
+	ended.isDraining = r.DrainTime > 0
+	w.mu.Unlock()
+	if r.DrainTime > 0 {
+		// If this write fails, the next heartbeat reports it.
+		_ = w.writeEntry(ended)
+		time.Sleep(r.DrainTime)
+	}
+	w.mu.Lock()
 	ended.kill(r.IsSilent)
 	w.mu.Unlock()
+	if r.DrainTime > 0 {
+		w.removeEntry(ended)
+	}
 	if r.LateWriteDelay > 0 {
 		time.AfterFunc(r.LateWriteDelay, func() { _ = w.writeEntry(ended) })
 	}
@@ -112,6 +130,7 @@
 	if r.KeepsID {
 		next.id = ended.id
 	}
+	_ = ended.listener.Close()
 	if err := w.listen(next); err != nil {
 		return err
 	}
@@ -138,6 +157,10 @@
 // the current one.
 func (w *Worker) listen(p *process) error {
 	l, err := net.Listen("tcp4", w.address)
+	// A child between fork and exec keeps the closed listener open for a moment.
+	for end := time.Now().Add(listenTimeout); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		l, err = net.Listen("tcp4", w.address)
+	}
 	if err != nil {
 		return errors.Wrapf(err, "listen at the address of worker %s", w.name)
 	}
@@ -180,8 +203,12 @@
 func (w *Worker) writeEntry(p *process) error {
 	w.mu.Lock()
 	p.seq++
+	state := "ready"
+	if p.isDraining {
+		state = "draining"
+	}
 	entry, err := json.Marshal(map[string]any{
-		"service": service, "addr": w.entryAddress, "zone": domain, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+		"service": service, "addr": w.entryAddress, "zone": domain, "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
 		"capacity": map[string]int64{"cpu": 16000, "memMb": 32768, "gpu": 0}, "labels": []string{"a", fmt.Sprintf("r-%d", w.index/8)},
 		"clockMs": p.clockMs(), "seq": p.seq, "born": p.born,
 	})
@@ -195,10 +222,20 @@
 	if err != nil {
 		return errors.Wrapf(err, "grant a lease for worker %s", p.id)
 	}
-	_, err = w.store.Transact(ctx, storeclient.Transaction{Writes: []storeclient.Write{{Key: "servers/" + p.id, Value: entry, Lease: lease}}})
+	_, err = w.store.Transact(ctx, storeclient.Transaction{Writes: []storeclient.Write{{Key: p.entryKey(), Value: entry, Lease: lease}}})
 	return errors.Wrapf(err, "write the entry of worker %s", p.id)
 }
 
+// removeEntry removes the entry of an ended process from the store. If the store
+// fails, the entry stays until its lease expires.
+func (w *Worker) removeEntry(p *process) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	_, _ = w.store.Transact(ctx, storeclient.Transaction{Remove: []string{p.entryKey()}})
+}
+
+func (p *process) entryKey() string { return "servers/" + p.id }
+
 // advanceInterval is the interval at which Advance ends runs.
 const advanceInterval = 20 * time.Millisecond
 
--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -40,6 +40,8 @@
 	// holds those after which the task was started again, which violates the
 	// guarantees if the end of such a run is ever acknowledged.
 	doneRuns, restartedAfter map[string]map[string]bool
+	// restartOrigin describes the origin of the last such start of each task.
+	restartOrigin map[string]string
 	// failedRuns holds the runs of each task that ended as failed, and whether that
 	// end was acknowledged. failedBefore holds those before the last start.
 	failedRuns, failedBefore map[string]map[string]bool
@@ -50,7 +52,7 @@
 func newChecker() *checker {
 	return &checker{
 		jobs: map[string]*job{}, running: map[string]map[string]bool{}, done: map[string]bool{}, acknowledged: map[string]bool{},
-		doneRuns: map[string]map[string]bool{}, restartedAfter: map[string]map[string]bool{},
+		restartOrigin: map[string]string{}, doneRuns: map[string]map[string]bool{}, restartedAfter: map[string]map[string]bool{},
 		failedRuns: map[string]map[string]bool{}, failedBefore: map[string]map[string]bool{},
 	}
 }
@@ -80,7 +82,7 @@
 		if c.doneRuns[e.Task][run] {
 			c.acknowledged[e.Task] = true
 			if c.restartedAfter[e.Task][run] {
-				c.fail("twice: %s was started again after a run whose end is now acknowledged, %s", e.Task, run)
+				c.fail("twice: %s was started again after a run whose end is now acknowledged, %s%s", e.Task, run, c.restartOrigin[e.Task])
 			}
 		}
 		if _, hasFailed := c.failedRuns[e.Task][run]; hasFailed {
@@ -102,6 +104,15 @@
 	}
 }
 
+// describeOrigin tells a start that was sent to an earlier process of the worker from
+// others. An owner can't prevent the first before it knows of the process.
+func describeOrigin(e platformer.Event) string {
+	if e.IsFromEarlier {
+		return "; the start was sent to an earlier process"
+	}
+	return ""
+}
+
 // put sets a value in a map of maps.
 func put(m map[string]map[string]bool, outer, inner string, value bool) {
 	if m[outer] == nil {
@@ -127,11 +138,11 @@
 // checkStart checks the start of a run. The caller holds c.mu.
 func (c *checker) checkStart(e platformer.Event, run string) {
 	if len(c.running[e.Task]) > 0 {
-		c.fail("twice: %s starts on %s while %v still run", e.Task, run, c.running[e.Task])
+		c.fail("twice: %s starts on %s while %v still run%s", e.Task, run, c.running[e.Task], describeOrigin(e))
 	}
 	put(c.running, e.Task, run, true)
 	if c.acknowledged[e.Task] {
-		c.fail("twice: %s is started on %s after its end was acknowledged", e.Task, run)
+		c.fail("twice: %s is started on %s after its end was acknowledged%s", e.Task, run, describeOrigin(e))
 	}
 	if len(c.failedRuns[e.Task]) > 0 {
 		c.failedBefore[e.Task] = maps.Clone(c.failedRuns[e.Task])
@@ -139,6 +150,7 @@
 	}
 	if len(c.doneRuns[e.Task]) > 0 {
 		c.restartedAfter[e.Task] = maps.Clone(c.doneRuns[e.Task])
+		c.restartOrigin[e.Task] = describeOrigin(e)
 	}
 	parts := strings.Split(e.Task, ".")
 	j := c.jobs[parts[0]]
--- a/standins/soaker/faults.go
+++ b/standins/soaker/faults.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -11,7 +12,6 @@
 
 	"tarragonhead.example/tarragonhead/internal/keeper"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
-	"tarragonhead.example/tarragonhead/standins/platformer"
 )
 
 const (
@@ -21,37 +21,46 @@
 	// exceeds the lease of a worker's entry, so that the entry of an ended process
 	// can appear again.
 	maxLateDelay = 5 * time.Second
+	// reloadGrace is the age from which a process is told to read its settings
+	// again. The signal ends one that has not installed its handler yet.
+	reloadGrace = time.Second
 )
 
 // faultShares holds the shares of calls that a fault of the store or the workers
-// affects.
+// affects. Of the shares of overlapping faults the largest counts.
 type faultShares struct {
 	// lost is the share of the calls to the store whose response is lost, and
 	// refused the share of those that are refused.
-	lost, refused float64
+	lost, refused overlay[float64]
 	// lateTransactions and lateOrders are the shares of the transactions of
 	// instances and of the calls to workers that take effect late.
-	lateTransactions, lateOrders float64
+	lateTransactions, lateOrders overlay[float64]
+}
+
+// largest returns the largest share in effect, 0 if there is none.
+func largest(shares *overlay[float64]) float64 {
+	return slices.Max(append(shares.current(), 0))
 }
 
 // storeFault returns the fault of a call to the store.
 func (s *soak) storeFault(op, _ string) keeper.Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	refused := largest(&s.shares.refused)
 	switch x := s.storeRNG.Float64(); {
-	case x < s.shares.refused:
+	case x < refused:
 		return keeper.Fault{Before: &storeclient.RefusedError{Op: op, Status: 503}}
-	case x < s.shares.refused+s.shares.lost:
+	case x < refused+largest(&s.shares.lost):
 		return keeper.Fault{After: &storeclient.UnavailableError{Op: op, MayHaveApplied: true, Err: errors.New("response lost")}}
 	}
 	return keeper.Fault{}
 }
 
 // delay returns a random time for the given share of the calls, and 0 for the others.
-func (s *soak) delay(share *float64) time.Duration {
+func (s *soak) delay(shares *overlay[float64]) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.storeRNG.Float64() >= *share {
+	if s.storeRNG.Float64() >= largest(shares) {
 		return 0
 	}
 	return time.Duration(1 + s.storeRNG.Int64N(int64(maxLateDelay)))
@@ -80,9 +89,9 @@
 	})
 }
 
-// injector injects random faults into a soak. Two of them run at the same time, each
-// with random numbers of its own, so that the faults of one are those that the seed
-// had before the other existed.
+// injector injects random faults into a soak. Several run at the same time, each with
+// random numbers of its own, so that the faults of one are those that the seed had
+// before the others existed.
 type injector struct {
 	*soak
 	rng *rand.Rand
@@ -121,9 +130,9 @@
 			j.impair(o.name, "store connection of ")
 		}
 	case 6:
-		j.setFaultShare(&j.shares.lost, "store responses lost")
+		j.addFaultShare(&j.shares.lost, "store responses lost")
 	case 7:
-		j.setFaultShare(&j.shares.refused, "store calls refused")
+		j.addFaultShare(&j.shares.refused, "store calls refused")
 	case 8:
 		j.changeConfig(i)
 	}
@@ -155,41 +164,14 @@
 				j.injectInstanceFault()
 			}
 		case 5:
-			j.setFaultShare(&j.shares.lateTransactions, "transactions take effect late")
+			j.addFaultShare(&j.shares.lateTransactions, "transactions take effect late")
 		case 6:
-			j.setFaultShare(&j.shares.lateOrders, "calls to workers take effect late")
+			j.addFaultShare(&j.shares.lateOrders, "calls to workers take effect late")
 		}
 		time.Sleep(j.randomDuration(50*time.Millisecond, 2*time.Second))
 	}
 }
 
-// restartWorker kills the process of a worker and replaces it within a second, count
-// times in succession.
-func (j *injector) restartWorker(w *platformer.Worker, count int) {
-	var series []platformer.Restart
-	var pauses []time.Duration
-	for range count {
-		r := platformer.Restart{
-			Downtime: j.randomDuration(50*time.Millisecond, time.Second), KeepsID: j.rng.Float64() < 0.4, IsSilent: j.rng.Float64() < 0.3,
-			BornShift: [...]time.Duration{0, -time.Minute, time.Minute}[j.rng.IntN(3)],
-		}
-		if j.rng.Float64() < 0.4 {
-			r.LateWriteDelay = j.randomDuration(200*time.Millisecond, maxLateDelay)
-		}
-		series = append(series, r)
-		pauses = append(pauses, j.randomDuration(0, 1200*time.Millisecond))
-	}
-	j.activeFaults.Go(func() {
-		for n, r := range series {
-			j.recordFault("worker %s is restarted: %+v", w.Name(), r)
-			if err := w.Restart(r); err != nil {
-				j.checker.failSoak(err)
-			}
-			time.Sleep(pauses[n])
-		}
-	})
-}
-
 // changeConfig writes a version of the configuration, drops the history of the store
 // and makes an instance read its settings again.
 func (j *injector) changeConfig(i *instance) {
@@ -202,35 +184,16 @@
 		j.checker.failSoak(err)
 	}
 	j.platform.Keeper.Compact()
-	j.signal(j.currentProcess(i), syscall.SIGHUP)
-}
-
-// restart ends the process of an instance with a signal and starts another one
-// after a random time.
-func (j *injector) restart(i *instance, signal syscall.Signal) {
-	downtime := j.randomDuration(100*time.Millisecond, 2500*time.Millisecond)
-	j.recordFault("%s receives signal %s, restarted %s after its end", i.name, signal, downtime)
-	p := j.currentProcess(i)
-	j.signal(p, signal)
-	j.activeFaults.Go(func() {
-		select {
-		case <-p.Ended():
-		case <-time.After(stopTimeout + time.Second):
-			_ = p.Signal(syscall.SIGKILL)
-			<-p.Ended()
-		}
-		time.Sleep(downtime)
-		j.replaceProcess(i, p)
-	})
+	if p := j.currentProcess(i); p.Age() > reloadGrace {
+		j.signal(p, syscall.SIGHUP)
+	}
 }
 
 // pause stops the process of an instance for a random time.
 func (j *injector) pause(i *instance) {
 	length := j.randomDuration(200*time.Millisecond, 6*time.Second)
 	j.recordFault("%s is paused for %s", i.name, length)
-	p := j.currentProcess(i)
-	j.signal(p, syscall.SIGSTOP)
-	j.endLater(length, func() { _ = p.Signal(syscall.SIGCONT) })
+	j.endLater(length, j.currentPauser(i).pause())
 }
 
 // impair impairs the connections through a proxy for a random time.
@@ -243,22 +206,16 @@
 	p := j.proxies[name]
 	j.mu.Unlock()
 	j.recordFault("%s%s is impaired by %+v for %s", what, name, impairment, length)
-	p.Set(impairment)
+	end := p.Impair(impairment)
 	if impairment.Refuse {
 		p.Reset(j.rng.Float64(), j.rng)
 	}
-	j.endLater(length, func() { p.Set(Impairment{}) })
+	j.endLater(length, end)
 }
 
-// setFaultShare sets one of the shares to a random value for a random time.
-func (j *injector) setFaultShare(value *float64, what string) {
+// addFaultShare adds a random value to the shares of one kind for a random time.
+func (j *injector) addFaultShare(shares *overlay[float64], what string) {
 	length, fraction := j.randomDuration(200*time.Millisecond, 4*time.Second), 0.6*j.rng.Float64()
 	j.recordFault("%.2f of the %s for %s", fraction, what, length)
-	set := func(x float64) {
-		j.mu.Lock()
-		defer j.mu.Unlock()
-		*value = x
-	}
-	set(fraction)
-	j.endLater(length, func() { set(0) })
+	j.endLater(length, shares.add(fraction))
 }
--- a/standins/soaker/proxy.go
+++ b/standins/soaker/proxy.go
@@ -26,9 +26,10 @@
 	listener net.Listener
 	target   string
 
-	mu         sync.Mutex
-	impairment Impairment
-	open       map[net.Conn]bool
+	impairments overlay[Impairment]
+
+	mu   sync.Mutex
+	open map[net.Conn]bool
 }
 
 // NewProxy returns a proxy that listens on a free loopback address and forwards to
@@ -46,12 +47,9 @@
 // Address returns the address on which the proxy listens.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-// Set changes the impairment of open and new connections.
-func (p *Proxy) Set(i Impairment) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.impairment = i
-}
+// Impair impairs open and new connections until end is called. Impairments may
+// overlap.
+func (p *Proxy) Impair(i Impairment) (end func()) { return p.impairments.add(i) }
 
 // Reset resets a share of the open connections.
 func (p *Proxy) Reset(share float64, rng *rand.Rand) {
@@ -82,10 +80,16 @@
 	_ = c.Close()
 }
 
+// current returns the combined effect of the impairments.
 func (p *Proxy) current() Impairment {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.impairment
+	var c Impairment
+	for _, i := range p.impairments.current() {
+		c.Delay = max(c.Delay, i.Delay)
+		c.DropToServer = c.DropToServer || i.DropToServer
+		c.DropFromServer = c.DropFromServer || i.DropFromServer
+		c.Refuse = c.Refuse || i.Refuse
+	}
+	return c
 }
 
 func (p *Proxy) accept() {
--- a/standins/soaker/proxy_test.go
+++ b/standins/soaker/proxy_test.go
@@ -51,7 +51,7 @@
 				return err
 			}
 			c.Assert(echo(), quicktest.IsNil)
-			p.Set(tt.impairment)
+			p.Impair(tt.impairment)
 			if tt.reset {
 				p.Reset(1, rand.New(rand.NewPCG(1, 1)))
 			}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -59,6 +59,8 @@
 	// Jobs is the number of jobs that clients submitted, and Accepted the number
 	// of those that were accepted.
 	Jobs, Accepted int
+	// Restarts is the number of restarts of workers.
+	Restarts int
 	// Starts is the number of runs that workers started, and Kills the number of
 	// those that ended with their process.
 	Starts, Kills int
@@ -81,13 +83,16 @@
 	shares    faultShares
 	// configVersion is the last version of the configuration that was written.
 	configVersion int
-	storeRNG      *rand.Rand
+	// restarts is the number of restarts of workers.
+	restarts int
+	storeRNG *rand.Rand
 }
 
 // instance is an instance of a fixed name. Its process is replaced after it ends.
 type instance struct {
 	name    string
 	process *platformer.Instance
+	pauser  *pauser
 	// replacing is held while an ended process is replaced.
 	replacing sync.Mutex
 }
@@ -122,7 +127,7 @@
 	}
 	for n := range o.Instances {
 		i := &instance{name: fmt.Sprintf("edge-%d", n+1)}
-		if i.process, err = s.platform.Start(i.name); err != nil {
+		if err := s.startProcess(i); err != nil {
 			return Report{}, err
 		}
 		s.instances = append(s.instances, i)
@@ -136,12 +141,13 @@
 	var injectors sync.WaitGroup
 	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 1))}).injectInstanceFaults)
 	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 3))}).injectWorkerFaults)
+	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 4))}).injectRestarts)
 	injectors.Wait()
 	close(stopClients)
 	clientsDone.Wait()
 	s.activeFaults.Wait()
 	s.awaitCompletion(clients)
-	r := Report{Seed: seed, Violations: s.checker.violations, InjectedFaults: s.injected, Jobs: len(s.checker.jobs), Starts: s.checker.starts, Kills: s.checker.kills}
+	r := Report{Seed: seed, Violations: s.checker.violations, InjectedFaults: s.injected, Restarts: s.restarts, Jobs: len(s.checker.jobs), Starts: s.checker.starts, Kills: s.checker.kills}
 	for _, j := range s.checker.jobs {
 		if j.accepted {
 			r.Accepted++
@@ -182,6 +188,25 @@
 	return i.process
 }
 
+// currentPauser returns the pauser of the latest process of an instance.
+func (s *soak) currentPauser(i *instance) *pauser {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return i.pauser
+}
+
+// startProcess starts a process for an instance.
+func (s *soak) startProcess(i *instance) error {
+	p, err := s.platform.Start(i.name)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i.process, i.pauser = p, &pauser{signal: func(x syscall.Signal) { s.signal(p, x) }}
+	return nil
+}
+
 // signal sends a signal to a process, which may have ended.
 func (s *soak) signal(p *platformer.Instance, signal syscall.Signal) {
 	if err := p.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
@@ -197,14 +222,9 @@
 	if s.currentProcess(i) != ended {
 		return
 	}
-	next, err := s.platform.Start(i.name)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err != nil {
+	if err := s.startProcess(i); err != nil {
 		s.checker.failSoak(errors.Wrapf(err, "restart %s", i.name))
-		return
 	}
-	i.process = next
 }
 
 // awaitCompletion ends the faults of the store, replaces processes that ended by
--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -41,9 +41,10 @@
 			c.Assert(os.Mkdir(sub, 0o700), quicktest.IsNil)
 			r, err := soaker.Run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 6, Clients: 3, Duration: 6 * time.Second})
 			c.Assert(err, quicktest.IsNil)
-			c.Logf("%d jobs, %d accepted, %d starts", r.Jobs, r.Accepted, r.Starts)
+			c.Logf("%d jobs, %d accepted, %d starts, %d workers restarted, %d runs killed", r.Jobs, r.Accepted, r.Starts, r.Restarts, r.Kills)
 			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
 			c.Assert(r.Accepted > 0, quicktest.IsTrue)
+			c.Assert(r.Restarts > 0, quicktest.IsTrue)
 		})
 	}
 }
