Acknowledge ends whose jobs have nothing to commit

A worker went on listing the end of a stopped run until another job of the shard changed, because only a commit moved the number of the last end that may be acknowledged. The job of a run that is stopped after a cancellation is committed already when the end arrives. The worker was polled every 400 ms meanwhile, and answered at once.

The number is now also updated when ends are read. Both cases of TestStoppedEndIsAcknowledged failed before (0 instead of 1).

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -121,6 +121,7 @@
 			p.applyRunEnd(now, w, e)
 		}
 	}
+	w.updateAcknowledged()
 	w.polledAt, w.delivered = now, max(w.delivered, result.Acknowledged)
 	if p.unverified[w.ID] && !result.IsPartial {
 		delete(p.unverified, w.ID)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -340,14 +340,7 @@
 		}
 	}
 	for _, w := range p.sortedWorkers {
-		n := 0
-		for ; n < len(w.unacknowledgedEnds); n++ {
-			if e := w.unacknowledgedEnds[n]; e.job != nil && e.job.committed < e.version {
-				break
-			}
-			w.acknowledged = w.unacknowledgedEnds[n].number
-		}
-		w.unacknowledgedEnds = w.unacknowledgedEnds[n:]
+		w.updateAcknowledged()
 	}
 }
 
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -316,6 +316,19 @@
 	version uint64
 }
 
+// updateAcknowledged advances the number of the last end whose effect is
+// committed.
+func (w *Worker) updateAcknowledged() {
+	n := 0
+	for ; n < len(w.unacknowledgedEnds); n++ {
+		if e := w.unacknowledgedEnds[n]; e.job != nil && e.job.committed < e.version {
+			break
+		}
+		w.acknowledged = w.unacknowledgedEnds[n].number
+	}
+	w.unacknowledgedEnds = w.unacknowledgedEnds[n:]
+}
+
 // isProved reports whether the worker's process has answered a poll of this
 // owner.
 func (w *Worker) isProved() bool { return w.process == "proved" }
