Poll a new process until its ends are acknowledged

When a process was replaced under its id, the acknowledgement that the ended process had got was counted for the new one. Its first ends then counted as acknowledged, and a worker without runs was not polled for them any more.

TestEndsOfNewProcessAreAcknowledged failed before (NeedsPoll was false).

--- a/internal/planner/acknowledge_test.go
+++ b/internal/planner/acknowledge_test.go
@@ -26,3 +26,21 @@
 		})
 	}
 }
+
+// TestEndsOfNewProcessAreAcknowledged guards against ends that a new process lists
+// for ever because a poll of the ended process with its id acknowledged as many.
+func TestEndsOfNewProcessAreAcknowledged(t *testing.T) {
+	w := worker("a", 8)
+	d := newDriver(t, 1, w).registerWorkers()
+	d.add(job("1", step(3, 1)))
+	starts := d.startTasks()
+	d.endRun(starts[0], planner.EndDone)
+	d.endRun(starts[1], planner.EndDone)
+	d.commit()
+	end := planner.RunEnd{Number: 1, Run: starts[2].Run, Kind: planner.EndDone}
+	d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now, ProcessStart: 2, Acknowledged: 2, Ended: []planner.RunEnd{end}})
+	d.commit()
+	c := d.p.Contacts(d.now)[0]
+	d.Assert(c.Acknowledge, quicktest.Equals, uint64(1))
+	d.Assert(c.NeedsPoll, quicktest.IsTrue)
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -105,6 +105,8 @@
 	}
 	if isOtherProcess(w.Born, result.ProcessStart) {
 		w = p.replaceProcess(now, w, result.ProcessStart)
+		// The poll acknowledged ends of the ended process.
+		result.Acknowledged = 0
 	}
 	p.proveAlive(w, result.Sent)
 	p.Answered(now, workerID)
