--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -104,6 +104,8 @@
 	}
 	if isOtherProcess(w.Born, result.ProcessStart) {
 		w = p.replaceProcess(now, w, result.ProcessStart)
+		// The poll acknowledged ends of the ended process.
+		result.Acknowledged = 0
 	}
 	p.proveAlive(w, result.Sent)
 	p.Answered(now, workerID)
@@ -120,6 +122,7 @@
 			p.applyRunEnd(now, w, e)
 		}
 	}
+	w.updateAcknowledged()
 	w.polledAt, w.delivered = now, max(w.delivered, result.Acknowledged)
 	if p.unverified[w.ID] && !result.IsPartial {
 		delete(p.unverified, w.ID)
