--- a/standins/replayer/checks.go
+++ b/standins/replayer/checks.go
@@ -197,8 +197,8 @@
 			w.recordViolation("lost", "%s is unknown to the owner", id)
 		case state == planner.Failed:
 			o.Failed++
-		case state == planner.Queued && !j.Steps[0].LongRunning:
-			w.recordViolation("lost", "%s was never started", id)
+		case state == planner.Queued && !j.Steps[0].LongRunning && w.hasRoom(j):
+			w.recordViolation("lost", "%s was never started: %s", id, w.currentOwner().planner.Explain(w.now, id))
 		}
 		if !j.Steps[0].LongRunning && state != planner.Done && state != planner.Failed && w.now.Sub(w.arrivedAt[id]) > unfinishedLimit && !runs[id] && used < capacity/2 {
 			w.recordViolation("unfinished", "%s", w.currentOwner().planner.Explain(w.now, id))
@@ -216,3 +216,21 @@
 		w.result.Classes[name] = o
 	}
 }
+
+// hasRoom reports whether a machine has room for two tasks of the job's first
+// step. Nothing is owed to a job while long-running tasks hold every place for it,
+// and the place of a run that has just ended is free only once the end is read.
+func (w *World) hasRoom(j *planner.Job) bool {
+	for _, m := range w.machines {
+		need := m.used()
+		need.Memory += 2 * j.Steps[0].Need.Memory
+		need.GPU += 2 * j.Steps[0].Need.GPU
+		if !j.Steps[0].BestEffort {
+			need.CPU += 2 * j.Steps[0].Need.CPU
+		}
+		if !m.isDown && m.Capacity.Fits(need) {
+			return true
+		}
+	}
+	return false
+}
--- a/standins/replayer/faults.go
+++ b/standins/replayer/faults.go
@@ -50,8 +50,7 @@
 		w.burst = f.Factor
 		end(func() { w.burst = 1 })
 	case "takeover":
-		w.owners = nil
-		w.addOwner()
+		w.takeOver()
 	case "split":
 		// The owner and the affected workers are partitioned from the other workers,
 		// which get a new owner 2 s later.
@@ -65,3 +64,14 @@
 		panic("unknown fault " + f.Kind)
 	}
 }
+
+// takeOver replaces the owner. During an outage of the store no owner can take
+// over.
+func (w *World) takeOver() {
+	if w.storeDown {
+		w.schedule(w.now.Add(tick), w.takeOver)
+		return
+	}
+	w.owners = nil
+	w.addOwner()
+}
