Restart workers quickly in the scheduler's random runs

TestRandomSequences also runs sequences in which a worker's process ends and is back at its address after 0.25 to 4 s, knowing nothing of attempts that ran or ended. Fault matrices and random runs had only workers that are away for 15 s. The actions of the sequences without restarts are unchanged, since a seed that once failed draws its sequence from them.

A worker that also forgets the highest epoch is not covered.

--- a/internal/scheduler/random_test.go
+++ b/internal/scheduler/random_test.go
@@ -35,8 +35,9 @@
 func TestRandomSequences(t *testing.T) {
 	length, err := time.ParseDuration(os.Getenv(randomDurationVar))
 	if err != nil {
-		checkRandom(t, randomSeed)
-		checkRandom(t, lostMemorySeed)
+		checkRandom(t, randomSeed, runRandom)
+		checkRandom(t, lostMemorySeed, runRandom)
+		checkRandom(t, randomSeed, runRandomWithRestarts)
 		return
 	}
 	begun := time.Now()
@@ -44,22 +45,46 @@
 	for time.Since(begun) < length && !t.Failed() {
 		seed := uint64(time.Now().UnixNano())
 		t.Logf("seed %d", seed)
-		checkRandom(t, seed)
+		checkRandom(t, seed, runRandom)
+		checkRandom(t, seed, runRandomWithRestarts)
 		runs++
 	}
-	t.Logf("%d runs of %d sequences", runs, randomChecks)
+	t.Logf("%d runs of %d sequences without and as many with restarts", runs, randomChecks)
 }
 
-func checkRandom(t *testing.T, seed uint64) {
+func checkRandom(t *testing.T, seed uint64, run func(*rapid.T)) {
 	for name, value := range map[string]string{"rapid.seed": strconv.FormatUint(seed, 10), "rapid.checks": strconv.Itoa(randomChecks), "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			t.Fatal(err)
 		}
 	}
-	rapid.Check(t, runRandom)
+	rapid.Check(t, run)
 }
 
-func runRandom(t *rapid.T) {
+// runRandom runs a random sequence of actions. The actions stay as they are, so
+// that a seed which once failed draws the same sequence.
+func runRandom(t *rapid.T) { runSequence(t, actions) }
+
+// runRandomWithRestarts is like runRandom, with workers that restart quickly.
+func runRandomWithRestarts(t *rapid.T) {
+	all := maps.Clone(actions)
+	all["restart worker"] = restartWorker
+	runSequence(t, all)
+}
+
+// restartWorker ends a worker's process, and starts it again at its address
+// within seconds. The new process knows nothing of attempts that ran or ended.
+func restartWorker(w *world, t *rapid.T) {
+	s := drawShard(w, t)
+	x := s.workers[rapid.SampledFrom(slices.Sorted(maps.Keys(s.workers))).Draw(t, "worker")]
+	x.dead = true
+	clear(x.running)
+	clear(x.ended)
+	clear(x.attempts)
+	w.schedule(time.Duration(rapid.IntRange(1, 16).Draw(t, "away"))*step, func() { x.dead = false })
+}
+
+func runSequence(t *rapid.T, actions map[string]func(*world, *rapid.T)) {
 	w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "workers"))
 	names := slices.Sorted(maps.Keys(actions))
 	for range rapid.IntRange(5, 40).Draw(t, "length") {
