--- a/internal/controller/session.go
+++ b/internal/controller/session.go
@@ -329,7 +329,8 @@
 	case c.Start != nil:
 		s.sendStart(ctx, c.Start)
 	case !isKnown:
-		// The core repeats the command if the worker still runs the attempt.
+		// The process that ran the attempt has ended or has not answered yet. If it
+		// does, the core repeats a stop or a checkpoint; it throttles after a report.
 	case c.Stop != nil:
 		s.sendWithRetry(ctx, s.worker.Stop, dispatcher.AttemptRequest{Process: process, Epoch: s.epoch, Task: string(c.Stop.Task), Attempt: c.Stop.Attempt})
 	case c.Checkpoint != nil:
