Don't send an acknowledgement long after the answer that it follows

A new process with a worker's id could be sent an acknowledgement of ends that the ended process had listed, and forget ends of its own, if the instance was slow or suspended between the plan and the call: the limit of 150 ms was checked against the time at which the step had begun, and counted from when the answer was applied. It now counts from when the answer was received, and is checked again when the poll is sent.

That an answer waits in the socket of a suspended instance remains possible, up to the poll's timeout.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -218,22 +218,24 @@
 		bounded, cancel := context.WithTimeout(ctx, o.Wait+pollSlack)
 		defer cancel()
 		sent := c.options.Now()
+		if sent.After(contact.AcknowledgeUntil) {
+			// This instance was held up since the plan.
+			o.Acknowledge = 0
+		}
 		answer, err := c.options.Workers.Poll(bounded, w, o)
-		answer.Sent, answer.Acknowledged = sent, o.Acknowledge
-		received := c.options.Now()
+		answer.Sent, answer.Received, answer.Acknowledged = sent, c.options.Now(), o.Acknowledge
 		c.post(ctx, func() {
 			if s.isStale || c.planner == nil || c.epoch != epoch {
 				return
 			}
 			s.isPolling = false
-			c.applyPollResult(w, s, answer, received, err)
+			c.applyPollResult(w, s, answer, err)
 		})
 	})
 }
 
-// applyPollResult applies the answer to a poll, which was received at the given
-// time.
-func (c *Conductor) applyPollResult(w planner.Worker, s *session, a PollAnswer, received time.Time, err error) {
+// applyPollResult applies the answer to a poll.
+func (c *Conductor) applyPollResult(w planner.Worker, s *session, a PollAnswer, err error) {
 	now := c.options.Now()
 	if !c.applyAnswer(now, w.ID, s, err) {
 		return
@@ -249,9 +251,9 @@
 		c.endSession(w.ID, s)
 		w.Born = a.ProcessStart
 		s = c.session(w)
-		c.planner.Leased(w.ID, received.Add(longestLease(c.options.Limits.MaxLease)))
+		c.planner.Leased(w.ID, a.Received.Add(longestLease(c.options.Limits.MaxLease)))
 	}
-	s.clock, s.clockReceivedAt = a.Clock, received
+	s.clock, s.clockReceivedAt = a.Clock, a.Received
 	a.IsPartial = len(a.Ended) >= maxEndsPerPoll
 	c.planner.PollAnswered(now, w.ID, a.PollResult)
 }
--- a/internal/planner/acknowledge_test.go
+++ b/internal/planner/acknowledge_test.go
@@ -1,7 +1,9 @@
 package planner_test
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -27,6 +29,44 @@
 	}
 }
 
+// TestEndsAreAcknowledgedWhileMoreArrive guards against ends that a worker lists
+// for ever because each of its answers has a new end, and the window in which a
+// poll may acknowledge has passed when that end is committed.
+func TestEndsAreAcknowledgedWhileMoreArrive(t *testing.T) {
+	const (
+		commitTime = 200 * time.Millisecond
+		planTime   = 10 * time.Millisecond
+	)
+	d := newDriver(t, 1, worker("a", 40)).registerWorkers()
+	d.add(job("1", step(40, 1)))
+	starts := d.startTasks()
+	d.poll("a")
+	var ends []planner.RunEnd
+	var changes []planner.Change
+	var committedAt time.Time
+	for i := range 300 {
+		d.advance(planTime)
+		if i%10 == 0 {
+			ends = append(ends, planner.RunEnd{Number: uint64(i/10 + 1), Run: starts[i/10].Run, Kind: planner.EndDone})
+			d.running["a"] = d.running["a"][1:]
+		}
+		if len(changes) > 0 && !d.now.Before(committedAt) {
+			d.p.Committed(changes)
+			changes = nil
+		}
+		if c := d.p.Contacts(d.now)[0]; c.NeedsPoll && len(ends) > 0 {
+			ends = slices.DeleteFunc(ends, func(e planner.RunEnd) bool { return e.Number <= c.Acknowledge })
+			d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now, Acknowledged: c.Acknowledge, Running: d.running["a"], Ended: ends})
+		}
+		if len(changes) == 0 {
+			changes, committedAt = d.p.Changes(100), d.now.Add(commitTime)
+		}
+	}
+	// An end is read within one poll, committed within two commits and
+	// acknowledged by one of the next polls.
+	d.Assert(len(ends) < 10, quicktest.IsTrue, quicktest.Commentf("%d of 30 ends are not acknowledged", len(ends)))
+}
+
 // TestEndsOfNewProcessAreAcknowledged guards against ends that a new process lists
 // for ever because a poll of the ended process with its id acknowledged as many.
 func TestEndsOfNewProcessAreAcknowledged(t *testing.T) {
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -55,6 +55,8 @@
 type PollResult struct {
 	// Sent is when the poll was sent.
 	Sent time.Time
+	// Received is when the answer was received; zero for the present.
+	Received time.Time
 	// ProcessStart is when the process that answered was started, or zero if it
 	// does not tell.
 	ProcessStart int64
@@ -111,6 +113,7 @@
 	p.proveAlive(w, result.Sent)
 	p.Answered(now, workerID)
 	w.hasUnknownRuns = false
+	w.delivered = max(w.delivered, result.Acknowledged)
 	seen := make(map[RunID]bool, len(result.Running))
 	for i := range result.Running {
 		seen[result.Running[i].Run] = true
@@ -124,7 +127,10 @@
 		}
 	}
 	w.updateAcknowledged()
-	w.polledAt, w.delivered = now, max(w.delivered, result.Acknowledged)
+	w.polledAt, w.listedAt = now, result.Received
+	if w.listedAt.IsZero() {
+		w.listedAt = now
+	}
 	if p.unverified[w.ID] && !result.IsPartial {
 		delete(p.unverified, w.ID)
 		w.isUnverified = false
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -27,7 +27,7 @@
 	// acknowledgeWait limits how long a poll is deferred until the ends already
 	// read are committed.
 	acknowledgeWait = 400 * time.Millisecond
-	// acknowledgeWindow is how long after an answered poll ends may be
+	// acknowledgeWindow is how long after the answer to a poll ends may be
 	// acknowledged. In a shorter time no process ends and a new one runs a task
 	// under its id; such a process would forget ends of its own that were never
 	// read.
@@ -363,8 +363,10 @@
 type Contact struct {
 	Worker
 	// Acknowledge is the number of the last end whose effect is committed, or
-	// zero if the poll must not acknowledge any.
-	Acknowledge uint64
+	// zero if the poll must not acknowledge any. A poll that is sent after
+	// AcknowledgeUntil must not acknowledge it.
+	Acknowledge      uint64
+	AcknowledgeUntil time.Time
 	// IsFailing is set while calls go unanswered. A poll then grants no lease,
 	// so that the leases granted before expire.
 	IsFailing bool
@@ -390,8 +392,8 @@
 		isSilent := w.isListed && !w.failedSince.IsZero()
 		needsPoll = needsPoll || w.isContested || isSilent
 		contact := Contact{Worker: *w, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll}
-		if now.Sub(w.polledAt) <= acknowledgeWindow {
-			contact.Acknowledge = w.acknowledged
+		if until := w.listedAt.Add(acknowledgeWindow); !now.After(until) {
+			contact.Acknowledge, contact.AcknowledgeUntil = w.acknowledged, until
 		}
 		list = append(list, contact)
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -298,8 +298,11 @@
 	// leaseEnd is when the last lease granted to the worker has certainly
 	// expired.
 	leaseEnd time.Time
-	// polledAt is when the worker last answered a poll.
+	// polledAt is when the last answer to a poll was applied.
 	polledAt time.Time
+	// listedAt is when the last answer to a poll was received, which may be
+	// before it was applied.
+	listedAt time.Time
 	// answeredAt is when the worker last answered any call, and failedSince is
 	// when calls began to go unanswered.
 	answeredAt    time.Time
