Store a worker that lists runs of an unknown job

A task could run twice after two changes of the owner in a row: an owner that had not read a job yet left a worker that runs one of its tasks out of the stored list, because the worker got no more tasks (it was draining or didn't answer). The next owner knew the job and didn't wait for the worker.

Found by reading; not seen in a play. Both cases of TestWorkerWithUnknownRunIsStored failed before (the list was empty).

--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -364,7 +364,7 @@
 // of the stored list, because a successor would have to wait for its answer.
 func (w *Worker) mayHaveRuns(now time.Time) bool {
 	switch {
-	case len(w.runs) > 0 || w.isUnverified:
+	case len(w.runs) > 0 || w.hasUnknownRuns || w.isUnverified:
 		return true
 	case !w.isProved():
 		// A contested process has probably ended.
