Keep the ends of a job that has not arrived yet

A task could start again after it was done: a new owner acknowledged the end of a run whose job it had not read from the store yet, with the next commit of any job, and the worker forgot it. Running runs of such jobs waited already. Such an end is now applied when its job arrives, and acknowledged without it only after 5 s.

TestEndOfUnknownJobIsKept failed before (the task was started).

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -126,7 +126,7 @@
 			p.applyRunEnd(now, w, e)
 		}
 	}
-	w.updateAcknowledged()
+	w.updateAcknowledged(now)
 	w.polledAt, w.listedAt = now, result.Received
 	if w.listedAt.IsZero() {
 		w.listedAt = now
@@ -236,12 +236,31 @@
 }
 
 func (p *Planner) applyRunEnd(now time.Time, w *Worker, e RunEnd) {
-	t := p.findTask(e.Run.TaskID)
-	if t == nil {
-		w.unacknowledgedEnds = append(w.unacknowledgedEnds, unacknowledgedEnd{number: e.Number})
-		return
+	end := unacknowledgedEnd{RunEnd: e, seen: now}
+	if t := p.findTask(e.Run.TaskID); t != nil {
+		p.applyTaskEnd(now, w, t, e)
+		end.job = t.step.occurrence.job
+		end.version = end.job.version
 	}
-	j := t.step.occurrence.job
+	w.unacknowledgedEnds = append(w.unacknowledgedEnds, end)
+}
+
+// applyUnknownEnds applies the ends that were read before their job was known.
+func (p *Planner) applyUnknownEnds(now time.Time, j *job) {
+	for _, w := range p.sortedWorkers {
+		for i := range w.unacknowledgedEnds {
+			e := &w.unacknowledgedEnds[i]
+			t := p.findTask(e.Run.TaskID)
+			if e.job != nil || e.Run.Job != j.ID || t == nil {
+				continue
+			}
+			p.applyTaskEnd(now, w, t, e.RunEnd)
+			e.job, e.version = j, j.version
+		}
+	}
+}
+
+func (p *Planner) applyTaskEnd(now time.Time, w *Worker, t *task, e RunEnd) {
 	t.attempt = max(t.attempt, e.Run.Attempt)
 	if e.Checkpoint != "" && !t.done {
 		t.checkpoint = e.Checkpoint
@@ -259,7 +278,6 @@
 	} else {
 		p.enqueue(t)
 	}
-	w.unacknowledgedEnds = append(w.unacknowledgedEnds, unacknowledgedEnd{e.Number, j, j.version})
 }
 
 // completeTask marks a task, or all tasks of its gang, as done.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -244,6 +244,7 @@
 		return
 	}
 	p.activeJobs = append(p.activeJobs, j)
+	p.applyUnknownEnds(now, j)
 	for id, s := range p.unknownRuns {
 		if id.Job == d.ID {
 			delete(p.unknownRuns, id)
@@ -340,7 +341,7 @@
 		}
 	}
 	for _, w := range p.sortedWorkers {
-		w.updateAcknowledged()
+		w.updateAcknowledged(w.polledAt)
 	}
 }
 
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -314,20 +314,23 @@
 // unacknowledgedEnd is an end that was read and whose effect may not be
 // committed yet.
 type unacknowledgedEnd struct {
-	number  uint64
+	RunEnd
+	// job is nil if it is not known.
 	job     *job
 	version uint64
+	seen    time.Time
 }
 
 // updateAcknowledged advances the number of the last end whose effect is
-// committed.
-func (w *Worker) updateAcknowledged() {
+// committed. The job of a run may still arrive from the store for a while.
+func (w *Worker) updateAcknowledged(now time.Time) {
 	n := 0
 	for ; n < len(w.unacknowledgedEnds); n++ {
-		if e := w.unacknowledgedEnds[n]; e.job != nil && e.job.committed < e.version {
+		e := w.unacknowledgedEnds[n]
+		if e.job == nil && now.Sub(e.seen) < unknownRunLimit || e.job != nil && e.job.committed < e.version {
 			break
 		}
-		w.acknowledged = w.unacknowledgedEnds[n].number
+		w.acknowledged = e.Number
 	}
 	w.unacknowledgedEnds = w.unacknowledgedEnds[n:]
 }
--- a/internal/planner/unknown_jobs_test.go
+++ b/internal/planner/unknown_jobs_test.go
@@ -32,3 +32,16 @@
 		})
 	}
 }
+
+// TestEndOfUnknownJobIsKept guards against a task that runs again after it was
+// done, because its end was acknowledged before its job was read from the store.
+func TestEndOfUnknownJobIsKept(t *testing.T) {
+	d := newDriver(t, 2, worker("a", 8)).registerWorkers()
+	end := planner.RunEnd{Number: 1, Run: planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}, Kind: planner.EndDone}
+	d.ends["a"] = []planner.RunEnd{end}
+	d.poll("a")
+	d.commit()
+	d.add(job("1", step(1, 1)))
+	d.poll("a")
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+}
