--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -54,6 +54,8 @@
 type PollResult struct {
 	// Sent is when the poll was sent.
 	Sent time.Time
+	// Received is when the answer was received; zero for the present.
+	Received time.Time
 	// ProcessStart is when the process that answered was started, or zero if it
 	// does not tell.
 	ProcessStart int64
@@ -110,6 +112,7 @@
 	p.proveAlive(w, result.Sent)
 	p.Answered(now, workerID)
 	w.hasUnknownRuns = false
+	w.delivered = max(w.delivered, result.Acknowledged)
 	seen := make(map[RunID]bool, len(result.Running))
 	for i := range result.Running {
 		seen[result.Running[i].Run] = true
@@ -122,8 +125,11 @@
 			p.applyRunEnd(now, w, e)
 		}
 	}
-	w.updateAcknowledged()
-	w.polledAt, w.delivered = now, max(w.delivered, result.Acknowledged)
+	w.updateAcknowledged(now)
+	w.polledAt, w.listedAt = now, result.Received
+	if w.listedAt.IsZero() {
+		w.listedAt = now
+	}
 	if p.unverified[w.ID] && !result.IsPartial {
 		delete(p.unverified, w.ID)
 		w.isUnverified = false
@@ -220,12 +226,31 @@
 }
 
 func (p *Planner) applyRunEnd(now time.Time, w *Worker, e RunEnd) {
-	t := p.findTask(e.Run.TaskID)
-	if t == nil {
-		w.unacknowledgedEnds = append(w.unacknowledgedEnds, unacknowledgedEnd{number: e.Number})
-		return
+	end := unacknowledgedEnd{RunEnd: e, seen: now}
+	if t := p.findTask(e.Run.TaskID); t != nil {
+		p.applyTaskEnd(now, w, t, e)
+		end.job = t.step.occurrence.job
+		end.version = end.job.version
 	}
-	j := t.step.occurrence.job
+	w.unacknowledgedEnds = append(w.unacknowledgedEnds, end)
+}
+
+// applyUnknownEnds applies the ends that were read before their job was known.
+func (p *Planner) applyUnknownEnds(now time.Time, j *job) {
+	for _, w := range p.sortedWorkers {
+		for i := range w.unacknowledgedEnds {
+			e := &w.unacknowledgedEnds[i]
+			t := p.findTask(e.Run.TaskID)
+			if e.job != nil || e.Run.Job != j.ID || t == nil {
+				continue
+			}
+			p.applyTaskEnd(now, w, t, e.RunEnd)
+			e.job, e.version = j, j.version
+		}
+	}
+}
+
+func (p *Planner) applyTaskEnd(now time.Time, w *Worker, t *task, e RunEnd) {
 	t.attempt = max(t.attempt, e.Run.Attempt)
 	if e.Checkpoint != "" && !t.done {
 		t.checkpoint = e.Checkpoint
@@ -243,7 +268,6 @@
 	} else {
 		p.enqueue(t)
 	}
-	w.unacknowledgedEnds = append(w.unacknowledgedEnds, unacknowledgedEnd{e.Number, j, j.version})
 }
 
 // completeTask marks a task, or all tasks of its gang, as done.
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -306,8 +306,11 @@
 	// leaseEnd is when the last lease granted to the worker has certainly
 	// expired.
 	leaseEnd time.Time
-	// polledAt is when the worker last answered a poll.
+	// polledAt is when the last answer to a poll was applied.
 	polledAt time.Time
+	// listedAt is when the last answer to a poll was received, which may be
+	// before it was applied.
+	listedAt time.Time
 	// answeredAt is when the worker last answered any call, and failedSince is
 	// when calls began to go unanswered.
 	answeredAt    time.Time
@@ -319,20 +322,23 @@
 // unacknowledgedEnd is an end that was read and whose effect may not be
 // committed yet.
 type unacknowledgedEnd struct {
-	number  uint64
+	RunEnd
+	// job is nil if it is not known.
 	job     *job
 	version uint64
+	seen    time.Time
 }
 
 // updateAcknowledged advances the number of the last end whose effect is
-// committed.
-func (w *Worker) updateAcknowledged() {
+// committed. The job of a run may still arrive from the store for a while.
+func (w *Worker) updateAcknowledged(now time.Time) {
 	n := 0
 	for ; n < len(w.unacknowledgedEnds); n++ {
-		if e := w.unacknowledgedEnds[n]; e.job != nil && e.job.committed < e.version {
+		e := w.unacknowledgedEnds[n]
+		if e.job == nil && now.Sub(e.seen) < unknownRunLimit || e.job != nil && e.job.committed < e.version {
 			break
 		}
-		w.acknowledged = w.unacknowledgedEnds[n].number
+		w.acknowledged = e.Number
 	}
 	w.unacknowledgedEnds = w.unacknowledgedEnds[n:]
 }
@@ -369,7 +375,7 @@
 // of the stored list, because a successor would have to wait for its answer.
 func (w *Worker) mayHaveRuns(now time.Time) bool {
 	switch {
-	case len(w.runs) > 0 || w.isUnverified:
+	case len(w.runs) > 0 || w.hasUnknownRuns || w.isUnverified:
 		return true
 	case !w.isProved():
 		// A contested process has probably ended.
