Decide the number of shards while workers restart

Callers of a new deployment saw every submission refused with 503 for as long as workers kept restarting, or the store failed now and then: the number of shards was decided only after two successive readings of the same number of workers, and a failure between them discarded the first one.

The number is now decided as soon as it no longer grows from one reading to the next, and a failed reading is repeated without losing the one before. A deployment that starts grows; one whose workers restart does not.

Weighed against it: a decision after five readings that lead to the same number of shards, which takes 7.5 s.

--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -24,7 +24,7 @@
 	WorkersPerShard = 80
 	// maxShards bounds the stored number of shards.
 	maxShards = 64
-	// steadyTime is how long the number of workers must not change before the
+	// steadyTime is how long the number of workers must not grow before the
 	// number of shards is derived from it.
 	steadyTime = 1500 * time.Millisecond
 	// retryDelay is the time between two attempts to read or store the number
@@ -78,44 +78,59 @@
 }
 
 // Shards returns the number of shards of the deployment. The first daemon that
-// sees a steady number of workers determines it. Shards returns the context's
-// error if ctx ends first.
+// sees that the number of workers no longer grows determines it. Shards returns
+// the context's error if ctx ends first.
 func (s *Sharder) Shards(ctx context.Context) (int, error) {
+	var o observation
 	for ctx.Err() == nil {
-		n, err := s.readOrCreateCount(ctx)
-		if err == nil && n > 0 {
+		n, err := s.readOrCreateCount(ctx, &o)
+		switch {
+		case n > 0 && err == nil:
 			return n, nil
-		}
-		if err != nil {
+		case err != nil:
 			s.reportFailure(err)
+			waiter.Wait(ctx, retryDelay)
+		case o.largest == 0:
+			waiter.Wait(ctx, retryDelay)
+		default:
+			waiter.Wait(ctx, steadyTime)
 		}
-		waiter.Wait(ctx, retryDelay)
 	}
 	return 0, ctx.Err()
 }
 
+// observation follows the number of listed workers over successive readings.
+type observation struct {
+	// largest is the largest number of any reading, or zero before the first.
+	largest int
+}
+
+// add adds a reading, taken steadyTime after the one before, and reports whether
+// the number of workers no longer grows. It need not stay the same, because
+// workers may keep restarting.
+func (o *observation) add(workers int) bool {
+	isGrowing := workers > o.largest
+	o.largest = max(o.largest, workers)
+	return o.largest > 0 && !isGrowing
+}
+
 // readOrCreateCount returns the stored number of shards, or stores it first. It
-// returns 0 while the number of workers is not steady.
-func (s *Sharder) readOrCreateCount(ctx context.Context) (int, error) {
+// returns 0 while the number of workers grows.
+func (s *Sharder) readOrCreateCount(ctx context.Context, o *observation) (int, error) {
 	n, err := s.storedCount(ctx)
 	var missing *storeclient.NotFoundError
 	if !errors.As(err, &missing) {
 		return n, err
 	}
-	before, err := s.listedWorkers(ctx)
-	if err != nil || before == 0 {
-		return 0, err
-	}
-	waiter.Wait(ctx, steadyTime)
-	after, err := s.listedWorkers(ctx)
-	if err != nil || after != before {
+	workers, err := s.listedWorkers(ctx)
+	if err != nil || !o.add(workers) {
 		return 0, err
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err = s.store.Transact(bounded, storeclient.Transaction{
 		Expect: []storeclient.Expectation{{Key: countKey}},
-		Writes: []storeclient.Write{{Key: countKey, Value: []byte(strconv.Itoa(Count(after)))}},
+		Writes: []storeclient.Write{{Key: countKey, Value: []byte(strconv.Itoa(Count(o.largest)))}},
 	})
 	var conflict *storeclient.ExpectationError
 	if err != nil && !errors.As(err, &conflict) {
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -42,6 +42,33 @@
 	c.Assert(got, quicktest.DeepEquals, []int{7, 7, 7, 7})
 }
 
+// TestShardsWhileWorkersRestart guards against a new deployment that accepts no
+// job because its workers keep restarting, or because the store fails between
+// two readings of them.
+func TestShardsWhileWorkersRestart(t *testing.T) {
+	for name, read := range map[string]func(reading int) (int, error){
+		"another number each time": func(n int) (int, error) { return 160 - n%2, nil },
+		"a failure after each reading": func(n int) (int, error) {
+			if n%2 == 1 {
+				return 0, context.DeadlineExceeded
+			}
+			return 160, nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			readings := 0
+			workers := func(context.Context) (int, error) { readings++; return read(readings) }
+			ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+			defer cancel()
+			n, err := sharder.New(keeper.New(time.Now).Store(), workers, func(error) {}).Shards(ctx)
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(n, quicktest.Equals, 2)
+		})
+	}
+}
+
 // TestStoredCount guards against a stored count that is invalid.
 func TestStoredCount(t *testing.T) {
 	for name, tt := range map[string]struct {
