Inject the soak's faults once the deployment accepts jobs

Its faults stop all instances 1.2 s after their start, before the number of shards can be decided, and cut all of them off from the store from 3.7 s to the end of the 6 s, so no job could be accepted, and the soak checked nothing else. The users' traffic starts 10 s after the instances.

The soak now fails if a new deployment without faults accepts no job within 10 s, and injects faults from the first accepted job on for the same time as before. No check has changed.

--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// acceptedCount returns the number of jobs that were accepted.
+func (c *checker) acceptedCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, j := range c.jobs {
+		if j.accepted {
+			n++
+		}
+	}
+	return n
+}
+
 // failSoak records a failure of the soak itself.
 func (c *checker) failSoak(err error) {
 	c.mu.Lock()
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -22,6 +22,10 @@
 )
 
 const (
+	// acceptanceTimeout bounds the wait until a new deployment accepts a job. The
+	// users' traffic starts 10 s after the instances.
+	acceptanceTimeout      = 10 * time.Second
+	acceptancePollInterval = 50 * time.Millisecond
 	// completionTimeout bounds the wait for all accepted work after the last
 	// fault. An owner waits for unreachable workers for 7 s and a lease, and may
 	// be replaced twice during this time.
@@ -68,10 +72,11 @@
 
 // soak holds the state of one soak.
 type soak struct {
-	options   Options
-	seed      uint64
-	platform  *platformer.Platform
-	checker   *checker
+	options  Options
+	seed     uint64
+	platform *platformer.Platform
+	checker  *checker
+	// startedAt is when the injection of faults started.
 	startedAt time.Time
 	// activeFaults counts the injected faults that have not ended yet.
 	activeFaults sync.WaitGroup
@@ -138,6 +143,12 @@
 	for _, c := range clients {
 		clientsDone.Go(func() { c.run(stopClients) })
 	}
+	if err := s.awaitAcceptance(); err != nil {
+		close(stopClients)
+		clientsDone.Wait()
+		return Report{}, err
+	}
+	s.startedAt = time.Now()
 	var injectors sync.WaitGroup
 	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 1))}).injectInstanceFaults)
 	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 3))}).injectWorkerFaults)
@@ -148,12 +159,19 @@
 	s.activeFaults.Wait()
 	s.awaitCompletion(clients)
 	r := Report{Seed: seed, Violations: s.checker.violations, InjectedFaults: s.injected, Restarts: s.restarts, Jobs: len(s.checker.jobs), Starts: s.checker.starts, Kills: s.checker.kills}
-	for _, j := range s.checker.jobs {
-		if j.accepted {
-			r.Accepted++
+	r.Accepted = s.checker.acceptedCount()
+	return r, nil
+}
+
+// awaitAcceptance waits until the new deployment, in which no fault is injected
+// yet, has accepted a job.
+func (s *soak) awaitAcceptance() error {
+	for end := time.Now().Add(acceptanceTimeout); s.checker.acceptedCount() == 0; time.Sleep(acceptancePollInterval) {
+		if time.Now().After(end) {
+			return errors.Errorf("no job was accepted within %s of the start, without faults", acceptanceTimeout)
 		}
 	}
-	return r, nil
+	return nil
 }
 
 func (s *soak) stop() {
