Acknowledge ends after a poll of their own if the window has passed

A worker that lists more and more ends stops showing some of them, and an owner that takes over applies all of them again.

Cause: ends are acknowledged within 150 ms of the answer that listed them, so that a new process with the worker's id doesn't forget ends of its own. A commit, or a plan, that takes longer always misses this window.

If the window has passed, the owner now polls without acknowledging and, as soon as the same process has answered, polls again with the acknowledgement, without a plan in between. The window then counts from when the first of the two was sent, which is stricter than before. A poll is no longer deferred if the last answer listed ends that were committed by then.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -214,16 +214,7 @@
 		// a contested worker tells which process has its address.
 		o.Wait = 0
 	}
-	c.background.Go(func() {
-		bounded, cancel := context.WithTimeout(ctx, o.Wait+pollSlack)
-		defer cancel()
-		sent := c.options.Now()
-		if sent.After(contact.AcknowledgeUntil) {
-			// This instance was held up since the plan.
-			o.Acknowledge = 0
-		}
-		answer, err := c.options.Workers.Poll(bounded, w, o)
-		answer.Sent, answer.Received, answer.Acknowledged = sent, c.options.Now(), o.Acknowledge
+	post := func(answer PollAnswer, err error) {
 		c.post(ctx, func() {
 			if s.isStale || c.planner == nil || c.epoch != epoch {
 				return
@@ -231,9 +222,46 @@
 			s.isPolling = false
 			c.applyPollResult(w, s, answer, err)
 		})
+	}
+	c.background.Go(func() {
+		if o.Acknowledge > 0 && c.options.Now().After(contact.AcknowledgeUntil) {
+			// This instance was held up since the plan.
+			o.Acknowledge = 0
+		}
+		if o.Acknowledge == 0 && contact.Committed > 0 {
+			c.pollAndAcknowledge(ctx, w, o, contact.Committed, post)
+			return
+		}
+		post(c.poll(ctx, w, o))
 	})
 }
 
+// pollAndAcknowledge acknowledges ends to a process that has just answered a poll.
+// If that poll shows another process, has no answer or took too long, its outcome
+// is posted alone, and a later poll acknowledges the ends.
+func (c *Conductor) pollAndAcknowledge(ctx context.Context, w planner.Worker, o PollOrder, committed uint64, post func(PollAnswer, error)) {
+	check := o
+	check.Wait = 0
+	answer, err := c.poll(ctx, w, check)
+	isSameProcess := w.Born == 0 || answer.ProcessStart == 0 || answer.ProcessStart == w.Born
+	if err != nil || !isSameProcess || c.options.Now().After(answer.Sent.Add(planner.AcknowledgeWindow)) {
+		post(answer, err)
+		return
+	}
+	o.Acknowledge = committed
+	post(c.poll(ctx, w, o))
+}
+
+// poll polls a worker.
+func (c *Conductor) poll(ctx context.Context, w planner.Worker, o PollOrder) (PollAnswer, error) {
+	bounded, cancel := context.WithTimeout(ctx, o.Wait+pollSlack)
+	defer cancel()
+	sent := c.options.Now()
+	answer, err := c.options.Workers.Poll(bounded, w, o)
+	answer.Sent, answer.Received, answer.Acknowledged = sent, c.options.Now(), o.Acknowledge
+	return answer, err
+}
+
 // applyPollResult applies the answer to a poll.
 func (c *Conductor) applyPollResult(w planner.Worker, s *session, a PollAnswer, err error) {
 	now := c.options.Now()
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -126,6 +126,7 @@
 		}
 	}
 	w.updateAcknowledged(now)
+	w.hasOverdueEnds = w.acknowledged > w.delivered
 	w.polledAt, w.listedAt = now, result.Received
 	if w.listedAt.IsZero() {
 		w.listedAt = now
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -27,11 +27,11 @@
 	// acknowledgeWait limits how long a poll is deferred until the ends already
 	// read are committed.
 	acknowledgeWait = 400 * time.Millisecond
-	// acknowledgeWindow is how long after the answer to a poll ends may be
+	// AcknowledgeWindow is how long after the answer to a poll ends may be
 	// acknowledged. In a shorter time no process ends and a new one runs a task
 	// under its id; such a process would forget ends of its own that were never
 	// read.
-	acknowledgeWindow = 150 * time.Millisecond
+	AcknowledgeWindow = 150 * time.Millisecond
 	// unknownRunLimit is how long a listed run of an unknown job may wait for
 	// the job to arrive from the store before it is stopped.
 	unknownRunLimit = 5 * time.Second
@@ -368,6 +368,10 @@
 	// AcknowledgeUntil must not acknowledge it.
 	Acknowledge      uint64
 	AcknowledgeUntil time.Time
+	// Committed is the number of the last end whose effect is committed, if no
+	// answered poll has acknowledged it, or zero. Later than AcknowledgeUntil, a
+	// poll may acknowledge it if the process has just answered another one.
+	Committed uint64
 	// IsFailing is set while calls go unanswered. A poll then grants no lease,
 	// so that the leases granted before expire.
 	IsFailing bool
@@ -387,15 +391,18 @@
 		needsPoll := len(w.runs) > 0 || !w.isProved() || w.delivered < w.cursor
 		// A worker with unacknowledged ends answers a poll immediately, so the
 		// poll is deferred until the ends already read are committed.
-		if len(w.unacknowledgedEnds) > 0 && now.Sub(w.polledAt) < acknowledgeWait {
+		if len(w.unacknowledgedEnds) > 0 && !w.hasOverdueEnds && now.Sub(w.polledAt) < acknowledgeWait {
 			needsPoll = false
 		}
 		isSilent := w.isListed && !w.failedSince.IsZero()
 		needsPoll = needsPoll || w.isContested || isSilent || len(w.withdrawnStarts) > 0
 		contact := Contact{Worker: *w, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll}
-		if until := w.listedAt.Add(acknowledgeWindow); !now.After(until) {
+		if until := w.listedAt.Add(AcknowledgeWindow); !now.After(until) {
 			contact.Acknowledge, contact.AcknowledgeUntil = w.acknowledged, until
 		}
+		if w.acknowledged > w.delivered {
+			contact.Committed = w.acknowledged
+		}
 		list = append(list, contact)
 	}
 	return list
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -300,6 +300,9 @@
 	// last end that an answered poll acknowledged.
 	cursor, acknowledged, delivered uint64
 	unacknowledgedEnds              []unacknowledgedEnd
+	// hasOverdueEnds is set when the last answer listed ends whose effect was
+	// committed by then, because its poll could not acknowledge them.
+	hasOverdueEnds bool
 	// withdrawnStarts holds the unanswered starts whose runs have ended before the
 	// process listed them.
 	withdrawnStarts []withdrawnStart
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -196,7 +196,8 @@
 }
 
 // poll sends a long poll to a worker, which answers as soon as a run has ended
-// and after pollWait at the latest. A contested worker answers at once.
+// and after pollWait at the latest. A contested worker answers at once. If ends are
+// acknowledged long after the answer that listed them, another poll goes first.
 func (o *owner) poll(c planner.Contact, s *session) {
 	w, p, sent := o.world, o.planner, o.world.now
 	isLeased := o.isWithinHorizon() && !c.IsFailing
@@ -213,7 +214,11 @@
 	if c.IsContested {
 		wait = 0
 	}
-	w.schedule(w.now.Add(delay), func() {
+	acknowledge := c.Acknowledge
+	if acknowledge == 0 && c.Committed > 0 && !m.isDown && m.ID == c.ID && m.Born == c.Born {
+		acknowledge, sent = c.Committed, sent.Add(2*delay)
+	}
+	w.schedule(sent.Add(delay), func() {
 		m := w.machineAt(c.Address)
 		switch {
 		case m.isDown:
@@ -228,8 +233,8 @@
 		}
 		m.epoch = o.epoch
 		m.renew(l.endOn(w, m))
-		m.ends = slices.DeleteFunc(m.ends, func(e planner.RunEnd) bool { return e.Number <= c.Acknowledge })
-		o.answerPoll(m, s, c.Acknowledge, sent, w.now.Add(wait))
+		m.ends = slices.DeleteFunc(m.ends, func(e planner.RunEnd) bool { return e.Number <= acknowledge })
+		o.answerPoll(m, s, acknowledge, sent, w.now.Add(wait))
 	})
 }
 
