Don't add up violations that end in between

Cause: since a long-running task that is over its target within 1 s of a recovery counts as having been over it all the time, also over a whole series of short violations.

A relapse now adds the time over the target before the last recovery only, and only towards the pause; throttling and starts go by the present violation, as before. One imprecise report still doesn't count as a recovery.

--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -374,16 +374,16 @@
 }
 
 // throttleFor throttles the tasks that disturb v most until the expected level
-// of v is at most throttleGoalLevel. If v has been over its target for more
-// than pauseAllAfter, throttleFor pauses every best-effort task beside v.
+// of v is at most throttleGoalLevel. If v has violated its target for more than
+// pauseAllAfter, throttleFor pauses every best-effort task beside v.
 func (p *Planner) throttleFor(now time.Time, v victim, bestEffort []*run) {
-	var over time.Duration
+	var over, violating time.Duration
 	if !v.run.overTargetSince.IsZero() {
-		over = now.Sub(v.run.overTargetSince)
+		over, violating = now.Sub(v.run.overTargetSince), now.Sub(v.run.violatingSince)
 	}
-	if over > p.pauseAllAfter() {
+	if violating > p.pauseAllAfter() {
 		for _, f := range bestEffort {
-			p.setPace(now, f, 0, fmt.Sprintf("%s over its target for %s", v.run.id, over))
+			p.setPace(now, f, 0, fmt.Sprintf("%s over its target for %s", v.run.id, violating))
 		}
 		return
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -190,9 +190,12 @@
 	tailLevel       float64
 	tailAt          time.Time
 	overTargetSince time.Time
-	// recoveredAt is when the task last recovered, after it had been over its
-	// target since wasOverSince.
-	recoveredAt, wasOverSince time.Time
+	// violatingSince is at or before overTargetSince: it adds the time over the
+	// target before a brief recovery, but not before an earlier one.
+	// lastViolation is how long the task was over its target up to the last
+	// recovery, which began at recoveredAt.
+	violatingSince, recoveredAt time.Time
+	lastViolation               time.Duration
 	// usedCPU is the last reported CPU use of a task that is not long-running,
 	// in millicores.
 	usedCPU int64
--- a/internal/planner/tail.go
+++ b/internal/planner/tail.go
@@ -6,8 +6,8 @@
 )
 
 // relapseTime is how soon after a recovery a long-running task that is over its
-// target again counts as having been over it all the time. A single report of a
-// tail latency may be far off, and the next one follows within a poll's wait.
+// target again counts as having been over it before. A single report of a tail
+// latency may be far off, and the next one follows within a poll's wait.
 const relapseTime = time.Second
 
 // recordTail records a reported tail latency of a long-running task. Reported
@@ -17,12 +17,12 @@
 	r.tailLevel, r.tailAt = math.Log(float64(tail)/float64(r.task.step.LatencyTarget)), now
 	switch {
 	case r.tailLevel < recoveredLevel && !r.overTargetSince.IsZero():
-		r.wasOverSince, r.recoveredAt = r.overTargetSince, now
+		r.lastViolation, r.recoveredAt = now.Sub(r.overTargetSince), now
 		r.overTargetSince = time.Time{}
 	case r.tailLevel > overTargetLevel && r.overTargetSince.IsZero():
-		r.overTargetSince = now
-		if !r.recoveredAt.IsZero() && now.Sub(r.recoveredAt) <= relapseTime {
-			r.overTargetSince = r.wasOverSince
+		r.overTargetSince, r.violatingSince = now, now
+		if now.Sub(r.recoveredAt) <= relapseTime {
+			r.violatingSince = now.Add(-r.lastViolation)
 		}
 	}
 }
