Repeat the pace of a slowed task that stands still

Trace: at 17.81 s and 19.25 s the planner sent paces of 0% and 20% in turn; a pause was carried out late, after the pace of 20% that followed it, and nothing was sent after 19.25 s.

Cause: a pace is sent again only to a task that uses more than its pace, or whose pace is above 30%. A task with a lower pace is moved if another worker has a place for it, and otherwise left as it is, paused.

--- a/internal/planner/late_orders_test.go
+++ b/internal/planner/late_orders_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -106,3 +107,59 @@
 func (d *driver) answerEmpty(o planner.Command, sent time.Time) {
 	d.p.PollAnswered(d.now, o.WorkerID, planner.PollResult{Sent: sent})
 }
+
+// TestLatePauseOfSlowTask guards against a slowed task that stands still for ever,
+// because an earlier pause was carried out late and its pace is not sent again.
+func TestLatePauseOfSlowTask(t *testing.T) {
+	const interval, over, recovered = 200 * time.Millisecond, 0.02, -0.16
+	for name, percent := range map[string]int{"in the first half of its work": 20, "in the second half of its work": 70} {
+		t.Run(name, func(t *testing.T) {
+			d := newBusyDriver(t, -1.5)
+			others := step(3, 1)
+			others.LongRunning, others.Image, others.LatencyTarget = true, "serving", time.Second
+			d.add(job("others", others))
+			d.Assert(d.startTasks(), quicktest.HasLen, 3)
+			for i := range d.running["a"] {
+				d.running["a"][i].Percent, d.running["a"][i].Tail = 100, 200*time.Millisecond
+			}
+			d.poll("a")
+			s := step(1, 8)
+			s.BestEffort, s.Image = true, "batch"
+			j := job("batch", s)
+			j.Queue.Slack = time.Minute
+			d.add(j)
+			d.Assert(d.startTasks(), quicktest.HasLen, 1)
+			var paces []int
+			report := func(level float64, cpu int64) {
+				d.advance(interval)
+				for i := range d.running["a"] {
+					r := &d.running["a"][i]
+					if r.Run.Job == "batch" {
+						r.Percent, r.CPU = percent, cpu
+					} else {
+						r.Percent, r.Tail = 100, time.Duration(math.Exp(level)*float64(time.Second))
+					}
+				}
+				d.poll("a")
+				for _, o := range d.p.Plan(d.now, d.proven()) {
+					if o.Kind == planner.PaceRun {
+						paces = append(paces, o.Percent)
+					}
+				}
+			}
+			for range 15 {
+				report(over, 8000)
+			}
+			d.Assert(paces[len(paces)-1], quicktest.Equals, 0)
+			for range 25 {
+				report(recovered, 0)
+			}
+			d.Assert(paces[len(paces)-1], quicktest.Equals, 20)
+			paces = nil
+			for range 15 {
+				report(recovered, 0)
+			}
+			d.Assert(paces, quicktest.Contains, 20)
+		})
+	}
+}
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -461,26 +461,36 @@
 	switch {
 	case sincePaced > paceResendInterval && float64(r.usedCPU) > (float64(r.targetPace)/100+maxOveruse)*float64(r.task.step.Need.CPU):
 		p.reportRun("pace_repeated", r, fmt.Sprintf("uses %d of %d millicores at a pace of %d%%", r.usedCPU, r.task.step.Need.CPU, r.targetPace))
-		r.paceAt = now
-		p.commands = append(p.commands, Command{Kind: PaceRun, Run: r.id, WorkerID: r.worker.ID, Percent: r.targetPace})
+		p.repeatPace(now, r)
 	case r.targetPace > starvedPace:
 		if sincePaced > paceResendInterval && now.Sub(r.progressAt) > paceResendInterval {
-			r.paceAt = now
-			p.commands = append(p.commands, Command{Kind: PaceRun, Run: r.id, WorkerID: r.worker.ID, Percent: r.targetPace})
+			p.repeatPace(now, r)
 		}
-	case sincePaced > starvedLimit && len(r.task.runs) == 1 && (r.task.step.Checkpoints || r.percent < 50):
+	case sincePaced > starvedLimit:
 		// A task without checkpoints is only moved in the first half of its work,
 		// which the move discards. The harm limit at the new place is that of a
 		// task that has not waited.
-		r.task.readyAt = now
-		if w := p.chooseWorker(now, r.task, p.candidates(now, r.task.step)); w != nil {
-			p.stop(now, r, fmt.Sprintf("at a pace of %d%% for %s, has a place on %s", r.targetPace, sincePaced, w.ID))
-		} else {
+		if len(r.task.runs) == 1 && (r.task.step.Checkpoints || r.percent < 50) {
+			r.task.readyAt = now
+			if w := p.chooseWorker(now, r.task, p.candidates(now, r.task.step)); w != nil {
+				p.stop(now, r, fmt.Sprintf("at a pace of %d%% for %s, has a place on %s", r.targetPace, sincePaced, w.ID))
+				return
+			}
 			r.paceAt = now
 		}
+		// A pause that was carried out late may have replaced the pace.
+		if r.targetPace > 0 && now.Sub(r.progressAt) > starvedLimit {
+			p.repeatPace(now, r)
+		}
 	}
 }
 
+// repeatPace sends the target pace of a run again.
+func (p *Planner) repeatPace(now time.Time, r *run) {
+	r.paceAt = now
+	p.commands = append(p.commands, Command{Kind: PaceRun, Run: r.id, WorkerID: r.worker.ID, Percent: r.targetPace})
+}
+
 // PaceUnanswered requests that a pace be sent again if it is not known whether
 // the worker applied it.
 func (p *Planner) PaceUnanswered(id RunID, workerID string) {
