Remember a start that is withdrawn before it times out

A task of a cancelled job could run on a new process with its worker's id, and nothing stopped it before the lease ended if the worker was idle: the start was under way when the job was cancelled, the process confirmed the stop, and a poll no longer listed the run, all before the start counted as unanswered (after 0.4 s). The planner remembered only starts that were already known to be unanswered, so the new process got no stop and wasn't polled.

A start is now remembered unless it was answered or its run was listed. A run that is known by its end, or is adopted, counts as listed.

TestWithdrawnStartBeforeItsTimeout/start unanswered failed before (NeedsPoll was false); the case of a refused start passed.

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -200,7 +200,7 @@
 		}
 		return nil
 	}
-	r := &run{id: id, task: t, worker: w, state: p.chart.Start(), startedAt: now, progressAt: now, pace: 100, targetPace: 100}
+	r := &run{id: id, task: t, worker: w, state: p.chart.Start(), startedAt: now, isListed: true, progressAt: now, pace: 100, targetPace: 100}
 	p.transition(r, "confirm")
 	w.addRun(r)
 	t.attempt = max(t.attempt, id.Attempt)
@@ -264,6 +264,7 @@
 	case EndStopped, EndLapsed, EndBroken, EndAlone:
 	}
 	if r := w.runs[e.Run]; r != nil {
+		r.isListed = true
 		p.endRun(r, "end", string(e.Kind))
 	} else {
 		p.enqueue(t)
@@ -383,6 +384,7 @@
 		return
 	}
 	r := w.runs[id]
+	r.isAnswered = o != Unclear
 	j := r.task.step.occurrence.job
 	switch o {
 	case Started:
@@ -395,7 +397,6 @@
 		}
 		p.endRun(r, "refuse", "start refused: "+reason)
 	case Unclear:
-		r.isUnanswered = true
 		p.stop(now, r, "start without an answer")
 	}
 }
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -162,8 +162,9 @@
 	// isListed is set once the worker's process has listed the run. The start of
 	// any other run may still be under way.
 	isListed bool
-	// isUnanswered is set when the start was not answered.
-	isUnanswered bool
+	// isAnswered is set once the start was answered, so that it can't be carried out
+	// any more.
+	isAnswered bool
 	// stopConfirmed is when the worker confirmed the stop.
 	stopConfirmed time.Time
 	// stopSent is when the stop was last sent.
--- a/internal/planner/withdraw.go
+++ b/internal/planner/withdraw.go
@@ -10,7 +10,7 @@
 // lease in a start doesn't limit that on a new process, whose clock starts anew.
 const lateStartLimit = 15 * time.Second
 
-// withdrawnStart is an unanswered start whose run has ended. The process that
+// withdrawnStart is a start whose run has ended before the start was answered. The process that
 // confirmed the stop rejects the start if it arrives late. A new process with the
 // same id would carry it out, so the stop is sent there too. The worker is polled
 // meanwhile, so that a new process is noticed before the start arrives.
@@ -23,9 +23,11 @@
 	isConfirmed bool
 }
 
-// noteWithdrawn records that an unanswered start has ended without a run.
+// noteWithdrawn records the start of a run that has ended if it may still be under
+// way. A start counts as unanswered only after its timeout, so a stop and a poll may
+// have been answered before.
 func (w *Worker) noteWithdrawn(r *run) {
-	if r.isUnanswered && !r.isListed {
+	if !r.isAnswered && !r.isListed {
 		w.withdrawnStarts = append(w.withdrawnStarts, withdrawnStart{run: r.id, sentAt: r.startedAt, isConfirmed: true})
 	}
 }
--- a/internal/planner/withdraw_test.go
+++ b/internal/planner/withdraw_test.go
@@ -66,3 +66,40 @@
 	}
 	return isStopped
 }
+
+// TestWithdrawnStartBeforeItsTimeout guards against a task of a cancelled job that
+// runs on a new process with the worker's id. The stop was confirmed, and a poll
+// didn't list the run, before the start of the run counted as unanswered.
+func TestWithdrawnStartBeforeItsTimeout(t *testing.T) {
+	for name, tt := range map[string]struct {
+		outcome   planner.StartOutcome
+		isStopped bool
+	}{
+		"start unanswered": {planner.Unclear, true},
+		"start refused":    {planner.Refused, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+			d.add(job("1", step(1, 1)))
+			start := d.p.Plan(d.now, d.proven())[0]
+			if tt.outcome == planner.Refused {
+				d.p.StartAnswered(d.now, start.Run, "a", tt.outcome, "room")
+			}
+			d.p.Cancel(d.now, "1")
+			d.p.Plan(d.now, d.proven())
+			d.advance(10 * time.Millisecond)
+			d.p.StopAnswered(d.now, start.Run, "a")
+			d.advance(10 * time.Millisecond)
+			d.poll("a")
+			if tt.outcome == planner.Unclear {
+				d.advance(380 * time.Millisecond)
+				d.p.StartAnswered(d.now, start.Run, "a", tt.outcome, "no answer")
+			}
+			d.commit()
+			d.Assert(d.p.Contacts(d.now)[0].NeedsPoll, quicktest.Equals, tt.isStopped)
+			d.advance(time.Second)
+			d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now, ProcessStart: 2})
+			d.Assert(d.stops(start.Run), quicktest.Equals, tt.isStopped)
+		})
+	}
+}
