--- a/internal/planner/withdraw_test.go
+++ b/internal/planner/withdraw_test.go
@@ -103,3 +103,36 @@
 		})
 	}
 }
+
+// TestWithdrawnStartOfForgottenWorker guards against a second run of a task whose
+// unanswered start is carried out late by a new process with the worker's id, which
+// was listed after the worker had been forgotten.
+func TestWithdrawnStartOfForgottenWorker(t *testing.T) {
+	w, other := worker("a", 8), worker("b", 8)
+	d := newDriver(t, 1, w, other).registerWorkers()
+	d.p.SetEvacuatedDomains([]string{other.Domain})
+	d.add(job("1", step(1, 1)))
+	start := d.p.Plan(d.now, d.proven())[0]
+	d.p.SetEvacuatedDomains([]string{w.Domain})
+	d.p.Leased("a", d.now.Add(6*time.Second))
+	d.advance(400 * time.Millisecond)
+	d.p.StartAnswered(d.now, start.Run, "a", planner.Unclear, "no answer")
+	d.p.Unanswered(d.now, "a")
+	for range 12 {
+		d.list(other)
+		d.advance(700 * time.Millisecond)
+		d.p.Plan(d.now, d.proven())
+	}
+	d.Assert(d.decisionCounts["start"], quicktest.Equals, 2)
+	d.list(successor("a", w), other)
+	d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now, ProcessStart: 2})
+	d.Assert(d.stops(start.Run), quicktest.IsTrue)
+	// The worker is forgotten once the start can't arrive any more.
+	for range 12 {
+		d.list(other)
+		d.advance(700 * time.Millisecond)
+		d.p.Plan(d.now, d.proven())
+	}
+	_, isKnown := d.p.Worker("a")
+	d.Assert(isKnown, quicktest.IsFalse)
+}
