Test each order in which a start, its stop and a poll may be answered

TestUnlistedRunMayStillStart gets the interleavings that it lacked: a later poll while the start is not answered, an earlier answer after the run was listed, a listed run that is gone, a refusal, and a run that is listed after its stop was confirmed, or as stopped before or after the start times out.

--- a/internal/planner/late_orders_test.go
+++ b/internal/planner/late_orders_test.go
@@ -69,6 +69,48 @@
 			d.advance(100 * time.Millisecond)
 			d.answerEmpty(start, d.now)
 		}, false},
+		"start not answered yet, poll sent later": {func(d *driver, start planner.Command) {
+			d.advance(300 * time.Millisecond)
+			d.answerEmpty(start, d.now)
+		}, false},
+		"listed, and the answer to an earlier poll arrives later": {func(d *driver, start planner.Command) {
+			sent := d.now
+			d.advance(100 * time.Millisecond)
+			d.running[start.WorkerID] = []planner.RunStatus{{Run: start.Run}}
+			d.poll(start.WorkerID)
+			d.answerEmpty(start, sent)
+		}, false},
+		"listed, and a later poll doesn't list it": {func(d *driver, start planner.Command) {
+			d.running[start.WorkerID] = []planner.RunStatus{{Run: start.Run}}
+			d.poll(start.WorkerID)
+			d.advance(100 * time.Millisecond)
+			d.answerEmpty(start, d.now)
+		}, true},
+		"listed, and then the start is refused": {func(d *driver, start planner.Command) {
+			d.running[start.WorkerID] = []planner.RunStatus{{Run: start.Run}}
+			d.poll(start.WorkerID)
+			d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Refused, "old")
+			d.advance(200 * time.Millisecond)
+		}, false},
+		"refused": {func(d *driver, start planner.Command) {
+			d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Refused, "room")
+			d.advance(200 * time.Millisecond)
+		}, true},
+		"no answer, listed after the stop was confirmed": {func(d *driver, start planner.Command) {
+			d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Unclear, "no answer")
+			d.p.StopAnswered(d.now, start.Run, start.WorkerID)
+			d.advance(100 * time.Millisecond)
+			d.running[start.WorkerID] = []planner.RunStatus{{Run: start.Run}}
+			d.poll(start.WorkerID)
+		}, false},
+		"no answer, and it is listed as stopped": {func(d *driver, start planner.Command) {
+			d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Unclear, "no answer")
+			d.endRun(start, planner.EndStopped)
+		}, true},
+		"listed as stopped, and then the start has no answer": {func(d *driver, start planner.Command) {
+			d.endRun(start, planner.EndStopped)
+			d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Unclear, "no answer")
+		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDriver(t, 1, worker("a", 8), worker("b", 8)).registerWorkers()
