--- a/internal/planner/withdraw_test.go
+++ b/internal/planner/withdraw_test.go
@@ -66,3 +66,73 @@
 	}
 	return isStopped
 }
+
+// TestWithdrawnStartBeforeItsTimeout guards against a task of a cancelled job that
+// runs on a new process with the worker's id. The stop was confirmed, and a poll
+// didn't list the run, before the start of the run counted as unanswered.
+func TestWithdrawnStartBeforeItsTimeout(t *testing.T) {
+	for name, tt := range map[string]struct {
+		outcome   planner.StartOutcome
+		isStopped bool
+	}{
+		"start unanswered": {planner.Unclear, true},
+		"start refused":    {planner.Refused, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+			d.add(job("1", step(1, 1)))
+			start := d.p.Plan(d.now, d.proven())[0]
+			if tt.outcome == planner.Refused {
+				d.p.StartAnswered(d.now, start.Run, "a", tt.outcome, "room")
+			}
+			d.p.Cancel(d.now, "1")
+			d.p.Plan(d.now, d.proven())
+			d.advance(10 * time.Millisecond)
+			d.p.StopAnswered(d.now, start.Run, "a")
+			d.advance(10 * time.Millisecond)
+			d.poll("a")
+			if tt.outcome == planner.Unclear {
+				d.advance(380 * time.Millisecond)
+				d.p.StartAnswered(d.now, start.Run, "a", tt.outcome, "no answer")
+			}
+			d.commit()
+			d.Assert(d.p.Contacts(d.now)[0].NeedsPoll, quicktest.Equals, tt.isStopped)
+			d.advance(time.Second)
+			d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now, ProcessStart: 2})
+			d.Assert(d.stops(start.Run), quicktest.Equals, tt.isStopped)
+		})
+	}
+}
+
+// TestWithdrawnStartOfForgottenWorker guards against a second run of a task whose
+// unanswered start is carried out late by a new process with the worker's id, which
+// was listed after the worker had been forgotten.
+func TestWithdrawnStartOfForgottenWorker(t *testing.T) {
+	w, other := worker("a", 8), worker("b", 8)
+	d := newDriver(t, 1, w, other).registerWorkers()
+	d.p.SetEvacuatedDomains([]string{other.Domain})
+	d.add(job("1", step(1, 1)))
+	start := d.p.Plan(d.now, d.proven())[0]
+	d.p.SetEvacuatedDomains([]string{w.Domain})
+	d.p.Leased("a", d.now.Add(6*time.Second))
+	d.advance(400 * time.Millisecond)
+	d.p.StartAnswered(d.now, start.Run, "a", planner.Unclear, "no answer")
+	d.p.Unanswered(d.now, "a")
+	for range 12 {
+		d.list(other)
+		d.advance(700 * time.Millisecond)
+		d.p.Plan(d.now, d.proven())
+	}
+	d.Assert(d.decisionCounts["start"], quicktest.Equals, 2)
+	d.list(successor("a", w), other)
+	d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now, ProcessStart: 2})
+	d.Assert(d.stops(start.Run), quicktest.IsTrue)
+	// The worker is forgotten once the start can't arrive any more.
+	for range 12 {
+		d.list(other)
+		d.advance(700 * time.Millisecond)
+		d.p.Plan(d.now, d.proven())
+	}
+	_, isKnown := d.p.Worker("a")
+	d.Assert(isKnown, quicktest.IsFalse)
+}
