Log the soak's events, faults and violations beside the instances

A violated guarantee could not be traced from the log of a soak: it had the decisions of the owners, but neither what ran on the workers nor when a fault was injected. The events of the workers, the faults and the violations are now lines of the same file, with the time.

--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -29,6 +29,9 @@
 // checker compares what workers and clients observe with what the system
 // guarantees to them.
 type checker struct {
+	// log receives the violations as they are found.
+	log func(format string, args ...any)
+
 	mu   sync.Mutex
 	jobs map[string]*job
 	// running holds the current runs of each task, by worker, process and attempt.
@@ -51,6 +54,7 @@
 
 func newChecker() *checker {
 	return &checker{
+		log:  func(string, ...any) {},
 		jobs: map[string]*job{}, running: map[string]map[string]bool{}, done: map[string]bool{}, acknowledged: map[string]bool{},
 		restartOrigin: map[string]string{}, doneRuns: map[string]map[string]bool{}, restartedAfter: map[string]map[string]bool{},
 		failedRuns: map[string]map[string]bool{}, failedBefore: map[string]map[string]bool{},
@@ -66,6 +70,7 @@
 
 // fail records a violation, or a failure of the soak itself. The caller holds c.mu.
 func (c *checker) fail(format string, args ...any) {
+	c.log("violated: "+format, args...)
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
--- a/standins/soaker/faults.go
+++ b/standins/soaker/faults.go
@@ -75,6 +75,7 @@
 
 // recordFault adds an injected fault to the report.
 func (s *soak) recordFault(format string, args ...any) {
+	s.log(format, args...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.injected = append(s.injected, fmt.Sprintf("%.2f s: ", time.Since(s.startedAt).Seconds())+fmt.Sprintf(format, args...))
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -83,6 +83,9 @@
 	shares    faultShares
 	// configVersion is the last version of the configuration that was written.
 	configVersion int
+	// output receives the logs of the instances, the events of the workers and the
+	// injected faults.
+	output *os.File
 	// restarts is the number of restarts of workers.
 	restarts int
 	storeRNG *rand.Rand
@@ -109,9 +112,10 @@
 		return Report{}, errors.Wrap(err, "create log file")
 	}
 	defer func() { _ = output.Close() }()
+	s.output, s.checker.log = output, s.log
 	s.platform, err = platformer.New(platformer.Options{
 		Binary: o.Binary, Directory: o.Directory, Workers: o.Workers, TaskDuration: taskDuration, Output: output, ProxyAddress: s.proxyAddress,
-		Observe: s.checker.observe, Fails: s.runFails,
+		Observe: s.observe, Fails: s.runFails,
 		TransactionDelay: func() time.Duration { return s.delay(&s.shares.lateTransactions) },
 		OrderDelay:       func() time.Duration { return s.delay(&s.shares.lateOrders) },
 	})
@@ -156,6 +160,20 @@
 	return r, nil
 }
 
+// observe checks and logs an event of a worker.
+func (s *soak) observe(e platformer.Event) {
+	s.log("%+v", e)
+	s.checker.observe(e)
+}
+
+// log adds a line to the logs of the instances, so that a violation can be traced in
+// one file.
+func (s *soak) log(format string, args ...any) {
+	if s.output != nil {
+		_, _ = fmt.Fprintf(s.output, "%s soak: %s\n", time.Now().Format(time.RFC3339Nano), fmt.Sprintf(format, args...))
+	}
+}
+
 func (s *soak) stop() {
 	s.platform.Stop()
 	s.mu.Lock()
