Add takeovers beside restarts of workers to the soak

The soak restarted workers and instances at random, so that few restarts met a change of the owner or calls that were still under way. The new faults kill or pause the owner itself and restart half of the workers, most of them under their ids, while the successor polls them; and they delay all calls to workers or all transactions for less than half a second and then restart workers or the owner.

--- a/standins/soaker/restarts.go
+++ b/standins/soaker/restarts.go
@@ -1,13 +1,20 @@
 package soaker
 
 import (
+	"context"
 	"sync"
 	"syscall"
 	"time"
 
+	"tarragonhead.example/tarragonhead/internal/conductor"
+	"tarragonhead.example/tarragonhead/internal/sharder"
 	"tarragonhead.example/tarragonhead/standins/platformer"
 )
 
+// takeoverTime is how long after the end of an owner its successor may still be
+// polling workers for the first time.
+const takeoverTime = 4 * time.Second
+
 // pauser pauses a process. Pauses may overlap: the process continues when the last
 // one ends.
 type pauser struct {
@@ -80,6 +87,72 @@
 	}
 }
 
+// injectTakeovers restarts workers while another instance takes the shard over, or
+// while calls are under way that take effect late, until the duration of the soak is
+// over.
+func (j *injector) injectTakeovers() {
+	time.Sleep(j.randomDuration(2*time.Second, 5*time.Second))
+	for time.Since(j.startedAt) < j.options.Duration {
+		switch j.rng.IntN(4) {
+		case 0:
+			j.restartAfter(j.owner(), j.randomSignal(), j.randomDuration(0, 3*time.Second), nil)
+			j.restartWorkersWithin(takeoverTime)
+		case 1:
+			// The predecessor comes back while its successor polls the workers.
+			j.pause(j.owner())
+			j.restartWorkersWithin(takeoverTime)
+		case 2:
+			j.delayCalls(&j.shares.lateOrders, "calls to workers")
+			j.restartWorkersWithin(500 * time.Millisecond)
+		case 3:
+			j.delayCalls(&j.shares.lateTransactions, "transactions")
+			j.restartAfter(j.owner(), j.randomSignal(), 0, nil)
+			j.restartWorkersWithin(takeoverTime)
+		}
+		time.Sleep(j.randomDuration(time.Second, 5*time.Second))
+	}
+}
+
+// owner returns the instance that owns the first shard, or the first instance if the
+// owner is not known.
+func (j *injector) owner() *instance {
+	e, err := j.platform.Keeper.Store().Get(context.Background(), conductor.OwnerKey(sharder.Name(0)))
+	if err == nil {
+		address, _ := conductor.DecodeOwner(e.Value)
+		for _, i := range j.instances {
+			if j.currentProcess(i).Control() == address.String() {
+				return i
+			}
+		}
+	}
+	return j.instances[0]
+}
+
+// delayCalls makes the calls of one kind take effect late for less than half a
+// second, and returns then.
+func (j *injector) delayCalls(shares *overlay[float64], what string) {
+	length := j.randomDuration(50*time.Millisecond, 400*time.Millisecond)
+	j.recordFault("%s take effect late for %s", what, length)
+	end := shares.add(1)
+	time.Sleep(length)
+	end()
+}
+
+// restartWorkersWithin restarts about half of the workers at random moments within
+// the limit, most of them under their ids.
+func (j *injector) restartWorkersWithin(limit time.Duration) {
+	for _, w := range j.platform.Workers {
+		r, delay := j.randomWorkerRestart(), j.randomDuration(0, limit)
+		r.KeepsID = r.KeepsID || j.rng.IntN(2) == 0
+		if j.rng.IntN(2) == 0 {
+			j.activeFaults.Go(func() {
+				time.Sleep(delay)
+				j.runRestarts(w, []workerRestart{r})
+			})
+		}
+	}
+}
+
 func (j *injector) randomSignal() syscall.Signal {
 	return [...]syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[j.rng.IntN(2)]
 }
--- a/standins/soaker/restarts_test.go
+++ b/standins/soaker/restarts_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"net/netip"
 	"os"
 	"slices"
 	"syscall"
@@ -8,7 +9,10 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
+	"tarragonhead.example/tarragonhead/internal/conductor"
+	"tarragonhead.example/tarragonhead/internal/sharder"
 	"tarragonhead.example/tarragonhead/standins/platformer"
 )
 
@@ -78,3 +82,22 @@
 	c.Assert(platform.Processes(i.name), quicktest.Equals, 2)
 	c.Assert(hasEnded(s.currentProcess(i)), quicktest.IsFalse)
 }
+
+// TestOwnerIsFound guards against takeovers that restart any instance, so that few
+// of them take the shard over.
+func TestOwnerIsFound(t *testing.T) {
+	c := quicktest.New(t)
+	platform, err := platformer.New(platformer.Options{Binary: os.Args[0], Directory: t.TempDir(), Workers: 1, TaskDuration: taskDuration})
+	c.Assert(err, quicktest.IsNil)
+	t.Cleanup(platform.Stop)
+	s := &soak{platform: platform, checker: newChecker(), startedAt: time.Now(), instances: []*instance{{name: "edge-1"}, {name: "edge-2"}}}
+	for _, i := range s.instances {
+		c.Assert(s.startProcess(i), quicktest.IsNil)
+	}
+	j := &injector{soak: s}
+	c.Assert(j.owner().name, quicktest.Equals, "edge-1")
+	record, err := cbor.Marshal(map[string]any{"address": netip.MustParseAddrPort(s.instances[1].process.Control())})
+	c.Assert(err, quicktest.IsNil)
+	platform.Keeper.Put(conductor.OwnerKey(sharder.Name(0)), record)
+	c.Assert(j.owner().name, quicktest.Equals, "edge-2")
+}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -146,6 +146,7 @@
 	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 1))}).injectInstanceFaults)
 	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 3))}).injectWorkerFaults)
 	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 4))}).injectRestarts)
+	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 5))}).injectTakeovers)
 	injectors.Wait()
 	close(stopClients)
 	clientsDone.Wait()
