Keep runs that may be on a worker's new process until its lease has expired

Workers saw a task run twice: its run was taken for lapsed and the task started elsewhere, while the run went on, or had ended and was acknowledged later, on a process that had the id of the ended one.

Cause: a lease is a time on the clock of a worker's process. A call that was meant for the ended process and reaches the one that has its id carries a time that is far ahead on the new clock, so the lease there lasts for the longest time from the arrival of the call. Late calls arrive up to 12 s after they were sent, but the owner counted the lease from their sending.

Three starts that were sent before 03.85 take effect on it at 05.57, 05.90 and 06.03. The list shows the new process at 03.98, polls go unanswered. At 06.945 the owner takes the leases for expired and starts the task again; at 08.56 a poll reads and acknowledges the end of the first run.

While the list shows another process under a worker's id, runs that the worker's process has never listed now lapse only when no late call can have renewed a lease there. Until then the first answered poll decides, as before. Runs that the ended process has listed lapse as before. Without another process in the list nothing changes, so that tasks of a worker that is merely lost don't wait.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -65,10 +65,7 @@
 		case p.unverified[w.ID] && proven.After(p.options.PredecessorLeaseEnd) && proven.After(w.leaseEnd):
 			p.removeWorker(w, "leases_expired", "no answer before every lease expired")
 		case !p.unverified[w.ID] && !w.failedSince.IsZero() && proven.After(w.leaseEnd) && len(w.runs) > 0 && w.answeredAt.Before(w.leaseEnd):
-			p.reportWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s", now.Sub(w.failedSince)))
-			for _, r := range runsOf(w) {
-				p.endRun(r, "lapse", "lease expired")
-			}
+			p.endLapsed(now, proven, w)
 		case w.isGone(now) && len(w.runs) == 0 && !p.unverified[w.ID]:
 			p.reportWorker("worker_gone", w, "not listed")
 			p.applyProcessEvent(w, "entry_expired")
@@ -77,6 +74,17 @@
 	}
 }
 
+// endLapsed ends the runs of an unresponsive worker whose leases have expired.
+func (p *Planner) endLapsed(now, proven time.Time, w *Worker) {
+	lapsed := slices.DeleteFunc(runsOf(w), func(r *run) bool { return !proven.After(w.leaseEndOf(r)) })
+	if len(lapsed) > 0 {
+		p.reportWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s, %d of %d runs", now.Sub(w.failedSince), len(lapsed), len(w.runs)))
+	}
+	for _, r := range lapsed {
+		p.endRun(r, "lapse", "lease expired")
+	}
+}
+
 // openOccurrences creates the occurrences that are due.
 func (p *Planner) openOccurrences(now time.Time) {
 	wall := p.options.WallTime(now)
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// leaseEndOf returns when the last lease of a run has certainly expired. A start that
+// the worker's process has never listed may reach the process that the list shows under
+// the same id, where a lease counts from its arrival, since the clock started anew.
+func (w *Worker) leaseEndOf(r *run) time.Time {
+	if w.relisted != nil && !r.isListed {
+		return w.leaseEnd.Add(lateStartLimit)
+	}
+	return w.leaseEnd
+}
+
 // OtherProcessAnswered records that a call for the worker was answered by a
 // process with another id, so that the worker's process has ended.
 func (p *Planner) OtherProcessAnswered(workerID string) {
