Keep withdrawn starts of a worker that is not listed for a while

A worker that was missing from the list for 2.5 s and had no runs was forgotten, and with it the starts that were withdrawn from it without an answer. If a new process then took its id, no stop was sent there, and a start that was carried out late ran its task a second time. Late starts arrive up to 12 s after they were sent.

TestGoneWorkerKeepsWithdrawnStarts failed before.

Such a worker is now kept, and polled, until its last withdrawn start can't arrive any more.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -66,7 +66,7 @@
 			p.removeWorker(w, "leases_expired", "no answer before every lease expired")
 		case !p.unverified[w.ID] && !w.failedSince.IsZero() && proven.After(w.leaseEnd) && len(w.runs) > 0 && w.answeredAt.Before(w.leaseEnd):
 			p.endLapsed(now, proven, w)
-		case w.isGone(now) && len(w.runs) == 0 && !p.unverified[w.ID]:
+		case w.isGone(now) && len(w.runs) == 0 && len(w.withdrawnStarts) == 0 && !p.unverified[w.ID]:
 			p.reportWorker("worker_gone", w, "not listed")
 			p.applyProcessEvent(w, "entry_expired")
 			p.forgetWorker(w)
--- a/internal/planner/withdraw_test.go
+++ b/internal/planner/withdraw_test.go
@@ -58,6 +58,37 @@
 	}
 }
 
+// TestGoneWorkerKeepsWithdrawnStarts guards against a second run of a task whose
+// withdrawn start reaches a new process with the id of a worker that was not listed
+// for a while.
+func TestGoneWorkerKeepsWithdrawnStarts(t *testing.T) {
+	w, other := worker("a", 8), worker("c", 8)
+	d := newDriver(t, 1, w, other).registerWorkers()
+	d.p.SetEvacuatedDomains([]string{other.Domain})
+	d.add(job("1", step(1, 1)))
+	start := d.p.Plan(d.now, d.proven())[0]
+	d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Unclear, "")
+	d.p.StopAnswered(d.now, start.Run, start.WorkerID)
+	d.advance(time.Millisecond)
+	d.answer(w, d.now, w.Born)
+	d.p.SetEvacuatedDomains([]string{w.Domain})
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
+	d.list(other)
+	d.advance(3 * time.Second)
+	d.p.Plan(d.now, d.proven())
+	d.list(successor(w.ID, w), other)
+	d.answer(w, d.now, w.Born+1)
+	d.Assert(d.stops(start.Run), quicktest.IsTrue)
+	// No start of it can arrive any more.
+	d.list(other)
+	for range 2 {
+		d.advance(16 * time.Second)
+		d.p.Plan(d.now, d.proven())
+	}
+	_, isKnown := d.p.Worker(w.ID)
+	d.Assert(isKnown, quicktest.IsFalse)
+}
+
 // stops plans, and reports whether a stop of the run is sent to worker a.
 func (d *driver) stops(run planner.RunID) bool {
 	isStopped := false
