--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -88,6 +88,9 @@
 	shares    faultShares
 	// configVersion is the last version of the configuration that was written.
 	configVersion int
+	// output receives the logs of the instances, the events of the workers and the
+	// injected faults.
+	output *os.File
 	// restarts is the number of restarts of workers.
 	restarts int
 	storeRNG *rand.Rand
@@ -114,9 +117,10 @@
 		return Report{}, errors.Wrap(err, "create log file")
 	}
 	defer func() { _ = output.Close() }()
+	s.output, s.checker.log = output, s.log
 	s.platform, err = platformer.New(platformer.Options{
 		Binary: o.Binary, Directory: o.Directory, Workers: o.Workers, TaskDuration: taskDuration, Output: output, ProxyAddress: s.proxyAddress,
-		Observe: s.checker.observe, Fails: s.runFails,
+		Observe: s.observe, Fails: s.runFails,
 		TransactionDelay: func() time.Duration { return s.delay(&s.shares.lateTransactions) },
 		OrderDelay:       func() time.Duration { return s.delay(&s.shares.lateOrders) },
 	})
@@ -153,6 +157,7 @@
 	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 1))}).injectInstanceFaults)
 	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 3))}).injectWorkerFaults)
 	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 4))}).injectRestarts)
+	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 5))}).injectTakeovers)
 	injectors.Wait()
 	close(stopClients)
 	clientsDone.Wait()
@@ -174,6 +179,20 @@
 	return nil
 }
 
+// observe checks and logs an event of a worker.
+func (s *soak) observe(e platformer.Event) {
+	s.log("%+v", e)
+	s.checker.observe(e)
+}
+
+// log adds a line to the logs of the instances, so that a violation can be traced in
+// one file.
+func (s *soak) log(format string, args ...any) {
+	if s.output != nil {
+		_, _ = fmt.Fprintf(s.output, "%s soak: %s\n", time.Now().Format(time.RFC3339Nano), fmt.Sprintf(format, args...))
+	}
+}
+
 func (s *soak) stop() {
 	s.platform.Stop()
 	s.mu.Lock()
