Keep a worker that has withdrawn starts

What callers saw: in the test a task runs elsewhere while its first start, which was not answered, may be carried out by a new process with the worker's id, and no stop is sent there.

Cause: a worker that the list has left out for 2.5 s and that has no runs was forgotten, and with it the starts that were withdrawn when their leases had expired. Such a start may be carried out up to 12 s after it was sent; the lease in it doesn't hold it back on a new process, whose clock starts anew. The new process was then taken for an unknown one.

Fix: a worker is kept until none of its withdrawn starts can arrive any more, at most 15 s after they were sent. It is polled meanwhile, as before, so the new process is found by the answer, and gets the stop.

Ruled out: the memory growing without a bound, as Plan drops old withdrawn starts of every worker; waiting of a successor, as such a worker is not stored once it fails to answer.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -69,7 +69,7 @@
 			for _, r := range runsOf(w) {
 				p.endRun(r, "lapse", "lease expired")
 			}
-		case w.isGone(now) && len(w.runs) == 0 && !p.unverified[w.ID]:
+		case w.isGone(now) && len(w.runs) == 0 && len(w.withdrawnStarts) == 0 && !p.unverified[w.ID]:
 			p.reportWorker("worker_gone", w, "not listed")
 			p.applyProcessEvent(w, "entry_expired")
 			p.forgetWorker(w)
--- a/internal/planner/withdraw.go
+++ b/internal/planner/withdraw.go
@@ -12,8 +12,9 @@
 
 // withdrawnStart is an unanswered start whose run has ended. The process that
 // confirmed the stop rejects the start if it arrives late. A new process with the
-// same id would carry it out, so the stop is sent there too. The worker is polled
-// meanwhile, so that a new process is noticed before the start arrives.
+// same id would carry it out, so the stop is sent there too. The worker is kept and
+// polled meanwhile, listed or not, so that a new process is noticed before the start
+// arrives.
 type withdrawnStart struct {
 	run RunID
 	// sentAt is when the start was sent, and stopSent when the stop was last sent
--- a/internal/planner/withdraw_test.go
+++ b/internal/planner/withdraw_test.go
@@ -66,3 +66,31 @@
 	}
 	return isStopped
 }
+
+// TestWithdrawnStartOfUnlistedWorker guards against a second run of a task whose
+// unanswered start is carried out late by a new process with the worker's id, after
+// the list of workers has left the worker out for some time.
+func TestWithdrawnStartOfUnlistedWorker(t *testing.T) {
+	w, other := worker("a", 8), worker("b", 8)
+	d := newDriver(t, 1, w, other).registerWorkers()
+	d.p.SetEvacuatedDomains([]string{other.Domain})
+	d.add(job("1", step(1, 1)))
+	d.p.Leased("a", d.now.Add(6*time.Second))
+	start := d.p.Plan(d.now, d.proven())[0]
+	d.p.SetEvacuatedDomains([]string{w.Domain})
+	d.advance(400 * time.Millisecond)
+	d.p.Unanswered(d.now, "a")
+	d.p.StartAnswered(d.now, start.Run, "a", planner.Unclear, "no answer")
+	for range 13 {
+		d.advance(500 * time.Millisecond)
+		d.list(other)
+		d.p.Unanswered(d.now, "a")
+		d.poll("b")
+		d.startTasks()
+	}
+	d.Assert(d.running["b"], quicktest.HasLen, 1, quicktest.Commentf("the leases on worker a have expired"))
+	next := successor("a", w)
+	d.list(next, other)
+	d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now, ProcessStart: next.Born})
+	d.Assert(d.stops(start.Run), quicktest.IsTrue)
+}
