Hand tasks over with the attempts of earlier owners

What callers saw: in the test the first attempt of a task in the receiving shard has the number of its first attempt in the shard that handed it over, where docs/platform.md says that it is above all that the old shard may have used.

Cause: a handover named the highest attempt that this owner had used. Attempts of its predecessors count too; a successor doesn't see them when their worker is lost before it answers. The receiving shard also took such a task for one that has never run, which may wait behind the room kept for short work.

Fix: the handover names the number below the one that this owner would use next, which is above all attempts of its predecessors.

Ruled out: a task that returns, whose attempts start above both shards' in any case (TestReturn).

TestHandoverAfterTakeover failed before (attempt 1 after 1) and passes now. go test ./internal/planner: only TestEndsAreAcknowledgedWhileMoreArrive fails, which is listed as known red.

--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -181,7 +181,7 @@
 		t.handovers++
 		t.departure = &Departure{to, t.handovers}
 		t.markElsewhere()
-		record.Arrived = append(record.Arrived, Arrival{s.number, t.id.Index, max(t.attempt, t.attemptFloor), t.handovers, now.Sub(t.readyAt)})
+		record.Arrived = append(record.Arrived, Arrival{s.number, t.id.Index, p.nextAttempt(t) - 1, t.handovers, now.Sub(t.readyAt)})
 	}
 	if len(out.undo) == 0 {
 		return Handover{}, false
--- a/internal/planner/handover_test.go
+++ b/internal/planner/handover_test.go
@@ -240,3 +240,30 @@
 	d.Assert(commands[0].Kind, quicktest.Equals, planner.StopRun)
 	d.Assert(commands[0].Run, quicktest.Equals, late)
 }
+
+// TestHandoverAfterTakeover guards against reuse of attempt numbers by another
+// shard after an earlier owner of this shard has used them.
+func TestHandoverAfterTakeover(t *testing.T) {
+	first := newDriver(t, 1, worker("a", 8)).registerWorkers()
+	first.add(longRunningJob("1", 1, 7))
+	used := first.startTasks()
+	first.Assert(used, quicktest.HasLen, 1)
+
+	// The worker is lost before the next owner has polled it.
+	d := newDriver(t, 2, worker("b", 4))
+	d.p.AddUnverifiedWorker(worker("a", 8))
+	d.add(longRunningJob("1", 1, 7))
+	d.registerWorkers()
+	d.p.OtherProcessAnswered("a")
+	d.startTasks()
+	d.advance(time.Second)
+	d.poll("b")
+	d.startTasks()
+	h, ok := d.p.HandOver(d.now, d.p.Unplaced(d.now)[0], 1, "other")
+	d.Assert(ok, quicktest.IsTrue)
+	o := newDriver(t, 1, worker("c", 8)).registerWorkers()
+	o.p.AddJob(o.now, h.Job, planner.Progress{})
+	again := o.startTasks()
+	o.Assert(again, quicktest.HasLen, 1)
+	o.Assert(again[0].Run.Attempt > used[0].Run.Attempt, quicktest.IsTrue, quicktest.Commentf("attempt %d after %d", again[0].Run.Attempt, used[0].Run.Attempt))
+}
