Ignore lists of workers of an earlier ownership

What callers saw: in the test a job never starts, as its only worker is taken for unlisted.

Cause: the calls to the store don't end with their context, so a read of the list of workers that is under way when a daemon loses the shard may be answered up to 1.5 s later. Its changes were posted with the ended context, which one of two ready cases of a select lets through. A daemon that has the shard again by then, as the owner's entry lasts for 1.5 s, applied them after its first own list: a worker that was away in the old read stayed unlisted until its entry changed, and one that was there stayed listed after it was gone.

Fix: SetWorkers does nothing once its context has ended.

Ruled out: the same for the jobs and for answers of workers and of the store, which compare the epoch.

TestEndedDiscovery failed before (not done within 10 s) and passes now.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -354,9 +354,14 @@
 }
 
 // SetWorkers updates the workers that discovery has found: present ones are
-// added or replaced, and those with the absent ids are removed.
+// added or replaced, and those with the absent ids are removed. It does nothing
+// once ctx has ended, since a read of an earlier ownership may take longer than
+// the first read of the present one.
 func (c *Conductor) SetWorkers(ctx context.Context, present []planner.Worker, absent []string) {
 	c.post(ctx, func() {
+		if ctx.Err() != nil {
+			return
+		}
 		for _, w := range present {
 			c.workers[w.ID] = w
 		}
