Add failing tests for workers with runs of unknown jobs

A run that a worker lists and whose job the owner doesn't know is not among the worker's runs.

- Contacts names such a worker for a poll only if it has other runs.
It is not polled again, so the run isn't stopped after 5 s and isn't found to have ended, and nothing starts on the worker as long as the owner stays.
- dropLost forgets such a worker when the list leaves it out for 2.5 s.
When the job arrives, its task starts again beside the run.
If the worker is listed again meanwhile, the run stays bound to the forgotten record, and the task starts as well.

How a job stays unknown: its progress can't be decoded, so it is left out; or a predecessor reads it and starts a task after its successor has read the jobs, and the store is away when the successor would learn of it.

--- /dev/null
+++ b/internal/planner/unknown_runs_test.go
@@ -0,0 +1,76 @@
+package planner_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+// newUnknownRunDriver returns a driver whose worker a has listed a run of job 1,
+// which has not arrived from the store.
+func newUnknownRunDriver(t *testing.T) (*driver, planner.RunID) {
+	d := newDriver(t, 2, worker("a", 8), worker("b", 8)).registerWorkers()
+	run := planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}
+	d.running["a"] = []planner.RunStatus{{Run: run}}
+	d.poll("a")
+	return d, run
+}
+
+// needsPoll reports whether a worker needs a poll.
+func (d *driver) needsPoll(id string) bool {
+	return slices.ContainsFunc(d.p.Contacts(d.now), func(c planner.Contact) bool { return c.ID == id && c.NeedsPoll })
+}
+
+// TestWorkerWithUnknownRunIsPolled guards against a worker that never gets a task
+// again because it listed a run whose job doesn't arrive.
+func TestWorkerWithUnknownRunIsPolled(t *testing.T) {
+	d, run := newUnknownRunDriver(t)
+	d.p.SetEvacuatedDomains([]string{d.workers[1].Domain})
+	d.add(job("2", step(1, 1)))
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	isStopped := false
+	for range 20 {
+		d.advance(500 * time.Millisecond)
+		if !d.needsPoll("a") {
+			continue
+		}
+		d.poll("a")
+		if d.stops(run) {
+			isStopped = true
+			d.running["a"] = nil
+		}
+	}
+	d.Assert(isStopped, quicktest.IsTrue)
+	d.startTasks()
+	d.Assert(d.running["a"], quicktest.HasLen, 1)
+}
+
+// TestUnlistedWorkerWithUnknownRun guards against a second run of a task on whose
+// worker the first one was listed before the job arrived, while the list of workers
+// leaves the worker out for some time.
+func TestUnlistedWorkerWithUnknownRun(t *testing.T) {
+	for name, change := range map[string]func(d *driver){
+		"job arrives meanwhile": func(*driver) {},
+		"job arrives later": func(d *driver) {
+			d.list(d.workers...)
+			d.poll("a")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, _ := newUnknownRunDriver(t)
+			d.list(d.workers[1])
+			d.p.Plan(d.now, d.proven())
+			d.advance(3 * time.Second)
+			d.list(d.workers[1])
+			d.p.Plan(d.now, d.proven())
+			change(d)
+			d.p.Plan(d.now, d.proven())
+			d.add(job("1", step(1, 1)))
+			d.Assert(d.startTasks(), quicktest.HasLen, 0)
+		})
+	}
+}
