Stop and poll again in the test of a worker with an unknown run

The loop took start commands of Plan without carrying them out, so that the test would have failed on its last line after a fix too. It still fails on the present code, as the run is not stopped.

--- a/internal/planner/unknown_runs_test.go
+++ b/internal/planner/unknown_runs_test.go
@@ -32,7 +32,6 @@
 	d.p.SetEvacuatedDomains([]string{d.workers[1].Domain})
 	d.add(job("2", step(1, 1)))
 	d.Assert(d.startTasks(), quicktest.HasLen, 0)
-	isStopped := false
 	for range 20 {
 		d.advance(500 * time.Millisecond)
 		if !d.needsPoll("a") {
@@ -40,13 +39,15 @@
 		}
 		d.poll("a")
 		if d.stops(run) {
-			isStopped = true
 			d.running["a"] = nil
+			break
 		}
 	}
-	d.Assert(isStopped, quicktest.IsTrue)
-	d.startTasks()
-	d.Assert(d.running["a"], quicktest.HasLen, 1)
+	d.Assert(d.running["a"], quicktest.HasLen, 0, quicktest.Commentf("the run is not stopped"))
+	d.advance(500 * time.Millisecond)
+	d.Assert(d.needsPoll("a"), quicktest.IsTrue)
+	d.poll("a")
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
 }
 
 // TestUnlistedWorkerWithUnknownRun guards against a second run of a task on whose
