Poll and keep a worker that lists runs of unknown jobs

What callers saw: in the tests a worker that lists a run of an unknown job gets no task for the rest of the ownership, and a task runs twice when its job arrives after the list has left its worker out for 2.5 s.

Cause: such a run is not among the worker's runs, and three decisions looked only at those: whether to poll the worker, whether to forget it when it is no longer listed, and whether its leases are still to expire. The record of the run also stayed bound to a forgotten worker, and was never removed when its job didn't arrive.

Fix: the worker is polled, so that the run is stopped after 5 s as intended or is seen to have ended; it is kept until then, or until its leases have expired without an answer; and the record of a run goes with the answer that doesn't list it, or with its worker.

Ruled out: polls in quick succession while ends of the unknown job are not acknowledged, as they are deferred like for other runs; a worker that is kept for ever (TestLostWorkerWithUnknownRun, which fails without the expiry).

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -137,6 +138,7 @@
 	if !result.IsPartial {
 		p.endUnlisted(w, result.Sent, seen)
 	}
+	p.forgetUnknownRuns(w, seen)
 	p.observeTails(now, w)
 	w.markForPacing()
 }
@@ -215,6 +217,12 @@
 	return r
 }
 
+// forgetUnknownRuns forgets the runs of unknown jobs on a worker, except for those
+// that it still lists.
+func (p *Planner) forgetUnknownRuns(w *Worker, listed map[RunID]bool) {
+	maps.DeleteFunc(p.unknownRuns, func(id RunID, r unknownRun) bool { return r.worker == w && !listed[id] })
+}
+
 // findTask returns the task with the given id, or nil if the job is not known
 // or has no such task. The tasks of an occurrence that has ended are done.
 func (p *Planner) findTask(id TaskID) *task {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -64,12 +64,14 @@
 		switch {
 		case p.unverified[w.ID] && proven.After(p.options.PredecessorLeaseEnd) && proven.After(w.leaseEnd):
 			p.removeWorker(w, "leases_expired", "no answer before every lease expired")
-		case !p.unverified[w.ID] && !w.failedSince.IsZero() && proven.After(w.leaseEnd) && len(w.runs) > 0 && w.answeredAt.Before(w.leaseEnd):
+		case !p.unverified[w.ID] && !w.failedSince.IsZero() && proven.After(w.leaseEnd) && (len(w.runs) > 0 || w.hasUnknownRuns) && w.answeredAt.Before(w.leaseEnd):
 			p.reportWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s", now.Sub(w.failedSince)))
+			w.hasUnknownRuns = false
+			p.forgetUnknownRuns(w, nil)
 			for _, r := range runsOf(w) {
 				p.endRun(r, "lapse", "lease expired")
 			}
-		case w.isGone(now) && len(w.runs) == 0 && len(w.withdrawnStarts) == 0 && !p.unverified[w.ID]:
+		case w.isGone(now) && len(w.runs) == 0 && !w.hasUnknownRuns && len(w.withdrawnStarts) == 0 && !p.unverified[w.ID]:
 			p.reportWorker("worker_gone", w, "not listed")
 			p.applyProcessEvent(w, "entry_expired")
 			p.forgetWorker(w)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -374,9 +374,9 @@
 	// IsContested is set while another process may have the worker's address. A
 	// poll that is answered immediately tells sooner.
 	IsContested bool
-	// NeedsPoll is set when the worker has runs, has ends to acknowledge, is
-	// contested, has not answered this owner yet, is listed and did not answer
-	// the last call, or has withdrawn starts.
+	// NeedsPoll is set when the worker has runs, also of unknown jobs, has ends
+	// to acknowledge, is contested, has not answered this owner yet, is listed
+	// and did not answer the last call, or has withdrawn starts.
 	NeedsPoll bool
 }
 
@@ -384,7 +384,7 @@
 func (p *Planner) Contacts(now time.Time) []Contact {
 	list := make([]Contact, 0, len(p.workers))
 	for _, w := range p.sortedWorkers {
-		needsPoll := len(w.runs) > 0 || !w.isProved() || w.delivered < w.cursor
+		needsPoll := len(w.runs) > 0 || w.hasUnknownRuns || !w.isProved() || w.delivered < w.cursor
 		// A worker with unacknowledged ends answers a poll immediately, so the
 		// poll is deferred until the ends already read are committed.
 		if len(w.unacknowledgedEnds) > 0 && now.Sub(w.polledAt) < acknowledgeWait {
--- a/internal/planner/unknown_runs_test.go
+++ b/internal/planner/unknown_runs_test.go
@@ -75,3 +75,23 @@
 		})
 	}
 }
+
+// TestLostWorkerWithUnknownRun guards against a worker that is kept, and delays
+// each successor, because a run that it listed before it was lost has no known job.
+func TestLostWorkerWithUnknownRun(t *testing.T) {
+	d, _ := newUnknownRunDriver(t)
+	leaseEnd := d.now.Add(6 * time.Second)
+	d.p.Leased("a", leaseEnd)
+	d.p.Unanswered(d.now, "a")
+	for !d.now.After(leaseEnd) {
+		_, isKnown := d.p.Worker("a")
+		d.Assert(isKnown, quicktest.IsTrue)
+		d.list(d.workers[1])
+		d.p.Plan(d.now, d.proven())
+		d.advance(time.Second)
+	}
+	d.p.Plan(d.now, d.proven())
+	d.p.Plan(d.now, d.proven())
+	_, isKnown := d.p.Worker("a")
+	d.Assert(isKnown, quicktest.IsFalse)
+}
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -46,6 +46,7 @@
 func (p *Planner) forgetWorker(w *Worker) {
 	p.isRecordStale = p.isRecordStale || w.isRecorded
 	delete(p.workers, w.ID)
+	p.forgetUnknownRuns(w, nil)
 	p.sortedWorkers = slices.DeleteFunc(p.sortedWorkers, func(o *Worker) bool { return o == w })
 	p.updateContested(w)
 }
