--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -64,9 +64,9 @@
 		switch {
 		case p.unverified[w.ID] && proven.After(p.options.PredecessorLeaseEnd) && proven.After(w.leaseEnd):
 			p.removeWorker(w, "leases_expired", "no answer before every lease expired")
-		case !p.unverified[w.ID] && !w.failedSince.IsZero() && proven.After(w.leaseEnd) && len(w.runs) > 0 && w.answeredAt.Before(w.leaseEnd):
+		case !p.unverified[w.ID] && w.areLeasesExpired(proven):
 			p.endLapsed(now, proven, w)
-		case w.isGone(now) && len(w.runs) == 0 && len(w.withdrawnStarts) == 0 && !p.unverified[w.ID]:
+		case w.isGone(now) && len(w.runs) == 0 && !w.hasUnknownRuns && len(w.withdrawnStarts) == 0 && !p.unverified[w.ID]:
 			p.reportWorker("worker_gone", w, "not listed")
 			p.applyProcessEvent(w, "entry_expired")
 			p.forgetWorker(w)
@@ -74,8 +74,17 @@
 	}
 }
 
+// areLeasesExpired reports whether the worker has runs, but hasn't answered since
+// before its leases expired.
+func (w *Worker) areLeasesExpired(proven time.Time) bool {
+	hasRuns := len(w.runs) > 0 || w.hasUnknownRuns
+	return hasRuns && !w.failedSince.IsZero() && proven.After(w.leaseEnd) && w.answeredAt.Before(w.leaseEnd)
+}
+
 // endLapsed ends the runs of an unresponsive worker whose leases have expired.
 func (p *Planner) endLapsed(now, proven time.Time, w *Worker) {
+	w.hasUnknownRuns = false
+	p.forgetUnknownRuns(w, nil)
 	lapsed := slices.DeleteFunc(runsOf(w), func(r *run) bool { return !proven.After(w.leaseEndOf(r)) })
 	if len(lapsed) > 0 {
 		p.reportWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s, %d of %d runs", now.Sub(w.failedSince), len(lapsed), len(w.runs)))
