Count the failures of a gang together

A gang whose tasks fail in turn was started without end: failures were counted by task, and the job became failed only when one task had failed as often as its queue allows. The users' page says that a job has failed when a task, or a gang, has failed that often, so a client saw such a job as running, and its work was thrown away with each run.

TestGangFailures started the gang a third time before.

Two failed members of one run count once, as the run's attempt number is the same.

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -326,11 +326,25 @@
 	if w.recordFailure(now, j.ID) {
 		p.reportWorker("worker_sick", w, fmt.Sprintf("%d jobs failed in a row", sickFailures))
 	}
-	if !t.step.LongRunning && len(t.failures) >= max(1, j.Queue.Attempts) && !j.state.isFinal() {
+	if !t.step.LongRunning && t.failedAttempts() >= max(1, j.Queue.Attempts) && !j.state.isFinal() {
 		p.finishJob(now, j, Failed)
 	}
 }
 
+// failedAttempts returns how many attempts of the task, or of its gang, have
+// failed.
+func (t *task) failedAttempts() int {
+	if !t.step.Gang {
+		return len(t.failures)
+	}
+	var all []int
+	for _, m := range t.step.tasks {
+		all = append(all, m.failures...)
+	}
+	slices.Sort(all)
+	return len(slices.Compact(all))
+}
+
 // transition applies an event to the state of a run and reports whether the
 // state accepts the event. Events that arrive out of order are ignored.
 func (p *Planner) transition(r *run, event string) bool {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -357,6 +357,31 @@
 	d.Assert(state, quicktest.Equals, planner.Done)
 }
 
+// TestGangFailures guards against a gang that starts again after its last attempt
+// because another task of it has failed each time.
+func TestGangFailures(t *testing.T) {
+	gang := step(3, 1)
+	gang.Gang = true
+	d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+	d.add(job("1", gang))
+	for n := range 2 {
+		all := d.startTasks()
+		d.Assert(all, quicktest.HasLen, 3)
+		for i, o := range all {
+			kind := planner.EndBroken
+			if i == n {
+				kind = planner.EndFailed
+			}
+			d.endRun(o, kind)
+		}
+		d.advance(time.Second)
+	}
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	d.commit()
+	state, _ := d.p.JobState("1")
+	d.Assert(state, quicktest.Equals, planner.Failed)
+}
+
 // TestSchedule guards against occurrences that start before they are due.
 func TestSchedule(t *testing.T) {
 	j := job("1", step(1, 1))
