Make the tests of ended processes fail with each mechanism broken

They now have cases in which only that mechanism tells the difference:

- a new process that answers in part, with a later or an earlier start time (the cases with a whole answer passed with the processes not told apart, because the answer listed no runs);
- an answer to a poll that was sent before another process was listed;
- an ended process that stays in the list over several readings, and doesn't keep tasks off the living one;
- a list that is due until its write is answered;
- unknown workers beside a known one that is stored already, and a proof of the ownership that is too old;
- a new process under an id that is stored, unverified or leased.

No fault was found.

--- a/internal/planner/lost_test.go
+++ b/internal/planner/lost_test.go
@@ -41,6 +41,9 @@
 			run := planner.RunStatus{Run: planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}}
 			d.p.PollAnswered(d.now, "b", planner.PollResult{Sent: d.now, ProcessStart: 2, Running: []planner.RunStatus{run}})
 		}, 0},
+		"another process has its id and lists in part": {step(1, 1), func(d *driver) {
+			d.p.PollAnswered(d.now, "b", planner.PollResult{Sent: d.now, ProcessStart: 2, IsPartial: true})
+		}, 0},
 		"every lease has expired": {step(1, 1), func(d *driver) { d.advance(14 * time.Second) }, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/planner/process_test.go
+++ b/internal/planner/process_test.go
@@ -81,6 +81,9 @@
 		"another process answers a call for it":        {func(d *driver) { d.p.OtherProcessAnswered("a") }, true},
 		"another process answers under its id":         {func(d *driver) { d.answer(w, d.now, sameID.Born) }, true},
 		"one started earlier answers under its id":     {func(d *driver) { d.answer(w, d.now, earlier.Born) }, true},
+		"another process answers in part":              {func(d *driver) { d.answerInPart(w, sameID.Born) }, true},
+		"one started earlier answers in part":          {func(d *driver) { d.answerInPart(w, earlier.Born) }, true},
+		"it answers in part":                           {func(d *driver) { d.answerInPart(w, w.Born) }, false},
 		"it answers while another is listed under its id": {func(d *driver) {
 			d.list(sameID, other)
 			d.answer(w, d.now, w.Born)
@@ -111,10 +114,17 @@
 	}
 }
 
+// answerInPart answers a poll of a worker as the process started at born, which
+// lists no runs and has more ends to list.
+func (d *driver) answerInPart(w planner.Worker, born int64) {
+	d.p.PollAnswered(d.now, w.ID, planner.PollResult{Sent: d.now, ProcessStart: born, IsPartial: true})
+}
+
 func (d *driver) list(workers ...planner.Worker) { d.p.SetWorkers(d.now, workers) }
 
 // TestContestedWorkerGetsNoTask guards against starts on a process that may have
-// ended.
+// ended, and against a worker that gets no task as long as the list shows another
+// process that has ended.
 func TestContestedWorkerGetsNoTask(t *testing.T) {
 	w := worker("a", 8)
 	next := successor("b", w)
@@ -124,14 +134,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDriver(t, 1, w).registerWorkers()
+			sent := d.now
+			d.advance(100 * time.Millisecond)
 			d.list(list...)
+			// The other process may have started since this poll was sent.
+			d.answer(w, sent, w.Born)
 			d.add(job("1", step(1, 1)))
 			d.Assert(d.startTasks(), quicktest.HasLen, 0)
 			for _, c := range d.p.Contacts(d.now) {
 				d.Assert(c.NeedsPoll && c.IsContested, quicktest.IsTrue)
 			}
 			d.answer(w, d.now, w.Born)
-			d.list(w)
+			for range 3 {
+				d.list(append([]planner.Worker{w}, list...)...)
+			}
 			d.Assert(d.startTasks(), quicktest.HasLen, 1)
 		})
 	}
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -56,6 +56,7 @@
 			stored := d.p.Recorded(d.now)
 			d.Assert(stored, quicktest.HasLen, 1)
 			d.Assert(stored[0].ID, quicktest.Equals, "b")
+			d.Assert(d.p.NeedsRecord(d.now), quicktest.IsTrue, quicktest.Commentf("the write is not answered"))
 			tt.comeBack(d)
 			d.add(job("2", step(1, 1)))
 			d.Assert(d.startTasks(), quicktest.HasLen, 0)
@@ -95,3 +96,19 @@
 	d.Assert(c.Acknowledge, quicktest.Equals, uint64(1))
 	d.Assert(c.NeedsPoll, quicktest.IsTrue)
 }
+
+// TestNewProcessIsStoredFirst guards against starts on a process that the stored
+// list of workers doesn't have, because the process that had its id before is there.
+func TestNewProcessIsStoredFirst(t *testing.T) {
+	w := worker("a", 8)
+	d := newDriver(t, 1, w).registerWorkers()
+	d.add(job("1", step(1, 1)))
+	stored := d.p.Recorded(d.now)
+	d.answer(w, d.now, 2)
+	d.list(successor("a", w))
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	d.p.SetRecorded(stored)
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	d.p.SetRecorded(d.p.Recorded(d.now))
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
+}
--- a/internal/planner/unread_test.go
+++ b/internal/planner/unread_test.go
@@ -53,19 +53,36 @@
 // still lists more ends than fit into one answer when the leases of the earlier
 // owner have expired. The worker answers, and this owner has renewed its leases.
 func TestPartialAnswersProveLife(t *testing.T) {
-	d := newDriver(t, 2, worker("a", 8), worker("b", 8))
-	for _, w := range d.workers {
-		d.p.AddUnverifiedWorker(w)
-	}
-	d.add(job("1", step(1, 1)))
-	d.p.SetWorkers(d.now, d.workers)
-	d.poll("a")
-	run := planner.RunStatus{Run: planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}}
-	for range 20 {
-		d.advance(700 * time.Millisecond)
-		d.p.Leased("b", d.now.Add(6*time.Second))
-		d.p.PollAnswered(d.now, "b", planner.PollResult{Sent: d.now, Running: []planner.RunStatus{run}, IsPartial: true})
-		d.poll("a")
-		d.Assert(d.startTasks(), quicktest.HasLen, 0, quicktest.Commentf("%s after the takeover", d.now.Sub(origin)))
+	for name, tt := range map[string]struct {
+		// born is the start time of the process that answers.
+		born int64
+		// renew returns the end of the lease that the i-th poll renews, if any.
+		renew func(i int, now time.Time) time.Time
+	}{
+		"renewed with each poll": {1, func(_ int, now time.Time) time.Time { return now.Add(6 * time.Second) }},
+		"renewed once, and then the process was replaced": {2, func(i int, now time.Time) time.Time {
+			if i > 0 {
+				return time.Time{}
+			}
+			return now.Add(20 * time.Second)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 2, worker("a", 8), worker("b", 8))
+			for _, w := range d.workers {
+				d.p.AddUnverifiedWorker(w)
+			}
+			d.add(job("1", step(1, 1)))
+			d.p.SetWorkers(d.now, d.workers)
+			d.poll("a")
+			run := planner.RunStatus{Run: planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}}
+			for i := range 20 {
+				d.advance(700 * time.Millisecond)
+				d.p.Leased("b", tt.renew(i, d.now))
+				d.p.PollAnswered(d.now, "b", planner.PollResult{Sent: d.now, ProcessStart: tt.born, Running: []planner.RunStatus{run}, IsPartial: true})
+				d.poll("a")
+				d.Assert(d.startTasks(), quicktest.HasLen, 0, quicktest.Commentf("%s after the takeover", d.now.Sub(origin)))
+			}
+		})
 	}
 }
