--- a/internal/conductor/refused_stop_test.go
+++ b/internal/conductor/refused_stop_test.go
@@ -16,9 +16,11 @@
 // so it may still carry out the first start.
 func TestRefusedStop(t *testing.T) {
 	for name, refusal := range map[string]conductor.RefusedError{
-		"conflict":  {Reason: "room"},
-		"malformed": {Reason: "status 400"},
-		"unhealthy": {Reason: "status 503", IsUnhealthy: true},
+		"conflict":          {Reason: "room"},
+		"lower attempt":     {Reason: "old"},
+		"malformed":         {Reason: "status 400"},
+		"unhealthy":         {Reason: "status 503", IsUnhealthy: true},
+		"too many requests": {Reason: "status 429", IsUnhealthy: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newTestCluster(t, 50*time.Millisecond)
@@ -46,3 +48,32 @@
 		})
 	}
 }
+
+// TestFencedStop guards against a second run of a task whose first start was not
+// answered, when the worker has seen a higher epoch: the task may start again only
+// under an epoch with which the worker refuses the first start.
+func TestFencedStop(t *testing.T) {
+	s := newTestCluster(t, 50*time.Millisecond)
+	isLost, isFenced := false, false
+	var lostEpoch int64
+	s.pool.intercept = func(kind string) error {
+		switch {
+		case kind == "start" && !isLost:
+			isLost, lostEpoch = true, s.pool.epoch
+			return errors.New("no answer")
+		case kind == "stop" && !isFenced:
+			isFenced = true
+			return &conductor.FencedError{Worker: "w"}
+		}
+		return nil
+	}
+	c, stop := s.startDaemon(1)
+	defer stop()
+	s.submit("a", 1)
+	s.eventually("done", testTimeout, func() bool { return state(c, "a") == planner.Done })
+	s.checkEachStartedOnce("a", 1)
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.Assert(isFenced, quicktest.IsTrue)
+	s.Assert(s.pool.epoch > lostEpoch, quicktest.IsTrue, quicktest.Commentf("the worker would carry the first start out"))
+}
--- a/internal/conductor/unknown_workers_test.go
+++ b/internal/conductor/unknown_workers_test.go
@@ -17,13 +17,27 @@
 // guards against a successor that replaces the list while such tasks may run, so
 // that the next successor no longer waits for them.
 func TestUnreadableWorkerList(t *testing.T) {
+	for name, spoil := range map[string]func([]byte) []byte{
+		"another record": func([]byte) []byte { return []byte("not a list") },
+		"cut off":        func(value []byte) []byte { return value[:len(value)-1] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkUnreadableWorkerList(t, spoil)
+		})
+	}
+}
+
+func checkUnreadableWorkerList(t *testing.T, spoil func([]byte) []byte) {
 	const workersKey = "th/0/workers"
 	s := newTestCluster(t, time.Minute)
 	first, stopFirst := s.startDaemon(1)
 	s.submit("a", 2)
 	s.eventually("running", testTimeout, func() bool { return state(first, "a") == planner.Running })
 	stopFirst()
-	s.keeper.Put(workersKey, []byte("not a list"))
+	entry, err := s.keeper.Store().Get(context.Background(), workersKey)
+	s.Assert(err, quicktest.IsNil)
+	s.keeper.Put(workersKey, spoil(entry.Value))
 	// The successors reach other workers than the first owner.
 	other := testShard{name: "0", cpu: 64000, pool: newPool(time.Minute)}
 	startsElsewhere := func() int { return len(other.pool.startsOf("a")) }
@@ -41,7 +55,7 @@
 	time.Sleep(7 * time.Second)
 	s.Assert(startsElsewhere(), quicktest.Equals, 0, quicktest.Commentf("started before every lease has expired"))
 	s.eventually("started again", testTimeout, func() bool { return startsElsewhere() == 2 })
-	entry, err := s.keeper.Store().Get(context.Background(), workersKey)
+	entry, err = s.keeper.Store().Get(context.Background(), workersKey)
 	s.Assert(err, quicktest.IsNil)
 	var list []planner.Worker
 	s.Assert(cbor.Unmarshal(entry.Value, &list), quicktest.IsNil)
