Test that a stop's answer counts for the process that gave it

With the session of an ended process kept, no test failed: a late answer of the ended process to a stop counted for the new process with its id, and the task started again while the new process might still carry out the first start. TestStopOfEndedProcessConfirmsNothing fails then (2 starts instead of 1). TestRequestIsPassedOn now also fails if a caller's own Runner-Task is passed on beside the router's. No fault was found.

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -191,8 +191,10 @@
 type testShard struct {
 	name string
 	// cpu is the capacity of its worker, in millicores.
-	cpu   int64
-	pool  *pool
+	cpu  int64
+	pool *pool
+	// calls are the calls to the worker; those of pool if nil.
+	calls *conductor.WorkerCalls
 	place func(planner.Resources, int, bool) (string, int)
 	// extraDelay is the extra delay before a daemon acquires the shard.
 	extraDelay time.Duration
@@ -216,9 +218,13 @@
 // startDaemonOf runs a daemon of a shard. The returned function stops it.
 func (s *testCluster) startDaemonOf(sh testShard, port uint16) (*conductor.Conductor, func()) {
 	address := localAddress(port)
+	calls := sh.pool.calls()
+	if sh.calls != nil {
+		calls = *sh.calls
+	}
 	var c *conductor.Conductor
 	c, err := conductor.New(conductor.Options{
-		Shard: sh.name, Self: fmt.Sprint("daemon", port), Address: address, Store: s.store(port), Workers: sh.pool.calls(), Place: sh.place,
+		Shard: sh.name, Self: fmt.Sprint("daemon", port), Address: address, Store: s.store(port), Workers: calls, Place: sh.place,
 		ExtraAcquireDelay: func() time.Duration { return sh.extraDelay },
 		Discover: func(ctx context.Context) {
 			w := s.worker(port, sh.cpu)
--- a/internal/conductor/process_test.go
+++ b/internal/conductor/process_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/conductor"
 	"tarragonhead.example/tarragonhead/internal/planner"
@@ -56,6 +58,53 @@
 	}
 }
 
+// TestStopOfEndedProcessConfirmsNothing guards against a second run of a task whose
+// unanswered start may be carried out by a new process with the worker's id: the
+// answer of the ended process to a stop, which arrives late, doesn't tell what the
+// new one does.
+func TestStopOfEndedProcessConfirmsNothing(t *testing.T) {
+	s := newTestCluster(t, 50*time.Millisecond)
+	s.pool.born = 10
+	calls := s.pool.calls()
+	var starts, stops atomic.Int64
+	var hasStopped atomic.Bool
+	stopSent, answerStop := make(chan bool), make(chan bool)
+	lost := errors.New("no answer")
+	c, end := s.startDaemonOf(testShard{name: "0", cpu: 64000, pool: s.pool, calls: &conductor.WorkerCalls{
+		Pace: calls.Pace, Poll: calls.Poll,
+		Start: func(ctx context.Context, w planner.Worker, o conductor.StartOrder) error {
+			if starts.Add(1) == 1 {
+				return lost
+			}
+			return calls.Start(ctx, w, o)
+		},
+		Stop: func(ctx context.Context, w planner.Worker, o conductor.StopOrder) error {
+			if stops.Add(1) == 1 {
+				close(stopSent)
+				<-answerStop
+				return nil
+			}
+			if !hasStopped.Load() {
+				return lost
+			}
+			return calls.Stop(ctx, w, o)
+		},
+	}}, 1)
+	defer end()
+	s.submit("a", 1)
+	<-stopSent
+	s.pool.restart(20)
+	s.eventually("stop sent to the new process", testTimeout, func() bool { return stops.Load() > 1 })
+	close(answerStop)
+	time.Sleep(100 * time.Millisecond)
+	s.listWorker(c, 20)
+	time.Sleep(time.Second)
+	s.Assert(starts.Load(), quicktest.Equals, int64(1))
+	hasStopped.Store(true)
+	s.eventually("done", testTimeout, func() bool { return state(c, "a") == planner.Done })
+	s.checkEachStartedOnce("a", 1)
+}
+
 // listWorker lists the worker with the given start time of its process.
 func (s *testCluster) listWorker(c *conductor.Conductor, born int64) {
 	w := s.worker(1, 64000)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -81,6 +81,7 @@
 		c.Check(got, qt.Contains, want)
 	}
 	c.Check(got, qt.Not(qt.Contains), "Te:")
+	c.Check(got, qt.Not(qt.Contains), "spoofed")
 	c.Check(got, qt.Matches, `(?s).*Deadline-Ms: (2\d\d\d|3000)\r.*`)
 }
 
