Add a failing test for the end of a job that arrives after an outage

An end whose job is not known is acknowledged after 5 s, in case the job is gone for good. The time passes while the store is away too, and then tells nothing.

--- a/internal/planner/unknown_jobs_test.go
+++ b/internal/planner/unknown_jobs_test.go
@@ -45,3 +45,23 @@
 	d.poll("a")
 	d.Assert(d.startTasks(), quicktest.HasLen, 0)
 }
+
+// TestEndOfUnknownJobDuringOutage guards against a task that runs again after it
+// was done, because its end was acknowledged while the store was away and the owner
+// could not read the job.
+func TestEndOfUnknownJobDuringOutage(t *testing.T) {
+	d := newDriver(t, 2, worker("a", 8)).registerWorkers()
+	end := planner.RunEnd{Number: 1, Run: planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}, Kind: planner.EndDone}
+	d.ends["a"] = []planner.RunEnd{end}
+	d.poll("a")
+	for range 12 {
+		d.advance(500 * time.Millisecond)
+		d.unprovenFor += 500 * time.Millisecond
+		d.p.Plan(d.now, d.proven())
+		d.poll("a")
+		d.Assert(d.p.Contacts(d.now)[0].Acknowledge, quicktest.Equals, uint64(0), quicktest.Commentf("the store has been away for %s", d.unprovenFor))
+	}
+	d.unprovenFor = 0
+	d.add(job("1", step(1, 1)))
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+}
