--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -190,9 +190,12 @@
 	tailLevel       float64
 	tailAt          time.Time
 	overTargetSince time.Time
-	// recoveredAt is when the task last recovered, after it had been over its
-	// target since wasOverSince.
-	recoveredAt, wasOverSince time.Time
+	// violatingSince is at or before overTargetSince: it adds the time over the
+	// target before a brief recovery, but not before an earlier one.
+	// lastViolation is how long the task was over its target up to the last
+	// recovery, which began at recoveredAt.
+	violatingSince, recoveredAt time.Time
+	lastViolation               time.Duration
 	// usedCPU is the last reported CPU use of a task that is not long-running,
 	// in millicores.
 	usedCPU int64
@@ -300,6 +303,9 @@
 	// last end that an answered poll acknowledged.
 	cursor, acknowledged, delivered uint64
 	unacknowledgedEnds              []unacknowledgedEnd
+	// hasOverdueEnds is set when the last answer listed ends whose effect was
+	// committed by then, because its poll could not acknowledge them.
+	hasOverdueEnds bool
 	// withdrawnStarts holds the unanswered starts whose runs have ended before the
 	// process listed them.
 	withdrawnStarts []withdrawnStart
