Wait for starts that may reach a silent process of the same id

What callers saw: in the test a task starts elsewhere 3 s after its first start was sent to a process that has ended, while that start may be carried out by the next process with its id for 12 s.

Cause: the lease of such a start counts on the new process from its arrival. leaseEndOf allowed for that as long as the list shows the new process beside the known one. Once a poll had found the new process, its starts had the lease end of that poll, and the task started again when the process then stopped answering.

Fix: an unanswered start that was sent to an ended process and that the new one hasn't listed holds its task until no lease of it can last.

Ruled out: longer waits otherwise.

--- a/internal/planner/late_lease_test.go
+++ b/internal/planner/late_lease_test.go
@@ -54,3 +54,45 @@
 		})
 	}
 }
+
+// TestLeaseOfStartForEndedProcess guards against a second run of a task whose start
+// was sent to an ended process and reaches the next one with its id, which was found
+// and then stopped answering: a lease counts there from the arrival of the start.
+func TestLeaseOfStartForEndedProcess(t *testing.T) {
+	const lease = 3 * time.Second
+	for name, tt := range map[string]struct {
+		after    time.Duration
+		isListed bool
+		// again is set if the task starts again.
+		again bool
+	}{
+		"start may arrive":                   {lease + time.Second, false, false},
+		"start and its lease have expired":   {lease + 15*time.Second, false, true},
+		"start has arrived, then its lease":  {lease, true, true},
+		"start has arrived, lease continues": {lease - time.Second, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, other := worker("a", 8), worker("c", 8)
+			d := newDriver(t, 1, w, other).registerWorkers()
+			d.p.SetEvacuatedDomains([]string{other.Domain})
+			d.add(job("1", step(1, 1)))
+			start := d.p.Plan(d.now, d.proven())[0]
+			d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Unclear, "no answer")
+			d.p.SetEvacuatedDomains([]string{w.Domain})
+			d.advance(time.Millisecond)
+			d.p.Leased(w.ID, d.now.Add(lease))
+			d.answer(w, d.now, 2)
+			if tt.isListed {
+				d.p.PollAnswered(d.now, w.ID, planner.PollResult{Sent: d.now, ProcessStart: 2, Running: []planner.RunStatus{{Run: start.Run}}})
+			}
+			d.advance(time.Millisecond)
+			d.p.Unanswered(d.now, w.ID)
+			d.advance(tt.after)
+			want := 0
+			if tt.again {
+				want = 1
+			}
+			d.Assert(d.startTasks(), quicktest.HasLen, want)
+		})
+	}
+}
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -80,10 +80,11 @@
 }
 
 // leaseEndOf returns when the last lease of a run has certainly expired. A start that
-// the worker's process has never listed may reach the process that the list shows under
-// the same id, where a lease counts from its arrival, since the clock started anew.
+// no process has listed may reach a later process under the worker's id than the one it
+// was sent to: the one that the list shows, or the present one if that has replaced
+// another. A lease counts there from its arrival, since the clock started anew.
 func (w *Worker) leaseEndOf(r *run) time.Time {
-	if w.relisted != nil && !r.isListed {
+	if !r.isListed && (w.relisted != nil || r.wasSentToEnded && !r.isAnswered) {
 		return w.leaseEnd.Add(lateStartLimit)
 	}
 	return w.leaseEnd
@@ -133,7 +134,7 @@
 		p.unverified[n.ID] = true
 	}
 	for _, r := range pending {
-		r.worker = n
+		r.worker, r.wasSentToEnded = n, true
 		n.addRun(r)
 		p.transition(r, "process_replaced")
 		r.stopSent = now
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -165,6 +165,9 @@
 	// isAnswered is set once the start was answered, so that it can't be carried out
 	// any more.
 	isAnswered bool
+	// wasSentToEnded is set when the start was sent to an ended process that had the
+	// id of the present one.
+	wasSentToEnded bool
 	// stopConfirmed is when the worker confirmed the stop.
 	stopConfirmed time.Time
 	// stopSent is when the stop was last sent.
