--- a/internal/planner/late_lease_test.go
+++ b/internal/planner/late_lease_test.go
@@ -61,15 +61,17 @@
 func TestLeaseOfStartForEndedProcess(t *testing.T) {
 	const lease = 3 * time.Second
 	for name, tt := range map[string]struct {
-		after    time.Duration
-		isListed bool
+		after                 time.Duration
+		isListed, isConfirmed bool
 		// again is set if the task starts again.
 		again bool
 	}{
-		"start may arrive":                   {lease + time.Second, false, false},
-		"start and its lease have expired":   {lease + 15*time.Second, false, true},
-		"start has arrived, then its lease":  {lease, true, true},
-		"start has arrived, lease continues": {lease - time.Second, true, false},
+		"start may arrive":                       {lease + time.Second, false, false, false},
+		"start and its lease have expired":       {lease + 15*time.Second, false, false, true},
+		"start has arrived, lease has expired":   {lease, true, false, true},
+		"start has arrived, lease continues":     {lease - time.Second, true, false, false},
+		"stop is confirmed, lease has expired":   {lease, false, true, true},
+		"stop is confirmed, another lease lasts": {lease - time.Second, false, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w, other := worker("a", 8), worker("c", 8)
@@ -85,6 +87,9 @@
 			if tt.isListed {
 				d.p.PollAnswered(d.now, w.ID, planner.PollResult{Sent: d.now, ProcessStart: 2, Running: []planner.RunStatus{{Run: start.Run}}})
 			}
+			if tt.isConfirmed {
+				d.p.StopAnswered(d.now, start.Run, w.ID)
+			}
 			d.advance(time.Millisecond)
 			d.p.Unanswered(d.now, w.ID)
 			d.advance(tt.after)
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -84,7 +84,8 @@
 // was sent to: the one that the list shows, or the present one if that has replaced
 // another. A lease counts there from its arrival, since the clock started anew.
 func (w *Worker) leaseEndOf(r *run) time.Time {
-	if !r.isListed && (w.relisted != nil || r.wasSentToEnded && !r.isAnswered) {
+	mayArrive := r.wasSentToEnded && !r.isAnswered && r.state != "settling"
+	if !r.isListed && (w.relisted != nil || mayArrive) {
 		return w.leaseEnd.Add(lateStartLimit)
 	}
 	return w.leaseEnd
