Keep the ends of unknown jobs while the store is away

A task that was done ran again: the end of a job that this owner had not read was acknowledged after 5 s, also while the store was away and the job could not arrive.

The 5 s now count up to the last time at which the store confirmed the ownership, so they last on while it is away. The same holds for the stop of a listed run of an unknown job. Ruled out: ends that are kept for ever, as the job of an end that the store doesn't have is given up 5 s after the store is back.

In TestStoppedEndIsAcknowledged a plan now comes between the wait and the answer, since a plan tells the planner that the store has answered; what it checks is the same.

--- a/internal/planner/acknowledge_test.go
+++ b/internal/planner/acknowledge_test.go
@@ -29,6 +29,7 @@
 			d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now, Ended: []planner.RunEnd{{Number: 1, Run: run, Kind: planner.EndStopped}}})
 			if tt.wait > 0 {
 				d.advance(tt.wait)
+				d.p.Plan(d.now, d.proven())
 				d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now})
 			}
 			d.Assert(d.p.Changes(100), quicktest.HasLen, 0)
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -126,7 +126,7 @@
 			p.applyRunEnd(now, w, e)
 		}
 	}
-	w.updateAcknowledged(now)
+	w.updateAcknowledged(p.provenAt)
 	w.hasOverdueEnds = w.acknowledged > w.delivered
 	w.polledAt, w.listedAt = now, result.Received
 	if w.listedAt.IsZero() {
@@ -198,7 +198,7 @@
 		w.hasUnknownRuns = true
 		if s, ok := p.unknownRuns[id]; !ok {
 			p.unknownRuns[id] = unknownRun{w, now}
-		} else if now.Sub(s.seen) > unknownRunLimit {
+		} else if p.provenAt.Sub(s.seen) > unknownRunLimit {
 			p.commands = append(p.commands, Command{Kind: StopRun, Run: id, WorkerID: w.ID})
 		}
 		return nil
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -33,6 +33,7 @@
 // sent. proven is the latest time at which this owner is known to have held the
 // shard. If Horizon or more has passed since then, Plan starts no tasks.
 func (p *Planner) Plan(now, proven time.Time) []Command {
+	p.provenAt = proven
 	clear(p.candidateCache)
 	clear(p.unplaceable)
 	clear(p.busyServices)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -32,8 +32,9 @@
 	// under its id; such a process would forget ends of its own that were never
 	// read.
 	AcknowledgeWindow = 150 * time.Millisecond
-	// unknownRunLimit is how long a listed run of an unknown job may wait for
-	// the job to arrive from the store before it is stopped.
+	// unknownRunLimit is how long a listed run, or end, of an unknown job may
+	// wait for the job to arrive from the store before it is stopped, or
+	// acknowledged. The wait lasts on while the store is away.
 	unknownRunLimit = 5 * time.Second
 	// attemptsPerEpoch separates the attempt numbers of successive owners, so
 	// that the attempts of a successor exceed any that its predecessor may have
@@ -108,6 +109,9 @@
 	// unverified holds the ids of the unverified workers, on which an earlier
 	// owner may have started tasks.
 	unverified map[string]bool
+	// provenAt is the latest time at which the store has confirmed the ownership,
+	// as of the last plan.
+	provenAt time.Time
 	// hasUnknownWorkers is set while an earlier owner may have started tasks on
 	// workers that this owner can't identify. Nothing is recorded meanwhile.
 	hasUnknownWorkers bool
@@ -341,7 +345,7 @@
 		}
 	}
 	for _, w := range p.sortedWorkers {
-		w.updateAcknowledged(w.polledAt)
+		w.updateAcknowledged(p.provenAt)
 	}
 }
 
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -337,12 +337,13 @@
 }
 
 // updateAcknowledged advances the number of the last end whose effect is
-// committed. The job of a run may still arrive from the store for a while.
-func (w *Worker) updateAcknowledged(now time.Time) {
+// committed. The job of a run may still arrive from the store, which answered
+// this owner at proven, for a while.
+func (w *Worker) updateAcknowledged(proven time.Time) {
 	n := 0
 	for ; n < len(w.unacknowledgedEnds); n++ {
 		e := w.unacknowledgedEnds[n]
-		if e.job == nil && now.Sub(e.seen) < unknownRunLimit || e.job != nil && e.job.committed < e.version {
+		if e.job == nil && proven.Sub(e.seen) < unknownRunLimit || e.job != nil && e.job.committed < e.version {
 			break
 		}
 		w.acknowledged = e.Number
