--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -243,8 +243,7 @@
 	check := o
 	check.Wait = 0
 	answer, err := c.poll(ctx, w, check)
-	isSameProcess := w.Born == 0 || answer.ProcessStart == 0 || answer.ProcessStart == w.Born
-	if err != nil || !isSameProcess || c.options.Now().After(answer.Sent.Add(planner.AcknowledgeWindow)) {
+	if err != nil || planner.IsOtherProcess(w.Born, answer.ProcessStart) || c.options.Now().After(answer.Sent.Add(planner.AcknowledgeWindow)) {
 		post(answer, err)
 		return
 	}
@@ -273,7 +272,7 @@
 		c.options.Log.Info().Str("worker", w.ID).Int64("epoch", c.epoch).Err(err).Msg("conductor: poll not answered")
 		return
 	}
-	if a.ProcessStart != 0 && w.Born != 0 && a.ProcessStart != w.Born {
+	if planner.IsOtherProcess(w.Born, a.ProcessStart) {
 		// Another process has the id. Its clock started anew, so the lease that
 		// the poll granted may last for the longest time from its arrival.
 		c.endSession(w.ID, s)
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -105,7 +105,7 @@
 	if w == nil {
 		return
 	}
-	if isOtherProcess(w.Born, result.ProcessStart) {
+	if IsOtherProcess(w.Born, result.ProcessStart) {
 		w = p.replaceProcess(now, w, result.ProcessStart)
 		// The poll acknowledged ends of the ended process.
 		result.Acknowledged = 0
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -31,8 +31,9 @@
 	}
 }
 
-// isOtherProcess reports whether start times belong to different processes.
-func isOtherProcess(a, b int64) bool { return a != 0 && b != 0 && a != b }
+// IsOtherProcess reports whether start times belong to different processes. A start
+// time of zero, which is not known, may be that of any process.
+func IsOtherProcess(a, b int64) bool { return a != 0 && b != 0 && a != b }
 
 // updateContested determines for each worker at the address of w whether another
 // process may have the address.
--- a/internal/planner/withdraw.go
+++ b/internal/planner/withdraw.go
@@ -10,11 +10,11 @@
 // lease in a start doesn't limit that on a new process, whose clock starts anew.
 const lateStartLimit = 15 * time.Second
 
-// withdrawnStart is a start whose run has ended before the start was answered. The process that
-// confirmed the stop rejects the start if it arrives late. A new process with the
-// same id would carry it out, so the stop is sent there too. The worker is kept and
-// polled meanwhile, listed or not, so that a new process is noticed before the start
-// arrives.
+// withdrawnStart is a start whose run has ended before the start was answered. The
+// process that confirmed the stop rejects the start if it arrives late. A new process
+// with the same id would carry it out, so the stop is sent there too. The worker is
+// kept and polled meanwhile, listed or not, so that a new process is noticed before
+// the start arrives.
 type withdrawnStart struct {
 	run RunID
 	// sentAt is when the start was sent, and stopSent when the stop was last sent
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		w := p.workers[n.ID]
-		if w != nil && isOtherProcess(w.Born, n.Born) {
+		if w != nil && IsOtherProcess(w.Born, n.Born) {
 			p.noteRelisted(now, w, n)
 			continue
 		}
