Free a worker's address although a child has a copy of its socket

A child that the soak starts has copies of all sockets between fork and exec. A copy of a closed listener goes on listening, so the address stays in use.

A listener now stops listening before it is closed, which ends it in all copies, and the time limit is gone.

--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -200,7 +200,7 @@
 		if err != nil {
 			return list, errors.Wrap(err, "listen on a free port")
 		}
-		defer func() { _ = l.Close() }()
+		defer func() { _ = closeListener(l) }()
 		list[n] = l.Addr().String()
 	}
 	p.addressesByName[name] = list
--- a/standins/platformer/worker.go
+++ b/standins/platformer/worker.go
@@ -30,8 +30,6 @@
 	entryLease        = 3 * heartbeatInterval
 	// heartbeatRetryDelay is the delay before a failed heartbeat is repeated.
 	heartbeatRetryDelay = 200 * time.Millisecond
-	// listenTimeout is how long a process tries to listen at an address in use.
-	listenTimeout = time.Second
 	// storeTimeout bounds the calls of a heartbeat.
 	storeTimeout = time.Second
 
@@ -157,10 +155,6 @@
 // the current one.
 func (w *Worker) listen(p *process) error {
 	l, err := net.Listen("tcp4", w.address)
-	// A child between fork and exec keeps the closed listener open for a moment.
-	for end := time.Now().Add(listenTimeout); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); time.Sleep(time.Millisecond) {
-		l, err = net.Listen("tcp4", w.address)
-	}
 	if err != nil {
 		return errors.Wrapf(err, "listen at the address of worker %s", w.name)
 	}
@@ -277,6 +271,20 @@
 	return c, nil
 }
 
+// Close stops listening and closes the socket.
+func (l *listener) Close() error { return closeListener(l.Listener) }
+
+// closeListener stops listening and closes the socket. A child between fork and exec
+// has a copy of the socket, which keeps the address in use as long as it listens.
+func closeListener(l net.Listener) error {
+	if c, ok := l.(syscall.Conn); ok {
+		if raw, err := c.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_RD) })
+		}
+	}
+	return l.Close()
+}
+
 func (l *listener) closeConnections() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
