Give each instance of the stand-in addresses of its own

The ports are chosen by the system and are free until the instance listens, and the system chose one twice.

TestInstancesHaveDifferentAddresses failed before.

--- a/standins/platformer/listener_test.go
+++ b/standins/platformer/listener_test.go
@@ -1,6 +1,7 @@
 package platformer
 
 import (
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -34,3 +35,21 @@
 		})
 	}
 }
+
+// TestInstancesHaveDifferentAddresses guards against two instances of one address, of
+// which one ends at its start. No process listens at an address while its instance is
+// down, so the system may choose its port again.
+func TestInstancesHaveDifferentAddresses(t *testing.T) {
+	c := quicktest.New(t)
+	p := &Platform{addressesByName: map[string][3]string{}}
+	nameByAddress := map[string]string{}
+	for n := range 300 {
+		name := fmt.Sprint("edge-", n)
+		list, err := p.addresses(name)
+		c.Assert(err, quicktest.IsNil)
+		for _, address := range list {
+			c.Assert(nameByAddress[address], quicktest.Equals, "", quicktest.Commentf("%s of %s", address, name))
+			nameByAddress[address] = name
+		}
+	}
+}
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -184,8 +184,9 @@
 }
 
 // instanceAddress is where instances listen, on ports that are free when they are
-// chosen. Connections to other servers leave from 127.0.0.1, so that no other socket
-// gets such a port before an instance uses it, or while the instance is down.
+// chosen and that no other instance has. Connections to other servers leave from
+// 127.0.0.1, so that no other socket gets such a port before an instance uses it, or
+// while the instance is down.
 const instanceAddress = "127.0.0.3:0"
 
 // addresses returns the addresses for clients, readiness checks and peers of the
@@ -196,17 +197,30 @@
 		return list, nil
 	}
 	for n := range list {
-		l, err := net.Listen("tcp4", instanceAddress)
-		if err != nil {
-			return list, errors.Wrap(err, "listen on a free port")
+		for list[n] == "" || p.isUsed(list[n]) {
+			l, err := net.Listen("tcp4", instanceAddress)
+			if err != nil {
+				return list, errors.Wrap(err, "listen on a free port")
+			}
+			defer func() { _ = closeListener(l) }()
+			list[n] = l.Addr().String()
 		}
-		defer func() { _ = closeListener(l) }()
-		list[n] = l.Addr().String()
 	}
 	p.addressesByName[name] = list
 	return list, nil
 }
 
+// isUsed reports whether an instance, which may be down, has the address. The caller
+// holds p.mu.
+func (p *Platform) isUsed(address string) bool {
+	for _, list := range p.addressesByName {
+		if slices.Contains(list[:], address) {
+			return true
+		}
+	}
+	return false
+}
+
 // Start starts an instance with the given name. Its seeds are the instances that
 // were started before.
 func (p *Platform) Start(name string) (*Instance, error) {
