Bound the pause after a step of an owner that was held up

Cause: the pause after a step is four times as long as the step took, so that planning never takes most of the processor. A step in which the instance was suspended or had no processor counts in full. After half a second, which the machine of the soak took, the owner did nothing for two seconds more; after a suspension of a second in a step it is four, longer than any lease. That the step was held up is inferred: nothing else in the daemon stops both polls and renewals while it answers questions, and durations of steps are not logged.

The pause now lasts at most as long as the interval between renewals. Steps of up to 0.1 s are paused for as before. TestSuspensionDuringStep failed before.

TestSlowDaemonAcknowledges is known red and still fails.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -36,8 +36,11 @@
 	minPlanInterval = 5 * time.Millisecond
 	// A step is followed by a pause of at least pauseFactor times its duration,
 	// in which answers are handled, so that planning never takes most of the
-	// processor.
+	// processor. The pause is at most maxPause, because a step in which the
+	// instance was suspended takes long too, and the leases of runs and of the
+	// owner's entry must be renewed.
 	pauseFactor = 4
+	maxPause    = renewInterval
 	// idleInterval is the longest time between two steps of a daemon that is
 	// not the owner.
 	idleInterval = 100 * time.Millisecond
@@ -265,7 +268,7 @@
 		}
 		c.step(ctx)
 		after := c.options.Now()
-		c.nextStepAt = after.Add(max(minPlanInterval, pauseFactor*after.Sub(now)))
+		c.nextStepAt = after.Add(max(minPlanInterval, min(maxPause, pauseFactor*after.Sub(now))))
 		next := idleInterval
 		if c.role == "owning" {
 			next = maxPlanInterval
