Show a job as running under a new owner

After a change of the owner, a job whose task had ended was shown as queued again, and counted as pending, until its next start: whether a job has started was known only to the owner that started it. Clients saw running, then queued.

The stored progress tells: a task that is done, has failed or has a checkpoint has started. A job of which no task has ended is still shown as queued until its runs are listed.

TestStartedJobStaysStarted got queued before.

--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -84,6 +84,7 @@
 	for _, k := range r.Ended {
 		j.ended[k] = true
 	}
+	j.hasStarted = len(r.Ended) > 0
 	if j.state.isFinal() {
 		return
 	}
@@ -96,6 +97,7 @@
 			s := o.steps[tp.Step]
 			t := s.tasks[tp.Index]
 			t.failures, t.checkpoint = tp.Failures, tp.Checkpoint
+			j.hasStarted = j.hasStarted || tp.Done || len(tp.Failures) > 0 || tp.Checkpoint != ""
 			if tp.Departure != nil {
 				t.departure, t.handovers = tp.Departure, tp.Departure.Move
 				t.markElsewhere()
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -95,3 +95,25 @@
 	d.Assert(c.Acknowledge, quicktest.Equals, uint64(1))
 	d.Assert(c.NeedsPoll, quicktest.IsTrue)
 }
+
+// TestStartedJobStaysStarted guards against a job that a new owner shows as queued
+// although a task of it has ended under the earlier owner.
+func TestStartedJobStaysStarted(t *testing.T) {
+	for name, kind := range map[string]planner.EndKind{"done": planner.EndDone, "failed": planner.EndFailed} {
+		t.Run(name, func(t *testing.T) {
+			second := step(1, 100)
+			second.After = []int{0}
+			j := job("1", step(1, 1), second)
+			d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+			d.add(j)
+			d.endRun(d.startTasks()[0], kind)
+			changes := d.p.Changes(1)
+			d.Assert(changes, quicktest.HasLen, 1)
+			next := newDriver(t, 2, worker("a", 8)).registerWorkers()
+			next.p.AddJob(next.now, j, changes[0].Progress)
+			state, _ := next.p.JobState("1")
+			next.Assert(state, quicktest.Equals, planner.Running)
+			next.Assert(next.p.Pending()["queue"], quicktest.Equals, 0)
+		})
+	}
+}
