Add a failing test of the waits of a step's tasks

The longest wait of a late best-effort task, 30 s in a busy service and 6 s in another, counts from when the task is first the next of its step. Only the first waiting task is seen to wait, so a step of ten tasks that disturb on every worker takes ten times as long to start.

What binds is the limit of harm: 86% of the processors are reserved, all 16 workers have room, 12 have at most one best-effort task, and the image harms 0.92 to 3.0 tasks on each of them at full pace, with a limit of 0.35 between 10 s and 30 s of waiting. The job's first task would start at 54 s. At the least pace, 20%, the harm is 0.02 to 0.41.

No fix lands.

--- a/internal/planner/overload_test.go
+++ b/internal/planner/overload_test.go
@@ -151,6 +151,36 @@
 	d.Assert(d.startTasks(), quicktest.HasLen, 1, quicktest.Commentf("the task must not wait forever"))
 }
 
+// TestWaitsOfTasksDoNotAddUp guards against a step of a late job that takes the
+// longest wait once for each of its tasks. Only the first task of a step was seen
+// to wait.
+func TestWaitsOfTasksDoNotAddUp(t *testing.T) {
+	for name, tt := range map[string]struct {
+		isBusy bool
+		wait   time.Duration
+	}{
+		"busy service": {true, 31 * time.Second},
+		"idle service": {false, 7 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newBusyDriver(t, 0.5)
+			if !tt.isBusy {
+				d.workers = append(d.workers, worker("b", 640))
+				d.workers[1].Domain = "out"
+				d.registerWorkers()
+				d.p.SetEvacuatedDomains([]string{"out"})
+			}
+			j := bestEffortJob("batch")
+			j.Steps[0].Count = 4
+			d.add(j)
+			d.Assert(d.startTasks(), quicktest.HasLen, 0)
+			d.advance(tt.wait)
+			d.poll("a")
+			d.Assert(d.startTasks(), quicktest.HasLen, 4)
+		})
+	}
+}
+
 // TestObjectiveIsCurrent guards against a cached objective that outlives a
 // change of the queue or of the estimates.
 func TestObjectiveIsCurrent(t *testing.T) {
