Test that the soak's checker tells the processes of a worker apart

The case 'same attempt on the next process' passed with runs named without their process. An end of the next process's run with the same attempt must not count for the void end of the first; the new case fails then.

--- a/standins/soaker/checker_test.go
+++ b/standins/soaker/checker_test.go
@@ -72,6 +72,13 @@
 			c.observe(event("v", "a.0.0.0", 1, "start"))
 			c.observe(platformer.Event{Worker: "v", Process: 1, Task: "a.0.0.0", Attempt: 1, Kind: "start"})
 		}, "twice"},
+		"same attempt on the next process after a void end": {func(c *checker, _ *job) {
+			for process, kind := range []string{"void", "noted"} {
+				for _, k := range []string{"start", "done", kind} {
+					c.observe(platformer.Event{Worker: "v", Process: process, Task: "a.0.0.0", Attempt: 1, Kind: k})
+				}
+			}
+		}, ""},
 		"start after the last failed run": {func(c *checker, _ *job) {
 			for attempt := range platformer.Attempts + 1 {
 				c.observe(event("v", "a.0.0.0", attempt, "start"))
