End the leases of runs 8 s after the last proof of ownership

What users saw: tasks that last and whose workers were lost as the owner ended didn't run for 15 s on one deployment and 19 s on the other (LOST).

Cause: a successor restarts the tasks of workers that don't answer when every lease of its predecessor has expired. The predecessor might go on for 7 s without a proof of its ownership, and its last leases lasted for the platform's longest time, 6 s or 10 s more. The platform allows about 10 s after the fault.

Leases now end 8 s after the last proof at the latest, and a successor waits for just that. The lease is counted from the earliest time that the worker's clock may show, so that an old answer of a worker doesn't lengthen it.

A predecessor of an earlier version grants longer leases, which a successor of this version doesn't wait for.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -53,11 +53,11 @@
 		return 0, time.Time{}
 	}
 	elapsed := now.Sub(s.clockReceivedAt)
-	lease := c.options.Limits.MaxLease
+	lease := min(c.options.Limits.MaxLease, leaseHorizon-now.Sub(c.confirmedAt))
 	// The worker's clock may have run slow since its last answer, and may run
 	// slow until the lease expires.
-	longest := time.Duration(float64(lease+time.Duration(maxClockDrift*float64(elapsed))) / (1 - maxClockDrift))
-	return s.clock + elapsed + lease, now.Add(longest)
+	atLeast := s.clock + time.Duration((1-maxClockDrift)*float64(elapsed))
+	return atLeast + lease, now.Add(longestLease(lease))
 }
 
 // session returns the session with a worker. It creates one if there is none.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -57,9 +57,13 @@
 
 	// horizon is how long an owner continues without a confirmation of its
 	// ownership by the store. It covers the usual outages of the store, and a
-	// successor waits this long before it restarts tasks that unreachable
-	// workers may still run.
+	// successor waits at least this long before it restarts tasks that
+	// unreachable workers may still run.
 	horizon = 7 * time.Second
+	// leaseHorizon is how long after the last confirmation a lease may last. A
+	// successor restarts the tasks of workers that are gone after this time,
+	// which has to be less than the platform allows them to be away.
+	leaseHorizon = 8 * time.Second
 
 	// Concurrency.
 
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -21,6 +21,9 @@
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
+// poolClock is the time of the workers' clock in each answer.
+const poolClock = time.Hour
+
 // pool is a set of simulated workers that run each task for a while.
 type pool struct {
 	mu           sync.Mutex
@@ -111,7 +114,7 @@
 			p.end(r, planner.EndDone)
 		}
 	}
-	a := conductor.PollAnswer{Clock: time.Hour, PollResult: planner.PollResult{ProcessStart: p.born}}
+	a := conductor.PollAnswer{Clock: poolClock, PollResult: planner.PollResult{ProcessStart: p.born}}
 	for r := range p.runs {
 		a.Running = append(a.Running, planner.RunStatus{Run: r, Percent: 50})
 	}
@@ -199,6 +202,12 @@
 	// retention is how long the states of finished jobs stay readable, a minute
 	// if zero.
 	retention time.Duration
+	// maxLease is the longest lease, a second if zero.
+	maxLease time.Duration
+	// workerID is the id of the worker, "w" if empty.
+	workerID string
+	// calls replaces the calls to the pool if not nil.
+	calls *conductor.WorkerCalls
 }
 
 func localAddress(port uint16) netip.AddrPort {
@@ -216,13 +225,17 @@
 // startDaemonOf runs a daemon of a shard. The returned function stops it.
 func (s *testCluster) startDaemonOf(sh testShard, port uint16) (*conductor.Conductor, func()) {
 	address := localAddress(port)
+	calls := sh.pool.calls()
+	if sh.calls != nil {
+		calls = *sh.calls
+	}
 	var c *conductor.Conductor
 	c, err := conductor.New(conductor.Options{
-		Shard: sh.name, Self: fmt.Sprint("daemon", port), Address: address, Store: s.store(port), Workers: sh.pool.calls(), Place: sh.place,
+		Shard: sh.name, Self: fmt.Sprint("daemon", port), Address: address, Store: s.store(port), Workers: calls, Place: sh.place,
 		ExtraAcquireDelay: func() time.Duration { return sh.extraDelay },
 		Discover: func(ctx context.Context) {
 			w := s.worker(port, sh.cpu)
-			w.Born = sh.pool.born
+			w.ID, w.Born = cmp.Or(sh.workerID, w.ID), sh.pool.born
 			c.SetWorkers(ctx, []planner.Worker{w}, nil)
 		},
 		Ask: func(ctx context.Context, owner netip.AddrPort, q conductor.Question) (conductor.Reply, error) {
@@ -234,7 +247,7 @@
 			}
 			return other.ServeQuestion(ctx, q)
 		},
-		Limits: conductor.Limits{MaxLease: time.Second, ViolationLimit: time.Minute, StateRetention: cmp.Or(sh.retention, time.Minute)},
+		Limits: conductor.Limits{MaxLease: cmp.Or(sh.maxLease, time.Second), ViolationLimit: time.Minute, StateRetention: cmp.Or(sh.retention, time.Minute)},
 		Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, Registry: prometheus.NewRegistry(),
 		Now: time.Now, WallTime: func(t time.Time) time.Time { return t },
 	})
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -75,7 +75,7 @@
 	p, err := planner.New(planner.Options{
 		Epoch: c.epoch, Horizon: horizon, ViolationLimit: limits.ViolationLimit,
 		Retention: limits.StateRetention, WallTime: c.options.WallTime,
-		PredecessorLeaseEnd: now.Add(horizon + longestLease(limits.MaxLease)), OnDecision: c.logDecision,
+		PredecessorLeaseEnd: now.Add(longestLease(min(leaseHorizon, horizon+limits.MaxLease))), OnDecision: c.logDecision,
 	})
 	if err != nil {
 		c.options.Log.Error().Err(err).Msg("conductor: planner not created")
