--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -208,8 +208,6 @@
 	maxLease time.Duration
 	// workerID is the id of the worker, "w" if empty.
 	workerID string
-	// calls replaces the calls to the pool if not nil.
-	calls *conductor.WorkerCalls
 }
 
 func localAddress(port uint16) netip.AddrPort {
