--- a/standins/replayer/checks.go
+++ b/standins/replayer/checks.go
@@ -217,20 +217,24 @@
 	}
 }
 
-// hasRoom reports whether a machine has room for two tasks of the job's first
+// hasRoom reports whether the machines have room for two tasks of the job's first
 // step. Nothing is owed to a job while long-running tasks hold every place for it,
 // and the place of a run that has just ended is free only once the end is read.
 func (w *World) hasRoom(j *planner.Job) bool {
+	need := j.Steps[0].Need
+	if j.Steps[0].BestEffort {
+		need.CPU = 0
+	}
+	places := 0
 	for _, m := range w.machines {
-		need := m.used()
-		need.Memory += 2 * j.Steps[0].Need.Memory
-		need.GPU += 2 * j.Steps[0].Need.GPU
-		if !j.Steps[0].BestEffort {
-			need.CPU += 2 * j.Steps[0].Need.CPU
-		}
-		if !m.isDown && m.Capacity.Fits(need) {
-			return true
+		used := m.used()
+		for !m.isDown && places < 2 {
+			used.CPU, used.Memory, used.GPU = used.CPU+need.CPU, used.Memory+need.Memory, used.GPU+need.GPU
+			if !m.Capacity.Fits(used) {
+				break
+			}
+			places++
 		}
 	}
-	return false
+	return places == 2
 }
--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -19,6 +19,7 @@
 // seeds holds the seeds of the short run, and those that once failed with the cause.
 var seeds = map[string]uint64{
 	"short run":       1,
+	"short run, mild": 2,
 	"short run again": 3,
 	// An owner lost its shard during a commit, acquired the shard again and
 	// committed nothing any more (TestOwnerReacquiresDuringCommit).
