Replay gangs, speculative copies and all critical moments of restarts

TestInvariants had restarts before and after the entry expires, in series within one lease, under both kinds of id, beside late commands, an outage, a partition and a new owner. Nothing checked that a pattern comes to the moment that it stands for, and the model had no gangs and no speculative steps.

The replayer now simulates gangs (work from when all members are present, done together, broken or alone), checks the checkpoint from which each run starts, the attempts of a gang, the starts of speculative tasks after an end that was acknowledged a second before, and that no job fails before its last attempt. It counts how often a replay comes to each critical moment of a restart, and TestInvariants fails if a pattern no longer comes to its own.

14 patterns are new: restarts after the entries have expired, series of restarts beside new owners (both kinds of id), failing tasks (alone, beside new owners, beside outages and new owners), tasks with checkpoints, gangs (alone, with restarts, beside late commands, beside new owners) and speculative tasks (alone, beside silent workers, beside new owners). TestRandomRestarts mixes the same at random.

--- a/standins/replayer/checks.go
+++ b/standins/replayer/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"tarragonhead.example/tarragonhead/internal/planner"
@@ -17,9 +18,9 @@
 }
 
 // checkStart counts the start of a run and checks capacity, the order of steps,
-// the number of failed runs, and that no other run of the task is active or has
-// completed it.
-func (w *World) checkStart(m *machine, e *execution) {
+// the checkpoint, the number of failed runs, and that no other run of the task is
+// active or has completed it.
+func (w *World) checkStart(m *machine, e *execution, isLate bool) {
 	w.result.Starts++
 	if u := m.used(); !m.Capacity.Fits(u) {
 		w.recordViolation("capacity", "%s on %s: reserved %v exceeds capacity %v", e.run, m.ID, u, m.Capacity)
@@ -27,12 +28,25 @@
 	if w.done[e.run.TaskID] && !w.voided[e.run.TaskID] && !e.step.Speculative {
 		w.recordViolation("twice", "%s starts after the task was done", e.run)
 	}
-	if limit := max(1, e.job.Queue.Attempts); w.failures[e.run.TaskID] >= limit && !e.step.Speculative && !e.step.LongRunning {
+	limit := max(1, e.job.Queue.Attempts)
+	if w.failures[w.failureID(e.run)] >= limit && !e.step.Speculative && !e.step.LongRunning {
 		w.recordViolation("budget", "%s starts after %d failed runs", e.run, limit)
 	}
+	if e.step.Speculative && !isLate {
+		w.checkSpeculativeStart(e)
+	}
+	if e.resumed != "" && m.incarnation > 0 {
+		w.recordMoment(Resumed)
+	}
+	w.checkCheckpoint(e)
 	for _, o := range w.machines {
 		for _, other := range o.runs {
-			if other != e && other.run.TaskID == e.run.TaskID && !e.step.Speculative && !w.now.After(o.leaseEnd) {
+			if other == e || other.run.TaskID != e.run.TaskID || w.now.After(o.leaseEnd) {
+				continue
+			}
+			if e.step.Speculative {
+				w.recordMoment(Copied)
+			} else {
 				w.recordViolation("twice", "%s starts on %s while %s runs on %s", e.run, m.ID, other.run, o.ID)
 			}
 		}
@@ -47,6 +61,66 @@
 	}
 }
 
+// notedDelay is how long after an end was acknowledged its task may still start
+// if the step is speculative.
+const notedDelay = time.Second
+
+// checkSpeculativeStart checks that no end that forbids the start of a
+// speculative task was acknowledged long ago.
+func (w *World) checkSpeculativeStart(e *execution) {
+	if at, ok := w.notedDone[e.run.TaskID]; ok && w.now.Sub(at) > notedDelay {
+		w.recordViolation("twice", "%s starts %s after the end of the task was acknowledged", e.run, w.now.Sub(at))
+	}
+	f, limit := w.notedFailures[e.run.TaskID], max(1, e.job.Queue.Attempts)
+	if f.count >= limit && w.now.Sub(f.last) > notedDelay {
+		w.recordViolation("budget", "%s starts %s after %d failed runs were acknowledged", e.run, w.now.Sub(f.last), f.count)
+	}
+}
+
+// checkCheckpoint checks that a run starts from a checkpoint of its own task, or
+// of a task of its gang.
+func (w *World) checkCheckpoint(e *execution) {
+	if e.resumed == "" {
+		return
+	}
+	from, ok := w.checkpoints[e.resumed]
+	if e.step.Gang {
+		from.task.Index = e.run.Index
+	}
+	if !ok || from.task != e.run.TaskID {
+		w.recordViolation("checkpoint", "%s starts from %q", e.run, e.resumed)
+	}
+}
+
+// notedFailures counts the failed runs of a task whose ends were acknowledged.
+type notedFailures struct {
+	count int
+	last  time.Time
+}
+
+// acknowledge forgets the ends up to number through.
+func (m *machine) acknowledge(w *World, through uint64) {
+	m.ends = slices.DeleteFunc(m.ends, func(e planner.RunEnd) bool {
+		if e.Number <= through && e.Number > m.voidedThrough {
+			w.recordAcknowledged(e)
+		}
+		return e.Number <= through
+	})
+}
+
+func (w *World) recordAcknowledged(e planner.RunEnd) {
+	id := e.Run.TaskID
+	switch e.Kind {
+	case planner.EndDone:
+		if w.notedDone[id].IsZero() {
+			w.notedDone[id] = w.now
+		}
+	case planner.EndFailed:
+		w.notedFailures[id] = notedFailures{w.notedFailures[id].count + 1, w.now}
+	case planner.EndStopped, planner.EndLapsed, planner.EndBroken, planner.EndAlone:
+	}
+}
+
 // voidUnacknowledgedEnds voids the ends that were not acknowledged when the
 // lease of a worker expired or its process ended, so that their tasks may start
 // again.
@@ -60,7 +134,7 @@
 		case planner.EndDone:
 			w.voided[e.Run.TaskID] = true
 		case planner.EndFailed:
-			w.failures[e.Run.TaskID]--
+			w.failures[w.failureID(e.Run)]--
 		case planner.EndStopped, planner.EndLapsed, planner.EndBroken, planner.EndAlone:
 		}
 	}
@@ -73,12 +147,40 @@
 		w.done[e.run.TaskID] = true
 		delete(w.voided, e.run.TaskID)
 	case planner.EndFailed:
-		w.failures[e.run.TaskID]++
-	case planner.EndStopped, planner.EndLapsed, planner.EndBroken, planner.EndAlone:
+		w.failures[w.failureID(e.run)]++
+		w.failedRuns[w.failureID(e.run)]++
+	case planner.EndAlone:
+		if len(w.pattern.Faults) == 0 && !w.cancelled[e.run.Job] {
+			w.recordViolation("gang", "%s has waited %s for the rest of its gang", e.run, gangWait)
+		}
+	case planner.EndStopped, planner.EndLapsed, planner.EndBroken:
 	}
 	w.resetOverTarget(e)
 }
 
+// failureID returns the task that a failed run counts for. The failures of a gang
+// count for its first task.
+func (w *World) failureID(r planner.RunID) planner.TaskID {
+	id := r.TaskID
+	if w.accepted[r.Job].Steps[r.Step].Gang {
+		id.Index = 0
+	}
+	return id
+}
+
+// hasFailed reports whether a task or a gang of the job has failed as often as
+// its queue allows.
+func (w *World) hasFailed(j *planner.Job) bool {
+	for s := range j.Steps {
+		for i := range j.Steps[s].Count {
+			if w.failedRuns[planner.TaskID{Job: j.ID, Step: s, Index: i}] >= max(1, j.Queue.Attempts) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // resetOverTarget discards the time since which a run is over its target.
 func (w *World) resetOverTarget(e *execution) {
 	delete(w.overTargetSince, e.run)
@@ -197,6 +299,9 @@
 			w.recordViolation("lost", "%s is unknown to the owner", id)
 		case state == planner.Failed:
 			o.Failed++
+			if !w.hasFailed(j) {
+				w.recordViolation("lost", "%s failed although none of its tasks has failed %d times", id, j.Queue.Attempts)
+			}
 		case state == planner.Queued && !j.Steps[0].LongRunning && w.hasRoom(j):
 			w.recordViolation("lost", "%s was never started: %s", id, w.currentOwner().planner.Explain(w.now, id))
 		}
@@ -217,20 +322,51 @@
 	}
 }
 
-// hasRoom reports whether a machine has room for two tasks of the job's first
-// step. Nothing is owed to a job while long-running tasks hold every place for it,
-// and the place of a run that has just ended is free only once the end is read.
+// hasRoom reports whether a machine has room for two tasks of the job's next step,
+// or whether the machines have room for twice the step if it is a gang. Nothing is
+// owed to a job while long-running tasks hold every place for it, and the place of
+// a run that has just ended is free only once the end is read.
 func (w *World) hasRoom(j *planner.Job) bool {
+	s := w.nextStep(j)
+	total := 0
 	for _, m := range w.machines {
-		need := m.used()
-		need.Memory += 2 * j.Steps[0].Need.Memory
-		need.GPU += 2 * j.Steps[0].Need.GPU
-		if !j.Steps[0].BestEffort {
-			need.CPU += 2 * j.Steps[0].Need.CPU
-		}
-		if !m.isDown && m.Capacity.Fits(need) {
+		places := m.places(s)
+		if total += places; places >= 2 && !s.Gang || total >= 2*s.Count && s.Gang {
 			return true
 		}
 	}
 	return false
 }
+
+// nextStep returns the first step of a job that is not done.
+func (w *World) nextStep(j *planner.Job) *planner.Step {
+	for s := range j.Steps {
+		for i := range j.Steps[s].Count {
+			if !w.done[planner.TaskID{Job: j.ID, Step: s, Index: i}] {
+				return &j.Steps[s]
+			}
+		}
+	}
+	return &j.Steps[len(j.Steps)-1]
+}
+
+// places returns for how many tasks of a step the machine has room, as far as
+// hasRoom asks for them.
+func (m *machine) places(s *planner.Step) int {
+	limit := 2
+	if s.Gang {
+		limit = 2 * s.Count
+	}
+	used, n := m.used(), 0
+	for ; n < limit && !m.isDown; n++ {
+		used.Memory += s.Need.Memory
+		used.GPU += s.Need.GPU
+		if !s.BestEffort {
+			used.CPU += s.Need.CPU
+		}
+		if !m.Capacity.Fits(used) {
+			break
+		}
+	}
+	return n
+}
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -21,6 +21,9 @@
 	// provenAt is when the store last confirmed the ownership.
 	provenAt   time.Time
 	nextCommit time.Time
+	// checkpoints holds the last checkpoint of each task that a worker has listed
+	// to the owner.
+	checkpoints map[planner.TaskID]string
 }
 
 func (o *owner) isCurrent() bool { return o == o.world.currentOwner() }
@@ -95,6 +98,9 @@
 	if !ok {
 		return
 	}
+	if c.Kind == planner.StartRun && c.Checkpoint == "" && o.checkpoints[c.Run.TaskID] != "" {
+		w.recordViolation("checkpoint", "%s starts without the checkpoint %q", c.Run, o.checkpoints[c.Run.TaskID])
+	}
 	s := o.session(known)
 	m := w.machineAt(known.Address)
 	l := s.grant(w, m, o.isWithinHorizon())
@@ -105,12 +111,12 @@
 	if !o.canReach(m) || isDelayed {
 		w.schedule(w.now.Add(commandTimeout), func() { o.handleTimeout(c, s) })
 		if o.canReach(m) {
-			w.schedule(w.now.Add(2*time.Second+time.Duration(w.noise.IntN(10000))*time.Millisecond), func() { o.execute(known, c, l) })
+			w.schedule(w.now.Add(2*time.Second+time.Duration(w.noise.IntN(10000))*time.Millisecond), func() { o.execute(known, c, l, true) })
 		}
 		return
 	}
 	w.schedule(w.now.Add(delay), func() {
-		outcome := o.execute(known, c, l)
+		outcome := o.execute(known, c, l, false)
 		if outcome == unanswered {
 			w.schedule(w.now.Add(delay), func() { o.handleTimeout(c, s) })
 			return
@@ -147,22 +153,24 @@
 )
 
 // execute executes a command on the process that has the worker's address by
-// now.
-func (o *owner) execute(known planner.Worker, c planner.Command, l lease) callOutcome {
+// now. IsLate is set if the command was held up.
+func (o *owner) execute(known planner.Worker, c planner.Command, l lease, isLate bool) callOutcome {
 	w := o.world
 	m := w.machineAt(known.Address)
 	switch {
 	case m.isDown:
 		return unanswered
 	case m.ID != known.ID:
+		w.recordArrival(c, known, m)
 		return misdirected
 	case o.epoch < m.epoch:
 		o.remove()
 		return refused
 	}
+	w.recordArrival(c, known, m)
 	switch c.Kind {
 	case planner.StartRun:
-		if !m.start(w, c, o.epoch, l.endOn(w, m)) {
+		if !m.start(w, c, o.epoch, l.endOn(w, m), isLate || !o.isCurrent()) {
 			return refused
 		}
 	case planner.StopRun:
@@ -228,7 +236,7 @@
 		}
 		m.epoch = o.epoch
 		m.renew(l.endOn(w, m))
-		m.ends = slices.DeleteFunc(m.ends, func(e planner.RunEnd) bool { return e.Number <= c.Acknowledge })
+		m.acknowledge(w, c.Acknowledge)
 		o.answerPoll(m, s, c.Acknowledge, sent, w.now.Add(wait))
 	})
 }
--- a/standins/replayer/machine.go
+++ b/standins/replayer/machine.go
@@ -52,6 +52,8 @@
 	lastProgress time.Time
 	pace         int
 	checkpointed time.Duration
+	// resumed is the checkpoint from which the run started.
+	resumed string
 	// cpu is the number of cores that the run uses.
 	cpu float64
 	// tailLevel is the logarithm of the tail latency over its target.
@@ -125,9 +127,18 @@
 }
 
 func (m *machine) advanceRun(w *World, e *execution, dt time.Duration, share float64) {
-	if !e.stopAt.IsZero() && !w.now.Before(e.stopAt) {
+	switch {
+	case m.runs[e.run] != e:
+		// It has ended with another run of its gang.
+		return
+	case !e.stopAt.IsZero() && !w.now.Before(e.stopAt):
 		m.end(w, e, planner.EndStopped)
 		return
+	case e.step.Gang && !w.isGangComplete(e):
+		if w.now.Sub(e.began) > gangWait {
+			m.end(w, e, planner.EndAlone)
+		}
+		return
 	}
 	rate := 1 / max(1, m.slowness)
 	e.cpu = float64(e.step.Need.CPU) / 1000
@@ -149,7 +160,7 @@
 		m.end(w, e, planner.EndFailed)
 		return
 	}
-	if e.step.LongRunning || e.done < e.work {
+	if e.step.LongRunning || e.done < e.work || e.step.Gang && e.plannedEnd == planner.EndDone && !w.isGangFinished(e) {
 		return
 	}
 	m.end(w, e, e.plannedEnd)
@@ -200,10 +211,14 @@
 	m.endCount++
 	m.ends = append(m.ends, planner.RunEnd{Number: m.endCount, Run: e.run, Kind: how, Checkpoint: w.checkpoint(e)})
 	w.recordEnd(e, how)
+	if e.step.Gang {
+		w.endGang(e, how)
+	}
 }
 
 // start executes a start command and reports whether the machine accepted it.
-func (m *machine) start(w *World, c planner.Command, epoch int64, lease time.Time) bool {
+// IsLate is set if the command arrives late.
+func (m *machine) start(w *World, c planner.Command, epoch int64, lease time.Time, isLate bool) bool {
 	if epoch < m.epoch || m.finishedAttempts[c.Run.TaskID] >= c.Run.Attempt || !w.now.Before(lease) {
 		return false
 	}
@@ -215,9 +230,12 @@
 	j := w.accepted[c.Run.Job]
 	s := &j.Steps[c.Run.Step]
 	e := &execution{run: c.Run, job: j, step: s, began: w.now, lastProgress: w.now, pace: 100, work: w.workOf(j, c.Run.TaskID), phase: w.phaseOf(c.Run), tailLevel: baseTailLevel, plannedEnd: w.plannedEndOf(c.Run)}
-	e.done = w.checkpoints[c.Checkpoint]
+	e.done, e.resumed = w.checkpoints[c.Checkpoint].done, c.Checkpoint
 	m.runs[c.Run] = e
-	w.checkStart(m, e)
+	w.checkStart(m, e, isLate)
+	if s.Gang {
+		w.joinGang(m, e)
+	}
 	return true
 }
 
--- a/standins/replayer/random_test.go
+++ b/standins/replayer/random_test.go
@@ -98,14 +98,46 @@
 	return p
 }
 
+// randomRestarts draws a load whose short jobs have steps of any kind, with
+// restarts that overlap with other faults.
+func randomRestarts(seed uint64) replayer.Pattern {
+	r := rand.New(rand.NewPCG(seed, 5))
+	p := replayer.Cellarlog(scale)
+	if r.IntN(2) == 0 {
+		p = replayer.Tricahue(scale)
+	}
+	variants := [...]func(replayer.Pattern) replayer.Pattern{failing, resumable, gangs, speculative}
+	p = variants[r.IntN(len(variants))](p)
+	for range 1 + r.IntN(3) {
+		f := drawRestart(r)
+		f.Kind = [...]string{"restart", "restart_same_id"}[r.IntN(2)]
+		f.At = drawTime(r, 2000, int(randomSpan.Milliseconds()))
+		p = p.With(f)
+		for range r.IntN(3) {
+			kind := [...]string{"takeover", "outage", "split", "silent", "crash", "slow", "drain"}[r.IntN(7)]
+			o := randomFaults[kind](r)
+			o.Kind, o.At = kind, f.At+drawTime(r, -1000, 3000)
+			p = p.With(o)
+		}
+	}
+	return p
+}
+
 // TestRandomFaults guards against violations of the invariants that need several
 // faults. A long run:
 //
 //	TARRAGON_RANDOM_FOR=10m go test ./standins/replayer -run TestRandomFaults -timeout 0 -v
-func TestRandomFaults(t *testing.T) {
+func TestRandomFaults(t *testing.T) { replayRandomly(t, randomPattern) }
+
+// TestRandomRestarts is like TestRandomFaults, with restarts beside one or two
+// other faults, and with gangs, speculative steps and failing tasks.
+func TestRandomRestarts(t *testing.T) { replayRandomly(t, randomRestarts) }
+
+// replayRandomly replays random mixes for the duration that is set.
+func replayRandomly(t *testing.T, draw func(uint64) replayer.Pattern) {
 	length, err := time.ParseDuration(os.Getenv(randomDurationVar))
 	if err != nil {
-		replayRandom(t, 1, randomSeeds)
+		replayRandom(t, draw, 1, randomSeeds)
 		return
 	}
 	seed := uint64(time.Now().UnixNano())
@@ -114,18 +146,18 @@
 		quicktest.Assert(t, err, quicktest.IsNil)
 	}
 	for begun := time.Now(); time.Since(begun) < length; seed += randomSeeds {
-		replayRandom(t, seed, randomSeeds)
+		replayRandom(t, draw, seed, randomSeeds)
 	}
 	t.Logf("the last seed was %d", seed-1)
 }
 
 // replayRandom replays the random mixes with count seeds from first.
-func replayRandom(t *testing.T, first, count uint64) {
+func replayRandom(t *testing.T, draw func(uint64) replayer.Pattern, first, count uint64) {
 	t.Run(fmt.Sprintf("from %d", first), func(t *testing.T) {
 		for seed := first; seed < first+count; seed++ {
 			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 				t.Parallel()
-				p := randomPattern(seed)
+				p := draw(seed)
 				r := replayer.New(p, seed, nil).Run()
 				quicktest.Check(t, r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%v\n%+v", r.First, p.Faults))
 			})
--- a/standins/replayer/replayer.go
+++ b/standins/replayer/replayer.go
@@ -1,9 +1,9 @@
 // Package replayer simulates patterns of load and faults on the planner, without
 // any I/O. It counts the invariants that the planner violates and the jobs that
 // it finishes in time. The model has workers whose tasks share CPU, interference
-// that depends on the pair of images, late commands, lost answers, unhealthy
-// workers, workers that restart while the list still shows the ended process,
-// outages of the store and changes of the owner.
+// that depends on the pair of images, gangs, copies of speculative tasks, late
+// commands, lost answers, unhealthy workers, workers that restart while the list
+// still shows the ended process, outages of the store and changes of the owner.
 package replayer
 
 import (
@@ -137,6 +137,9 @@
 	Classes map[string]Outcome
 	// Starts is the number of runs started.
 	Starts int
+	// Moments counts how often the replay came to each critical moment of a
+	// restart.
+	Moments map[Moment]int
 }
 
 // World is the state of one replay.
@@ -159,7 +162,9 @@
 	arrivedAt   map[string]time.Time
 	progress    map[string]planner.Progress
 	recorded    []planner.Worker
-	checkpoints map[string]time.Duration
+	checkpoints map[string]checkpoint
+	// gangs holds the runs of each gang that have started and not ended.
+	gangs       map[gangID][]member
 	alwaysFails map[string]bool
 	classOf     map[string]*Class
 	// done holds the tasks that a run has completed, and voided those whose
@@ -168,7 +173,13 @@
 	// those lost.
 	done, voided map[planner.TaskID]bool
 	failures     map[planner.TaskID]int
-	reportedDone map[string]bool
+	// failedRuns counts all failed runs, those of a gang under its first task.
+	failedRuns map[planner.TaskID]int
+	// notedDone holds when the first end of a task as done was acknowledged, and
+	// notedFailures counts the failed runs of a task whose ends were.
+	notedDone     map[planner.TaskID]time.Time
+	notedFailures map[planner.TaskID]notedFailures
+	reportedDone  map[string]bool
 
 	storeDown bool
 	// partitioned holds the addresses of the workers that can be reached only by owners that were
@@ -215,10 +226,10 @@
 	w := &World{
 		pattern: p, onDecision: onDecision, rng: rand.New(rand.NewPCG(seed, 1)), noise: rand.New(rand.NewPCG(seed, 2)), now: origin, origin: origin,
 		accepted: map[string]*planner.Job{}, arrivedAt: map[string]time.Time{}, progress: map[string]planner.Progress{},
-		checkpoints: map[string]time.Duration{}, interferenceCache: map[string]float64{}, salt: strconv.FormatUint(seed, 10), alwaysFails: map[string]bool{}, classOf: map[string]*Class{}, done: map[planner.TaskID]bool{}, voided: map[planner.TaskID]bool{}, failures: map[planner.TaskID]int{}, restarts: rand.New(rand.NewPCG(seed, 3)),
+		checkpoints: map[string]checkpoint{}, gangs: map[gangID][]member{}, notedDone: map[planner.TaskID]time.Time{}, notedFailures: map[planner.TaskID]notedFailures{}, interferenceCache: map[string]float64{}, salt: strconv.FormatUint(seed, 10), alwaysFails: map[string]bool{}, classOf: map[string]*Class{}, done: map[planner.TaskID]bool{}, voided: map[planner.TaskID]bool{}, failures: map[planner.TaskID]int{}, failedRuns: map[planner.TaskID]int{}, restarts: rand.New(rand.NewPCG(seed, 3)),
 		reportedDone: map[string]bool{}, burst: 1, credit: map[string]float64{}, overTargetSince: map[planner.RunID]time.Time{}, harmCounted: map[planner.RunID]bool{},
 		targetTimes: map[string]*[2]time.Duration{}, requiredTime: map[string]time.Duration{}, creditedTime: map[string]time.Duration{}, cancelled: map[string]bool{},
-		result: Result{Violations: map[string]int{}, First: map[string]string{}, Classes: map[string]Outcome{}},
+		result: Result{Violations: map[string]int{}, First: map[string]string{}, Classes: map[string]Outcome{}, Moments: map[Moment]int{}},
 	}
 	for i := range p.Workers {
 		m := newMachine(p, i, 0)
@@ -262,7 +273,7 @@
 	if err != nil {
 		panic(err)
 	}
-	o := &owner{world: w, planner: p, epoch: w.epoch, sessions: map[string]*session{}, provenAt: w.now}
+	o := &owner{world: w, planner: p, epoch: w.epoch, sessions: map[string]*session{}, provenAt: w.now, checkpoints: map[planner.TaskID]string{}}
 	w.owners = append(w.owners, o)
 	for _, r := range w.recorded {
 		p.AddUnverifiedWorker(r)
@@ -276,6 +287,7 @@
 		p.AddJob(w.now, *w.accepted[id], w.progress[id])
 	}
 	o.updateWorkers()
+	w.recordTakeover()
 }
 
 // currentOwner returns the owner that is recorded in the store.
@@ -472,6 +484,12 @@
 	return s
 }
 
+// checkpoint is the work that a checkpoint of a task saves.
+type checkpoint struct {
+	task planner.TaskID
+	done time.Duration
+}
+
 // checkpoint returns the name of the last checkpoint of a run, or "" if there is
 // none.
 func (w *World) checkpoint(e *execution) string {
@@ -479,6 +497,6 @@
 		return ""
 	}
 	key := fmt.Sprintf("%s@%d", e.run.TaskID, e.checkpointed.Milliseconds())
-	w.checkpoints[key] = e.checkpointed
+	w.checkpoints[key] = checkpoint{e.run.TaskID, e.checkpointed}
 	return key
 }
--- a/standins/replayer/replayer_test.go
+++ b/standins/replayer/replayer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,6 +59,90 @@
 		replayer.Fault{Kind: "outage", At: 8 * time.Second, For: 5 * time.Second}, restart(8500*time.Millisecond, time.Second, 2), restartSameID(10*time.Second, 700*time.Millisecond, 2)),
 	"new owner during an outage": replayer.Cellarlog(scale).With(
 		replayer.Fault{Kind: "outage", At: 8 * time.Second, For: 3 * time.Second}, replayer.Fault{Kind: "takeover", At: 11 * time.Second}),
+	"restarts after the entries have expired": replayer.Cellarlog(scale).With(restart(5*time.Second, 3700*time.Millisecond, 2), restartSameID(14*time.Second, 3700*time.Millisecond, 2)),
+	"series of restarts and new owners": replayer.Cellarlog(scale).With(
+		restart(8*time.Second, 400*time.Millisecond, 6), takeover(9*time.Second), takeover(10200*time.Millisecond), takeover(11500*time.Millisecond)),
+	"series of restarts under the same id and new owners": replayer.Cellarlog(scale).With(
+		restartSameID(8*time.Second, 400*time.Millisecond, 6), takeover(9*time.Second), takeover(10200*time.Millisecond), takeover(11500*time.Millisecond)),
+	"quick restarts of failing tasks": failing(replayer.Cellarlog(scale)).With(restart(5*time.Second, 500*time.Millisecond, 4), restartSameID(14*time.Second, 500*time.Millisecond, 4)),
+	"quick restarts of failing tasks, new owners": failing(replayer.Cellarlog(scale)).With(
+		restart(5*time.Second, 500*time.Millisecond, 4), takeover(6200*time.Millisecond), restartSameID(14*time.Second, 500*time.Millisecond, 4), takeover(15200*time.Millisecond)),
+	"quick restarts of failing tasks, outages and new owners": failing(replayer.Cellarlog(scale)).With(
+		outage(6*time.Second), restart(8*time.Second, 500*time.Millisecond, 3), takeover(9050*time.Millisecond),
+		outage(12*time.Second), restartSameID(14*time.Second, 500*time.Millisecond, 3), takeover(15040*time.Millisecond),
+		outage(18*time.Second), takeover(21060*time.Millisecond), outage(23*time.Second), takeover(26050*time.Millisecond)),
+	"quick restarts of tasks with checkpoints": resumable(replayer.Cellarlog(scale)).With(restart(5*time.Second, 500*time.Millisecond, 4), restartSameID(14*time.Second, 500*time.Millisecond, 4)),
+	"gangs":                   gangs(replayer.Cellarlog(scale)),
+	"quick restarts of gangs": gangs(replayer.Cellarlog(scale)).With(restart(5*time.Second, 500*time.Millisecond, 3), restartSameID(14*time.Second, time.Second, 3)),
+	"quick restarts of gangs while commands are late": gangs(replayer.Cellarlog(scale)).With(
+		replayer.Fault{Kind: "late", At: 5 * time.Second, For: 8 * time.Second, Share: 0.1}, restart(6*time.Second, 500*time.Millisecond, 3)),
+	"quick restarts of gangs while a new owner takes over": gangs(replayer.Cellarlog(scale)).With(
+		restart(9*time.Second, time.Second, 1), takeover(9500*time.Millisecond), restartSameID(14*time.Second, time.Second, 1), takeover(15200*time.Millisecond)),
+	"quick restarts of speculative tasks": speculative(replayer.Cellarlog(scale)).With(restart(5*time.Second, 1200*time.Millisecond, 3), restartSameID(14*time.Second, 1200*time.Millisecond, 3)),
+	"quick restarts of speculative tasks beside silent workers": speculative(replayer.Cellarlog(scale)).With(
+		silence(5*time.Second), silence(9*time.Second), silence(13*time.Second), restart(6*time.Second, 700*time.Millisecond, 5), restartSameID(7*time.Second, 700*time.Millisecond, 5)),
+	"quick restarts of speculative tasks while a new owner takes over": speculative(replayer.Cellarlog(scale)).With(
+		restart(9*time.Second, time.Second, 2), takeover(9500*time.Millisecond), restartSameID(14*time.Second, time.Second, 2), takeover(15200*time.Millisecond)),
+}
+
+// silence returns a fault with which two fifths of the workers don't answer for 2 s.
+func silence(at time.Duration) replayer.Fault {
+	return replayer.Fault{Kind: "silent", At: at, For: 2 * time.Second, Share: 0.4}
+}
+
+// outage returns a fault with which the store doesn't answer for 3 s.
+func outage(at time.Duration) replayer.Fault {
+	return replayer.Fault{Kind: "outage", At: at, For: 3 * time.Second}
+}
+
+func takeover(at time.Duration) replayer.Fault { return replayer.Fault{Kind: "takeover", At: at} }
+
+// withReports returns a copy of a pattern with its short jobs changed.
+func withReports(p replayer.Pattern, change func(*replayer.Class)) replayer.Pattern {
+	p.Classes = slices.Clone(p.Classes)
+	change(&p.Classes[0])
+	return p
+}
+
+// failing makes many short tasks fail through no fault of their worker.
+func failing(p replayer.Pattern) replayer.Pattern {
+	return withReports(p, func(c *replayer.Class) { c.FailShare = 0.3 })
+}
+
+// resumable makes the short tasks long enough for several checkpoints.
+func resumable(p replayer.Pattern) replayer.Pattern {
+	p.CheckpointEvery = 300 * time.Millisecond
+	return withReports(p, func(c *replayer.Class) {
+		c.Step.Checkpoints, c.Work = true, 2*c.Work
+	})
+}
+
+// gangs makes the steps of the short jobs gangs with checkpoints.
+func gangs(p replayer.Pattern) replayer.Pattern {
+	p = resumable(p)
+	return withReports(p, func(c *replayer.Class) { c.Step.Gang = true })
+}
+
+// speculative lets the short tasks have copies.
+func speculative(p replayer.Pattern) replayer.Pattern {
+	return withReports(p, func(c *replayer.Class) { c.Step.Speculative, c.FailShare, c.Work = true, 0.2, 2*c.Work })
+}
+
+// moments are critical moments of restarts to which the first seed of a pattern
+// must come, so that the pattern goes on testing them.
+var moments = map[string][]replayer.Moment{
+	"quick restarts": {replayer.BackBeforeExpiry, replayer.ListedFirst, replayer.ListedLast, replayer.WrittenLate, replayer.CheckpointLeft, replayer.Resumed},
+	"restarts after the entries have expired":                   {replayer.BackAfterExpiry},
+	"series of restarts":                                        {replayer.RestartedAgain},
+	"series of restarts under the same id":                      {replayer.RestartedAgain, replayer.WrittenLate},
+	"series of restarts and new owners":                         {replayer.OwnerWhileDown, replayer.OwnerWhileListed, replayer.RestartedAgain},
+	"quick restarts while commands are late":                    {replayer.StartAtNextID},
+	"quick restarts under the same id while commands are late":  {replayer.StartAtNextProcess},
+	"quick restarts during an outage":                           {replayer.EndLost},
+	"quick restarts of failing tasks":                           {replayer.EndLost, replayer.FailureLost},
+	"quick restarts of tasks with checkpoints":                  {replayer.CheckpointLeft, replayer.Resumed},
+	"quick restarts of gangs":                                   {replayer.GangBroken, replayer.CheckpointLeft, replayer.Resumed},
+	"quick restarts of speculative tasks beside silent workers": {replayer.CopyLost, replayer.Copied},
 }
 
 // restart returns a fault with which a third of the workers end and are back
@@ -72,8 +157,10 @@
 }
 
 // TestInvariants guards against concurrent runs of one task, runs after the last
-// attempt or after a noted end, overcommitted workers, steps out of order, lost jobs, jobs reported as done too early, and
-// long-running tasks that best-effort tasks hold over their latency target.
+// attempt or after a noted end, runs from a wrong checkpoint, gangs that start in
+// part, overcommitted workers, steps out of order, lost jobs, jobs reported as
+// done or failed too early, and long-running tasks that best-effort tasks hold
+// over their latency target.
 func TestInvariants(t *testing.T) {
 	for name, p := range patterns {
 		for seed := range uint64(2) {
@@ -85,6 +172,9 @@
 					t.Logf("%s: %+v", n, o)
 				}
 				c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%v", r.First))
+				for _, m := range moments[name] {
+					c.Assert(seed > 0 || r.Moments[m] > 0, quicktest.IsTrue, quicktest.Commentf("not reached: %s", m))
+				}
 			})
 		}
 	}
--- a/standins/replayer/restart.go
+++ b/standins/replayer/restart.go
@@ -59,6 +59,7 @@
 			all = append(all, e.Worker)
 		}
 		w.restarts.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
+		w.recordListing(all)
 	}
 	return all
 }
@@ -66,13 +67,18 @@
 // endProcess ends the process of a machine. Its ends that were not acknowledged
 // are lost with it.
 func (w *World) endProcess(m *machine) {
+	w.recordLosses(m)
 	m.isDown = true
 	m.leaseEnd = time.Time{}
 	w.voidUnacknowledgedEnds(m)
-	for _, e := range m.runs {
+	ended := m.sortedRuns()
+	clear(m.runs)
+	for _, e := range ended {
 		w.resetOverTarget(e)
+		if e.step.Gang {
+			w.endGang(e, planner.EndBroken)
+		}
 	}
-	clear(m.runs)
 }
 
 // restart ends the process of machine i and starts a new one at its address
@@ -83,6 +89,9 @@
 	if m.isDown {
 		return
 	}
+	if w.isListedStale(m.Address) {
+		w.recordMoment(RestartedAgain)
+	}
 	w.endProcess(m)
 	expiry := w.now.Add((entryHeartbeats-1)*heartbeat + w.drawTime(heartbeat))
 	if !w.now.Before(m.listedAt) {
@@ -93,6 +102,11 @@
 	}
 	w.schedule(w.now.Add(away), func() {
 		n := w.startProcess(i)
+		if w.isListedStale(n.Address) {
+			w.recordMoment(BackBeforeExpiry)
+		} else {
+			w.recordMoment(BackAfterExpiry)
+		}
 		if w.restarts.Float64() < earlierShare {
 			n.Born = 2*firstBorn - n.Born
 		}
@@ -123,6 +137,7 @@
 		until = w.now.Add(w.drawTime(heartbeat))
 	}
 	w.listStale(m, until)
+	w.recordMoment(WrittenLate)
 }
 
 // listStale makes the list of workers show the ended process m until the given
--- a/standins/replayer/session.go
+++ b/standins/replayer/session.go
@@ -77,9 +77,19 @@
 		o.planner.Leased(m.ID, w.leaseEnd())
 	}
 	s.clockStart = m.clockStart
+	o.recordCheckpoints(r)
 	o.planner.PollAnswered(w.now, m.ID, r)
 }
 
+// recordCheckpoints records the checkpoints that a worker lists.
+func (o *owner) recordCheckpoints(r planner.PollResult) {
+	for _, s := range r.Running {
+		if s.Checkpoint != "" {
+			o.checkpoints[s.Run.TaskID] = s.Checkpoint
+		}
+	}
+}
+
 // lease is the end of a lease, on the clock that started at clockStart; zero for
 // no lease.
 type lease struct{ end, clockStart time.Time }
