--- a/standins/replayer/machine.go
+++ b/standins/replayer/machine.go
@@ -12,7 +12,9 @@
 // machine simulates a worker.
 type machine struct {
 	planner.Worker
-	runs     map[planner.RunID]*execution
+	runs map[planner.RunID]*execution
+	// sorted caches the result of sortedRuns; nil after a change of runs.
+	sorted   []*execution
 	ends     []planner.RunEnd
 	endCount uint64
 	epoch    int64
@@ -116,6 +118,9 @@
 }
 
 func (m *machine) sortedRuns() []*execution {
+	if m.sorted != nil {
+		return m.sorted
+	}
 	all := make([]*execution, 0, len(m.runs))
 	for _, e := range m.runs {
 		all = append(all, e)
@@ -123,6 +128,7 @@
 	slices.SortFunc(all, func(a, b *execution) int {
 		return cmp.Or(a.began.Compare(b.began), cmp.Compare(a.run.Job, b.run.Job), cmp.Compare(a.run.Step, b.run.Step), cmp.Compare(a.run.Index, b.run.Index))
 	})
+	m.sorted = all
 	return all
 }
 
@@ -207,6 +213,7 @@
 
 func (m *machine) end(w *World, e *execution, how planner.EndKind) {
 	delete(m.runs, e.run)
+	m.sorted = nil
 	m.finishedAttempts[e.run.TaskID] = max(m.finishedAttempts[e.run.TaskID], e.run.Attempt)
 	m.endCount++
 	m.ends = append(m.ends, planner.RunEnd{Number: m.endCount, Run: e.run, Kind: how, Checkpoint: w.checkpoint(e)})
@@ -232,6 +239,7 @@
 	e := &execution{run: c.Run, job: j, step: s, began: w.now, lastProgress: w.now, pace: 100, work: w.workOf(j, c.Run.TaskID), phase: w.phaseOf(c.Run), tailLevel: baseTailLevel, plannedEnd: w.plannedEndOf(c.Run)}
 	e.done, e.resumed = w.checkpoints[c.Checkpoint].done, c.Checkpoint
 	m.runs[c.Run] = e
+	m.sorted = nil
 	w.checkStart(m, e, isLate)
 	if s.Gang {
 		w.joinGang(m, e)
--- a/standins/replayer/restart.go
+++ b/standins/replayer/restart.go
@@ -73,6 +73,7 @@
 	w.voidUnacknowledgedEnds(m)
 	ended := m.sortedRuns()
 	clear(m.runs)
+	m.sorted = nil
 	for _, e := range ended {
 		w.resetOverTarget(e)
 		if e.step.Gang {
