--- a/internal/planner/process_test.go
+++ b/internal/planner/process_test.go
@@ -236,3 +236,37 @@
 	state, _ := d.p.JobState("1")
 	d.Assert(state, quicktest.Equals, planner.Done)
 }
+
+// TestEndedProcessIsNotAddedAgain guards against a process that gets no tasks as
+// long as the list shows the ended one that had its address.
+func TestEndedProcessIsNotAddedAgain(t *testing.T) {
+	ended := worker("a", 8)
+	living := successor("b", ended)
+	d := newDriver(t, 1, ended).registerWorkers()
+	d.list(ended, living)
+	d.answer(living, d.now, living.Born)
+	d.p.SetRecorded(d.p.Recorded(d.now))
+	for range 3 {
+		d.advance(700 * time.Millisecond)
+		d.list(ended, living)
+		d.add(job(d.now.String(), step(1, 1)))
+		d.Assert(d.startTasks(), quicktest.HasLen, 1)
+	}
+}
+
+// TestStoredListNamesProcess guards against tasks that start on a process while the
+// stored list of workers names the one that had its id before.
+func TestStoredListNamesProcess(t *testing.T) {
+	w := worker("a", 8)
+	d := newDriver(t, 1, w).registerWorkers()
+	stored := d.p.Recorded(d.now)
+	d.advance(time.Second)
+	d.answer(w, d.now, w.Born+1)
+	d.list(successor("a", w))
+	d.p.SetRecorded(stored)
+	d.add(job("1", step(1, 1)))
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	d.Assert(d.p.NeedsRecord(d.now), quicktest.IsTrue)
+	d.p.SetRecorded(d.p.Recorded(d.now))
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
+}
