Test that a new owner waits for the workers of the stored list

No test of the conductor failed when a new owner ignored the stored list of workers: the planner's tests add the workers themselves, and in the conductor's tests each owner found the same worker through discovery, which listed its runs before anything could start. No fault was found.

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -190,9 +190,11 @@
 // testShard is what the daemons of one shard share.
 type testShard struct {
 	name string
-	// cpu is the capacity of its worker, in millicores.
-	cpu  int64
-	pool *pool
+	// workerID is the id of its worker, "w" if empty, and cpu the capacity in
+	// millicores.
+	workerID string
+	cpu      int64
+	pool     *pool
 	// calls are the calls to the worker; those of pool if nil.
 	calls *conductor.WorkerCalls
 	place func(planner.Resources, int, bool) (string, int)
@@ -228,7 +230,7 @@
 		ExtraAcquireDelay: func() time.Duration { return sh.extraDelay },
 		Discover: func(ctx context.Context) {
 			w := s.worker(port, sh.cpu)
-			w.Born = sh.pool.born
+			w.ID, w.Born = cmp.Or(sh.workerID, w.ID), sh.pool.born
 			c.SetWorkers(ctx, []planner.Worker{w}, nil)
 		},
 		Ask: func(ctx context.Context, owner netip.AddrPort, q conductor.Question) (conductor.Reply, error) {
