--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -193,9 +193,11 @@
 // testShard is what the daemons of one shard share.
 type testShard struct {
 	name string
-	// cpu is the capacity of its worker, in millicores.
-	cpu  int64
-	pool *pool
+	// workerID is the id of its worker, "w" if empty, and cpu the capacity in
+	// millicores.
+	workerID string
+	cpu      int64
+	pool     *pool
 	// calls are the calls to the worker; those of pool if nil.
 	calls *conductor.WorkerCalls
 	place func(planner.Resources, int, bool) (string, int)
