--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -208,8 +208,6 @@
 	retention time.Duration
 	// maxLease is the longest lease, a second if zero.
 	maxLease time.Duration
-	// workerID is the id of the worker, "w" if empty.
-	workerID string
 }
 
 func localAddress(port uint16) netip.AddrPort {
