Poll a worker that didn't answer without waiting there

The first poll after a call without an answer now asks for an immediate answer, as for a contested worker.

TestSilentWorkerIsPolledWithoutWait failed before (a wait of 700 ms). TestInvariants and TestRandom... of the replayer pass.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -209,9 +209,10 @@
 	}
 	c.planner.Leased(w.ID, expiry)
 	o := PollOrder{Epoch: epoch, Acknowledge: contact.Acknowledge, Deadline: deadline, Wait: pollWait}
-	if s.clockReceivedAt.IsZero() || contact.IsContested {
+	if s.clockReceivedAt.IsZero() || contact.IsContested || contact.IsFailing {
 		// The first poll returns the worker's clock, which leases need. That of
-		// a contested worker tells which process has its address.
+		// a contested worker, or of one that didn't answer, tells which process
+		// has its address.
 		o.Wait = 0
 	}
 	post := func(answer PollAnswer, err error) {
--- a/internal/conductor/process_test.go
+++ b/internal/conductor/process_test.go
@@ -111,3 +111,33 @@
 	w.Born = born
 	c.SetWorkers(context.Background(), []planner.Worker{w}, nil)
 }
+
+// TestSilentWorkerIsPolledWithoutWait guards against a second run of a task whose
+// late start reaches a new process with the worker's id, while the poll that would
+// tell of the process waits there for the end of a run.
+func TestSilentWorkerIsPolledWithoutWait(t *testing.T) {
+	s := newTestCluster(t, time.Minute)
+	calls := s.pool.calls()
+	poll := calls.Poll
+	var isLost, isChecked atomic.Bool
+	var wait atomic.Int64
+	calls.Poll = func(ctx context.Context, w planner.Worker, o conductor.PollOrder) (conductor.PollAnswer, error) {
+		if isLost.CompareAndSwap(true, false) {
+			isChecked.Store(true)
+			return conductor.PollAnswer{}, errors.New("no answer")
+		}
+		if isChecked.CompareAndSwap(true, false) {
+			wait.Store(int64(o.Wait))
+		}
+		return poll(ctx, w, o)
+	}
+	c, end := s.startDaemonOf(testShard{name: "0", cpu: 64000, pool: s.pool, calls: &calls}, 1)
+	defer end()
+	s.submit("a", 1)
+	s.eventually("running", testTimeout, func() bool { return state(c, "a") == planner.Running })
+	time.Sleep(200 * time.Millisecond)
+	wait.Store(-1)
+	isLost.Store(true)
+	s.eventually("polled again", testTimeout, func() bool { return wait.Load() >= 0 })
+	s.Assert(time.Duration(wait.Load()), quicktest.Equals, time.Duration(0))
+}
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -204,7 +204,8 @@
 }
 
 // poll sends a long poll to a worker, which answers as soon as a run has ended
-// and after pollWait at the latest. A contested worker answers at once. If ends are
+// and after pollWait at the latest. A worker that is contested,
+// or didn't answer the last call, answers at once. If ends are
 // acknowledged long after the answer that listed them, another poll goes first.
 func (o *owner) poll(c planner.Contact, s *session) {
 	w, p, sent := o.world, o.planner, o.world.now
@@ -219,7 +220,7 @@
 		return
 	}
 	wait := pollWait
-	if c.IsContested {
+	if c.IsContested || c.IsFailing {
 		wait = 0
 	}
 	acknowledge := c.Acknowledge
