Don't reload a process that was paused while it started

The configuration changed at 26.51 and 28.24, with a signal to an instance to read its settings again. The signal ends a process without a handler, and waits while the process is paused. The soak spared processes by their age, in which the pause counted. Which instance got the signal was not logged, so that it was edge-2 is inferred; the log names it now.

Pauses no longer count (TestPausedTime).

--- a/standins/soaker/faults.go
+++ b/standins/soaker/faults.go
@@ -21,8 +21,8 @@
 	// exceeds the lease of a worker's entry, so that the entry of an ended process
 	// can appear again.
 	maxLateDelay = 5 * time.Second
-	// reloadGrace is the age from which a process is told to read its settings
-	// again. The signal ends one that has not installed its handler yet.
+	// reloadGrace is the age, without pauses, from which a process is told to read
+	// its settings again. The signal ends one that has not installed its handler yet.
 	reloadGrace = time.Second
 )
 
@@ -180,12 +180,12 @@
 	j.configVersion++
 	version := j.configVersion
 	j.mu.Unlock()
-	j.recordFault("configuration version %d written, store history compacted, settings reloaded", version)
+	j.recordFault("configuration version %d written, store history compacted, settings of %s reloaded", version, i.name)
 	if err := j.platform.PutConfig(version); err != nil {
 		j.checker.failSoak(err)
 	}
 	j.platform.Keeper.Compact()
-	if p := j.currentProcess(i); p.Age() > reloadGrace {
+	if p := j.currentProcess(i); p.Age()-j.currentPauser(i).pausedTime() > reloadGrace {
 		j.signal(p, syscall.SIGHUP)
 	}
 }
--- a/standins/soaker/restarts.go
+++ b/standins/soaker/restarts.go
@@ -23,18 +23,35 @@
 
 	mu    sync.Mutex
 	count int
+	// pausedAt is when the present pause began, and pausedBefore how long the
+	// process was paused before.
+	pausedAt     time.Time
+	pausedBefore time.Duration
+}
+
+// pausedTime returns how long the process has been paused so far.
+func (p *pauser) pausedTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.count > 0 {
+		return p.pausedBefore + time.Since(p.pausedAt)
+	}
+	return p.pausedBefore
 }
 
 // pause stops the process and returns the function that ends the pause.
 func (p *pauser) pause() (end func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.count++
+	if p.count++; p.count == 1 {
+		p.pausedAt = time.Now()
+	}
 	p.signal(syscall.SIGSTOP)
 	return func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if p.count--; p.count == 0 {
+			p.pausedBefore += time.Since(p.pausedAt)
 			p.signal(syscall.SIGCONT)
 		}
 	}
--- a/standins/soaker/restarts_test.go
+++ b/standins/soaker/restarts_test.go
@@ -64,6 +64,28 @@
 	})
 }
 
+// TestPausedTime guards against a signal to read the settings again that ends a
+// process which was paused before it has installed its handler.
+func TestPausedTime(t *testing.T) {
+	c := quicktest.New(t)
+	const length = 50 * time.Millisecond
+	p := pauser{signal: func(syscall.Signal) {}}
+	c.Assert(p.pausedTime(), quicktest.Equals, time.Duration(0))
+	endFirst := p.pause()
+	endSecond := p.pause()
+	time.Sleep(length)
+	endFirst()
+	time.Sleep(length)
+	c.Assert(p.pausedTime() >= 2*length, quicktest.IsTrue)
+	endSecond()
+	paused := p.pausedTime()
+	time.Sleep(length)
+	c.Assert(p.pausedTime(), quicktest.Equals, paused)
+	p.pause()
+	time.Sleep(length)
+	c.Assert(p.pausedTime() >= 3*length, quicktest.IsTrue)
+}
+
 // TestOverlappingRestartsStartOneProcess guards against two processes of one
 // instance at the same time, of which one can't listen at the instance's address.
 func TestOverlappingRestartsStartOneProcess(t *testing.T) {
