Give the instances of each platform stand-in an address of their own

The instance had been down for 1.4 s. All soaks used 127.0.0.3, so the system could give the port of an instance that is down to one of another soak. That one of them had it is inferred.

The address now differs by process and by platform. TestPlatformsHaveDifferentHosts guards it; what it checks is new, so it had no failing run before.

--- a/standins/platformer/listener_test.go
+++ b/standins/platformer/listener_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -41,7 +42,7 @@
 // down, so the system may choose its port again.
 func TestInstancesHaveDifferentAddresses(t *testing.T) {
 	c := quicktest.New(t)
-	p := &Platform{addressesByName: map[string][3]string{}}
+	p := &Platform{instanceHost: newInstanceHost(), addressesByName: map[string][3]string{}}
 	nameByAddress := map[string]string{}
 	for n := range 300 {
 		name := fmt.Sprint("edge-", n)
@@ -53,3 +54,22 @@
 		}
 	}
 }
+
+// TestPlatformsHaveDifferentHosts guards against an instance that ends at its start,
+// because an instance of another platform got its port while it was down.
+func TestPlatformsHaveDifferentHosts(t *testing.T) {
+	c := quicktest.New(t)
+	var platforms []*Platform
+	for range 2 {
+		p, err := New(Options{Directory: t.TempDir(), TaskDuration: time.Second})
+		c.Assert(err, quicktest.IsNil)
+		t.Cleanup(p.Stop)
+		platforms = append(platforms, p)
+	}
+	c.Assert(platforms[0].instanceHost, quicktest.Not(quicktest.Equals), platforms[1].instanceHost)
+	list, err := platforms[0].addresses("edge-1")
+	c.Assert(err, quicktest.IsNil)
+	for _, address := range list {
+		c.Assert(netip.MustParseAddrPort(address).Addr(), quicktest.Equals, platforms[0].instanceHost)
+	}
+}
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -91,7 +92,10 @@
 
 // Platform is a stand-in for the platform, with the instances started on it.
 type Platform struct {
-	options      Options
+	options Options
+	// instanceHost is where the instances listen, on ports that are free when they
+	// are chosen and that no other instance has.
+	instanceHost netip.Addr
 	Keeper       *keeper.Keeper
 	Workers      []*Worker
 	storeAddress string
@@ -125,7 +129,7 @@
 
 // New starts a store and workers, without instances.
 func New(o Options) (*Platform, error) {
-	p := &Platform{options: o, Keeper: keeper.New(time.Now), stopped: make(chan struct{}), addressesByName: map[string][3]string{}}
+	p := &Platform{options: o, instanceHost: newInstanceHost(), Keeper: keeper.New(time.Now), stopped: make(chan struct{}), addressesByName: map[string][3]string{}}
 	var err error
 	if p.storeAddress, err = p.listen(func(ctx *fasthttp.RequestCtx) { serveStore(p.Keeper, o.TransactionDelay, ctx) }); err != nil {
 		return nil, err
@@ -183,11 +187,17 @@
 	return l.Addr().String(), nil
 }
 
-// instanceAddress is where instances listen, on ports that are free when they are
-// chosen and that no other instance has. Connections to other servers leave from
-// 127.0.0.1, so that no other socket gets such a port before an instance uses it, or
-// while the instance is down.
-const instanceAddress = "127.0.0.3:0"
+// platforms counts the platforms of this process.
+var platforms atomic.Uint32
+
+// newInstanceHost returns a loopback address at which no other platform has
+// instances, also of another process. Connections to other servers leave from
+// 127.0.0.1, so that no other socket gets the port of an instance before the instance
+// uses it, or while it is down.
+func newInstanceHost() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(16 + platforms.Add(1)%200), byte(pid >> 8), byte(pid)})
+}
 
 // addresses returns the addresses for clients, readiness checks and peers of the
 // instance with the given name, which all its processes use. The caller holds p.mu.
@@ -198,7 +208,7 @@
 	}
 	for n := range list {
 		for list[n] == "" || p.isUsed(list[n]) {
-			l, err := net.Listen("tcp4", instanceAddress)
+			l, err := net.Listen("tcp4", netip.AddrPortFrom(p.instanceHost, 0).String())
 			if err != nil {
 				return list, errors.Wrap(err, "listen on a free port")
 			}
