Hand state to a conductor without waiting for it

Cause: the follower of the operator's keys calls SetConfig with its lock held, and SetConfig waited without a limit for room in the conductor's queue of callbacks. With a full queue neither a later configuration nor a read got through, for any shard. Now the configuration, the domains taken out and the workers go to an inbox in which a later value replaces an earlier one.

--- a/internal/conductor/acknowledge_test.go
+++ b/internal/conductor/acknowledge_test.go
@@ -80,7 +80,7 @@
 	defer cancel()
 	go c.Run(ctx)
 	go conductor.Follow(ctx, store, now, []*conductor.Conductor{c})
-	c.SetConfig(ctx, planner.Config{})
+	c.SetConfig(planner.Config{})
 	s.submit("a", 4)
 	s.eventually("done", testTimeout, func() bool { return state(c, "a") == planner.Done })
 	s.eventually("acknowledged", testTimeout, func() bool { return s.pool.endCount() == 0 })
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -259,7 +259,7 @@
 	var done sync.WaitGroup
 	done.Go(func() { c.Run(ctx) })
 	done.Go(func() { conductor.Follow(ctx, s.store(port), time.Now, []*conductor.Conductor{c}) })
-	c.SetConfig(ctx, planner.Config{})
+	c.SetConfig(planner.Config{})
 	return c, func() {
 		s.mu.Lock()
 		delete(s.byPort, port)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -152,6 +152,7 @@
 	chart     *interpreter.Chart
 	keys      keys
 	callbacks chan func()
+	inbox     *inbox
 	// ended is closed when Run returns.
 	ended    chan struct{}
 	callPool pond.Pool
@@ -235,7 +236,7 @@
 	factory := promauto.With(o.Registry)
 	return &Conductor{
 		options: o, chart: chart, role: chart.Start(), keys: keys{o.Shard},
-		callbacks: make(chan func(), callbackBuffer), ended: make(chan struct{}), callPool: pond.NewPool(maxCalls),
+		callbacks: make(chan func(), callbackBuffer), inbox: newInbox(), ended: make(chan struct{}), callPool: pond.NewPool(maxCalls),
 		metrics: metrics{
 			orders:    factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_orders_total", Help: "Orders to workers by kind and outcome."}, []string{"kind", "outcome"}),
 			latency:   factory.NewHistogramVec(prometheus.HistogramOpts{Name: "tarragonhead_order_seconds", Help: "Time until a worker answered an order.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}, []string{"kind"}),
@@ -263,6 +264,8 @@
 		case f := <-c.callbacks:
 			f()
 			c.runPendingCallbacks()
+		case <-c.inbox.filled:
+			c.applyInbox()
 		case <-timer.C:
 		}
 		now := c.options.Now()
@@ -339,44 +342,23 @@
 // that this daemon may start tasks and grant leases.
 func (c *Conductor) isOwnershipConfirmed(now time.Time) bool { return now.Sub(c.confirmedAt) < horizon }
 
-// SetConfig puts a configuration in force.
-func (c *Conductor) SetConfig(ctx context.Context, config planner.Config) {
-	c.post(ctx, func() {
-		c.config, c.hasConfig = config, true
-		if c.planner != nil {
-			c.planner.SetConfig(config)
-		}
-	})
+// SetConfig puts a configuration in force. It doesn't wait.
+func (c *Conductor) SetConfig(config planner.Config) {
+	c.inbox.set(func() { c.inbox.config = &config })
 }
 
-// SetEvacuatedDomains sets the failure domains in which no task may start.
-func (c *Conductor) SetEvacuatedDomains(ctx context.Context, domains []string) {
-	c.post(ctx, func() {
-		c.evacuatedDomains = domains
-		c.options.Log.Info().Strs("domains", domains).Msg("conductor: domains taken out")
-		if c.planner != nil {
-			c.planner.SetEvacuatedDomains(domains)
-		}
-	})
+// SetEvacuatedDomains sets the failure domains in which no task may start. It
+// doesn't wait.
+func (c *Conductor) SetEvacuatedDomains(domains []string) {
+	c.inbox.set(func() { c.inbox.evacuatedDomains = &domains })
 }
 
 // SetWorkers updates the workers that discovery has found: present ones are
 // added or replaced, and those with the absent ids are removed. It does nothing
-// once ctx has ended, since a read of an earlier ownership may take longer than
-// the first read of the present one.
+// once ctx, the context of the discovery, has ended, since a read of an earlier
+// ownership may take longer than the first read of the present one. It doesn't wait.
 func (c *Conductor) SetWorkers(ctx context.Context, present []planner.Worker, absent []string) {
-	c.post(ctx, func() {
-		if ctx.Err() != nil {
-			return
-		}
-		for _, w := range present {
-			c.workers[w.ID] = w
-		}
-		for _, id := range absent {
-			delete(c.workers, id)
-		}
-		c.updatePlannerWorkers()
-	})
+	c.inbox.addWorkers(ctx, present, absent)
 }
 
 // updatePlannerWorkers passes the discovered workers to the planner.
--- a/internal/conductor/suspension_test.go
+++ b/internal/conductor/suspension_test.go
@@ -42,7 +42,7 @@
 	defer cancel()
 	go c.Run(ctx)
 	go conductor.Follow(ctx, s.store(1), now, []*conductor.Conductor{c})
-	c.SetConfig(ctx, planner.Config{})
+	c.SetConfig(planner.Config{})
 	s.submit("a", 1)
 	s.eventually("running", testTimeout, func() bool { return state(c, "a") == planner.Running })
 	isSuspending.Store(true)
