Apply a change that a later read lacks

An entry of the copy is now compared by its own revision, and an entry that the copy doesn't have is obsolete only in a read or an answer of a watch that is older than the last read.

Evidence: TestReadWithoutAChange, whose three cases fail on the parent commit; TestObsoleteChange still passes.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -59,8 +59,8 @@
 	// removed has the revision at which a key was removed, or an upper bound of
 	// it.
 	removed map[string]tombstone
-	// readRevision is the highest revision of a read of the prefix. The copy has
-	// every change up to it, so such a change that arrives later is obsolete.
+	// readRevision is the highest revision of a read of the prefix. An entry up to
+	// it that the read didn't have, and that arrives later, has been removed.
 	readRevision uint64
 	// watchRevision is the revision after which the next watch starts; zero if
 	// the prefix must be read first.
@@ -135,7 +135,7 @@
 	defer f.mu.Unlock()
 	var changes []storeclient.Event
 	for _, e := range events {
-		if f.isNewer(e) {
+		if f.isNewer(e, f.readRevision) {
 			f.apply(e)
 			changes = append(changes, e)
 		}
@@ -156,12 +156,17 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	// An entry that the last read didn't have is obsolete only in an older read.
+	floor := uint64(0)
+	if revision < f.readRevision {
+		floor = f.readRevision
+	}
 	var changes []storeclient.Event
 	present := make(map[string]bool, len(list))
 	for _, e := range list {
 		present[e.Key] = true
 		event := storeclient.Event{Entry: e}
-		if f.isNewer(event) {
+		if f.isNewer(event, floor) {
 			f.apply(event)
 			changes = append(changes, event)
 		}
@@ -189,16 +194,18 @@
 	return nil
 }
 
-// isNewer reports whether an event is newer than the copy.
-func (f *Follower) isNewer(e storeclient.Event) bool {
-	if e.Revision <= f.readRevision {
-		return false
-	}
+// isNewer reports whether an event is newer than the copy. An entry that the copy
+// doesn't have is obsolete up to the floor. An entry of the copy is compared by its own
+// revision alone, since a read may lack a change that is older than its revision.
+func (f *Follower) isNewer(e storeclient.Event, floor uint64) bool {
 	known, ok := f.revisions[e.Key]
-	if e.Removed {
-		return ok && e.Revision > known
+	switch {
+	case ok:
+		return e.Revision > known
+	case e.Removed:
+		return false
 	}
-	return e.Revision > known && e.Revision > f.removed[e.Key].revision
+	return e.Revision > floor && e.Revision > f.removed[e.Key].revision
 }
 
 func (f *Follower) apply(e storeclient.Event) {
--- a/internal/follower/obsolete_test.go
+++ b/internal/follower/obsolete_test.go
@@ -45,3 +45,37 @@
 		})
 	}
 }
+
+// TestReadWithoutAChange guards against a change that is dropped for good because a
+// read that lacks it returned a later revision.
+func TestReadWithoutAChange(t *testing.T) {
+	changed := storeclient.Entry{Key: "p/a", Value: []byte("2"), Revision: 12}
+	for name, tt := range map[string]struct {
+		first []storeclient.Entry
+		// arrive delivers the change that the first read lacks.
+		arrive func(*Follower) error
+	}{
+		"changed entry in a watch":     {[]storeclient.Entry{{Key: "p/a", Value: []byte("1"), Revision: 10}}, func(f *Follower) error { return f.watchOnce(context.Background(), 11) }},
+		"changed entry in a next read": {[]storeclient.Entry{{Key: "p/a", Value: []byte("1"), Revision: 10}}, func(f *Follower) error { return f.readPrefix(context.Background()) }},
+		"new entry in a next read":     {nil, func(f *Follower) error { return f.readPrefix(context.Background()) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			list := tt.first
+			values := map[string]string{}
+			f := New(Options{
+				Prefix: "p/", Wait: time.Second, Now: time.Now, Changed: func(e []storeclient.Event) { values[e[len(e)-1].Key] = string(e[len(e)-1].Value) },
+				Store: storeclient.PrefixStore{
+					Range: func(context.Context, string) ([]storeclient.Entry, uint64, error) { return list, 20, nil },
+					Watch: func(context.Context, string, uint64, time.Duration) ([]storeclient.Event, uint64, error) {
+						return []storeclient.Event{{Entry: changed}}, 20, nil
+					},
+				},
+			})
+			c.Assert(f.readPrefix(context.Background()), quicktest.IsNil)
+			list = []storeclient.Entry{changed}
+			c.Assert(tt.arrive(f), quicktest.IsNil)
+			c.Assert(values["p/a"], quicktest.Equals, "2")
+		})
+	}
+}
