Check when a configuration is in force while connections break

The soak silenced connections, but only through cuts that lasted and hit new connections too, and it checked nothing about the configuration.

A proxy can now make its open connections go silent for good while new ones work.

--- a/standins/cmd/soak/main.go
+++ b/standins/cmd/soak/main.go
@@ -24,6 +24,7 @@
 	instances := app.Flag("instances", "Instances per soak.").Default("3").Int()
 	workers := app.Flag("workers", "Workers per soak.").Default("6").Int()
 	clients := app.Flag("clients", "Clients per soak.").Default("4").Int()
+	configs := app.Flag("configs", "Change the configuration while open connections break, and check when each version is in force.").Bool()
 	verbose := app.Flag("verbose", "Print the injected faults of each seed.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -44,11 +45,15 @@
 			seed := *from + uint64(n)
 			sub := filepath.Join(dir, fmt.Sprint(seed))
 			app.FatalIfError(os.Mkdir(sub, 0o700), "directory")
-			r, err := soaker.Run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: *instances, Workers: *workers, Clients: *clients, Duration: *length})
+			run := soaker.Run
+			if *configs {
+				run = soaker.RunConfigs
+			}
+			r, err := run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: *instances, Workers: *workers, Clients: *clients, Duration: *length})
 			app.FatalIfError(err, "seed %d", seed)
 			mu.Lock()
 			defer mu.Unlock()
-			fmt.Printf("seed %d: %d jobs, %d accepted, %d starts, %d workers restarted, %d runs killed, %d faults injected, %d guarantees violated\n", seed, r.Jobs, r.Accepted, r.Starts, r.Restarts, r.Kills, len(r.InjectedFaults), len(r.Violations))
+			fmt.Printf("seed %d: %d jobs, %d accepted, %d starts, %d workers restarted, %d runs killed, %d checks of the configuration, %d faults injected, %d guarantees violated\n", seed, r.Jobs, r.Accepted, r.Starts, r.Restarts, r.Kills, r.Checks, len(r.InjectedFaults), len(r.Violations))
 			for _, v := range r.Violations {
 				fmt.Println("  violated:", v)
 			}
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -157,14 +157,22 @@
 	return p, nil
 }
 
-// PutConfig writes a version of the configuration to the store.
-func (p *Platform) PutConfig(version int) error {
-	config, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "queue", "host": Host, "prefix": Prefix, "kind": "non_idempotent", "timeoutMs": 3000, "sloMs": 1000,
+// PutConfig writes a version of the configuration to the store. It has a queue for
+// paths that begin with Prefix, and one for each of the added prefixes.
+func (p *Platform) PutConfig(version int, added ...string) error {
+	route := func(name, prefix string) map[string]any {
+		return map[string]any{
+			"name": name, "host": Host, "prefix": prefix, "kind": "non_idempotent", "timeoutMs": 3000, "sloMs": 1000,
 			"priority": 0, "service": service, "attempts": Attempts, "stretchFactor": 2.0,
-		}},
+		}
+	}
+	routes := []map[string]any{route("queue", Prefix)}
+	for _, prefix := range added {
+		routes = append(routes, route("queue "+prefix, prefix))
+	}
+	config, err := json.Marshal(map[string]any{
+		"version":  version,
+		"routes":   routes,
 		"services": []map[string]any{{"name": service, "healthPath": "/healthz", "enforcesCapacity": false}},
 		"limits":   map[string]int{"maxBodyBytes": 262144},
 	})
@@ -303,10 +311,15 @@
 // and returns the status and the body of the response. Without a response the
 // status is 0 and the text is the error.
 func (i *Instance) Call(method, id, body string, timeout time.Duration) (status int, text string) {
+	return i.CallPath(method, Prefix+id, body, timeout)
+}
+
+// CallPath is like Call, for any path.
+func (i *Instance) CallPath(method, path, body string, timeout time.Duration) (status int, text string) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + i.Front + Prefix + id)
+	request.SetRequestURI("http://" + i.Front + path)
 	request.UseHostHeader = true
 	request.Header.SetHost(Host)
 	request.Header.SetMethod(method)
--- a/standins/soaker/faults.go
+++ b/standins/soaker/faults.go
@@ -115,7 +115,7 @@
 
 func (j *injector) injectInstanceFault() {
 	i := j.instances[j.rng.IntN(len(j.instances))]
-	switch j.rng.IntN(9) {
+	switch j.rng.IntN(10) {
 	case 0:
 		j.restart(i, syscall.SIGKILL)
 	case 1:
@@ -136,6 +136,12 @@
 		j.addFaultShare(&j.shares.refused, "store calls refused")
 	case 8:
 		j.changeConfig(i)
+	case 9:
+		// Open connections go silent while the configuration changes.
+		for _, o := range j.instances {
+			j.breakConnectionsTo(o.name, true)
+		}
+		j.changeConfig(i)
 	}
 }
 
--- a/standins/soaker/proxy.go
+++ b/standins/soaker/proxy.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,8 +29,10 @@
 
 	impairments overlay[Impairment]
 
-	mu   sync.Mutex
-	open map[net.Conn]bool
+	mu sync.Mutex
+	// open holds the open connections of clients and to the server. The value is set
+	// once the connection is silent.
+	open map[net.Conn]*atomic.Bool
 }
 
 // NewProxy returns a proxy that listens on a free loopback address and forwards to
@@ -39,7 +42,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the proxy")
 	}
-	p := &Proxy{listener: l, target: target, open: map[net.Conn]bool{}}
+	p := &Proxy{listener: l, target: target, open: map[net.Conn]*atomic.Bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -62,6 +65,16 @@
 	}
 }
 
+// Silence discards from now on whatever is sent on the open connections, without a
+// reset, while new connections work.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, isSilent := range p.open {
+		isSilent.Store(true)
+	}
+}
+
 // Close closes the listener and the open connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -112,12 +125,13 @@
 		reset(c)
 		return
 	}
+	var isSilent atomic.Bool
 	p.mu.Lock()
-	p.open[c], p.open[s] = true, true
+	p.open[c], p.open[s] = &isSilent, &isSilent
 	p.mu.Unlock()
 	var done sync.WaitGroup
-	done.Go(func() { p.copy(s, c, func(i Impairment) bool { return i.DropToServer }) })
-	done.Go(func() { p.copy(c, s, func(i Impairment) bool { return i.DropFromServer }) })
+	done.Go(func() { p.copy(s, c, func(i Impairment) bool { return i.DropToServer || isSilent.Load() }) })
+	done.Go(func() { p.copy(c, s, func(i Impairment) bool { return i.DropFromServer || isSilent.Load() }) })
 	done.Wait()
 	p.mu.Lock()
 	delete(p.open, c)
--- a/standins/soaker/proxy_test.go
+++ b/standins/soaker/proxy_test.go
@@ -15,14 +15,15 @@
 func TestProxy(t *testing.T) {
 	for name, tt := range map[string]struct {
 		impairment               Impairment
-		reset                    bool
+		reset, silence           bool
 		isEchoed, isDisconnected bool
 	}{
-		"clear":                        {Impairment{}, false, true, false},
-		"slow":                         {Impairment{Delay: 20 * time.Millisecond}, false, true, false},
-		"data to the server dropped":   {Impairment{DropToServer: true}, false, false, false},
-		"data from the server dropped": {Impairment{DropFromServer: true}, false, false, false},
-		"reset":                        {Impairment{}, true, false, true},
+		"clear":                        {Impairment{}, false, false, true, false},
+		"slow":                         {Impairment{Delay: 20 * time.Millisecond}, false, false, true, false},
+		"data to the server dropped":   {Impairment{DropToServer: true}, false, false, false, false},
+		"data from the server dropped": {Impairment{DropFromServer: true}, false, false, false, false},
+		"reset":                        {Impairment{}, true, false, false, true},
+		"silence":                      {Impairment{}, false, true, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -55,6 +56,9 @@
 			if tt.reset {
 				p.Reset(1, rand.New(rand.NewPCG(1, 1)))
 			}
+			if tt.silence {
+				p.Silence()
+			}
 			err = echo()
 			c.Assert(err == nil, quicktest.Equals, tt.isEchoed, quicktest.Commentf("%v", err))
 			timeout, ok := err.(net.Error)
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -65,6 +65,8 @@
 	Jobs, Accepted int
 	// Restarts is the number of restarts of workers.
 	Restarts int
+	// Checks is the number of checks of the configuration in force.
+	Checks int
 	// Starts is the number of runs that workers started, and Kills the number of
 	// those that ended with their process.
 	Starts, Kills int
@@ -91,6 +93,8 @@
 	// output receives the logs of the instances, the events of the workers and the
 	// injected faults.
 	output *os.File
+	// stopWorkers ends the work on the workers.
+	stopWorkers chan struct{}
 	// restarts is the number of restarts of workers.
 	restarts int
 	storeRNG *rand.Rand
@@ -105,42 +109,50 @@
 	replacing sync.Mutex
 }
 
-// Run runs one soak with random faults drawn from seed. The error says that the
-// soak could not run; violated guarantees are in the report.
-func Run(seed uint64, o Options) (Report, error) {
+// newSoak starts a platform with its workers and instances. The caller calls stop.
+func newSoak(seed uint64, o Options) (*soak, error) {
 	s := &soak{
 		options: o, seed: seed, configVersion: 1, storeRNG: rand.New(rand.NewPCG(seed, 2)),
-		checker: newChecker(), startedAt: time.Now(), proxies: map[string]*Proxy{},
+		checker: newChecker(), startedAt: time.Now(), proxies: map[string]*Proxy{}, stopWorkers: make(chan struct{}),
 	}
-	output, err := os.Create(filepath.Join(o.Directory, fmt.Sprintf("soak-%d.log", seed)))
-	if err != nil {
-		return Report{}, errors.Wrap(err, "create log file")
+	var err error
+	if s.output, err = os.Create(filepath.Join(o.Directory, fmt.Sprintf("soak-%d.log", seed))); err != nil {
+		return nil, errors.Wrap(err, "create log file")
 	}
-	defer func() { _ = output.Close() }()
-	s.output, s.checker.log = output, s.log
+	s.checker.log = s.log
 	s.platform, err = platformer.New(platformer.Options{
-		Binary: o.Binary, Directory: o.Directory, Workers: o.Workers, TaskDuration: taskDuration, Output: output, ProxyAddress: s.proxyAddress,
+		Binary: o.Binary, Directory: o.Directory, Workers: o.Workers, TaskDuration: taskDuration, Output: s.output, ProxyAddress: s.proxyAddress,
 		Observe: s.observe, Fails: s.runFails,
 		TransactionDelay: func() time.Duration { return s.delay(&s.shares.lateTransactions) },
 		OrderDelay:       func() time.Duration { return s.delay(&s.shares.lateOrders) },
 	})
 	if err != nil {
-		return Report{}, err
+		_ = s.output.Close()
+		return nil, err
 	}
-	defer s.stop()
 	s.platform.Keeper.SetFault(s.storeFault)
-	stopWorkers := make(chan struct{})
-	defer close(stopWorkers)
 	for _, w := range s.platform.Workers {
-		go w.Advance(stopWorkers)
+		go w.Advance(s.stopWorkers)
 	}
 	for n := range o.Instances {
 		i := &instance{name: fmt.Sprintf("edge-%d", n+1)}
 		if err := s.startProcess(i); err != nil {
-			return Report{}, err
+			s.stop()
+			return nil, err
 		}
 		s.instances = append(s.instances, i)
 	}
+	return s, nil
+}
+
+// Run runs one soak with random faults drawn from seed. The error says that the
+// soak could not run; violated guarantees are in the report.
+func Run(seed uint64, o Options) (Report, error) {
+	s, err := newSoak(seed, o)
+	if err != nil {
+		return Report{}, err
+	}
+	defer s.stop()
 	clients := newClients(s, seed)
 	var clientsDone sync.WaitGroup
 	stopClients := make(chan struct{})
@@ -194,6 +206,8 @@
 }
 
 func (s *soak) stop() {
+	close(s.stopWorkers)
+	defer func() { _ = s.output.Close() }()
 	s.platform.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -27,14 +27,44 @@
 	"owner reacquires during commit, late": 47,
 }
 
+// configSeeds holds the seeds of the short run of changes of the configuration. With
+// seed 3 an instance served by an older configuration, once its connections to the
+// store had gone silent.
+var configSeeds = map[string]uint64{"short run": 1, "silent connections": 3}
+
+// buildDaemon builds tarragond and returns its path.
+func buildDaemon(c *quicktest.C, dir string) string {
+	binary := filepath.Join(dir, "tarragond")
+	output, err := exec.Command("go", "build", "-o", binary, "tarragonhead.example/tarragonhead/cmd/tarragond").CombinedOutput()
+	c.Assert(err, quicktest.IsNil, quicktest.Commentf("%s", output))
+	return binary
+}
+
+// TestConfigurationIsInForce checks that each version of the configuration is in force
+// in time while open connections go silent or are reset.
+func TestConfigurationIsInForce(t *testing.T) {
+	c := quicktest.New(t)
+	dir := t.TempDir()
+	binary := buildDaemon(c, dir)
+	for name, seed := range configSeeds {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			sub := filepath.Join(dir, fmt.Sprint(seed))
+			c.Assert(os.Mkdir(sub, 0o700), quicktest.IsNil)
+			r, err := soaker.RunConfigs(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 3, Duration: 8 * time.Second})
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
+			c.Assert(r.Checks > 0, quicktest.IsTrue)
+		})
+	}
+}
+
 // TestSoak checks the guarantees to clients and workers under random faults: no
 // task runs twice, accepted work is done, and refused work never runs.
 func TestSoak(t *testing.T) {
 	c := quicktest.New(t)
 	dir := t.TempDir()
-	binary := filepath.Join(dir, "tarragond")
-	output, err := exec.Command("go", "build", "-o", binary, "tarragonhead.example/tarragonhead/cmd/tarragond").CombinedOutput()
-	c.Assert(err, quicktest.IsNil, quicktest.Commentf("%s", output))
+	binary := buildDaemon(c, dir)
 	for name, seed := range seeds {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
