Show how calls to a lost worker began to fail

The logs could not tell a worker that crashed from one that was cut off, nor which task had just started there.

A call whose connection the worker closed or refused is a DisconnectedError, and worker_lost says whether the worker was disconnected or silent, and how long before that its latest run had started. No change of logic.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -171,6 +171,7 @@
 	var fenced *FencedError
 	var other *OtherProcessError
 	var refused *RefusedError
+	var disconnected *DisconnectedError
 	switch {
 	case errors.As(err, &fenced):
 		c.loseOwnership("worker " + workerID + " has seen a higher epoch")
@@ -181,6 +182,8 @@
 		return false
 	case err == nil || errors.As(err, &refused):
 		c.planner.Answered(now, workerID)
+	case errors.As(err, &disconnected):
+		c.planner.Disconnected(now, workerID)
 	default:
 		c.planner.Unanswered(now, workerID)
 	}
--- a/internal/conductor/orders.go
+++ b/internal/conductor/orders.go
@@ -53,7 +53,7 @@
 
 // WorkerCalls are the calls to a worker. Each is safe for concurrent use.
 // Errors are RefusedError if the worker did nothing, FencedError,
-// OtherProcessError, or any other error if the outcome is unknown.
+// OtherProcessError, DisconnectedError, or any other error if the outcome is unknown.
 type WorkerCalls struct {
 	Start func(ctx context.Context, w planner.Worker, o StartOrder) error
 	Stop  func(ctx context.Context, w planner.Worker, o StopOrder) error
@@ -85,3 +85,15 @@
 func (e *OtherProcessError) Error() string {
 	return fmt.Sprintf("another process answered for worker %s", e.Worker)
 }
+
+// DisconnectedError reports a call without an answer whose connection was closed or
+// refused at the worker's address. Its outcome is unknown.
+type DisconnectedError struct {
+	Worker string
+	Err    error
+}
+
+func (e *DisconnectedError) Error() string { return "worker disconnected: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DisconnectedError) Unwrap() error { return e.Err }
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -326,6 +326,9 @@
 	answeredAt    time.Time
 	failedSince   time.Time
 	drainingSince time.Time
+	// isDisconnected is set if the first of the unanswered calls failed because the
+	// worker closed or refused the connection. It is not set if the worker is silent.
+	isDisconnected bool
 	health
 }
 
@@ -363,6 +366,24 @@
 	return fmt.Sprintf("at %s in %s, born %d, entry created at revision %d", w.Address, w.Domain, w.Born, w.EntryCreated)
 }
 
+// describeFailure returns how calls to the worker began to fail, and how long before
+// its latest run had started, for the log.
+func (w *Worker) describeFailure() string {
+	if w.failedSince.IsZero() {
+		return "no call failed before"
+	}
+	manner := "silent"
+	if w.isDisconnected {
+		manner = "disconnected"
+	}
+	for i := len(w.runsInOrder) - 1; i >= 0; i-- {
+		if r := w.runsInOrder[i]; !r.startedAt.After(w.failedSince) {
+			return fmt.Sprintf("%s since %s after the start of %s", manner, w.failedSince.Sub(r.startedAt), r.id)
+		}
+	}
+	return manner + " before any run"
+}
+
 // update takes over the description of the process from its entry n.
 func (w *Worker) update(n Worker) {
 	if w.Born == 0 {
