Give up a task that crashes its workers

Cause: a run that is lost with its worker counted for nothing. Only ends that a worker lists as failed were attempts, so the task started again after each loss, and as a copy while the loss was not known yet.

Now a worker that closes its connections and whose process has then ended has crashed, and the runs that had started within a second before it, or all if there are none, are suspects. A suspect gets no copy and runs on a worker without another suspect; after the second crash it runs where least else runs and nothing joins it; after the third its job fails. What a worker loses by silence (cuts, power) or while it shuts down is no evidence. Crashes of four workers within a quarter of a second have a common cause and count from the fourth on only. The crashes are stored with the task's progress, once for each process, and go along in a handover.

Ruled out: giving up after the second crash, which the users allow, since a task that only ran beside a deadly one may be hit twice; an upper bound on all losses, which would fail jobs whose rack lost power.

--- a/internal/conductor/handover.go
+++ b/internal/conductor/handover.go
@@ -154,7 +154,7 @@
 		}
 		first := h.Job.Arrived[0]
 		for _, a := range record.Arrived {
-			if a == first {
+			if a.IsSameMove(first) {
 				return true
 			}
 		}
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -27,6 +27,8 @@
 	isDeadly func(planner.TaskID) bool
 	// keepsID is set if a restarted worker has the id that it had.
 	keepsID bool
+	// isGang is set if the tasks of the job "deadly" end when one of them does.
+	isGang bool
 	// isUnanswered is set if starts of deadly tasks get no answer.
 	isUnanswered bool
 	// sent holds the start commands of the runs that are at work.
@@ -74,6 +76,12 @@
 	}
 	delete(f.running, id)
 	delete(f.ends, id)
+	for run, c := range f.sent {
+		if _, isDown := f.backAt[c.WorkerID]; f.isGang && run.Job == "deadly" && !isDown {
+			delete(f.sent, run)
+			f.endRun(c, planner.EndBroken)
+		}
+	}
 }
 
 // restart starts another process at the address of a worker.
@@ -194,7 +202,7 @@
 		"with copies":           {speculative, func(id planner.TaskID) bool { return id.Index == 0 }, nil, 0},
 		"all tasks with copies": {speculative, func(planner.TaskID) bool { return true }, nil, 0},
 		"long-running":          {longRunning, func(id planner.TaskID) bool { return id.Index == 3 }, nil, 0},
-		"gang":                  {gang, func(id planner.TaskID) bool { return id.Index == 1 }, nil, 0},
+		"gang":                  {gang, func(id planner.TaskID) bool { return id.Index == 1 }, func(f *fleet) { f.isGang = true }, 0},
 		"workers keep their ids": {step(6, 1), func(id planner.TaskID) bool { return id.Index == 0 }, func(f *fleet) {
 			f.keepsID = true
 		}, 0},
@@ -272,3 +280,19 @@
 		})
 	}
 }
+
+// TestCrashesMoveWithTask guards against a task that begins anew to crash workers in
+// each shard that it is handed over to.
+func TestCrashesMoveWithTask(t *testing.T) {
+	f := newFleet(t, 4, func(planner.TaskID) bool { return true })
+	s := step(1, 1)
+	s.LongRunning = true
+	j := job("deadly", s)
+	j.IsPart = true
+	j.Arrived = []planner.Arrival{{Move: 1, Attempt: 2, Crashes: []planner.Crash{{Worker: "x", Born: 1}, {Worker: "y", Born: 1}}}}
+	f.submit(j)
+	f.run(8 * time.Second)
+	f.Assert(f.starts, quicktest.DeepEquals, map[planner.TaskID]int{{Job: "deadly"}: 1})
+	state, _ := f.p.JobState("deadly")
+	f.Assert(state, quicktest.Equals, planner.Failed)
+}
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -14,6 +14,15 @@
 		return "job " + id + " is not known"
 	}
 	var b strings.Builder
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.isDeadly() {
+					fmt.Fprintf(&b, "%s: given up, since workers crashed under it: %v\n", t.id, t.crashedWorkers())
+				}
+			}
+		}
+	}
 	fmt.Fprintf(&b, "job %s of queue %s is %s, arrived %s ago, due in %s\n", id, j.Queue.Name, j.state, now.Sub(j.arrived), j.due().Sub(now))
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -33,6 +33,14 @@
 	Move int `cbor:"move"`
 	// Waited is how long the task had waited for a place before the handover.
 	Waited time.Duration `cbor:"waited"`
+	// Crashes holds the crashes of workers on which the task had just started.
+	Crashes []Crash `cbor:"crashes,omitempty"`
+}
+
+// IsSameMove reports whether two records describe the same handover of a task of the
+// same job.
+func (a Arrival) IsSameMove(o Arrival) bool {
+	return a.Step == o.Step && a.Index == o.Index && a.Move == o.Move
 }
 
 // Departure records the shard to which a task was handed over.
@@ -181,7 +189,7 @@
 		t.handovers++
 		t.departure = &Departure{to, t.handovers}
 		t.markElsewhere()
-		record.Arrived = append(record.Arrived, Arrival{s.number, t.id.Index, p.nextAttempt(t) - 1, t.handovers, now.Sub(t.readyAt)})
+		record.Arrived = append(record.Arrived, Arrival{s.number, t.id.Index, p.nextAttempt(t) - 1, t.handovers, now.Sub(t.readyAt), t.crashes})
 	}
 	if len(out.undo) == 0 {
 		return Handover{}, false
@@ -241,6 +249,7 @@
 		}
 		t.handovers, t.attemptFloor, t.isElsewhere, t.departure = a.Move, max(t.attemptFloor, a.Attempt), false, nil
 		t.readyAt, t.arrivedAt, t.reservedAt = now.Add(-a.Waited), now, time.Time{}
+		t.crashes = a.Crashes
 		p.enqueue(t)
 	}
 }
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -90,15 +90,6 @@
 	}
 }
 
-// Disconnected records that a worker closed the connection of a call without an
-// answer, or refused it, so that its process has probably ended.
-func (p *Planner) Disconnected(now time.Time, workerID string) {
-	if w := p.workers[workerID]; w != nil && w.failedSince.IsZero() {
-		w.isDisconnected = true
-	}
-	p.Unanswered(now, workerID)
-}
-
 // Leased records that the leases granted to a worker so far expire at end or
 // earlier.
 func (p *Planner) Leased(workerID string, end time.Time) {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -91,7 +91,7 @@
 	var best *Worker
 	var lowest float64
 	for _, w := range candidates {
-		if !w.free.Fits(need) || !p.isWithinWorkerLimit(t, w) || w.isReservedAgainst(now, t) {
+		if !w.free.Fits(need) || !p.isWithinWorkerLimit(t, w) || w.isReservedAgainst(now, t) || !w.isSeparate(t) {
 			continue
 		}
 		cost, ok := p.placementCost(now, t, w, limit)
@@ -135,7 +135,7 @@
 		cost += avoidPenalty
 	}
 	harm, ok := p.interferenceCost(now, w, t, limit)
-	return cost + harm, ok
+	return cost + harm + w.companionCost(t), ok
 }
 
 // isInStepRack reports whether w is in the rack of the runs of t's step, or
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -39,6 +39,7 @@
 	clear(p.busyServices)
 	p.dropUnknownWorkers(proven)
 	p.dropLost(now, proven)
+	p.giveUpDeadlyTasks(now)
 	p.openOccurrences(now)
 	p.stopFinalJobs(now)
 	for _, w := range p.sortedWorkers {
@@ -90,6 +91,7 @@
 	if len(lapsed) > 0 {
 		p.reportWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s, %d of %d runs", now.Sub(w.failedSince), len(lapsed), len(w.runs)))
 	}
+	p.recordCrash(w, lapsed)
 	for _, r := range lapsed {
 		p.endRun(r, "lapse", "lease expired")
 	}
@@ -343,6 +345,9 @@
 			p.reserveWorker(now, t, candidates)
 			continue
 		}
+		if w == nil && t.suspicion() > notSuspected {
+			continue
+		}
 		if w == nil {
 			p.markUnplaceable(now, t)
 			return
@@ -412,7 +417,7 @@
 		}
 		for _, r := range runsOf(w) {
 			t := r.task
-			if !t.step.Speculative || len(t.runs) > 1 || t.done || t.step.occurrence.job.state.isFinal() || now.Before(t.retryAt) {
+			if !t.step.Speculative || len(t.runs) > 1 || t.done || t.step.occurrence.job.state.isFinal() || now.Before(t.retryAt) || !p.mayBeCopied(r) {
 				continue
 			}
 			if c := p.chooseWorker(now, t, p.candidates(now, t.step)); c != nil {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -133,7 +133,11 @@
 	unknownRuns  map[RunID]unknownRun
 	interference *tailModels
 	headroom     headroom
-	commands     []Command
+	// crashTimes holds when workers disconnected lately.
+	crashTimes []time.Time
+	// deadlyTasks holds the tasks that the next Plan gives up.
+	deadlyTasks []*task
+	commands    []Command
 }
 
 type unknownRun struct {
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -103,6 +103,7 @@
 // endProcess removes a worker whose process has ended, with all of its runs. As
 // long as the list shows the process, it is not added again.
 func (p *Planner) endProcess(w *Worker, reason string) {
+	p.recordCrash(w, runsOf(w))
 	p.rememberEnded(w)
 	p.removeWorker(w, "other_answered", reason)
 }
@@ -119,6 +120,7 @@
 // has never listed may have been sent to it and still reach the new one, so the
 // new worker takes over such runs in order to stop them.
 func (p *Planner) replaceProcess(now time.Time, w *Worker, born int64) *Worker {
+	p.recordCrash(w, runsOf(w))
 	var pending []*run
 	for _, r := range runsOf(w) {
 		if !r.isListed {
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -22,8 +22,8 @@
 	Tasks  []TaskProgress `cbor:"tasks,omitempty"`
 }
 
-// TaskProgress is the progress of a task that is done, has failed, has a
-// checkpoint or was handed over.
+// TaskProgress is the progress of a task that is done, has failed, is suspected of
+// a crash, has a checkpoint or was handed over.
 type TaskProgress struct {
 	Step  int  `cbor:"step"`
 	Index int  `cbor:"index"`
@@ -34,6 +34,8 @@
 	Checkpoint string `cbor:"checkpoint,omitempty"`
 	// Departure is set when the task was handed over to another shard.
 	Departure *Departure `cbor:"departure,omitempty"`
+	// Crashes holds the crashes of workers on which the task had just started.
+	Crashes []Crash `cbor:"crashes,omitempty"`
 }
 
 // Encode returns the stored form of v.
@@ -63,8 +65,8 @@
 		op := OccurrenceProgress{Number: o.number}
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.done || len(t.failures) > 0 || t.checkpoint != "" || t.departure != nil {
-					op.Tasks = append(op.Tasks, TaskProgress{t.id.Step, t.id.Index, t.done, t.failures, t.checkpoint, t.departure})
+				if t.done || len(t.failures) > 0 || t.checkpoint != "" || t.departure != nil || len(t.crashes) > 0 {
+					op.Tasks = append(op.Tasks, TaskProgress{t.id.Step, t.id.Index, t.done, t.failures, t.checkpoint, t.departure, t.crashes})
 				}
 			}
 		}
@@ -96,8 +98,8 @@
 			}
 			s := o.steps[tp.Step]
 			t := s.tasks[tp.Index]
-			t.failures, t.checkpoint = tp.Failures, tp.Checkpoint
-			j.hasStarted = j.hasStarted || tp.Done || len(tp.Failures) > 0 || tp.Checkpoint != ""
+			t.failures, t.checkpoint, t.crashes = tp.Failures, tp.Checkpoint, tp.Crashes
+			j.hasStarted = j.hasStarted || tp.Done || len(tp.Failures) > 0 || tp.Checkpoint != "" || len(tp.Crashes) > 0
 			if tp.Departure != nil {
 				t.departure, t.handovers = tp.Departure, tp.Departure.Move
 				t.markElsewhere()
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -122,7 +122,10 @@
 	// attempt is the highest attempt used by this owner.
 	attempt int
 	// failures holds the numbers of the attempts that failed.
-	failures   []int
+	failures []int
+	// crashes holds the crashes of workers on which the task had just started, one
+	// for each process.
+	crashes    []Crash
 	checkpoint string
 	// runs holds the runs that may be on a worker: at most one, or two if the
 	// step is speculative.
@@ -165,6 +168,8 @@
 	// isAnswered is set once the start was answered, so that it can't be carried out
 	// any more.
 	isAnswered bool
+	// suspicion is that of the task, as the worker counts it.
+	suspicion suspicion
 	// wasSentToEnded is set when the start was sent to an ended process that had the
 	// id of the present one.
 	wasSentToEnded bool
@@ -288,6 +293,9 @@
 	// runsInOrder holds the same runs in order of arrival, so that decisions do
 	// not depend on the iteration order of a map.
 	runsInOrder []*run
+	// suspectedRuns counts the runs of suspected and isolated tasks, and isolatedRuns
+	// those of isolated ones.
+	suspectedRuns, isolatedRuns int
 	// reservation is the task for which the worker is reserved, if any.
 	reservation reservation
 	// hasUnknownRuns is set when the worker lists runs of unknown jobs. The
@@ -424,6 +432,7 @@
 	w.runs[r.id] = r
 	w.runsInOrder = append(w.runsInOrder, r)
 	w.free = w.free.minus(r.task.step.reserved())
+	w.setSuspicion(r, r.task.suspicion())
 	if r.task.step.BestEffort {
 		w.bestEffortCPU += r.task.step.Need.CPU
 	}
@@ -438,6 +447,7 @@
 	delete(w.runs, r.id)
 	w.runsInOrder = slices.DeleteFunc(w.runsInOrder, func(o *run) bool { return o == r })
 	w.free = w.free.plus(r.task.step.reserved())
+	w.setSuspicion(r, notSuspected)
 	if r.task.step.BestEffort {
 		w.bestEffortCPU -= r.task.step.Need.CPU
 	}
