Don't let a shrunk worker take free capacity from others

The free capacity of a worker becomes negative when its capacity shrinks below what runs there. The sums over workers, which decide whether a long-running task starts, whether a service counts as busy and what room a shard announces, then lacked that much: with two of three workers shrunk to nothing, 6 free cores of the third were announced as 0.

The rule itself holds: starts that exceed a shrunk capacity, also beside runs that are being stopped, after a takeover, and for best-effort tasks, are guarded by TestShrunkCapacity and TestTakeoverOfShrunkWorker, which passed before this change.

--- a/internal/planner/estimate.go
+++ b/internal/planner/estimate.go
@@ -63,7 +63,7 @@
 	for _, w := range p.sortedWorkers {
 		if w.Service == service {
 			all += w.Capacity.CPU
-			free += w.free.CPU
+			free += w.freeCPU()
 		}
 	}
 	busy = float64(all-free) > busyShare*float64(all)
--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -70,7 +70,7 @@
 	for _, w := range p.sortedWorkers {
 		if p.isUsable(now, w) {
 			usable = append(usable, w)
-			r.Free += w.free.CPU
+			r.Free += w.freeCPU()
 			if room := w.roomForLongRunning(); !w.isReserved(now) && room.CPU > r.Largest.CPU {
 				r.Largest = room
 			}
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -60,7 +60,7 @@
 	h := &p.headroom
 	h.free, h.shortInUse, h.capacity = 0, 0, 0
 	for _, w := range candidates {
-		h.free += w.free.CPU
+		h.free += w.freeCPU()
 		h.capacity += w.Capacity.CPU
 	}
 	for _, w := range p.sortedWorkers {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -287,7 +287,8 @@
 	// isRecorded is set when the stored list of workers that may have runs
 	// includes the worker.
 	isRecorded bool
-	// free is the capacity that is not reserved by runs.
+	// free is the capacity that is not reserved by runs. It is negative if the
+	// capacity has shrunk below what they reserve.
 	free Resources
 	runs map[RunID]*run
 	// runsInOrder holds the same runs in order of arrival, so that decisions do
@@ -402,6 +403,9 @@
 	w.Capacity = n.Capacity
 }
 
+// freeCPU returns the CPU that runs can still reserve, in millicores.
+func (w *Worker) freeCPU() int64 { return max(0, w.free.CPU) }
+
 func (w *Worker) isGone(now time.Time) bool {
 	return !w.isListed && !w.missingSince.IsZero() && now.Sub(w.missingSince) > missingLimit
 }
