--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -154,9 +154,11 @@
 		Writes: []storeclient.Write{{Key: key, Value: value}},
 	}, "workers", func(err error) {
 		c.isRecordingWorkers = false
-		if err == nil {
-			c.planner.SetRecorded(list)
+		if err != nil {
+			c.nextCommitAt = c.options.Now().Add(storeRetryDelay)
+			return
 		}
+		c.planner.SetRecorded(list)
 	})
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -231,6 +231,11 @@
 	if len(t.Expect)+len(t.Writes)+len(t.Remove) > storeclient.MaxTransactionEntries {
 		return 0, &storeclient.RefusedError{Op: "transact", Status: 400}
 	}
+	for _, w := range t.Writes {
+		if len(w.Value) > storeclient.MaxValueBytes {
+			return 0, &storeclient.RefusedError{Op: "transact", Status: 413}
+		}
+	}
 	isConflict := false
 	e := &storeclient.ExpectationError{}
 	for _, x := range t.Expect {
