Reject jobs whose amounts overflow

The sums over a job's tasks, which decide whether long-running tasks start and in which order steps get capacity, overflowed for the whole shard.

A step may need at most 2^40 of a resource, and a job may have ten years of estimated work and as much between occurrences; others are rejected with what is wrong.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -110,9 +110,17 @@
 	Arrived []Arrival `cbor:"arrived,omitempty"`
 }
 
-// MaxTasks limits the tasks of one job.
+// MaxTasks limits the tasks of one job, of each occurrence if it has several.
 const MaxTasks = 10000
 
+const (
+	// maxAmount limits each resource that a task needs, so that sums over tasks don't
+	// overflow.
+	maxAmount = 1 << 40
+	// maxWork limits the estimated work of all tasks of a job, and its interval.
+	maxWork = 10 * 365 * 24 * time.Hour
+)
+
 // JobError reports why a job is rejected.
 type JobError struct {
 	Field   string
@@ -126,7 +134,7 @@
 	if len(j.Steps) == 0 {
 		return &JobError{"steps", "must not be empty"}
 	}
-	total := 0
+	total, work := 0, 0.0
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		field := fmt.Sprintf("steps[%d]", i)
@@ -143,6 +151,13 @@
 				return &JobError{field, "may depend on earlier steps only"}
 			}
 		}
+		if s.Need.CPU > maxAmount || s.Need.Memory > maxAmount || s.Need.GPU > maxAmount {
+			return &JobError{field, fmt.Sprintf("must not need more than %d of a resource", int64(maxAmount))}
+		}
+		work += float64(s.Count) * float64(s.Estimate)
+		if work > float64(maxWork) {
+			return &JobError{field, "must not have more than ten years of work"}
+		}
 		total += s.Count
 		if s.Count > MaxTasks || total > MaxTasks {
 			return &JobError{"steps", fmt.Sprintf("must have at most %d tasks", MaxTasks)}
@@ -151,9 +166,21 @@
 	if j.Times < 0 || j.Interval < 0 {
 		return &JobError{"schedule", "must not have negative numbers"}
 	}
+	if j.Interval > maxWork {
+		return &JobError{"schedule", "must not have more than ten years between occurrences"}
+	}
 	return nil
 }
 
+// taskCount returns the number of tasks of one occurrence.
+func (j *Job) taskCount() int {
+	count := 0
+	for i := range j.Steps {
+		count += j.Steps[i].Count
+	}
+	return count
+}
+
 // isLongRunning reports whether the job runs until it is cancelled.
 func (j *Job) isLongRunning() bool {
 	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning })
