Open a limited number of occurrences at a time

At most 10,000 tasks of a job are open at a time, or one occurrence. The others open as these end.

Evidence: TestManyDueOccurrences ran out of 6 GB on the parent commit and takes milliseconds now.

--- a/internal/planner/job_test.go
+++ b/internal/planner/job_test.go
@@ -39,3 +39,18 @@
 		})
 	}
 }
+
+// TestManyDueOccurrences guards against an owner that runs out of memory because a very
+// large number of occurrences is due at once.
+func TestManyDueOccurrences(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+	j := job("1", step(4000, 1))
+	j.Times, j.Interval, j.First = math.MaxInt, time.Nanosecond, d.now.Add(-time.Hour)
+	d.add(j)
+	other := job("2", step(2, 1))
+	other.Times, other.First = 3, d.now.Add(-time.Hour)
+	d.add(other)
+	started := d.startTasks()
+	d.Assert(started, quicktest.HasLen, 8)
+	d.Assert(d.p.Usage(d.now).Waiting+len(started), quicktest.Equals, 2*4000+3*2)
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -97,16 +97,19 @@
 	}
 }
 
-// openOccurrences creates the occurrences that are due.
+// openOccurrences creates the occurrences that are due. At most MaxTasks tasks of a job
+// are open at a time, or one occurrence.
 func (p *Planner) openOccurrences(now time.Time) {
 	wall := p.options.WallTime(now)
 	for _, j := range p.activeJobs {
-		for k := 0; k < j.Times; k++ {
+		open := 0
+		for k := 0; k < j.Times && (open == 0 || (open+1)*j.taskCount() <= MaxTasks); k++ {
 			if j.First.Add(time.Duration(k) * j.Interval).After(wall) {
 				break
 			}
 			if !j.ended[k] {
 				j.occurrence(k)
+				open++
 			}
 		}
 	}
