Store a crash before its task starts again

A crash now counts 250 ms after the disconnection, and is taken back if the process answers after all. The task starts again only once its crashes are stored, and is given up only once it is known that the workers have ended. Only workers with runs count for a common cause, once each, and not if most of them had just started a run.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -19,11 +19,13 @@
 	// promptAge is the age up to which a run is suspected so much that its task gets
 	// no copy until it is known whether the worker has ended.
 	promptAge = 100 * time.Millisecond
-	// commonCrashes is the number of workers whose calls begin to fail within
-	// commonWindow of each other from which the crashes count as having a common
-	// cause, such as the loss of a rack.
+	// commonCrashes is the number of workers that disconnect within commonWindow of
+	// each other from which the crashes may have a common cause, such as the loss of
+	// a rack. A worker that is back in a shorter time may not have crashed at all.
 	commonCrashes = 4
 	commonWindow  = 250 * time.Millisecond
+	// crashMemory is how long disconnections are remembered.
+	crashMemory = 30 * time.Second
 	// maxCrashes is the number of crashes under a task after which it is given up.
 	// Crashes with a common cause count only from maxCommonCrashes on.
 	maxCrashes       = 3
@@ -89,28 +91,50 @@
 	return own >= maxCrashes || len(t.crashes) >= maxCommonCrashes
 }
 
+// disconnection is when a worker that had runs closed or refused the connection of a
+// call.
+type disconnection struct {
+	worker string
+	at     time.Time
+	// isPrompt is set if a run had started there up to promptAge before.
+	isPrompt bool
+}
+
 // Disconnected records that a worker closed the connection of a call without an
 // answer, or refused it, so that its process has probably ended.
 func (p *Planner) Disconnected(now time.Time, workerID string) {
-	if w := p.workers[workerID]; w != nil && w.failedSince.IsZero() {
-		w.isDisconnected = true
-		p.crashTimes = append(slices.DeleteFunc(p.crashTimes, func(t time.Time) bool { return now.Sub(t) > crashMemory }), now)
+	w := p.workers[workerID]
+	if w != nil && w.failedSince.IsZero() && w.disconnectedAt.IsZero() {
+		w.disconnectedAt = now
+		if len(w.runs) > 0 && w.isProved() {
+			p.disconnections = slices.DeleteFunc(p.disconnections, func(d disconnection) bool { return now.Sub(d.at) > crashMemory })
+			p.disconnections = append(p.disconnections, disconnection{w.ID, now, slices.ContainsFunc(w.runsInOrder, w.isPrompt)})
+		}
 	}
 	p.Unanswered(now, workerID)
 }
 
-// crashMemory is how long the time of a possible crash is remembered.
-const crashMemory = 30 * time.Second
+// isPrompt reports whether a run had just started on the worker when that
+// disconnected.
+func (w *Worker) isPrompt(r *run) bool {
+	return !w.disconnectedAt.IsZero() && !r.startedAt.After(w.disconnectedAt) && w.disconnectedAt.Sub(r.startedAt) <= promptAge
+}
 
-// hasCommonCause reports whether several workers may have crashed at the time.
+// hasCommonCause reports whether several workers disconnected at the time, most of
+// them without a run that had just started.
 func (p *Planner) hasCommonCause(at time.Time) bool {
-	count := 0
-	for _, t := range p.crashTimes {
-		if d := t.Sub(at); d >= -commonWindow && d <= commonWindow {
-			count++
+	workers := map[string]bool{}
+	prompt := 0
+	for _, d := range p.disconnections {
+		if gap := d.at.Sub(at); gap < -commonWindow || gap > commonWindow || workers[d.worker] {
+			continue
+		}
+		workers[d.worker] = true
+		if d.isPrompt {
+			prompt++
 		}
 	}
-	return count >= commonCrashes
+	return len(workers) >= commonCrashes && 2*prompt < len(workers)
 }
 
 // suspects returns those of the runs that are suspected of a crash.
@@ -131,51 +155,99 @@
 	return all
 }
 
-// recordCrash records that a worker's process has ended with the given runs, if it has
-// crashed: its connections were closed, and it was not shutting down. A worker that
-// went silent may be cut off or without power, which is no fault of its tasks.
+// recordCrashes records the crashes of the workers that have been disconnected for a
+// while. Whether their processes have ended shows later, but a task must not crash
+// another worker before this crash is stored.
+func (p *Planner) recordCrashes(now time.Time) {
+	for _, w := range p.sortedWorkers {
+		if !w.disconnectedAt.IsZero() && now.Sub(w.disconnectedAt) >= commonWindow {
+			p.recordCrash(w, w.runsInOrder)
+		}
+	}
+}
+
+// recordCrash records, once, that a worker has crashed with the given runs, if it was
+// disconnected and was not shutting down. A worker that went silent may be cut off or
+// without power, which is no fault of its tasks.
 func (p *Planner) recordCrash(w *Worker, runs []*run) {
-	if !w.isDisconnected || w.Draining || len(runs) == 0 {
+	if w.disconnectedAt.IsZero() || w.isCrashRecorded || w.Draining || len(runs) == 0 {
 		return
 	}
-	c := Crash{w.ID, w.Born, p.hasCommonCause(w.failedSince)}
-	list := suspects(runs, w.failedSince)
+	w.isCrashRecorded = true
+	c := Crash{w.ID, w.Born, p.hasCommonCause(w.disconnectedAt)}
+	list := suspects(runs, w.disconnectedAt)
 	p.reportWorker("worker_crashed", w, fmt.Sprintf("%d of %d runs are suspected, common cause %t", len(list), len(runs), c.IsCommon))
 	for _, r := range list {
 		t := r.task
 		j := t.step.occurrence.job
-		isKnown := slices.ContainsFunc(t.crashes, func(o Crash) bool { return o.Worker == c.Worker && o.Born == c.Born })
-		if t.done || isKnown || j.state.isFinal() {
+		if t.done || j.state.isFinal() || slices.ContainsFunc(t.crashes, c.isSameProcess) {
 			continue
 		}
-		t.crashes = append(t.crashes, c)
-		j.markChanged()
-		t.updateSuspicion()
-		p.reportRun("suspected", r, fmt.Sprintf("started %s before the crash, %d crashes so far", w.failedSince.Sub(r.startedAt), len(t.crashes)))
+		t.setCrashes(append(slices.Clone(t.crashes), c))
+		p.reportRun("suspected", r, fmt.Sprintf("started %s before the crash, %d crashes so far", w.disconnectedAt.Sub(r.startedAt), len(t.crashes)))
 		if t.isDeadly() {
 			p.deadlyTasks = append(p.deadlyTasks, t)
 		}
 	}
 }
 
-// giveUpDeadlyTasks ends the jobs of the tasks that are given up.
-func (p *Planner) giveUpDeadlyTasks(now time.Time) {
-	for _, t := range p.deadlyTasks {
-		if j := t.step.occurrence.job; !t.done && !j.state.isFinal() {
-			p.reportJob("given_up", j, fmt.Sprintf("%s: workers crashed under it: %s", t.id, strings.Join(t.crashedWorkers(), ", ")))
-			p.finishJob(now, j, Failed)
+// retractCrash records that a worker's process has answered after a disconnection, so
+// that it has not crashed.
+func (p *Planner) retractCrash(w *Worker) {
+	if w.isCrashRecorded {
+		for _, r := range w.runsInOrder {
+			p.retractSuspicion(r)
 		}
 	}
-	p.deadlyTasks = nil
+	w.disconnectedAt, w.isCrashRecorded = time.Time{}, false
+}
+
+// retractSuspicion removes the crash of a run's worker from those under its task.
+func (p *Planner) retractSuspicion(r *run) {
+	t, c := r.task, Crash{Worker: r.worker.ID, Born: r.worker.Born}
+	if slices.ContainsFunc(t.crashes, c.isSameProcess) {
+		t.setCrashes(slices.DeleteFunc(slices.Clone(t.crashes), c.isSameProcess))
+		p.reportRun("not_suspected", r, "its worker answers again")
+	}
 }
 
-// updateSuspicion updates the runs of a task after a change of its suspicion.
-func (t *task) updateSuspicion() {
+func (c Crash) isSameProcess(o Crash) bool { return c.Worker == o.Worker && c.Born == o.Born }
+
+// setCrashes replaces the crashes under the task, which don't start it again until
+// they are stored.
+func (t *task) setCrashes(list []Crash) {
+	t.crashes = list
+	j := t.step.occurrence.job
+	j.markChanged()
+	t.crashVersion = j.version
 	for _, r := range t.runs {
 		r.worker.setSuspicion(r, t.suspicion())
 	}
 }
 
+// areCrashesStored reports whether a new owner would know of the crashes that the task
+// is suspected of.
+func (t *task) areCrashesStored() bool {
+	return t.suspicion() == notSuspected || t.step.occurrence.job.committed >= t.crashVersion
+}
+
+// giveUpDeadlyTasks ends the jobs of the tasks that are given up, once it is known that
+// the workers under them have crashed.
+func (p *Planner) giveUpDeadlyTasks(now time.Time) {
+	p.deadlyTasks = slices.DeleteFunc(p.deadlyTasks, func(t *task) bool {
+		j := t.step.occurrence.job
+		if !t.isDeadly() || t.done || j.state.isFinal() {
+			return true
+		}
+		if slices.ContainsFunc(t.runs, func(r *run) bool { return r.worker.isCrashRecorded }) {
+			return false
+		}
+		p.reportJob("given_up", j, fmt.Sprintf("%s: workers crashed under it: %s", t.id, strings.Join(t.crashedWorkers(), ", ")))
+		p.finishJob(now, j, Failed)
+		return true
+	})
+}
+
 // setSuspicion changes the suspicion of a run on the worker.
 func (w *Worker) setSuspicion(r *run, s suspicion) {
 	count := func(level suspicion, change int) {
@@ -208,7 +280,8 @@
 // mayBeCopied reports whether a second run of a task may start while the worker of its
 // run r does not answer.
 func (p *Planner) mayBeCopied(r *run) bool {
-	w := r.worker
-	isPrompt := w.isDisconnected && !r.startedAt.After(w.failedSince) && w.failedSince.Sub(r.startedAt) <= promptAge
-	return r.task.suspicion() == notSuspected && (!isPrompt || p.hasCommonCause(w.failedSince))
+	if r.task.suspicion() == isolated || !r.task.areCrashesStored() {
+		return false
+	}
+	return !r.worker.isPrompt(r) || p.hasCommonCause(r.worker.disconnectedAt)
 }
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -296,3 +296,57 @@
 	state, _ := f.p.JobState("deadly")
 	f.Assert(state, quicktest.Equals, planner.Failed)
 }
+
+// TestDisconnectedWorkerIsBack guards against tasks that are suspected, or given up,
+// because connections to their worker were reset, also by an earlier owner.
+func TestDisconnectedWorkerIsBack(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+	d.add(job("1", step(1, 1)))
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
+	crashes := func() (list []planner.Crash) {
+		for _, c := range d.p.Changes(10) {
+			for _, o := range c.Progress.Occurrences {
+				for _, task := range o.Tasks {
+					list = append(list, task.Crashes...)
+				}
+			}
+		}
+		return list
+	}
+	d.advance(10 * time.Millisecond)
+	d.p.Disconnected(d.now, "a")
+	d.advance(300 * time.Millisecond)
+	d.startTasks()
+	d.Assert(crashes(), quicktest.DeepEquals, []planner.Crash{{Worker: "a", Born: 1}})
+	stored := d.p.Changes(10)[0].Progress
+	d.commit()
+	d.advance(100 * time.Millisecond)
+	d.poll("a")
+	d.Assert(d.p.Changes(10), quicktest.HasLen, 1)
+	d.Assert(crashes(), quicktest.HasLen, 0)
+
+	next := newDriver(t, 2, worker("a", 8))
+	next.running = d.running
+	next.p.AddUnverifiedWorker(next.workers[0])
+	next.p.AddJob(next.now, job("1", step(1, 1)), stored)
+	next.registerWorkers()
+	next.Assert(next.decisionCounts["not_suspected"], quicktest.Equals, 1)
+	next.Assert(next.startTasks(), quicktest.HasLen, 0)
+}
+
+// TestCrashIsStoredBeforeRestart guards against a task that is started again although a
+// new owner would not know of the crash under it.
+func TestCrashIsStoredBeforeRestart(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 8), worker("b", 8)).registerWorkers()
+	d.add(job("1", step(1, 1)))
+	start := d.startTasks()[0]
+	d.advance(10 * time.Millisecond)
+	d.p.Disconnected(d.now, start.WorkerID)
+	d.advance(300 * time.Millisecond)
+	d.p.OtherProcessAnswered(start.WorkerID)
+	d.Assert(d.startTasks(), quicktest.HasLen, 0, quicktest.Commentf("the crash is not stored"))
+	d.advance(time.Second)
+	d.Assert(d.startTasks(), quicktest.HasLen, 0, quicktest.Commentf("the crash is not stored"))
+	d.commit()
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -79,7 +79,7 @@
 // Answered records that a worker answered a call of any kind.
 func (p *Planner) Answered(now time.Time, workerID string) {
 	if w := p.workers[workerID]; w != nil {
-		w.answeredAt, w.failedSince, w.isDisconnected = now, time.Time{}, false
+		w.answeredAt, w.failedSince = now, time.Time{}
 	}
 }
 
@@ -109,6 +109,8 @@
 		w = p.replaceProcess(now, w, result.ProcessStart)
 		// The poll acknowledged ends of the ended process.
 		result.Acknowledged = 0
+	} else {
+		p.retractCrash(w)
 	}
 	p.proveAlive(w, result.Sent)
 	p.Answered(now, workerID)
@@ -211,6 +213,8 @@
 	t.runs = append(t.runs, r)
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
 	j.hasStarted = true
+	// An earlier owner may have taken the worker for crashed.
+	p.retractSuspicion(r)
 	p.reportRun("adopt", r, fmt.Sprintf("done %v, state %s", t.done, j.state))
 	if isUnneeded {
 		p.stop(now, r, "not needed")
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -39,6 +39,7 @@
 	clear(p.busyServices)
 	p.dropUnknownWorkers(proven)
 	p.dropLost(now, proven)
+	p.recordCrashes(now)
 	p.giveUpDeadlyTasks(now)
 	p.openOccurrences(now)
 	p.stopFinalJobs(now)
@@ -331,7 +332,7 @@
 			s.waiting = slices.DeleteFunc(s.waiting, func(o *task) bool { return o == t })
 			continue
 		}
-		if now.Before(t.retryAt) {
+		if now.Before(t.retryAt) || !t.areCrashesStored() {
 			continue
 		}
 		if t.readyAt.IsZero() {
@@ -390,7 +391,7 @@
 // number and resume from the same checkpoint.
 func (p *Planner) startGang(now time.Time, s *step) {
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || now.Before(t.retryAt) {
+		if t.done || len(t.runs) > 0 || now.Before(t.retryAt) || !t.areCrashesStored() {
 			return
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -133,9 +133,9 @@
 	unknownRuns  map[RunID]unknownRun
 	interference *tailModels
 	headroom     headroom
-	// crashTimes holds when workers disconnected lately.
-	crashTimes []time.Time
-	// deadlyTasks holds the tasks that the next Plan gives up.
+	// disconnections holds when workers with runs disconnected lately.
+	disconnections []disconnection
+	// deadlyTasks holds the tasks to give up.
 	deadlyTasks []*task
 	commands    []Command
 }
@@ -252,6 +252,15 @@
 		return
 	}
 	p.activeJobs = append(p.activeJobs, j)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.isDeadly() {
+					p.deadlyTasks = append(p.deadlyTasks, t)
+				}
+			}
+		}
+	}
 	p.applyUnknownEnds(now, j)
 	for id, s := range p.unknownRuns {
 		if id.Job == d.ID {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -125,8 +125,10 @@
 	failures []int
 	// crashes holds the crashes of workers on which the task had just started, one
 	// for each process.
-	crashes    []Crash
-	checkpoint string
+	crashes []Crash
+	// crashVersion is the version of the job that has the last change of crashes.
+	crashVersion uint64
+	checkpoint   string
 	// runs holds the runs that may be on a worker: at most one, or two if the
 	// step is speculative.
 	runs []*run
@@ -335,9 +337,12 @@
 	answeredAt    time.Time
 	failedSince   time.Time
 	drainingSince time.Time
-	// isDisconnected is set if the first of the unanswered calls failed because the
-	// worker closed or refused the connection. It is not set if the worker is silent.
-	isDisconnected bool
+	// disconnectedAt is when the first of the unanswered calls failed because the
+	// worker closed or refused the connection. It is zero if the worker is silent,
+	// and once a poll has shown that the process is alive. isCrashRecorded is set
+	// once the tasks there are suspected.
+	disconnectedAt  time.Time
+	isCrashRecorded bool
 	health
 }
 
@@ -382,7 +387,7 @@
 		return "no call failed before"
 	}
 	manner := "silent"
-	if w.isDisconnected {
+	if !w.disconnectedAt.IsZero() {
 		manner = "disconnected"
 	}
 	for i := len(w.runsInOrder) - 1; i >= 0; i-- {
