--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -48,6 +48,8 @@
 		return "may run on workers that this owner can't identify"
 	case s.occurrence.job.mayHaveUnverifiedRuns && len(p.unverified) > 0 && !s.Speculative:
 		return fmt.Sprintf("may run on one of %d workers that have not answered this owner", len(p.unverified))
+	case !t.areCrashesStored():
+		return fmt.Sprintf("starts again once it is stored that workers crashed under it: %v", t.crashedWorkers())
 	case now.Before(t.retryAt):
 		return fmt.Sprintf("starts again in %s after %d failures", t.retryAt.Sub(now), len(t.failures))
 	}
@@ -56,10 +58,10 @@
 	for _, w := range list {
 		if w.free.Fits(s.reserved()) {
 			withRoom++
-			if _, ok := p.placementCost(now, t, w, limit); ok && p.isWithinWorkerLimit(t, w) {
+			if _, ok := p.placementCost(now, t, w, limit); ok && p.isWithinWorkerLimit(t, w) && w.isSeparate(t) {
 				suitable++
 			}
 		}
 	}
-	return fmt.Sprintf("waits for a place: of %d workers %d are candidates, %d have room, %d also meet its harm and placement limits; avoided workers: %v", len(p.sortedWorkers), len(list), withRoom, suitable, t.avoidedWorkers)
+	return fmt.Sprintf("waits for a place: of %d workers %d are candidates, %d have room, %d also meet its harm and placement limits; avoided workers: %v; crashed under it: %v", len(p.sortedWorkers), len(list), withRoom, suitable, t.avoidedWorkers, t.crashedWorkers())
 }
