Keep suspects apart for the first second only

A suspect is now kept apart for the first second of its run, a run that goes on for 5 s acquits its task, and only runs of the last 5 s are suspected at all. Crashes of many workers at once count for nothing.

TestSuspectsKeepNoWorkerForLong and TestRepeatedCommonCrashes fail on the parent commit.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -9,13 +9,17 @@
 
 // A task may crash each worker that starts it, and with the worker all that runs
 // beside it. Which of the runs is to blame doesn't show, so the tasks that had just
-// started are suspects. A suspect runs on a worker without another suspect, later
+// started are suspects. A suspect starts on a worker without another suspect, later
 // without anything else, and is given up when workers go on to crash under it.
 
 const (
-	// suspicionAge is how long before a crash a run may have started to be suspected
-	// if others have started later. If none has started so recently, all runs are.
+	// suspicionAge is how long before a crash a run may have started to be suspected,
+	// and how long after its start a suspect is kept apart. If no run has started so
+	// recently, those are suspected that have started up to acquittalAge before.
 	suspicionAge = time.Second
+	// acquittalAge is how long a run of a suspect must work for its task to be
+	// suspected no longer.
+	acquittalAge = 5 * time.Second
 	// promptAge is the age up to which a run is suspected so much that its task gets
 	// no copy until it is known whether the worker has ended.
 	promptAge = 100 * time.Millisecond
@@ -27,9 +31,7 @@
 	// crashMemory is how long disconnections are remembered.
 	crashMemory = 30 * time.Second
 	// maxCrashes is the number of crashes under a task after which it is given up.
-	// Crashes with a common cause count only from maxCommonCrashes on.
-	maxCrashes       = 3
-	maxCommonCrashes = 4
+	maxCrashes = 3
 	// companionPenalty is the cost of each run that a worker has beside a task that
 	// two workers have crashed under, in units of load.
 	companionPenalty = 5.0
@@ -40,8 +42,6 @@
 	// Worker and Born identify the worker's process.
 	Worker string `cbor:"worker"`
 	Born   int64  `cbor:"born"`
-	// IsCommon is set if other workers crashed at the same time.
-	IsCommon bool `cbor:"is_common,omitempty"`
 }
 
 // suspicion is how much a task is suspected of crashing workers.
@@ -49,26 +49,16 @@
 
 // The levels of suspicion.
 const (
-	// notSuspected tasks run anywhere but beside an isolated one.
+	// notSuspected tasks start anywhere but beside an isolated one.
 	notSuspected suspicion = iota
-	// suspected tasks run on a worker without another suspected task.
+	// suspected tasks start on a worker without another suspected task.
 	suspected
-	// isolated tasks run on a worker on which nothing else starts meanwhile.
+	// isolated tasks start on a worker on which nothing else starts meanwhile.
 	isolated
 )
 
-// suspicion returns how much the task is suspected. One crash with a common cause
-// tells nothing.
-func (t *task) suspicion() suspicion {
-	switch count := len(t.crashes); {
-	case count >= 2:
-		return isolated
-	case count == 1 && !t.crashes[0].IsCommon:
-		return suspected
-	default:
-		return notSuspected
-	}
-}
+// suspicion returns how much the task is suspected.
+func (t *task) suspicion() suspicion { return min(isolated, suspicion(len(t.crashes))) }
 
 // crashedWorkers returns the ids of the workers that have crashed under the task.
 func (t *task) crashedWorkers() []string {
@@ -81,15 +71,7 @@
 
 // isDeadly reports whether so many workers have crashed under the task that it is
 // given up.
-func (t *task) isDeadly() bool {
-	own := 0
-	for _, c := range t.crashes {
-		if !c.IsCommon {
-			own++
-		}
-	}
-	return own >= maxCrashes || len(t.crashes) >= maxCommonCrashes
-}
+func (t *task) isDeadly() bool { return len(t.crashes) >= maxCrashes }
 
 // disconnection is when a worker that had runs closed or refused the connection of a
 // call.
@@ -139,20 +121,15 @@
 
 // suspects returns those of the runs that are suspected of a crash.
 func suspects(runs []*run, crashedAt time.Time) []*run {
-	var all, recent []*run
-	for _, r := range runs {
-		if r.startedAt.After(crashedAt) {
-			continue
-		}
-		all = append(all, r)
-		if crashedAt.Sub(r.startedAt) <= suspicionAge {
-			recent = append(recent, r)
-		}
+	startedWithin := func(age time.Duration) []*run {
+		return slices.DeleteFunc(slices.Clone(runs), func(r *run) bool {
+			return r.startedAt.After(crashedAt) || crashedAt.Sub(r.startedAt) > age
+		})
 	}
-	if len(recent) > 0 {
+	if recent := startedWithin(suspicionAge); len(recent) > 0 {
 		return recent
 	}
-	return all
+	return startedWithin(acquittalAge)
 }
 
 // recordCrashes records the crashes of the workers that have been disconnected for a
@@ -160,23 +137,47 @@
 // another worker before this crash is stored.
 func (p *Planner) recordCrashes(now time.Time) {
 	for _, w := range p.sortedWorkers {
+		p.acquitSuspects(now, w)
 		if !w.disconnectedAt.IsZero() && now.Sub(w.disconnectedAt) >= commonWindow {
 			p.recordCrash(w, w.runsInOrder)
 		}
 	}
 }
 
+// acquitSuspects ends the separation of suspects whose runs on a worker go on after
+// suspicionAge, and the suspicion after acquittalAge.
+func (p *Planner) acquitSuspects(now time.Time, w *Worker) {
+	if !w.failedSince.IsZero() {
+		return
+	}
+	for _, r := range w.runsInOrder {
+		if r.state != "running" || len(r.task.crashes) == 0 {
+			continue
+		}
+		if age := now.Sub(r.startedAt); age > acquittalAge && r.isListed {
+			r.task.setCrashes(nil)
+			p.reportRun("not_suspected", r, "its worker has not crashed")
+		} else if age > suspicionAge {
+			w.setSuspicion(r, notSuspected)
+		}
+	}
+}
+
 // recordCrash records, once, that a worker has crashed with the given runs, if it was
 // disconnected and was not shutting down. A worker that went silent may be cut off or
-// without power, which is no fault of its tasks.
+// without power, which is no fault of its tasks, nor is the crash of many at once.
 func (p *Planner) recordCrash(w *Worker, runs []*run) {
 	if w.disconnectedAt.IsZero() || w.isCrashRecorded || w.Draining || len(runs) == 0 {
 		return
 	}
 	w.isCrashRecorded = true
-	c := Crash{w.ID, w.Born, p.hasCommonCause(w.disconnectedAt)}
+	if p.hasCommonCause(w.disconnectedAt) {
+		p.reportWorker("worker_crashed", w, fmt.Sprintf("none of %d runs is suspected, other workers crashed too", len(runs)))
+		return
+	}
+	c := Crash{w.ID, w.Born}
 	list := suspects(runs, w.disconnectedAt)
-	p.reportWorker("worker_crashed", w, fmt.Sprintf("%d of %d runs are suspected, common cause %t", len(list), len(runs), c.IsCommon))
+	p.reportWorker("worker_crashed", w, fmt.Sprintf("%d of %d runs are suspected", len(list), len(runs)))
 	for _, r := range list {
 		t := r.task
 		j := t.step.occurrence.job
@@ -213,23 +214,23 @@
 
 func (c Crash) isSameProcess(o Crash) bool { return c.Worker == o.Worker && c.Born == o.Born }
 
-// setCrashes replaces the crashes under the task, which don't start it again until
-// they are stored.
+// setCrashes replaces the crashes under the task, which doesn't start again until they
+// are stored.
 func (t *task) setCrashes(list []Crash) {
 	t.crashes = list
 	j := t.step.occurrence.job
 	j.markChanged()
-	t.crashVersion = j.version
+	if len(list) > 0 {
+		t.crashVersion = j.version
+	}
 	for _, r := range t.runs {
 		r.worker.setSuspicion(r, t.suspicion())
 	}
 }
 
-// areCrashesStored reports whether a new owner would know of the crashes that the task
-// is suspected of.
-func (t *task) areCrashesStored() bool {
-	return t.suspicion() == notSuspected || t.step.occurrence.job.committed >= t.crashVersion
-}
+// areCrashesStored reports whether a new owner would know of the crashes under the
+// task.
+func (t *task) areCrashesStored() bool { return t.step.occurrence.job.committed >= t.crashVersion }
 
 // giveUpDeadlyTasks ends the jobs of the tasks that are given up, once it is known that
 // the workers under them have crashed.
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -29,6 +29,8 @@
 	keepsID bool
 	// isGang is set if the tasks of the job "deadly" end when one of them does.
 	isGang bool
+	// endless is set if no task ends by itself.
+	endless bool
 	// isUnanswered is set if starts of deadly tasks get no answer.
 	isUnanswered bool
 	// sent holds the start commands of the runs that are at work.
@@ -110,7 +112,7 @@
 			switch age := f.now.Sub(f.startedAt[run]); {
 			case f.isDeadly(run.TaskID) && age >= crashDelay:
 				f.crash(c.WorkerID)
-			case age >= time.Second:
+			case age >= time.Second && !f.endless:
 				delete(f.sent, run)
 				f.endRun(c, planner.EndDone)
 			}
@@ -350,3 +352,47 @@
 	d.commit()
 	d.Assert(d.startTasks(), quicktest.HasLen, 1)
 }
+
+// TestSuspectsKeepNoWorkerForLong guards against long-running tasks that find no place
+// because tasks that were suspected once keep the workers for themselves.
+func TestSuspectsKeepNoWorkerForLong(t *testing.T) {
+	f := newFleet(t, 2, func(planner.TaskID) bool { return false })
+	s := step(4, 1)
+	s.LongRunning = true
+	suspect := planner.Progress{Occurrences: []planner.OccurrenceProgress{{Tasks: []planner.TaskProgress{
+		{Index: 0, Crashes: []planner.Crash{{Worker: "x"}}},
+		{Index: 1, Crashes: []planner.Crash{{Worker: "y"}}},
+		{Index: 2, Crashes: []planner.Crash{{Worker: "x"}, {Worker: "y"}}},
+		{Index: 3, Crashes: []planner.Crash{{Worker: "x"}, {Worker: "y"}}},
+	}}}}
+	f.p.AddJob(f.now, job("suspects", s), suspect)
+	f.submit(job("beside", s))
+	f.endless = true
+	f.run(4 * time.Second)
+	f.Assert(f.sent, quicktest.HasLen, 8)
+	f.run(6 * time.Second)
+	f.Assert(f.stored["suspects"].Occurrences, quicktest.HasLen, 0, quicktest.Commentf("still suspected"))
+}
+
+// TestRepeatedCommonCrashes guards against tasks that are given up because many workers
+// crash at once, again and again.
+func TestRepeatedCommonCrashes(t *testing.T) {
+	f := newFleet(t, 16, func(planner.TaskID) bool { return false })
+	for n := range 6 {
+		for range 4 {
+			f.submit(job(fmt.Sprintf("job-%d", len(f.jobs)), step(20, 1)))
+		}
+		f.run(400 * time.Millisecond)
+		for i := range f.workers {
+			if (i+n)%2 == 0 && f.backAt[f.workers[i].ID].IsZero() {
+				f.crash(f.workers[i].ID)
+			}
+		}
+		f.run(3200 * time.Millisecond)
+	}
+	f.run(30 * time.Second)
+	for _, j := range f.jobs {
+		state, _ := f.p.JobState(j.ID)
+		f.Assert(state, quicktest.Equals, planner.Done, quicktest.Commentf("%s", j.ID))
+	}
+}
