Move the tracking of connections to a package of its own

No change of logic: internal/connector has what platform/connections.go had, and what its client set up for it.

--- a/platform/connections.go
+++ b/internal/connector/connector.go
@@ -1,4 +1,11 @@
-package platform
+// Package connector tracks the open connections of clients and retires those that may
+// have gone silent.
+//
+// An open connection may go silent for good, without a reset, while new ones work.
+// Only a call without an answer shows it, and the same may then be true of every
+// connection to the address that is as old. So a call without an answer retires the
+// connections that were open before it was sent and have received nothing since.
+package connector
 
 import (
 	"net"
@@ -6,21 +13,17 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 )
 
-// An open connection may go silent for good, without a reset, while new ones work.
-// Only a call without an answer shows it, and the same may then be true of every
-// connection to the address that is as old. So a call without an answer retires the
-// connections that were open before it was sent and have received nothing since.
-
 // RetiredError reports a call that was not sent, because the connection that it
 // would have used is retired.
 type RetiredError struct{ Address string }
 
 func (e *RetiredError) Error() string { return "the connection to " + e.Address + " is retired" }
 
-// unansweredCall describes a call that ended without a byte of an answer.
-type unansweredCall struct {
+// UnansweredCall describes a call that ended without a byte of an answer.
+type UnansweredCall struct {
 	Address string
 	// Open is how long the connection had been open when the call was sent, Waited
 	// how long the call waited, and Quiet how long before the call the connection
@@ -32,11 +35,9 @@
 	Err                      error
 }
 
-// connections tracks the open connections of clients. It is safe for concurrent
-// use.
-type connections struct {
-	// report is called with each unanswered call, from the goroutine of the call.
-	report func(unansweredCall)
+// Connector tracks the open connections of clients. It is safe for concurrent use.
+type Connector struct {
+	report func(UnansweredCall)
 
 	mu sync.Mutex
 	// servers holds what is known of each address with an open connection.
@@ -51,13 +52,41 @@
 	unansweredAt time.Time
 }
 
-func newConnections(report func(unansweredCall)) *connections {
-	return &connections{report: report, servers: map[string]*serverConnections{}}
+// New returns a connector that calls report with each unanswered call, from the
+// goroutine of the call.
+func New(report func(UnansweredCall)) *Connector {
+	return &Connector{report: report, servers: map[string]*serverConnections{}}
+}
+
+// Attach makes a client use tracked connections. isForWatches is set for a client whose
+// calls wait for changes; such a call is ended when its connection is retired. A call
+// that was not sent, because its connection is retired, is sent on another one. No other
+// call is repeated.
+func (s *Connector) Attach(client *fasthttp.Client, isForWatches bool) {
+	dial := client.Dial
+	if dial == nil {
+		dial = fasthttp.Dial
+	}
+	client.Dial = func(address string) (net.Conn, error) {
+		c, err := dial(address)
+		if err != nil {
+			return nil, err
+		}
+		return s.track(address, c, isForWatches), nil
+	}
+	connections := client.MaxConnsPerHost
+	if connections <= 0 {
+		connections = fasthttp.DefaultMaxConnsPerHost
+	}
+	client.MaxIdemponentCallAttempts = connections + 1
+	client.RetryIfErr = func(_ *fasthttp.Request, _ int, err error) (resetTimeout, retry bool) {
+		var retired *RetiredError
+		return false, errors.As(err, &retired)
+	}
 }
 
 // track returns a connection that belongs to the tracked ones until it is closed.
-// isForWatches is set for a connection whose calls wait for changes.
-func (s *connections) track(address string, c net.Conn, isForWatches bool) net.Conn {
+func (s *Connector) track(address string, c net.Conn, isForWatches bool) net.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server := s.servers[address]
@@ -70,7 +99,7 @@
 	return t
 }
 
-func (s *connections) untrack(c *connection) {
+func (s *Connector) untrack(c *connection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(c.server.open, c)
@@ -82,7 +111,7 @@
 // connection is a tracked connection, which carries one call at a time.
 type connection struct {
 	net.Conn
-	all          *connections
+	all          *Connector
 	server       *serverConnections
 	address      string
 	isForWatches bool
@@ -135,8 +164,8 @@
 
 // noteUnanswered retires the connections that the failure of the call on c tells
 // something about, and ends the watches that wait on them if the call was silent.
-func (c *connection) noteUnanswered(now time.Time, err error) unansweredCall {
-	u := unansweredCall{Address: c.address, Open: c.sentAt.Sub(c.openedAt), Waited: now.Sub(c.sentAt), OpenConnections: len(c.server.open), Err: err}
+func (c *connection) noteUnanswered(now time.Time, err error) UnansweredCall {
+	u := UnansweredCall{Address: c.address, Open: c.sentAt.Sub(c.openedAt), Waited: now.Sub(c.sentAt), OpenConnections: len(c.server.open), Err: err}
 	u.Quiet = u.Open
 	if !c.receivedAt.IsZero() {
 		u.Quiet = c.sentAt.Sub(c.receivedAt)
