--- a/internal/storeclient/http.go
+++ b/internal/storeclient/http.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"tarragonhead.example/tarragonhead/internal/connector"
 )
 
 const (
@@ -30,9 +32,12 @@
 // HTTP returns a client of the store's HTTP interface at addr.
 func HTTP(addr netip.AddrPort) Store {
 	c := &httpClient{base: "http://" + addr.String()}
+	// What one class learns of silent connections holds for all of them.
+	all := connector.New(func(connector.UnansweredCall) {})
 	for i := range c.clients {
-		c.clients[i] = &fasthttp.Client{MaxConnsPerHost: 64, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 2 * MaxValueBytes}
+		c.clients[i] = newHTTPClient(all, false)
 	}
+	c.watches = newHTTPClient(all, true)
 	return Store{
 		Get:            c.get,
 		CompareAndSwap: c.compareAndSwap,
@@ -43,11 +48,20 @@
 	}
 }
 
+func newHTTPClient(all *connector.Connector, isForWatches bool) *fasthttp.Client {
+	c := &fasthttp.Client{MaxConnsPerHost: 64, MaxResponseBodySize: 2 * MaxValueBytes}
+	all.Attach(c, isForWatches)
+	return c
+}
+
 type httpClient struct {
 	base string
 	// clients has a connection pool for each class, so that slow calls of one
 	// class do not take the connections of the others.
 	clients [numClasses]*fasthttp.Client
+	// watches has the connections of watches, which are ended when their connection
+	// may be silent.
+	watches *fasthttp.Client
 }
 
 // reply has the parts of an HTTP response that are used after the response is
@@ -61,6 +75,11 @@
 // do sends a request and waits for the response until timeout has passed or the
 // deadline of ctx. A status of 500 or above is an UnavailableError.
 func (c *httpClient) do(ctx context.Context, op, key, method, path string, body []byte, timeout time.Duration) (reply, error) {
+	return c.doWith(ctx, c.clients[ClassOf(ctx)], op, key, method, path, body, timeout)
+}
+
+// doWith is like do, with the connections of a client.
+func (c *httpClient) doWith(ctx context.Context, client *fasthttp.Client, op, key, method, path string, body []byte, timeout time.Duration) (reply, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -74,9 +93,8 @@
 	if err := ctx.Err(); err != nil {
 		return reply{}, err
 	}
-	class := ClassOf(ctx)
-	request.Header.Set(ClassHeader, class.String())
-	if err := c.clients[class].DoDeadline(request, response, deadline); err != nil {
+	request.Header.Set(ClassHeader, ClassOf(ctx).String())
+	if err := client.DoDeadline(request, response, deadline); err != nil {
 		return reply{}, &UnavailableError{Op: op, Key: key, MayHaveApplied: !isUnsent(err), Err: err}
 	}
 	revision, _ := strconv.ParseUint(string(response.Header.Peek(RevisionHeader)), 10, 64)
@@ -123,7 +141,7 @@
 func (c *httpClient) watch(ctx context.Context, key string, after uint64) (Entry, error) {
 	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait_ms=%d", key, after, watchWait.Milliseconds())
 	for {
-		r, err := c.do(ctx, "watch", key, "GET", path, nil, watchWait+callTimeout)
+		r, err := c.doWith(ctx, c.watches, "watch", key, "GET", path, nil, watchWait+callTimeout)
 		if err != nil {
 			return Entry{}, err
 		}
