Record a crash at once, and start suspects only while it can be stored

A crash is now recorded 20 ms after the disconnection and taken back if it turns out to have a common cause, and a suspect starts only if the store has proved the ownership within the last 1.5 s.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -23,11 +23,17 @@
 	// promptAge is the age up to which a run is suspected so much that its task gets
 	// no copy until it is known whether the worker has ended.
 	promptAge = 100 * time.Millisecond
+	// crashDelay is how long after the disconnection a crash is recorded, so that the
+	// disconnections of other workers at the same moment are known.
+	crashDelay = 20 * time.Millisecond
 	// commonCrashes is the number of workers that disconnect within commonWindow of
 	// each other from which the crashes may have a common cause, such as the loss of
-	// a rack. A worker that is back in a shorter time may not have crashed at all.
+	// a rack.
 	commonCrashes = 4
 	commonWindow  = 250 * time.Millisecond
+	// suspectHorizon is how long an owner starts suspects without proof that it still
+	// owns the shard, since it could not store their crashes.
+	suspectHorizon = 1500 * time.Millisecond
 	// crashMemory is how long disconnections are remembered.
 	crashMemory = 30 * time.Second
 	// maxCrashes is the number of crashes under a task after which it is given up.
@@ -132,14 +138,18 @@
 	return startedWithin(acquittalAge)
 }
 
-// recordCrashes records the crashes of the workers that have been disconnected for a
-// while. Whether their processes have ended shows later, but a task must not crash
-// another worker before this crash is stored.
+// recordCrashes records the crashes of workers that have disconnected. Whether their
+// processes have ended, and whether the cause is a common one, shows later, but a new
+// owner has to know of a crash that was the fault of a task.
 func (p *Planner) recordCrashes(now time.Time) {
 	for _, w := range p.sortedWorkers {
 		p.acquitSuspects(now, w)
-		if !w.disconnectedAt.IsZero() && now.Sub(w.disconnectedAt) >= commonWindow {
+		switch since := now.Sub(w.disconnectedAt); {
+		case w.disconnectedAt.IsZero() || since < crashDelay:
+		case !w.isCrashRecorded:
 			p.recordCrash(w, w.runsInOrder)
+		case since <= 2*commonWindow && p.hasCommonCause(w.disconnectedAt):
+			p.retractSuspicions(w, "other workers crashed too")
 		}
 	}
 }
@@ -196,19 +206,20 @@
 // that it has not crashed.
 func (p *Planner) retractCrash(w *Worker) {
 	if w.isCrashRecorded {
-		for _, r := range w.runsInOrder {
-			p.retractSuspicion(r)
-		}
+		p.retractSuspicions(w, "its worker answers again")
 	}
 	w.disconnectedAt, w.isCrashRecorded = time.Time{}, false
 }
 
-// retractSuspicion removes the crash of a run's worker from those under its task.
-func (p *Planner) retractSuspicion(r *run) {
-	t, c := r.task, Crash{Worker: r.worker.ID, Born: r.worker.Born}
-	if slices.ContainsFunc(t.crashes, c.isSameProcess) {
-		t.setCrashes(slices.DeleteFunc(slices.Clone(t.crashes), c.isSameProcess))
-		p.reportRun("not_suspected", r, "its worker answers again")
+// retractSuspicions removes the crash of a worker from those under the tasks that run
+// there.
+func (p *Planner) retractSuspicions(w *Worker, reason string) {
+	for _, r := range w.runsInOrder {
+		t, c := r.task, Crash{w.ID, w.Born}
+		if slices.ContainsFunc(t.crashes, c.isSameProcess) {
+			t.setCrashes(slices.DeleteFunc(slices.Clone(t.crashes), c.isSameProcess))
+			p.reportRun("not_suspected", r, reason)
+		}
 	}
 }
 
@@ -232,6 +243,12 @@
 // task.
 func (t *task) areCrashesStored() bool { return t.step.occurrence.job.committed >= t.crashVersion }
 
+// mayCrash reports whether a task may start although it may crash its worker: its crashes
+// are stored, and that of the next start could be.
+func (p *Planner) mayCrash(now time.Time, t *task) bool {
+	return t.suspicion() == notSuspected || t.areCrashesStored() && now.Sub(p.provenAt) < suspectHorizon
+}
+
 // giveUpDeadlyTasks ends the jobs of the tasks that are given up, once it is known that
 // the workers under them have crashed.
 func (p *Planner) giveUpDeadlyTasks(now time.Time) {
@@ -280,8 +297,8 @@
 
 // mayBeCopied reports whether a second run of a task may start while the worker of its
 // run r does not answer.
-func (p *Planner) mayBeCopied(r *run) bool {
-	if r.task.suspicion() == isolated || !r.task.areCrashesStored() {
+func (p *Planner) mayBeCopied(now time.Time, r *run) bool {
+	if r.task.suspicion() == isolated || !p.mayCrash(now, r.task) {
 		return false
 	}
 	return !r.worker.isPrompt(r) || p.hasCommonCause(r.worker.disconnectedAt)
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// crashDelay is how long after its start a deadly task ends its worker, which is
+	// lifetime is how long after its start a deadly task ends its worker, which is
 	// back after downtime as another process.
-	crashDelay = 10 * time.Millisecond
-	downtime   = 3 * time.Second
+	lifetime = 10 * time.Millisecond
+	downtime = 3 * time.Second
 	// maxDeadlyStarts is how often a deadly task may start: after three crashes twice.
 	maxDeadlyStarts = 5
 )
@@ -107,10 +107,10 @@
 
 // run simulates the workers for a while.
 func (f *fleet) run(length time.Duration) {
-	for end := f.now.Add(length); f.now.Before(end); f.advance(crashDelay) {
+	for end := f.now.Add(length); f.now.Before(end); f.advance(lifetime) {
 		for run, c := range f.sent {
 			switch age := f.now.Sub(f.startedAt[run]); {
-			case f.isDeadly(run.TaskID) && age >= crashDelay:
+			case f.isDeadly(run.TaskID) && age >= lifetime:
 				f.crash(c.WorkerID)
 			case age >= time.Second && !f.endless:
 				delete(f.sent, run)
@@ -396,3 +396,24 @@
 		f.Assert(state, quicktest.Equals, planner.Done, quicktest.Commentf("%s", j.ID))
 	}
 }
+
+// TestCrashBeforeOwnerEnds guards against a crash that a new owner doesn't know of
+// although the last one lived on for a moment, and against starts by an owner that could
+// not store a further crash.
+func TestCrashBeforeOwnerEnds(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 8), worker("b", 8)).registerWorkers()
+	d.add(job("1", step(1, 1)))
+	start := d.startTasks()[0]
+	d.advance(10 * time.Millisecond)
+	d.p.Disconnected(d.now, start.WorkerID)
+	d.advance(30 * time.Millisecond)
+	d.startTasks()
+	d.Assert(d.p.Changes(10), quicktest.HasLen, 1)
+	d.commit()
+	d.advance(time.Second)
+	d.p.OtherProcessAnswered(start.WorkerID)
+	d.unprovenFor = 2 * time.Second
+	d.Assert(d.startTasks(), quicktest.HasLen, 0, quicktest.Commentf("the ownership is not proven"))
+	d.unprovenFor = 0
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -214,7 +214,7 @@
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
 	j.hasStarted = true
 	// An earlier owner may have taken the worker for crashed.
-	p.retractSuspicion(r)
+	p.retractSuspicions(w, "its worker is alive")
 	p.reportRun("adopt", r, fmt.Sprintf("done %v, state %s", t.done, j.state))
 	if isUnneeded {
 		p.stop(now, r, "not needed")
