--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -243,9 +243,9 @@
 // task.
 func (t *task) areCrashesStored() bool { return t.step.occurrence.job.committed >= t.crashVersion }
 
-// mayCrash reports whether a task may start although it may crash its worker: its crashes
-// are stored, and that of the next start could be.
-func (p *Planner) mayCrash(now time.Time, t *task) bool {
+// isSafeToStart reports whether a crash of the worker on which a task starts next would
+// not be lost with the owner: the crashes so far are stored, and a further one could be.
+func (p *Planner) isSafeToStart(now time.Time, t *task) bool {
 	return t.suspicion() == notSuspected || t.areCrashesStored() && now.Sub(p.provenAt) < suspectHorizon
 }
 
@@ -298,7 +298,7 @@
 // mayBeCopied reports whether a second run of a task may start while the worker of its
 // run r does not answer.
 func (p *Planner) mayBeCopied(now time.Time, r *run) bool {
-	if r.task.suspicion() == isolated || !p.mayCrash(now, r.task) {
+	if r.task.suspicion() == isolated || !p.isSafeToStart(now, r.task) {
 		return false
 	}
 	return !r.worker.isPrompt(r) || p.hasCommonCause(r.worker.disconnectedAt)
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -48,7 +48,7 @@
 		return "may run on workers that this owner can't identify"
 	case s.occurrence.job.mayHaveUnverifiedRuns && len(p.unverified) > 0 && !s.Speculative:
 		return fmt.Sprintf("may run on one of %d workers that have not answered this owner", len(p.unverified))
-	case !p.mayCrash(now, t):
+	case !p.isSafeToStart(now, t):
 		return fmt.Sprintf("starts again once the store answers, since workers crashed under it: %v", t.crashedWorkers())
 	case now.Before(t.retryAt):
 		return fmt.Sprintf("starts again in %s after %d failures", t.retryAt.Sub(now), len(t.failures))
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -332,7 +332,7 @@
 			s.waiting = slices.DeleteFunc(s.waiting, func(o *task) bool { return o == t })
 			continue
 		}
-		if now.Before(t.retryAt) || !p.mayCrash(now, t) {
+		if now.Before(t.retryAt) || !p.isSafeToStart(now, t) {
 			continue
 		}
 		if t.readyAt.IsZero() {
@@ -391,7 +391,7 @@
 // number and resume from the same checkpoint.
 func (p *Planner) startGang(now time.Time, s *step) {
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || now.Before(t.retryAt) || !p.mayCrash(now, t) {
+		if t.done || len(t.runs) > 0 || now.Before(t.retryAt) || !p.isSafeToStart(now, t) {
 			return
 		}
 	}
