Tell a deadly task from one beside which workers crash by the age of its runs

Its three workers are restarted twice each within seconds, and three of these crashes found the same task within its first second.

A deadly task crashes its workers at the same age of its runs. So a task is given up after three crashes whose ages lie within 100 ms of each other, and else after five, which still keeps within the two starts after the third crash.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -36,8 +36,12 @@
 	suspectHorizon = 1500 * time.Millisecond
 	// crashMemory is how long disconnections are remembered.
 	crashMemory = 30 * time.Second
-	// maxCrashes is the number of crashes under a task after which it is given up.
-	maxCrashes = 3
+	// A task is given up after minCrashes crashes if its runs ended at the same age,
+	// but for ageSpread. Runs beside which workers crash for other causes have
+	// different ages, so such tasks are given up after maxCrashes.
+	minCrashes = 3
+	ageSpread  = 100 * time.Millisecond
+	maxCrashes = 5
 	// companionPenalty is the cost of each run that a worker has beside a task that
 	// two workers have crashed under, in units of load.
 	companionPenalty = 5.0
@@ -48,6 +52,8 @@
 	// Worker and Born identify the worker's process.
 	Worker string `cbor:"worker"`
 	Born   int64  `cbor:"born"`
+	// Age is the time from the start of the run to the crash.
+	Age time.Duration `cbor:"age"`
 }
 
 // suspicion is how much a task is suspected of crashing workers.
@@ -77,7 +83,20 @@
 
 // isDeadly reports whether so many workers have crashed under the task that it is
 // given up.
-func (t *task) isDeadly() bool { return len(t.crashes) >= maxCrashes }
+func (t *task) isDeadly() bool {
+	if len(t.crashes) >= maxCrashes {
+		return true
+	}
+	return slices.ContainsFunc(t.crashes, func(c Crash) bool {
+		sameAge := 0
+		for _, o := range t.crashes {
+			if o.Age >= c.Age && o.Age-c.Age <= ageSpread {
+				sameAge++
+			}
+		}
+		return sameAge >= minCrashes
+	})
+}
 
 // disconnection is when a worker that had runs closed or refused the connection of a
 // call.
@@ -185,17 +204,17 @@
 		p.reportWorker("worker_crashed", w, fmt.Sprintf("none of %d runs is suspected, other workers crashed too", len(runs)))
 		return
 	}
-	c := Crash{w.ID, w.Born}
 	list := suspects(runs, w.disconnectedAt)
 	p.reportWorker("worker_crashed", w, fmt.Sprintf("%d of %d runs are suspected", len(list), len(runs)))
 	for _, r := range list {
+		c := Crash{w.ID, w.Born, w.disconnectedAt.Sub(r.startedAt)}
 		t := r.task
 		j := t.step.occurrence.job
 		if t.done || j.state.isFinal() || slices.ContainsFunc(t.crashes, c.isSameProcess) {
 			continue
 		}
 		t.setCrashes(append(slices.Clone(t.crashes), c))
-		p.reportRun("suspected", r, fmt.Sprintf("started %s before the crash, %d crashes so far", w.disconnectedAt.Sub(r.startedAt), len(t.crashes)))
+		p.reportRun("suspected", r, fmt.Sprintf("started %s before the crash, %d crashes so far", c.Age, len(t.crashes)))
 		if t.isDeadly() {
 			p.deadlyTasks = append(p.deadlyTasks, t)
 		}
@@ -215,7 +234,7 @@
 // there.
 func (p *Planner) retractSuspicions(w *Worker, reason string) {
 	for _, r := range w.runsInOrder {
-		t, c := r.task, Crash{w.ID, w.Born}
+		t, c := r.task, Crash{Worker: w.ID, Born: w.Born}
 		if slices.ContainsFunc(t.crashes, c.isSameProcess) {
 			t.setCrashes(slices.DeleteFunc(slices.Clone(t.crashes), c.isSameProcess))
 			p.reportRun("not_suspected", r, reason)
