Give up only tasks that crash workers at their start

What a test showed on and with a bound of five crashes of any age: in TestQuickRestartRunsNoTaskTwice a task of a service with three workers, which are killed in turn 0.5 s after each other's return, was hit by three to five of these crashes, all at about the same age of its run, and its job failed.

A crash counts towards giving a task up if the run had started up to 100 ms before, or up to 400 ms if the worker had not listed it. Three such crashes give the task up, or eight of any age. Others only keep the task apart.

Evidence: TestRollingCrashesGiveNothingUp and TestQuickRestartRunsNoTaskTwice pass, the second with the race detector; TestDeadlyTaskIsGivenUp has 3 starts in each case.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -20,9 +20,11 @@
 	// acquittalAge is how long a run of a suspect must work for its task to be
 	// suspected no longer.
 	acquittalAge = 5 * time.Second
-	// promptAge is the age up to which a run is suspected so much that its task gets
-	// no copy until it is known whether the worker has ended.
-	promptAge = 100 * time.Millisecond
+	// promptAge is the age of a run up to which a crash is taken for its fault, and
+	// unlistedAge that of a run that the worker has not listed. A crash may be noticed
+	// late if no call to the worker was open.
+	promptAge   = 100 * time.Millisecond
+	unlistedAge = 400 * time.Millisecond
 	// crashDelay is how long after the disconnection a crash is recorded, so that the
 	// disconnections of other workers at the same moment are known.
 	crashDelay = 20 * time.Millisecond
@@ -36,12 +38,11 @@
 	suspectHorizon = 1500 * time.Millisecond
 	// crashMemory is how long disconnections are remembered.
 	crashMemory = 30 * time.Second
-	// A task is given up after minCrashes crashes if its runs ended at the same age,
-	// but for ageSpread. Runs beside which workers crash for other causes have
-	// different ages, so such tasks are given up after maxCrashes.
-	minCrashes = 3
-	ageSpread  = 100 * time.Millisecond
-	maxCrashes = 5
+	// A task is given up after promptCrashes crashes that are taken for its fault.
+	// Workers that crash for other causes may do so beside a task several times, but
+	// hardly each time at its start; so maxCrashes of any age are needed else.
+	promptCrashes = 3
+	maxCrashes    = 8
 	// companionPenalty is the cost of each run that a worker has beside a task that
 	// two workers have crashed under, in units of load.
 	companionPenalty = 5.0
@@ -52,8 +53,8 @@
 	// Worker and Born identify the worker's process.
 	Worker string `cbor:"worker"`
 	Born   int64  `cbor:"born"`
-	// Age is the time from the start of the run to the crash.
-	Age time.Duration `cbor:"age"`
+	// IsPrompt is set if the crash is taken for the fault of the task.
+	IsPrompt bool `cbor:"is_prompt,omitempty"`
 }
 
 // suspicion is how much a task is suspected of crashing workers.
@@ -84,18 +85,13 @@
 // isDeadly reports whether so many workers have crashed under the task that it is
 // given up.
 func (t *task) isDeadly() bool {
-	if len(t.crashes) >= maxCrashes {
-		return true
-	}
-	return slices.ContainsFunc(t.crashes, func(c Crash) bool {
-		sameAge := 0
-		for _, o := range t.crashes {
-			if o.Age >= c.Age && o.Age-c.Age <= ageSpread {
-				sameAge++
-			}
+	prompt := 0
+	for _, c := range t.crashes {
+		if c.IsPrompt {
+			prompt++
 		}
-		return sameAge >= minCrashes
-	})
+	}
+	return prompt >= promptCrashes || len(t.crashes) >= maxCrashes
 }
 
 // disconnection is when a worker that had runs closed or refused the connection of a
@@ -103,7 +99,7 @@
 type disconnection struct {
 	worker string
 	at     time.Time
-	// isPrompt is set if a run had started there up to promptAge before.
+	// isPrompt is set if a run had just started there.
 	isPrompt bool
 }
 
@@ -121,10 +117,14 @@
 	p.Unanswered(now, workerID)
 }
 
-// isPrompt reports whether a run had just started on the worker when that
+// isPrompt reports whether this owner had just started a run on the worker when that
 // disconnected.
 func (w *Worker) isPrompt(r *run) bool {
-	return !w.disconnectedAt.IsZero() && !r.startedAt.After(w.disconnectedAt) && w.disconnectedAt.Sub(r.startedAt) <= promptAge
+	age := w.disconnectedAt.Sub(r.startedAt)
+	if w.disconnectedAt.IsZero() || age < 0 {
+		return false
+	}
+	return !r.isListed && age <= unlistedAge || r.isAnswered && age <= promptAge
 }
 
 // hasCommonCause reports whether several workers disconnected at the time, most of
@@ -207,14 +207,14 @@
 	list := suspects(runs, w.disconnectedAt)
 	p.reportWorker("worker_crashed", w, fmt.Sprintf("%d of %d runs are suspected", len(list), len(runs)))
 	for _, r := range list {
-		c := Crash{w.ID, w.Born, w.disconnectedAt.Sub(r.startedAt)}
+		c := Crash{w.ID, w.Born, w.isPrompt(r)}
 		t := r.task
 		j := t.step.occurrence.job
 		if t.done || j.state.isFinal() || slices.ContainsFunc(t.crashes, c.isSameProcess) {
 			continue
 		}
 		t.setCrashes(append(slices.Clone(t.crashes), c))
-		p.reportRun("suspected", r, fmt.Sprintf("started %s before the crash, %d crashes so far", c.Age, len(t.crashes)))
+		p.reportRun("suspected", r, fmt.Sprintf("started %s before the crash, prompt %t, %d crashes so far", w.disconnectedAt.Sub(r.startedAt), c.IsPrompt, len(t.crashes)))
 		if t.isDeadly() {
 			p.deadlyTasks = append(p.deadlyTasks, t)
 		}
