--- a/test.sh
+++ b/test.sh
@@ -21,4 +21,11 @@
   echo "known red, not run:" $known
 fi
 skip=$(sed -E 's,/,$/^,g; s,.+,^&$,' <<<"${known:-none}" | paste -sd'|')
-go test -race -timeout 8m -skip "$skip" ./... ./standins/...
+packages=$(go list ./... ./standins/...)
+if [ "$(uname -m)" = aarch64 ]; then
+  # The race detector itself crashes there on arm64 ("ThreadSanitizer: CHECK failed").
+  without='/standins/emulator$'
+  go test -timeout 8m -skip "$skip" $(grep -E "$without" <<<"$packages")
+  packages=$(grep -vE "$without" <<<"$packages")
+fi
+go test -race -timeout 8m -skip "$skip" $packages
