Withdraw a start when an earlier run of its task turns out to be done

Cause: a worker that is silent until its leases have expired may list the end of a run as done after its task has been started again. The second run went on unless the job was over, and the end was acknowledged while the second start was still under way.

Change: an end that makes a task done stops every other run of the task, and is acknowledged only when none of them can start any more. Speculative steps keep their rule.

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -242,8 +242,7 @@
 	end := unacknowledgedEnd{RunEnd: e, seen: now}
 	if t := p.findTask(e.Run.TaskID); t != nil {
 		p.applyTaskEnd(now, w, t, e)
-		end.job = t.step.occurrence.job
-		end.version = end.job.version
+		end.setTask(t)
 	}
 	w.unacknowledgedEnds = append(w.unacknowledgedEnds, end)
 }
@@ -258,7 +257,7 @@
 				continue
 			}
 			p.applyTaskEnd(now, w, t, e.RunEnd)
-			e.job, e.version = j, j.version
+			e.setTask(t)
 		}
 	}
 }
@@ -271,7 +270,7 @@
 	switch e.Kind {
 	case EndDone:
 		w.recordDone()
-		p.completeTask(now, t)
+		p.completeTask(now, t, e.Run)
 	case EndFailed:
 		p.failTask(now, w, t, e.Run.Attempt)
 	case EndStopped, EndLapsed, EndBroken, EndAlone:
@@ -284,8 +283,9 @@
 	}
 }
 
-// completeTask marks a task, or all tasks of its gang, as done.
-func (p *Planner) completeTask(now time.Time, t *task) {
+// completeTask marks a task, or all tasks of its gang, as done by a run. Other runs
+// of the task are stopped, also one that replaced a run which was taken for lost.
+func (p *Planner) completeTask(now time.Time, t *task, by RunID) {
 	s := t.step
 	j := s.occurrence.job
 	if t.done || j.state.isFinal() || s.LongRunning {
@@ -308,8 +308,8 @@
 		for _, r := range slices.Clone(m.runs) {
 			if r.state != "settling" && r.id.TaskID != t.id {
 				p.stop(now, r, "gang is done")
-			} else if len(m.runs) > 1 {
-				p.stop(now, r, "another copy is done")
+			} else if r.id != by {
+				p.stop(now, r, "another run is done")
 			}
 		}
 	}
--- a/internal/planner/withdraw_test.go
+++ b/internal/planner/withdraw_test.go
@@ -90,10 +90,13 @@
 }
 
 // stops plans, and reports whether a stop of the run is sent to worker a.
-func (d *driver) stops(run planner.RunID) bool {
+func (d *driver) stops(run planner.RunID) bool { return d.stopsOn("a", run) }
+
+// stopsOn plans and reports whether a stop of a run is sent to a worker.
+func (d *driver) stopsOn(workerID string, run planner.RunID) bool {
 	isStopped := false
 	for _, o := range d.p.Plan(d.now, d.proven()) {
-		isStopped = isStopped || (o.Kind == planner.StopRun && o.Run == run && o.WorkerID == "a")
+		isStopped = isStopped || (o.Kind == planner.StopRun && o.Run == run && o.WorkerID == workerID)
 	}
 	return isStopped
 }
