Store the tasks that are done as bits

Cause: each commit repeats the progress of its jobs, and a task that is done took about 70 bytes of it, its checkpoint and failures included, which nothing needs any more.

Change: tasks that are done take a bit each, by step. Records of earlier versions are still read.

--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -19,15 +19,39 @@
 // OccurrenceProgress is the progress of one occurrence that has started.
 type OccurrenceProgress struct {
 	Number int            `cbor:"number"`
+	Steps  []StepProgress `cbor:"steps,omitempty"`
 	Tasks  []TaskProgress `cbor:"tasks,omitempty"`
 }
 
-// TaskProgress is the progress of a task that is done, has failed, is suspected of
-// a crash, has a checkpoint or was handed over.
+// StepProgress has the tasks of a step that are done and of which nothing else must be
+// stored. Owners store the progress of a job at each end, so it must be short.
+type StepProgress struct {
+	Step int `cbor:"step"`
+	// Done has a bit for each task, beginning with the lowest bit of the first byte.
+	Done []byte `cbor:"done"`
+}
+
+// isDone reports whether a task is done.
+func (s StepProgress) isDone(index int) bool {
+	return index/8 < len(s.Done) && s.Done[index/8]&(1<<(index%8)) != 0
+}
+
+// setDone records that a task is done.
+func (s *StepProgress) setDone(index int) {
+	for len(s.Done) <= index/8 {
+		s.Done = append(s.Done, 0)
+	}
+	s.Done[index/8] |= 1 << (index % 8)
+}
+
+// TaskProgress is the progress of a task that has failed, is suspected of a crash, has
+// a checkpoint or was handed over.
 type TaskProgress struct {
-	Step  int  `cbor:"step"`
-	Index int  `cbor:"index"`
-	Done  bool `cbor:"done,omitempty"`
+	Step  int `cbor:"step"`
+	Index int `cbor:"index"`
+	// Done is set if the task is done as well. Earlier versions store every done task
+	// in this way.
+	Done bool `cbor:"done,omitempty"`
 	// Failures holds the attempts that failed, so that an end which a worker
 	// lists again is counted once.
 	Failures   []int  `cbor:"failures,omitempty"`
@@ -64,13 +88,21 @@
 	for _, o := range j.occurrences {
 		op := OccurrenceProgress{Number: o.number}
 		for _, s := range o.steps {
+			done := StepProgress{Step: s.number}
 			for _, t := range s.tasks {
+				if t.done && t.departure == nil {
+					done.setDone(t.id.Index)
+					continue
+				}
 				if t.done || len(t.failures) > 0 || t.checkpoint != "" || t.departure != nil || len(t.crashes) > 0 {
 					op.Tasks = append(op.Tasks, TaskProgress{t.id.Step, t.id.Index, t.done, t.failures, t.checkpoint, t.departure, t.crashes})
 				}
 			}
+			if len(done.Done) > 0 {
+				op.Steps = append(op.Steps, done)
+			}
 		}
-		if len(op.Tasks) > 0 {
+		if len(op.Tasks) > 0 || len(op.Steps) > 0 {
 			r.Occurrences = append(r.Occurrences, op)
 		}
 	}
@@ -104,11 +136,29 @@
 				t.departure, t.handovers = tp.Departure, tp.Departure.Move
 				t.markElsewhere()
 			}
-			if tp.Done && !t.done {
-				t.done = true
-				s.unfinished--
+			if tp.Done {
+				t.restoreDone()
+			}
+		}
+		for _, sp := range op.Steps {
+			if sp.Step < 0 || sp.Step >= len(o.steps) {
+				continue
+			}
+			for _, t := range o.steps[sp.Step].tasks {
+				if sp.isDone(t.id.Index) {
+					t.restoreDone()
+					j.hasStarted = true
+				}
 			}
 		}
 		o.openSteps()
 	}
 }
+
+// restoreDone marks a task as done that an earlier owner has stored as done.
+func (t *task) restoreDone() {
+	if !t.done {
+		t.done = true
+		t.step.unfinished--
+	}
+}
