--- a/internal/conductor/question.go
+++ b/internal/conductor/question.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"tarragonhead.example/tarragonhead/internal/planner"
 )
@@ -58,6 +60,17 @@
 
 func (e *QuestionError) Error() string { return "unknown kind of question: " + string(e.Kind) }
 
+// maxPendingAge is the time since the store last answered an owner after which it no
+// longer counts its jobs, because it doesn't learn of new ones.
+const maxPendingAge = 2 * time.Second
+
+// StaleError reports that the store has not answered the owner of a shard for some time.
+type StaleError struct{ Age time.Duration }
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("the store has not answered the owner for %s", e.Age)
+}
+
 // JobState returns the state of a job.
 func (c *Conductor) JobState(ctx context.Context, id string) (Answer, error) {
 	return ask(ctx, c, func(reply func(Answer, error)) {
@@ -67,8 +80,15 @@
 }
 
 // Pending returns the number of accepted jobs without a started task, by queue.
+// The error is a StaleError if this owner may lack jobs that were accepted since.
 func (c *Conductor) Pending(ctx context.Context) (map[string]int, error) {
-	return ask(ctx, c, func(reply func(map[string]int, error)) { reply(c.planner.Pending(), nil) })
+	return ask(ctx, c, func(reply func(map[string]int, error)) {
+		if age := c.options.Now().Sub(c.confirmedAt); age > maxPendingAge {
+			reply(nil, &StaleError{age})
+			return
+		}
+		reply(c.planner.Pending(), nil)
+	})
 }
 
 // Cancel cancels a job. It returns once the cancellation is stored.
