Share the control work by what instances carry, and keep a full link from collapsing

Two instances carried all orders, polls and commits of 144 workers over 2 Mbit/s each. Unanswered calls were repeated, starts followed by stops, and connections that waited for the full link retired like silent ones, so that the load grew as the link filled and never fell again. Each owner also read the whole list of workers every 0.7 s, which took 52 KB/s of 250.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -2,24 +2,46 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"tarragonhead.example/tarragonhead/internal/observer"
 	"tarragonhead.example/tarragonhead/internal/planner"
+	"tarragonhead.example/tarragonhead/internal/sender"
 )
 
 const (
-	// orderTimeout bounds a start, stop or pace order. A worker usually answers
-	// within milliseconds; an order that takes longer may be carried out much
-	// later.
-	orderTimeout = 400 * time.Millisecond
+	// minOrderTimeout and maxOrderTimeout bound the timeout of a start, stop or pace
+	// order, which follows the measured round trips. A worker usually answers within
+	// milliseconds; an order that takes longer may be carried out much later.
+	minOrderTimeout = 400 * time.Millisecond
+	maxOrderTimeout = 1500 * time.Millisecond
+	// maxBlamelessTime is how long calls to a worker may go unanswered because of this
+	// daemon's own link before the worker counts as silent all the same.
+	maxBlamelessTime = 2 * time.Second
+	// maxOrderAge is how long an order may wait until it is sent. Few orders to a
+	// worker are under way at a time, so that they share its connections, and
+	// maxOrders bounds those to all workers of the shard.
+	maxOrderAge        = 400 * time.Millisecond
+	maxOrdersPerWorker = 4
+	maxOrders          = 64
+	// On a slow link, fewer orders are under way: as many, of orderBytes each, as it
+	// carries in maxOrderDelay, but minOrders at least. The calls that keep the shard
+	// and the leases wait no longer than that.
+	orderBytes    = 1000
+	maxOrderDelay = 100 * time.Millisecond
+	minOrders     = 8
+	// waitingFactor times as many starts as may be under way wait to be sent. Beyond
+	// that the planner decides later, on what it knows then.
+	waitingFactor = 4
 
 	// pollWait is how long a worker waits for a run to end before it answers a
 	// poll.
 	pollWait = 700 * time.Millisecond
-	// pollSlack is how much longer than its wait a poll may take.
-	pollSlack = 500 * time.Millisecond
+	// minPollSlack is the least time that a poll may take longer than its wait.
+	minPollSlack = 500 * time.Millisecond
 	// pollRetryDelay is the delay between polls of a worker that doesn't
 	// answer.
 	pollRetryDelay = 200 * time.Millisecond
@@ -40,6 +62,10 @@
 	// little further.
 	clock           time.Duration
 	clockReceivedAt time.Time
+	// trips has the round trips of the orders, and answeredAt is when the worker last
+	// answered a call, or when the session began.
+	trips      observer.Estimator
+	answeredAt time.Time
 	// isStale is set when the ownership has ended or the worker's process was
 	// replaced. Late answers are then ignored.
 	isStale bool
@@ -64,7 +90,7 @@
 func (c *Conductor) session(w planner.Worker) *session {
 	s := c.sessions[w.ID]
 	if s == nil {
-		s = &session{born: w.Born}
+		s = &session{born: w.Born, answeredAt: c.options.Now()}
 		c.sessions[w.ID] = s
 	}
 	return s
@@ -87,44 +113,141 @@
 	}
 }
 
-// sendOrder sends one of the planner's orders.
-func (c *Conductor) sendOrder(ctx context.Context, now time.Time, o planner.Command) {
+// ordersUnderWay returns how many orders may be under way on a link of a rate in bytes a
+// second.
+func ordersUnderWay(rate float64) int {
+	if rate <= 0 {
+		return maxOrders
+	}
+	return int(min(maxOrders, max(minOrders, rate*maxOrderDelay.Seconds()/orderBytes)))
+}
+
+// newOutbox returns the queue of the orders of an ownership.
+func (c *Conductor) newOutbox() *sender.Queue {
+	return sender.New(sender.Options{PerWorker: maxOrdersPerWorker, Total: ordersUnderWay(c.options.LinkRate), MaxAge: maxOrderAge})
+}
+
+// queueOrder queues one of the planner's orders.
+func (c *Conductor) queueOrder(now time.Time, o planner.Command) {
+	if start, ok := c.outbox.Add(now, o); ok {
+		c.planner.StartAnswered(now, start.Run, start.WorkerID, planner.Refused, "")
+	}
+}
+
+// sendOrders sends the queued orders that may be under way, and drops those that have
+// waited for too long.
+func (c *Conductor) sendOrders(ctx context.Context) {
+	now := c.options.Now()
+	for _, o := range c.outbox.Expire(now) {
+		c.dropOrder(now, o.Command)
+	}
+	for o, ok := c.outbox.Next(); ok; o, ok = c.outbox.Next() {
+		c.sendOrder(ctx, now, o)
+	}
+}
+
+// dropOrder tells the planner that an order was not sent. It repeats an unconfirmed
+// stop by itself.
+func (c *Conductor) dropOrder(now time.Time, o planner.Command) {
+	c.metrics.orders.WithLabelValues(orderKinds[o.Kind], "not_sent").Inc()
+	switch o.Kind {
+	case planner.StartRun:
+		c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Refused, "")
+	case planner.PaceRun:
+		c.planner.PaceUnanswered(o.Run, o.WorkerID)
+	}
+}
+
+// orderKinds names the kinds of orders in logs and metrics.
+var orderKinds = [...]string{planner.StartRun: "start", planner.StopRun: "stop", planner.PaceRun: "pace"}
+
+// NotSentError reports an order that was held up in this process for so long that it
+// was not sent.
+type NotSentError struct{ Age time.Duration }
+
+func (e *NotSentError) Error() string { return fmt.Sprintf("not sent, decided %s ago", e.Age) }
+
+// sendOrder sends an order, unless the planner no longer wants it.
+func (c *Conductor) sendOrder(ctx context.Context, now time.Time, o sender.Order) {
+	outbox := c.outbox
 	w, ok := c.planner.Worker(o.WorkerID)
-	if !ok {
+	if !ok || o.Kind == planner.StartRun && !c.planner.IsStarting(o.Run, o.WorkerID) {
+		outbox.Done(o.WorkerID)
 		return
 	}
 	s := c.session(w)
-	epoch := c.epoch
+	epoch, timeout := c.epoch, c.orderTimeout(s)
 	deadline, expiry := c.leaseDeadline(now, s)
 	if o.Kind == planner.StartRun {
 		c.planner.Leased(w.ID, expiry)
 	}
-	kind := [...]string{"start", "stop", "pace"}[o.Kind]
-	c.callPool.Submit(func() {
-		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
+	c.background.Go(func() {
 		sent := c.options.Now()
 		var err error
-		switch o.Kind {
-		case planner.StartRun:
-			err = c.options.Workers.Start(bounded, w, StartOrder{o.Run, o.Payload, o.Checkpoint, deadline, epoch})
-		case planner.StopRun:
-			err = c.options.Workers.Stop(bounded, w, StopOrder{o.Run, epoch})
-		case planner.PaceRun:
-			err = c.options.Workers.Pace(bounded, w, PaceOrder{o.Run, o.Percent, epoch})
+		if age := sent.Sub(o.QueuedAt); o.Kind == planner.StartRun && age > 2*maxOrderAge {
+			// This instance was suspended or held up since the decision.
+			err = &NotSentError{age}
+		} else {
+			bounded, cancel := context.WithTimeout(ctx, timeout)
+			err = c.callWorker(bounded, w, o.Command, deadline, epoch)
+			cancel()
 		}
 		took := c.options.Now().Sub(sent)
 		c.post(ctx, func() {
+			outbox.Done(o.WorkerID)
 			if !s.isStale && c.planner != nil && c.epoch == epoch {
-				c.applyOrderResult(o, s, took, kind, err)
+				c.applyOrderResult(o.Command, s, took, err)
+			}
+			if c.planner != nil && c.outbox == outbox {
+				c.sendOrders(ctx)
 			}
 		})
 	})
 }
 
+// orderTimeout returns the timeout of an order to a worker.
+func (c *Conductor) orderTimeout(s *session) time.Duration {
+	return max(c.orderTrips.Timeout(minOrderTimeout, maxOrderTimeout), s.trips.Timeout(minOrderTimeout, maxOrderTimeout))
+}
+
+// measureOrder takes the round trip of an order into account. One without an answer
+// shows that answers take longer only if this daemon's link is the cause.
+func (c *Conductor) measureOrder(s *session, took time.Duration, err error) {
+	var refused *RefusedError
+	switch {
+	case err == nil || errors.As(err, &refused):
+		c.orderTrips.Answered(took)
+		s.trips.Answered(took)
+	case c.isLinkFull(took):
+		c.orderTrips.Unanswered()
+	}
+}
+
+func (c *Conductor) isLinkFull(last time.Duration) bool {
+	return c.options.IsLinkFull != nil && c.options.IsLinkFull(last)
+}
+
+// callWorker makes the call of an order.
+func (c *Conductor) callWorker(ctx context.Context, w planner.Worker, o planner.Command, deadline time.Duration, epoch int64) error {
+	switch o.Kind {
+	case planner.StartRun:
+		return c.options.Workers.Start(ctx, w, StartOrder{o.Run, o.Payload, o.Checkpoint, deadline, epoch})
+	case planner.StopRun:
+		return c.options.Workers.Stop(ctx, w, StopOrder{o.Run, epoch})
+	default:
+		return c.options.Workers.Pace(ctx, w, PaceOrder{o.Run, o.Percent, epoch})
+	}
+}
+
 // applyOrderResult applies the answer to an order.
-func (c *Conductor) applyOrderResult(o planner.Command, s *session, took time.Duration, kind string, err error) {
+func (c *Conductor) applyOrderResult(o planner.Command, s *session, took time.Duration, err error) {
 	now := c.options.Now()
+	var unsent *NotSentError
+	if errors.As(err, &unsent) {
+		c.dropOrder(now, o)
+		return
+	}
+	kind := orderKinds[o.Kind]
 	var refused *RefusedError
 	outcome := "done"
 	isRefused := errors.As(err, &refused)
@@ -139,7 +262,8 @@
 	if err != nil {
 		c.options.Log.Info().Str("order", kind).Str("run", o.Run.String()).Str("worker", o.WorkerID).Int64("epoch", c.epoch).Dur("took", took).Err(err).Msg("conductor: order not done")
 	}
-	if !c.applyAnswer(now, o.WorkerID, s, err) {
+	c.measureOrder(s, took, err)
+	if !c.applyAnswer(now, o.WorkerID, s, took, err) {
 		return
 	}
 	switch o.Kind {
@@ -167,7 +291,7 @@
 
 // applyAnswer applies what the outcome of a call tells about the worker. It
 // reports false if the outcome ends the session or the ownership.
-func (c *Conductor) applyAnswer(now time.Time, workerID string, s *session, err error) bool {
+func (c *Conductor) applyAnswer(now time.Time, workerID string, s *session, took time.Duration, err error) bool {
 	var fenced *FencedError
 	var other *OtherProcessError
 	var refused *RefusedError
@@ -181,9 +305,12 @@
 		c.planner.OtherProcessAnswered(workerID)
 		return false
 	case err == nil || errors.As(err, &refused):
+		s.answeredAt = now
 		c.planner.Answered(now, workerID)
 	case errors.As(err, &disconnected):
 		c.planner.Disconnected(now, workerID)
+	case now.Sub(s.answeredAt) < maxBlamelessTime && c.isLinkFull(took):
+		// The call or its answer may wait for this daemon's own link.
 	default:
 		c.planner.Unanswered(now, workerID)
 	}
@@ -206,6 +333,7 @@
 // pollWorker polls one worker and renews its leases.
 func (c *Conductor) pollWorker(ctx context.Context, now time.Time, contact planner.Contact, s *session) {
 	w, epoch := contact.Worker, c.epoch
+	slack := max(minPollSlack, c.orderTimeout(s))
 	deadline, expiry := c.leaseDeadline(now, s)
 	if contact.IsFailing {
 		deadline, expiry = 0, time.Time{}
@@ -233,31 +361,31 @@
 			o.Acknowledge = 0
 		}
 		if o.Acknowledge == 0 && contact.Committed > 0 {
-			c.pollAndAcknowledge(ctx, w, o, contact.Committed, post)
+			c.pollAndAcknowledge(ctx, w, o, slack, contact.Committed, post)
 			return
 		}
-		post(c.poll(ctx, w, o))
+		post(c.poll(ctx, w, o, slack))
 	})
 }
 
 // pollAndAcknowledge acknowledges ends to a process that has just answered a poll.
 // If that poll shows another process, has no answer or took too long, its outcome
 // is posted alone, and a later poll acknowledges the ends.
-func (c *Conductor) pollAndAcknowledge(ctx context.Context, w planner.Worker, o PollOrder, committed uint64, post func(PollAnswer, error)) {
+func (c *Conductor) pollAndAcknowledge(ctx context.Context, w planner.Worker, o PollOrder, slack time.Duration, committed uint64, post func(PollAnswer, error)) {
 	check := o
 	check.Wait = 0
-	answer, err := c.poll(ctx, w, check)
+	answer, err := c.poll(ctx, w, check, slack)
 	if err != nil || planner.IsOtherProcess(w.Born, answer.ProcessStart) || c.options.Now().After(answer.Sent.Add(planner.AcknowledgeWindow)) {
 		post(answer, err)
 		return
 	}
 	o.Acknowledge = committed
-	post(c.poll(ctx, w, o))
+	post(c.poll(ctx, w, o, slack))
 }
 
 // poll polls a worker.
-func (c *Conductor) poll(ctx context.Context, w planner.Worker, o PollOrder) (PollAnswer, error) {
-	bounded, cancel := context.WithTimeout(ctx, o.Wait+pollSlack)
+func (c *Conductor) poll(ctx context.Context, w planner.Worker, o PollOrder, slack time.Duration) (PollAnswer, error) {
+	bounded, cancel := context.WithTimeout(ctx, o.Wait+slack)
 	defer cancel()
 	sent := c.options.Now()
 	answer, err := c.options.Workers.Poll(bounded, w, o)
@@ -268,7 +396,7 @@
 // applyPollResult applies the answer to a poll.
 func (c *Conductor) applyPollResult(w planner.Worker, s *session, a PollAnswer, err error) {
 	now := c.options.Now()
-	if !c.applyAnswer(now, w.ID, s, err) {
+	if !c.applyAnswer(now, w.ID, s, a.Received.Sub(a.Sent), err) {
 		return
 	}
 	if err != nil {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -16,13 +16,14 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"tarragonhead.example/tarragonhead/internal/interpreter"
+	"tarragonhead.example/tarragonhead/internal/observer"
 	"tarragonhead.example/tarragonhead/internal/planner"
+	"tarragonhead.example/tarragonhead/internal/sender"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
@@ -70,9 +71,7 @@
 
 	// Concurrency.
 
-	// maxCalls bounds the concurrent calls to workers, and callbackBuffer the
-	// results that wait for the control goroutine.
-	maxCalls       = 256
+	// callbackBuffer bounds the results that wait for the control goroutine.
 	callbackBuffer = 4096
 
 	// Periodic writes.
@@ -113,7 +112,13 @@
 	Place func(need planner.Resources, count int, isUrgent bool) (shard string, tasks int)
 	// Limits are the platform's time limits.
 	Limits Limits
-	Log    *log.Logger
+	// LinkRate is the rate of this daemon's own link in bytes a second; zero for
+	// unlimited.
+	LinkRate float64
+	// IsLinkFull reports whether this daemon's own link was full for the last while, so
+	// that a call without an answer tells nothing about its worker; nil for never.
+	IsLinkFull func(time.Duration) bool
+	Log        *log.Logger
 	// Registry receives the metrics.
 	Registry prometheus.Registerer
 	// Now is a clock that also advances while the process is suspended, and
@@ -154,11 +159,12 @@
 	callbacks chan func()
 	inbox     *inbox
 	// ended is closed when Run returns.
-	ended    chan struct{}
-	callPool pond.Pool
-	metrics  metrics
-	// isOwner and ownerAddress are copies for use by other goroutines.
+	ended   chan struct{}
+	metrics metrics
+	// isOwner and ownerAddress are copies for use by other goroutines. isCandidate is
+	// set while this daemon owns, loads or tries to acquire the shard.
 	isOwner      atomic.Bool
+	isCandidate  atomic.Bool
 	ownerAddress atomic.Pointer[netip.AddrPort]
 
 	// The fields below belong to the control goroutine.
@@ -190,6 +196,10 @@
 	revisions map[string]uint64
 	// unusableJobs has the ids of the jobs whose stored progress can't be decoded.
 	unusableJobs map[string]bool
+	// orderTrips has the round trips of the orders to all workers.
+	orderTrips observer.Estimator
+	// outbox holds the orders of the current ownership that wait to be sent.
+	outbox *sender.Queue
 	// sessions has the session with each worker, by worker id.
 	sessions           map[string]*session
 	isCommitting       bool
@@ -236,7 +246,7 @@
 	factory := promauto.With(o.Registry)
 	return &Conductor{
 		options: o, chart: chart, role: chart.Start(), keys: keys{o.Shard},
-		callbacks: make(chan func(), callbackBuffer), inbox: newInbox(), ended: make(chan struct{}), callPool: pond.NewPool(maxCalls),
+		callbacks: make(chan func(), callbackBuffer), inbox: newInbox(), ended: make(chan struct{}),
 		metrics: metrics{
 			orders:    factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_orders_total", Help: "Orders to workers by kind and outcome."}, []string{"kind", "outcome"}),
 			latency:   factory.NewHistogramVec(prometheus.HistogramOpts{Name: "tarragonhead_order_seconds", Help: "Time until a worker answered an order.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}, []string{"kind"}),
@@ -327,9 +337,11 @@
 
 // plan sends the planner's orders and polls the workers.
 func (c *Conductor) plan(ctx context.Context, now time.Time) {
+	c.planner.LimitStarts(waitingFactor*ordersUnderWay(c.options.LinkRate) - c.outbox.Starts())
 	for _, o := range c.planner.Plan(now, c.confirmedAt) {
-		c.sendOrder(ctx, now, o)
+		c.queueOrder(now, o)
 	}
+	c.sendOrders(ctx)
 	c.pollWorkers(ctx, now)
 	u := c.planner.Usage(now)
 	c.metrics.jobs.WithLabelValues("jobs").Set(float64(u.Jobs))
@@ -385,6 +397,9 @@
 // IsOwner reports whether this daemon owns the shard or is loading it.
 func (c *Conductor) IsOwner() bool { return c.isOwner.Load() }
 
+// IsCandidate reports whether this daemon owns the shard or tries to acquire it.
+func (c *Conductor) IsCandidate() bool { return c.isCandidate.Load() }
+
 // Owner returns the address of the shard's owner; invalid if none is known.
 func (c *Conductor) Owner() netip.AddrPort {
 	if a := c.ownerAddress.Load(); a != nil {
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -100,6 +100,7 @@
 		}
 	}
 	c.planner = p
+	c.outbox = c.newOutbox()
 	for id, e := range records.progress {
 		c.revisions[c.keys.progress(id)] = e.Revision
 	}
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -82,6 +82,7 @@
 	}
 	c.options.Log.Info().Str("shard", c.options.Shard).Str("from", string(c.role)).Str("to", string(next)).Str("event", event).Int64("epoch", c.epoch).Msg("conductor: role changed")
 	c.role = next
+	c.isCandidate.Store(next == "acquiring" || next == "loading" || next == "owning")
 	return true
 }
 
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -4,7 +4,8 @@
 // An open connection may go silent for good, without a reset, while new ones work.
 // Only a call without an answer shows it, and the same may then be true of every
 // connection to the address that is as old. So a call without an answer retires the
-// connections that were open before it was sent and have received nothing since.
+// connections that were open before it was sent and have received nothing since, unless
+// this instance's own link was full.
 package connector
 
 import (
@@ -32,12 +33,16 @@
 	// OpenConnections is the number of open connections to the address, and Retired
 	// how many of them are not used any more since.
 	OpenConnections, Retired int
-	Err                      error
+	// IsLinkFull is set if this instance's own link was full meanwhile.
+	IsLinkFull bool
+	Err        error
 }
 
 // Connector tracks the open connections of clients. It is safe for concurrent use.
 type Connector struct {
 	report func(UnansweredCall)
+	// isLinkFull reports whether this instance's own link was full for the last while.
+	isLinkFull func(time.Duration) bool
 
 	mu sync.Mutex
 	// servers holds what is known of each address with an open connection.
@@ -53,9 +58,11 @@
 }
 
 // New returns a connector that calls report with each unanswered call, from the
-// goroutine of the call.
-func New(report func(UnansweredCall)) *Connector {
-	return &Connector{report: report, servers: map[string]*serverConnections{}}
+// goroutine of the call. A call that was sent while this instance's own link was full,
+// as isLinkFull reports, tells nothing about connections and retires none; nil stands for
+// a link that is never full.
+func New(report func(UnansweredCall), isLinkFull func(time.Duration) bool) *Connector {
+	return &Connector{report: report, isLinkFull: isLinkFull, servers: map[string]*serverConnections{}}
 }
 
 // Attach makes a client use tracked connections. isForWatches is set for a client whose
@@ -170,6 +177,9 @@
 	if !c.receivedAt.IsZero() {
 		u.Quiet = c.sentAt.Sub(c.receivedAt)
 	}
+	if u.IsLinkFull = c.all.isLinkFull != nil && c.all.isLinkFull(u.Waited); u.IsLinkFull {
+		return u
+	}
 	if c.sentAt.After(c.server.unansweredAt) {
 		c.server.unansweredAt = c.sentAt
 	}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -428,6 +428,13 @@
 	}
 }
 
+// IsStarting reports whether the start of a run on a worker is still wanted and not
+// answered yet.
+func (p *Planner) IsStarting(id RunID, workerID string) bool {
+	w := p.workers[workerID]
+	return w != nil && w.runs[id] != nil && w.runs[id].state == "starting"
+}
+
 // confirmStart records that a worker has a run, which works at full pace until
 // the worker is told otherwise.
 func (p *Planner) confirmStart(now time.Time, r *run) {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -10,6 +10,8 @@
 const (
 	// stopInterval is the time after which an unconfirmed stop is sent again.
 	stopInterval = 500 * time.Millisecond
+	// maxStopInterval is the longest such time for a worker that doesn't answer.
+	maxStopInterval = 4 * time.Second
 	// answerLimit is how long calls to a worker may go unanswered before no
 	// more tasks start there.
 	answerLimit = 300 * time.Millisecond
@@ -139,8 +141,9 @@
 func (p *Planner) resendStops(now time.Time) {
 	for _, w := range p.sortedWorkers {
 		for _, r := range w.runsInOrder {
-			if r.state == "stopping" && now.Sub(r.stopSent) > stopInterval {
+			if r.state == "stopping" && r.isStopDue(now) {
 				r.stopSent = now
+				r.stopRepeats++
 				p.commands = append(p.commands, Command{Kind: StopRun, Run: r.id, WorkerID: w.ID})
 			}
 		}
@@ -148,6 +151,16 @@
 	}
 }
 
+// isStopDue reports whether an unconfirmed stop is to be sent again. A worker that has
+// answered since the last one gets it soon, another one less and less often.
+func (r *run) isStopDue(now time.Time) bool {
+	interval := stopInterval
+	if !r.worker.answeredAt.After(r.stopSent) {
+		interval = min(stopInterval<<min(r.stopRepeats, 8), maxStopInterval)
+	}
+	return now.Sub(r.stopSent) > interval
+}
+
 // drainWorker moves tasks off a draining worker: long-running tasks
 // immediately, other tasks if they would not finish before the worker shuts
 // down.
@@ -240,7 +253,11 @@
 
 // startWaiting starts waiting tasks, the most valuable work first.
 func (p *Planner) startWaiting(now time.Time) {
+	p.startsLeft = p.startLimit
 	for _, s := range p.orderSteps(now) {
+		if p.startsLeft <= 0 {
+			return
+		}
 		if s.Gang {
 			p.startGang(now, s)
 			continue
@@ -332,6 +349,9 @@
 			s.waiting = slices.DeleteFunc(s.waiting, func(o *task) bool { return o == t })
 			continue
 		}
+		if p.startsLeft <= 0 {
+			return
+		}
 		if now.Before(t.retryAt) || !p.isSafeToStart(now, t) {
 			continue
 		}
@@ -370,6 +390,7 @@
 // best-effort task that starts because it has waited for ignoreHarmAfter gets
 // minPace if its harm exceeds relaxedHarmLimit.
 func (p *Planner) startRun(now time.Time, t *task, w *Worker, attempt int) {
+	p.startsLeft--
 	t.attempt = attempt
 	r := &run{id: RunID{t.id, attempt}, task: t, worker: w, state: p.chart.Start(), startedAt: now, pace: 100, targetPace: 100}
 	if t.step.BestEffort && now.Sub(t.readyAt) > ignoreHarmAfter && !t.readyAt.IsZero() {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,6 +11,7 @@
 
 import (
 	_ "embed"
+	"math"
 	"slices"
 	"time"
 
@@ -135,6 +136,9 @@
 	headroom     headroom
 	// disconnections holds when workers with runs disconnected lately.
 	disconnections []disconnection
+	// startLimit is how many starts a plan may decide, and startsLeft how many the
+	// present one still may.
+	startLimit, startsLeft int
 	// deadlyTasks holds the tasks to give up.
 	deadlyTasks []*task
 	commands    []Command
@@ -180,6 +184,7 @@
 	return &Planner{
 		options: o, chart: c, processChart: processes, endedProcesses: map[processID]bool{}, jobs: map[string]*job{}, workers: map[string]*Worker{}, evacuatedDomains: map[string]bool{},
 		unverified: map[string]bool{}, unknownRuns: map[RunID]unknownRun{}, interference: newTailModels(),
+		startLimit:     math.MaxInt,
 		candidateCache: map[candidateKey][]*Worker{}, unplaceable: map[placeKey]Resources{}, busyServices: map[string]bool{},
 	}, nil
 }
@@ -213,6 +218,10 @@
 	}
 }
 
+// LimitStarts limits how many starts each of the following plans decides, but for those of
+// a gang, which start together. What can't be sent is better decided later.
+func (p *Planner) LimitStarts(n int) { p.startLimit = n }
+
 // SetEvacuatedDomains sets the failure domains in which no task may start.
 func (p *Planner) SetEvacuatedDomains(domains []string) {
 	clear(p.evacuatedDomains)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -177,8 +177,10 @@
 	wasSentToEnded bool
 	// stopConfirmed is when the worker confirmed the stop.
 	stopConfirmed time.Time
-	// stopSent is when the stop was last sent.
-	stopSent time.Time
+	// stopSent is when the stop was last sent, and stopRepeats how often it was sent
+	// again.
+	stopSent    time.Time
+	stopRepeats int
 	// percent is the progress, which last changed at progressAt; a long-running
 	// task that is working reports 100.
 	percent    int
--- a/internal/planner/withdraw_test.go
+++ b/internal/planner/withdraw_test.go
@@ -170,3 +170,35 @@
 	_, isKnown := d.p.Worker("a")
 	d.Assert(isKnown, quicktest.IsFalse)
 }
+
+// TestStopOfSilentWorkerIsRepeatedLess guards against stops that fill the link because
+// each is repeated twice a second for as long as its worker doesn't answer, and against a
+// worker that answers again and gets its stop only seconds later.
+func TestStopOfSilentWorkerIsRepeatedLess(t *testing.T) {
+	for name, tt := range map[string]struct {
+		answers   bool
+		most, min int
+	}{"silent": {false, 5, 3}, "answers other calls": {true, 20, 15}} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+			d.add(job("1", step(1, 1)))
+			run := d.startTasks()[0].Run
+			d.p.Leased("a", d.now.Add(time.Hour))
+			d.p.Cancel(d.now, "1")
+			stops := 0
+			for range 100 {
+				if d.stops(run) {
+					stops++
+				}
+				if tt.answers {
+					d.p.Answered(d.now, "a")
+				}
+				d.advance(100 * time.Millisecond)
+			}
+			d.Assert(stops >= tt.min && stops <= tt.most, quicktest.IsTrue, quicktest.Commentf("%d stops in 10 s", stops))
+			d.p.Answered(d.now, "a")
+			d.advance(600 * time.Millisecond)
+			d.Assert(d.stops(run), quicktest.IsTrue)
+		})
+	}
+}
--- a/internal/sharder/reluctance.go
+++ b/internal/sharder/reluctance.go
@@ -1,24 +1,26 @@
 package sharder
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// A daemon with fewer than lowCores cores waits lowCoresDelay longer than
-	// others before it acquires a vacant shard, and any daemon waits
-	// ownedShardDelay longer for each shard that it already owns. Each delay
-	// exceeds the jitter between equal daemons.
-	lowCores        = 0.35
-	lowCoresDelay   = 300 * time.Millisecond
-	ownedShardDelay = 350 * time.Millisecond
+	// A daemon waits ownedShardDelay longer for each shard that it owns before it
+	// acquires a vacant one, and overloadDelay longer for each time that its shards
+	// would then exceed what it can carry, up to maxOverloadDelay. Each delay exceeds
+	// the jitter between equal daemons, and an overload weighs more than an owned
+	// shard.
+	ownedShardDelay  = 350 * time.Millisecond
+	overloadDelay    = 650 * time.Millisecond
+	maxOverloadDelay = 1300 * time.Millisecond
 )
 
-// ExtraAcquireDelay returns the extra delay before a daemon with the given
-// number of cores and owned shards acquires a vacant shard, so that daemons with
-// enough cores and without a shard come first.
-func ExtraAcquireDelay(cores float64, owned int) time.Duration {
-	d := time.Duration(owned) * ownedShardDelay
-	if cores < lowCores {
-		d += lowCoresDelay
-	}
-	return d
+// ExtraAcquireDelay returns the extra delay before a daemon that owns a number of shards
+// acquires another one of the given size, so that daemons that can carry it and own none
+// come first.
+func ExtraAcquireDelay(self Instance, size float64, owned int) time.Duration {
+	load := math.Ceil(float64(owned+1) * size / max(self.Workers(), 1))
+	overload := min(time.Duration(max(0, load-1))*overloadDelay, maxOverloadDelay)
+	return time.Duration(owned)*ownedShardDelay + overload
 }
--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,8 +20,7 @@
 
 const (
 	// WorkersPerShard is the largest average number of workers of a shard, as
-	// long as there are fewer than maxShards shards. With 66 workers, an owner
-	// uses 0.2 cores at the worst load.
+	// long as there are fewer than maxShards shards.
 	WorkersPerShard = 80
 	// maxShards bounds the stored number of shards.
 	maxShards = 64
@@ -34,15 +34,10 @@
 	callTimeout = 1500 * time.Millisecond
 )
 
-// countKey holds the number of shards. It is written once, because a job's
-// shard follows from its id.
+// countKey holds the number of shards and of workers, as in 7/490. It is written once,
+// because a job's shard follows from its id.
 const countKey = "th/shards"
 
-// Count returns the number of shards for a number of workers.
-func Count(workers int) int {
-	return min(maxShards, max(1, (workers+WorkersPerShard-1)/WorkersPerShard))
-}
-
 // Name returns the name of shard n in store keys.
 func Name(n int) string { return strconv.Itoa(n) }
 
@@ -59,98 +54,129 @@
 type CountError struct{ Value string }
 
 func (e *CountError) Error() string {
-	return fmt.Sprintf("stored count of shards %q: want a number from 1 to %d", e.Value, maxShards)
+	return fmt.Sprintf("stored count of shards %q: want a number from 1 to %d, a slash and the number of workers", e.Value, maxShards)
 }
 
 // Sharder determines the number of shards of the deployment.
 type Sharder struct {
 	store storeclient.PrefixStore
+	self  Instance
 	// countWorkers returns the number of workers that the platform lists.
 	countWorkers func(context.Context) (int, error)
 	// reportFailure is called with the error of each failed call.
 	reportFailure func(error)
 }
 
-// New returns a sharder that counts the workers with countWorkers, and calls
-// reportFailure with the error of each failed call.
-func New(store storeclient.PrefixStore, countWorkers func(context.Context) (int, error), reportFailure func(error)) *Sharder {
-	return &Sharder{store, countWorkers, reportFailure}
+// New returns a sharder for the instance self that counts the workers with countWorkers,
+// and calls reportFailure with the error of each failed call.
+func New(store storeclient.PrefixStore, self Instance, countWorkers func(context.Context) (int, error), reportFailure func(error)) *Sharder {
+	return &Sharder{store, self, countWorkers, reportFailure}
 }
 
-// Shards returns the number of shards of the deployment. The first daemon that
-// sees that the number of workers no longer grows determines it. Shards returns
-// the context's error if ctx ends first.
-func (s *Sharder) Shards(ctx context.Context) (int, error) {
+// Split is how the workers are split over shards.
+type Split struct {
+	Shards int
+	// Workers is the number of all workers when the number of shards was determined.
+	Workers int
+}
+
+// ShardSize returns the number of workers of a larger shard.
+func (s Split) ShardSize() float64 { return sizeOf(s.Workers, max(1, s.Shards)) }
+
+// Split returns how the workers of the deployment are split. The first daemon that sees
+// that the numbers of workers and of instances no longer grow determines it. Split
+// returns the context's error if ctx ends first.
+func (s *Sharder) Split(ctx context.Context) (Split, error) {
 	var o observation
 	for ctx.Err() == nil {
-		n, err := s.readOrCreateCount(ctx, &o)
+		split, err := s.readOrCreate(ctx, &o)
 		switch {
-		case n > 0 && err == nil:
-			return n, nil
+		case split.Shards > 0 && err == nil:
+			return split, nil
 		case err != nil:
 			s.reportFailure(err)
 			waiter.Wait(ctx, retryDelay)
-		case o.largest == 0:
+		case o.workers == 0:
 			waiter.Wait(ctx, retryDelay)
 		default:
 			waiter.Wait(ctx, steadyTime)
 		}
 	}
-	return 0, ctx.Err()
+	return Split{}, ctx.Err()
 }
 
-// observation follows the number of listed workers over successive readings.
+// observation follows the numbers of listed workers and instances over successive
+// readings.
 type observation struct {
-	// largest is the largest number of any reading, or zero before the first.
-	largest int
+	// workers and instances are the largest numbers of any reading, or zero before the
+	// first. isAnnounced is set once the record of this instance is stored.
+	workers, instances int
+	isAnnounced        bool
 }
 
-// add adds a reading, taken steadyTime after the one before, and reports whether
-// the number of workers no longer grows. It need not stay the same, because
-// workers may keep restarting.
-func (o *observation) add(workers int) bool {
-	isGrowing := workers > o.largest
-	o.largest = max(o.largest, workers)
-	return o.largest > 0 && !isGrowing
+// add adds a reading, taken steadyTime after the one before, and reports whether the
+// numbers no longer grow. They need not stay the same, because workers may keep
+// restarting.
+func (o *observation) add(workers, instances int) bool {
+	isGrowing := workers > o.workers || instances > o.instances
+	o.workers, o.instances = max(o.workers, workers), max(o.instances, instances)
+	return o.workers > 0 && !isGrowing
 }
 
-// readOrCreateCount returns the stored number of shards, or stores it first. It
-// returns 0 while the number of workers grows.
-func (s *Sharder) readOrCreateCount(ctx context.Context, o *observation) (int, error) {
-	n, err := s.storedCount(ctx)
+// readOrCreate returns the stored split, or stores it first. It returns no shards while
+// the numbers of workers and instances grow.
+func (s *Sharder) readOrCreate(ctx context.Context, o *observation) (Split, error) {
+	split, err := s.storedSplit(ctx)
 	var missing *storeclient.NotFoundError
 	if !errors.As(err, &missing) {
-		return n, err
+		return split, err
+	}
+	if !o.isAnnounced {
+		if err := s.announce(ctx); err != nil {
+			return Split{}, err
+		}
+		o.isAnnounced = true
 	}
 	workers, err := s.listedWorkers(ctx)
-	if err != nil || !o.add(workers) {
-		return 0, err
+	if err != nil {
+		return Split{}, err
+	}
+	instances, err := s.instances(ctx)
+	if err != nil || !o.add(workers, len(instances)) {
+		return Split{}, err
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err = s.store.Transact(bounded, storeclient.Transaction{
 		Expect: []storeclient.Expectation{{Key: countKey}},
-		Writes: []storeclient.Write{{Key: countKey, Value: []byte(strconv.Itoa(Count(o.largest)))}},
+		Writes: []storeclient.Write{{Key: countKey, Value: fmt.Appendf(nil, "%d/%d", Count(o.workers, instances), o.workers)}},
 	})
 	var conflict *storeclient.ExpectationError
 	if err != nil && !errors.As(err, &conflict) {
-		return 0, err
+		return Split{}, err
 	}
-	return s.storedCount(ctx)
+	return s.storedSplit(ctx)
 }
 
-func (s *Sharder) storedCount(ctx context.Context) (int, error) {
+// storedSplit reads the stored split. Earlier versions stored the number of shards
+// alone.
+func (s *Sharder) storedSplit(ctx context.Context) (Split, error) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e, err := s.store.Get(bounded, countKey)
 	if err != nil {
-		return 0, err
+		return Split{}, err
+	}
+	count, total, hasTotal := strings.Cut(string(e.Value), "/")
+	n, err := strconv.Atoi(count)
+	workers := WorkersPerShard * n
+	if err == nil && hasTotal {
+		workers, err = strconv.Atoi(total)
 	}
-	n, err := strconv.Atoi(string(e.Value))
-	if err != nil || n < 1 || n > maxShards {
-		return 0, &CountError{string(e.Value)}
+	if err != nil || n < 1 || n > maxShards || workers < 1 {
+		return Split{}, &CountError{string(e.Value)}
 	}
-	return n, nil
+	return Split{n, workers}, nil
 }
 
 func (s *Sharder) listedWorkers(ctx context.Context) (int, error) {
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -33,9 +34,9 @@
 	var done sync.WaitGroup
 	for i := range got {
 		done.Go(func() {
-			n, err := sharder.New(k.Store(), workers, func(error) {}).Shards(ctx)
+			n, err := sharder.New(k.Store(), sharder.Instance{Name: fmt.Sprint(i)}, workers, func(error) {}).Split(ctx)
 			c.Check(err, quicktest.IsNil)
-			got[i] = n
+			got[i] = n.Shards
 		})
 	}
 	done.Wait()
@@ -62,9 +63,9 @@
 			workers := func(context.Context) (int, error) { readings++; return read(readings) }
 			ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 			defer cancel()
-			n, err := sharder.New(keeper.New(time.Now).Store(), workers, func(error) {}).Shards(ctx)
+			n, err := sharder.New(keeper.New(time.Now).Store(), sharder.Instance{}, workers, func(error) {}).Split(ctx)
 			c.Assert(err, quicktest.IsNil)
-			c.Assert(n, quicktest.Equals, 2)
+			c.Assert(n.Shards, quicktest.Equals, 2)
 		})
 	}
 }
@@ -73,17 +74,26 @@
 func TestStoredCount(t *testing.T) {
 	for name, tt := range map[string]struct {
 		value string
-		want  int
-	}{"good": {"3", 3}, "zero": {"0", 0}, "no number": {"three", 0}, "too many": {"1000", 0}} {
+		want  sharder.Split
+	}{
+		"good":             {"3/200", sharder.Split{Shards: 3, Workers: 200}},
+		"earlier version":  {"3", sharder.Split{Shards: 3, Workers: 240}},
+		"zero":             {"0/200", sharder.Split{}},
+		"no number":        {"three", sharder.Split{}},
+		"too many":         {"1000/2000", sharder.Split{}},
+		"bad total":        {"3/many", sharder.Split{}},
+		"no workers":       {"3/0", sharder.Split{}},
+		"number too large": {"3/99999999999999999999", sharder.Split{}},
+	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
 			k := keeper.New(time.Now)
 			k.Put("th/shards", []byte(tt.value))
 			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 			defer cancel()
-			n, err := sharder.New(k.Store(), func(context.Context) (int, error) { return 1, nil }, func(error) {}).Shards(ctx)
+			n, err := sharder.New(k.Store(), sharder.Instance{}, func(context.Context) (int, error) { return 1, nil }, func(error) {}).Split(ctx)
 			c.Assert(n, quicktest.Equals, tt.want)
-			c.Assert(err == nil, quicktest.Equals, tt.want > 0)
+			c.Assert(err == nil, quicktest.Equals, tt.want.Shards > 0)
 		})
 	}
 }
@@ -103,9 +113,49 @@
 		c.Assert(jobs[i] > 900 && jobs[i] < 1100, quicktest.IsTrue, quicktest.Commentf("%v", jobs))
 		c.Assert(workers[i] > 45 && workers[i] < 95, quicktest.IsTrue, quicktest.Commentf("%v", workers))
 	}
-	c.Assert(sharder.Count(66), quicktest.Equals, 1)
-	c.Assert(sharder.Count(490), quicktest.Equals, 7)
-	c.Assert(sharder.Count(0), quicktest.Equals, 1)
+}
+
+// TestCount guards against shards that are larger than the instances can carry, and
+// against more shards than needed, in which wide jobs wait.
+func TestCount(t *testing.T) {
+	const megabit = 1e6 / 8
+	fast, slow := sharder.Instance{Cores: 0.8, LinkRate: 200 * megabit}, sharder.Instance{Cores: 0.192, LinkRate: 20 * megabit}
+	small, fastLink := sharder.Instance{Cores: 0.12, LinkRate: 2 * megabit}, sharder.Instance{Cores: 0.4, LinkRate: 1000 * megabit}
+	for name, tt := range map[string]struct {
+		workers   int
+		instances []sharder.Instance
+		want      int
+	}{
+		"one is enough":              {66, slices.Repeat([]sharder.Instance{fastLink}, 9), 1},
+		"no workers":                 {0, slices.Repeat([]sharder.Instance{small}, 3), 1},
+		"no instances":               {490, nil, 7},
+		"slow links":                 {144, slices.Repeat([]sharder.Instance{small}, 18), 8},
+		"fast ones carry all":        {890, append(slices.Repeat([]sharder.Instance{fast}, 18), slices.Repeat([]sharder.Instance{slow}, 79)...), 12},
+		"fast ones carry several":    {490, append(slices.Repeat([]sharder.Instance{fast}, 6), slices.Repeat([]sharder.Instance{slow}, 35)...), 7},
+		"more than the instances":    {890, slices.Repeat([]sharder.Instance{small}, 18), 18},
+		"more than the most shards":  {100_000, slices.Repeat([]sharder.Instance{small}, 200), 64},
+		"capacities are not limited": {490, make([]sharder.Instance, 4), 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			quicktest.New(t).Assert(sharder.Count(tt.workers, tt.instances), quicktest.Equals, tt.want)
+		})
+	}
+}
+
+// TestExtraAcquireDelay guards against a shard that goes to an instance which can't
+// carry it, while another one can, also beside a shard that it owns.
+func TestExtraAcquireDelay(t *testing.T) {
+	c := quicktest.New(t)
+	const jitter = 250 * time.Millisecond
+	fast, slow := sharder.Instance{Cores: 0.8}, sharder.Instance{Cores: 0.192}
+	delays := []time.Duration{
+		sharder.ExtraAcquireDelay(fast, 70, 0), sharder.ExtraAcquireDelay(fast, 70, 1),
+		sharder.ExtraAcquireDelay(slow, 70, 0), sharder.ExtraAcquireDelay(fast, 70, 2),
+	}
+	for n := range delays[1:] {
+		c.Assert(delays[n+1] > delays[n]+jitter, quicktest.IsTrue, quicktest.Commentf("%v", delays))
+	}
+	c.Assert(sharder.ExtraAcquireDelay(slow, 1000, 0) < 2*time.Second, quicktest.IsTrue)
 }
 
 // TestPlace guards against tasks that are handed over to a full shard, back to
--- a/internal/storeclient/http.go
+++ b/internal/storeclient/http.go
@@ -33,7 +33,7 @@
 func HTTP(addr netip.AddrPort) Store {
 	c := &httpClient{base: "http://" + addr.String()}
 	// What one class learns of silent connections holds for all of them.
-	all := connector.New(func(connector.UnansweredCall) {})
+	all := connector.New(func(connector.UnansweredCall) {}, nil)
 	for i := range c.clients {
 		c.clients[i] = newHTTPClient(all, false)
 	}
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -277,6 +277,7 @@
 limits.cpuShare=0.4
 limits.cores=1
 bounds.graceS=2
+bounds.drainMs=2000
 bounds.maxHoldMs=3000
 bounds.stopMs=500
 bounds.paceMs=100
