Move long-running tasks off leaving workers before they are gone

Change: such a task is stopped while the worker drains, one each 0.25 s as the rooms of other shards are known late, and handed over. Leases of a worker that may be gone are 2.5 s. What remains for a worker counts from its latest announcement. The list of workers is read at its interval although it is asked for twice as often.

Tests: TestTasksOfDrainingWorkerMoveOut, TestLeasesOfLeavingWorker, TestLeavesAt.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -45,6 +45,9 @@
 	// pollRetryDelay is the delay between polls of a worker that doesn't
 	// answer.
 	pollRetryDelay = 200 * time.Millisecond
+	// leavingLease is the lease of a worker that may be gone at any time. It outlasts
+	// one poll without an answer.
+	leavingLease = 2500 * time.Millisecond
 	// maxEndsPerPoll is the largest number of ended runs that a worker lists in
 	// one answer. An answer with that many may leave out further ends.
 	maxEndsPerPoll = 500
@@ -74,12 +77,18 @@
 // leaseDeadline returns the end of a lease on the worker's clock, and the time
 // on this daemon's clock by which the lease has certainly expired. Both are
 // zero if the worker's clock is unknown or this owner may not grant leases.
-func (c *Conductor) leaseDeadline(now time.Time, s *session) (time.Duration, time.Time) {
+//
+// A worker that leaves gets short leases once it may be gone, so that its runs are known
+// to have ended soon after. A lease can't be shortened later.
+func (c *Conductor) leaseDeadline(now time.Time, w planner.Worker, s *session) (time.Duration, time.Time) {
 	if s.clockReceivedAt.IsZero() || !c.isOwnershipConfirmed(now) {
 		return 0, time.Time{}
 	}
 	elapsed := now.Sub(s.clockReceivedAt)
 	lease := min(c.options.Limits.MaxLease, leaseHorizon-now.Sub(c.confirmedAt))
+	if leavesAt := w.LeavesAt(); !leavesAt.IsZero() {
+		lease = min(lease, max(leavingLease, leavesAt.Sub(now)))
+	}
 	// The worker's clock may have run slow since its last answer, and may run
 	// slow until the lease expires.
 	atLeast := s.clock + time.Duration((1-maxClockDrift)*float64(elapsed))
@@ -177,7 +186,7 @@
 	}
 	s := c.session(w)
 	epoch, timeout := c.epoch, c.orderTimeout(s)
-	deadline, expiry := c.leaseDeadline(now, s)
+	deadline, expiry := c.leaseDeadline(now, w, s)
 	if o.Kind == planner.StartRun {
 		c.planner.Leased(w.ID, expiry)
 	}
@@ -334,7 +343,7 @@
 func (c *Conductor) pollWorker(ctx context.Context, now time.Time, contact planner.Contact, s *session) {
 	w, epoch := contact.Worker, c.epoch
 	slack := max(minPollSlack, c.orderTimeout(s))
-	deadline, expiry := c.leaseDeadline(now, s)
+	deadline, expiry := c.leaseDeadline(now, w, s)
 	if contact.IsFailing {
 		deadline, expiry = 0, time.Time{}
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -110,6 +110,9 @@
 	// how many of them; nil if there is only one shard. The free capacity of
 	// this shard is announced only if Place is set.
 	Place func(need planner.Resources, count int, isUrgent bool) (shard string, tasks int)
+	// HasRoom reports whether another shard has room for a long-running task; nil if
+	// there is only one shard.
+	HasRoom func(need planner.Resources) bool
 	// Limits are the platform's time limits.
 	Limits Limits
 	// LinkRate is the rate of this daemon's own link in bytes a second; zero for
--- a/internal/conductor/lease_test.go
+++ b/internal/conductor/lease_test.go
@@ -84,3 +84,39 @@
 	s.Assert(leaseEnd.Sub(lost) > 6*time.Second, quicktest.IsTrue, quicktest.Commentf("the last lease ends after %s", leaseEnd.Sub(lost)))
 	s.Assert(leaseEnd.Sub(lost) <= 8*time.Second, quicktest.IsTrue, quicktest.Commentf("the last lease ends after %s", leaseEnd.Sub(lost)))
 }
+
+// TestLeasesOfLeavingWorker guards against tasks of a worker that has announced its end
+// and is gone, which wait until a lease of the full length has expired, and against leases
+// that are short while the worker is certain to stay.
+func TestLeasesOfLeavingWorker(t *testing.T) {
+	const maxLease, remaining = 6 * time.Second, 2 * time.Second
+	s := newTestCluster(t, time.Minute)
+	var mu sync.Mutex
+	var longest, last time.Duration
+	calls := s.pool.calls()
+	poll := calls.Poll
+	calls.Poll = func(ctx context.Context, w planner.Worker, o conductor.PollOrder) (conductor.PollAnswer, error) {
+		mu.Lock()
+		if o.Deadline > 0 {
+			last = o.Deadline - poolClock
+			longest = max(longest, last)
+		}
+		mu.Unlock()
+		return poll(ctx, w, o)
+	}
+	c, stop := s.startDaemonOf(testShard{name: "0", cpu: 64000, pool: s.pool, calls: &calls, maxLease: maxLease}, 1)
+	defer stop()
+	s.submit("a", 1)
+	s.eventually("running", testTimeout, func() bool { return state(c, "a") == planner.Running })
+	time.Sleep(200 * time.Millisecond)
+	mu.Lock()
+	s.Assert(longest > maxLease-time.Second, quicktest.IsTrue, quicktest.Commentf("%s", longest))
+	mu.Unlock()
+	w := s.worker(1, 64000)
+	w.Draining, w.Remaining = true, remaining
+	c.SetWorkers(context.Background(), []planner.Worker{w}, nil)
+	time.Sleep(remaining)
+	mu.Lock()
+	defer mu.Unlock()
+	s.Assert(last > 2*time.Second && last < 3*time.Second, quicktest.IsTrue, quicktest.Commentf("%s", last))
+}
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -74,7 +74,7 @@
 	limits := c.options.Limits
 	p, err := planner.New(planner.Options{
 		Epoch: c.epoch, Horizon: horizon, ViolationLimit: limits.ViolationLimit,
-		Retention: limits.StateRetention, WallTime: c.options.WallTime,
+		Retention: limits.StateRetention, WallTime: c.options.WallTime, HasRoom: c.options.HasRoom,
 		PredecessorLeaseEnd: now.Add(longestLease(min(leaseHorizon, horizon+limits.MaxLease))), OnDecision: c.logDecision,
 	})
 	if err != nil {
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -188,11 +188,12 @@
 	return a.Entries, a.Revision, nil
 }
 
-// read returns a part of a read that is younger than the interval of reads.
+// read returns a part of a read that is younger than the interval of reads, less the
+// jitter of the calls.
 func (l *Lister) read(ctx context.Context, p Part) ([]storeclient.Entry, uint64, error) {
 	l.reading.Lock()
 	defer l.reading.Unlock()
-	if age, ok := l.age(); !ok || age >= l.options.readInterval() {
+	if age, ok := l.age(); !ok || age >= l.options.readInterval()-l.Interval()/2 {
 		began := l.options.Now()
 		list, revision, err := l.options.Read(ctx)
 		if err != nil {
--- a/internal/planner/handover_test.go
+++ b/internal/planner/handover_test.go
@@ -267,3 +267,66 @@
 	o.Assert(again, quicktest.HasLen, 1)
 	o.Assert(again[0].Run.Attempt > used[0].Run.Attempt, quicktest.IsTrue, quicktest.Commentf("attempt %d after %d", again[0].Run.Attempt, used[0].Run.Attempt))
 }
+
+// TestTasksOfDrainingWorkerMoveOut guards against long-running tasks that stay on a worker
+// until it is gone, and then wait for its leases to expire, although another shard has
+// room for them; and against all of them moving for the room of one.
+func TestTasksOfDrainingWorkerMoveOut(t *testing.T) {
+	for name, tt := range map[string]struct {
+		hasRoom, isDraining bool
+		// stops is the number of tasks stopped within two plans at once, and later
+		// that within a further second.
+		stops, later int
+	}{
+		"room in another shard": {true, true, 1, 3},
+		"no room":               {false, true, 0, 0},
+		"not draining":          {true, false, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 1, worker("a", 16)).registerWorkers()
+			d.add(longRunningJob("1", 4, 2))
+			d.Assert(d.startTasks(), quicktest.HasLen, 4)
+			d.poll("a")
+			*d.hasRoom = tt.hasRoom
+			d.workers[0].Draining, d.workers[0].Remaining = tt.isDraining, 7*time.Second
+			d.p.SetWorkers(d.now, d.workers)
+			stopped := map[planner.RunID]bool{}
+			countStops := func() int {
+				before := len(stopped)
+				for _, o := range d.p.Plan(d.now, d.proven()) {
+					if o.Kind == planner.StopRun {
+						stopped[o.Run] = true
+					}
+				}
+				return len(stopped) - before
+			}
+			d.Assert(countStops()+countStops(), quicktest.Equals, tt.stops)
+			stops := 0
+			for range 10 {
+				d.advance(100 * time.Millisecond)
+				stops += countStops()
+			}
+			d.Assert(stops, quicktest.Equals, tt.later)
+		})
+	}
+}
+
+// TestLeavesAt guards against a worker that is taken for gone too early, because what
+// remains is counted from its first announcement, or too late, because an announcement
+// counts again each time that it is read.
+func TestLeavesAt(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+	announce := func(remaining time.Duration) time.Duration {
+		d.workers[0].Draining, d.workers[0].Remaining = true, remaining
+		d.p.SetWorkers(d.now, d.workers)
+		w, _ := d.p.Worker("a")
+		return w.LeavesAt().Sub(d.now)
+	}
+	w, _ := d.p.Worker("a")
+	d.Assert(w.LeavesAt().IsZero(), quicktest.IsTrue)
+	d.Assert(announce(7*time.Second), quicktest.Equals, 7*time.Second)
+	d.advance(time.Second)
+	d.Assert(announce(7*time.Second), quicktest.Equals, 6*time.Second)
+	d.advance(time.Second)
+	d.Assert(announce(5500*time.Millisecond), quicktest.Equals, 5500*time.Millisecond)
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -26,6 +26,9 @@
 	// worthlessFactor times the objective is the age at which finishing a job
 	// no longer has any value.
 	worthlessFactor = 3
+	// moveOutInterval is the time between two tasks that are stopped on draining
+	// workers in order to be handed over to another shard.
+	moveOutInterval = 250 * time.Millisecond
 	// drainMargin is how long before the shutdown of a draining worker a task
 	// must be expected to finish in order not to be moved.
 	drainMargin = 300 * time.Millisecond
@@ -165,9 +168,13 @@
 // immediately, other tasks if they would not finish before the worker shuts
 // down.
 func (p *Planner) drainWorker(now time.Time, w *Worker) {
-	shutdownAt := w.drainingSince.Add(w.Remaining)
+	shutdownAt := w.LeavesAt()
 	for _, r := range w.runsInOrder {
-		if r.state != "running" || !p.hasRoomElsewhere(now, r) {
+		if r.state != "running" {
+			continue
+		}
+		if !p.hasRoomElsewhere(now, r) {
+			p.moveOut(now, r)
 			continue
 		}
 		s := r.task.step
@@ -177,6 +184,17 @@
 	}
 }
 
+// moveOut stops a long-running task on a draining worker for which only another shard has
+// room, so that it is handed over before the worker is gone. The rooms of other shards are
+// known late, so one task moves after the other.
+func (p *Planner) moveOut(now time.Time, r *run) {
+	if !r.task.step.LongRunning || p.options.HasRoom == nil || now.Sub(p.movedOutAt) < moveOutInterval || !p.options.HasRoom(r.task.step.reserved()) {
+		return
+	}
+	p.movedOutAt = now
+	p.stop(now, r, "worker leaves, another shard has room")
+}
+
 // remainingTime estimates how long a run takes to finish, from its progress and
 // the estimate of its step.
 func (p *Planner) remainingTime(r *run) time.Duration {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -73,6 +73,9 @@
 	PredecessorLeaseEnd time.Time
 	// WallTime converts a time on the planner's clock to wall-clock time.
 	WallTime func(time.Time) time.Time
+	// HasRoom reports whether another shard has room for a long-running task; nil if
+	// there is only one shard.
+	HasRoom func(need Resources) bool
 	// OnDecision, if not nil, receives each decision.
 	OnDecision func(Decision)
 }
@@ -136,6 +139,9 @@
 	headroom     headroom
 	// disconnections holds when workers with runs disconnected lately.
 	disconnections []disconnection
+	// movedOutAt is when a task on a draining worker was last stopped in order to be
+	// handed over.
+	movedOutAt time.Time
 	// startLimit is how many starts a plan may decide, and startsLeft how many the
 	// present one still may.
 	startLimit, startsLeft int
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -25,6 +25,8 @@
 	unprovenFor time.Duration
 	// decisionCounts counts the decisions by event.
 	decisionCounts map[string]int
+	// hasRoom is set while another shard has room for any task.
+	hasRoom *bool
 }
 
 func (d *driver) proven() time.Time { return d.now.Add(-d.unprovenFor) }
@@ -33,14 +35,15 @@
 
 func newDriver(t *testing.T, epoch int64, workers ...planner.Worker) *driver {
 	c := quicktest.New(t)
-	decisionCounts := map[string]int{}
+	decisionCounts, hasRoom := map[string]int{}, new(bool)
 	p, err := planner.New(planner.Options{
 		OnDecision: func(d planner.Decision) { decisionCounts[d.Event]++ },
+		HasRoom:    func(planner.Resources) bool { return *hasRoom },
 		Epoch:      epoch, Horizon: 7 * time.Second, ViolationLimit: 4 * time.Second, Retention: time.Minute,
 		PredecessorLeaseEnd: origin.Add(13 * time.Second), WallTime: func(t time.Time) time.Time { return t },
 	})
 	c.Assert(err, quicktest.IsNil)
-	return &driver{c, p, origin, map[string][]planner.RunStatus{}, workers, map[string][]planner.RunEnd{}, 0, decisionCounts}
+	return &driver{c, p, origin, map[string][]planner.RunStatus{}, workers, map[string][]planner.RunEnd{}, 0, decisionCounts, hasRoom}
 }
 
 // registerWorkers makes the workers known and recorded, and polls each of them.
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -336,9 +336,11 @@
 	listedAt time.Time
 	// answeredAt is when the worker last answered any call, and failedSince is
 	// when calls began to go unanswered.
-	answeredAt    time.Time
-	failedSince   time.Time
-	drainingSince time.Time
+	answeredAt  time.Time
+	failedSince time.Time
+	// drainingSince is when the worker announced that it leaves, and leavesAt until
+	// when it stays at least, by its latest announcement.
+	drainingSince, leavesAt time.Time
 	// disconnectedAt is when the first of the unanswered calls failed because the
 	// worker closed or refused the connection. It is zero if the worker is silent,
 	// and once a poll has shown that the process is alive. isCrashRecorded is set
@@ -389,6 +391,15 @@
 	w.unacknowledgedEnds = w.unacknowledgedEnds[n:]
 }
 
+// LeavesAt returns the time from which the worker may be gone, because it has announced
+// that it leaves; zero if it has not.
+func (w *Worker) LeavesAt() time.Time {
+	if !w.Draining {
+		return time.Time{}
+	}
+	return w.leavesAt
+}
+
 // isProved reports whether the worker's process has answered a poll of this
 // owner.
 func (w *Worker) isProved() bool { return w.process == "proved" }
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -76,6 +76,9 @@
 		if n.Draining && !w.Draining {
 			p.reportWorker("worker_draining", w, n.Remaining.String())
 		}
+		if n.Draining && (!w.Draining || n.Remaining != w.Remaining) {
+			w.leavesAt = now.Add(n.Remaining)
+		}
 		w.Draining, w.Remaining = n.Draining, n.Remaining
 		if w.Draining && w.drainingSince.IsZero() {
 			w.drainingSince = now
--- a/internal/sharder/chooser.go
+++ b/internal/sharder/chooser.go
@@ -139,6 +139,18 @@
 	return shard, tasks
 }
 
+// HasRoom reports whether a shard other than from has room for a long-running task.
+func (c *Chooser) HasRoom(from int, need planner.Resources) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n, r := range c.rooms {
+		if n != from && r.Largest.Fits(need) && r.Spare >= need.CPU {
+			return true
+		}
+	}
+	return false
+}
+
 // chooseByWorkers spreads ids in proportion to the workers of the shards.
 func (c *Chooser) chooseByWorkers(id string) int {
 	total := 0
