--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -10,6 +10,7 @@
 	_ "embed"
 	"fmt"
 	"net/netip"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -237,6 +238,7 @@
 	// handovers counts handovers of tasks to other shards.
 	handovers *prometheus.CounterVec
 	isOwner   prometheus.Gauge
+	panics    prometheus.Counter
 	jobs      *prometheus.GaugeVec
 }
 
@@ -256,6 +258,7 @@
 			commits:   factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_commits_total", Help: "Commits of progress by outcome."}, []string{"outcome"}),
 			decisions: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_decisions_total", Help: "Decisions of the planner by event, such as start or worker_lost."}, []string{"event"}),
 			handovers: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_handovers_total", Help: "Handovers of tasks to other shards by outcome."}, []string{"outcome"}),
+			panics:    factory.NewCounter(prometheus.CounterOpts{Name: "tarragonhead_shard_panics_total", Help: "Panics after which the shard was given up."}),
 			isOwner:   factory.NewGauge(prometheus.GaugeOpts{Name: "tarragonhead_shard_owner", Help: "1 while this daemon owns the shard."}),
 			jobs:      factory.NewGaugeVec(prometheus.GaugeOpts{Name: "tarragonhead_planned", Help: "What the owner has planned, by kind."}, []string{"kind"}),
 		},
@@ -275,10 +278,10 @@
 			c.shutDown()
 			return
 		case f := <-c.callbacks:
-			f()
+			c.protect(f)
 			c.runPendingCallbacks()
 		case <-c.inbox.filled:
-			c.applyInbox()
+			c.protect(c.applyInbox)
 		case <-timer.C:
 		}
 		now := c.options.Now()
@@ -286,7 +289,7 @@
 			timer.Reset(wait)
 			continue
 		}
-		c.step(ctx)
+		c.protect(func() { c.step(ctx) })
 		after := c.options.Now()
 		c.nextStepAt = after.Add(max(minPlanInterval, min(maxPause, pauseFactor*after.Sub(now))))
 		next := idleInterval
@@ -297,13 +300,27 @@
 	}
 }
 
+// protect calls f, and gives the shard up if f panics: its state may be inconsistent then,
+// and a record that causes a panic must not end the process, which also serves clients and
+// may own other shards.
+func (c *Conductor) protect(f func()) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.metrics.panics.Inc()
+			c.options.Log.Error().Str("shard", c.options.Shard).Any("cause", cause).Str("stack", string(debug.Stack())).Msg("conductor: panicked")
+			c.loseOwnership("the control goroutine panicked")
+		}
+	}()
+	f()
+}
+
 // runPendingCallbacks runs the callbacks that have arrived meanwhile, so that
 // one plan covers all of them.
 func (c *Conductor) runPendingCallbacks() {
 	for range callbackBuffer {
 		select {
 		case f := <-c.callbacks:
-			f()
+			c.protect(f)
 		default:
 			return
 		}
