Suspect a run whose start is answered just before its worker crashes

Cause: a confirmed start counts from the moment at which its answer is applied.

Change: whether a run was there at the crash follows from when its start was decided.

Test: TestCrashBeforeAnswerIsApplied failed before.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -120,13 +120,22 @@
 // isPrompt reports whether this owner had just started a run on the worker when that
 // disconnected.
 func (w *Worker) isPrompt(r *run) bool {
-	age := w.disconnectedAt.Sub(r.startedAt)
-	if w.disconnectedAt.IsZero() || age < 0 {
+	if w.disconnectedAt.IsZero() {
+		return false
+	}
+	age, ok := r.ageAt(w.disconnectedAt)
+	if !ok {
 		return false
 	}
 	return !r.isListed && age <= unlistedAge || r.isAnswered && age <= promptAge
 }
 
+// ageAt returns the age of the run when its worker crashed, and false if its start was
+// decided later. The answer to a start may be applied after the disconnection.
+func (r *run) ageAt(crash time.Time) (time.Duration, bool) {
+	return max(0, crash.Sub(r.startedAt)), !r.decidedAt.After(crash)
+}
+
 // hasCommonCause reports whether several workers disconnected at the time, most of
 // them without a run that had just started.
 func (p *Planner) hasCommonCause(at time.Time) bool {
@@ -148,7 +157,8 @@
 func suspects(runs []*run, crashedAt time.Time) []*run {
 	startedWithin := func(age time.Duration) []*run {
 		return slices.DeleteFunc(slices.Clone(runs), func(r *run) bool {
-			return r.startedAt.After(crashedAt) || crashedAt.Sub(r.startedAt) > age
+			at, ok := r.ageAt(crashedAt)
+			return !ok || at > age
 		})
 	}
 	if recent := startedWithin(suspicionAge); len(recent) > 0 {
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -441,3 +441,40 @@
 	state, _ := f.p.JobState("1")
 	f.Assert(state, quicktest.Equals, planner.Done)
 }
+
+// TestCrashBeforeAnswerIsApplied guards against a task that crashes its worker and isn't
+// suspected, because the answer to its start is applied after the disconnection.
+func TestCrashBeforeAnswerIsApplied(t *testing.T) {
+	for name, tt := range map[string]struct {
+		// decidedLater is set if the start was decided after the disconnection.
+		decidedLater bool
+		want         int
+	}{"answered before the crash": {false, 1}, "decided after it": {true, 0}} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+			d.add(longRunningJob("other", 1, 1))
+			d.startTasks()
+			d.poll("a")
+			d.advance(10 * time.Second)
+			d.poll("a")
+			disconnect := func() {
+				d.advance(time.Millisecond)
+				d.p.Disconnected(d.now, "a")
+				d.advance(time.Millisecond)
+			}
+			if tt.decidedLater {
+				disconnect()
+			}
+			d.add(job("1", step(1, 1)))
+			starts := d.p.Plan(d.now, d.proven())
+			d.Assert(starts, quicktest.HasLen, 1)
+			if !tt.decidedLater {
+				disconnect()
+			}
+			d.p.StartAnswered(d.now, starts[0].Run, "a", planner.Started, "")
+			d.advance(100 * time.Millisecond)
+			d.p.Plan(d.now, d.proven())
+			d.Assert(d.decisionCounts["suspected"], quicktest.Equals, tt.want)
+		})
+	}
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -205,7 +205,7 @@
 		}
 		return nil
 	}
-	r := &run{id: id, task: t, worker: w, state: p.chart.Start(), startedAt: now, isListed: true, progressAt: now, pace: 100, targetPace: 100}
+	r := &run{id: id, task: t, worker: w, state: p.chart.Start(), startedAt: now, decidedAt: now, isListed: true, progressAt: now, pace: 100, targetPace: 100}
 	p.transition(r, "confirm")
 	w.addRun(r)
 	t.attempt = max(t.attempt, id.Attempt)
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -410,7 +410,7 @@
 func (p *Planner) startRun(now time.Time, t *task, w *Worker, attempt int) {
 	p.startsLeft--
 	t.attempt = attempt
-	r := &run{id: RunID{t.id, attempt}, task: t, worker: w, state: p.chart.Start(), startedAt: now, pace: 100, targetPace: 100}
+	r := &run{id: RunID{t.id, attempt}, task: t, worker: w, state: p.chart.Start(), startedAt: now, decidedAt: now, pace: 100, targetPace: 100}
 	if t.step.BestEffort && now.Sub(t.readyAt) > ignoreHarmAfter && !t.readyAt.IsZero() {
 		if harm := p.interference.harm(now, w, t.step, float64(t.step.Need.CPU)/1000); harm > relaxedHarmLimit {
 			r.targetPace, r.pace = minPace, minPace
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -164,6 +164,9 @@
 	// startedAt is when the start was sent or confirmed, or when a run of an
 	// earlier owner was first listed.
 	startedAt time.Time
+	// decidedAt is when the start was decided, or when a run of an earlier owner was
+	// first listed.
+	decidedAt time.Time
 	// isListed is set once the worker's process has listed the run. The start of
 	// any other run may still be under way.
 	isListed bool
