--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -423,11 +423,25 @@
 			r.task.avoidedWorkers = append(r.task.avoidedWorkers, w.ID)
 		}
 		p.endRun(r, "refuse", "start refused: "+reason)
+		p.stopGang(now, r.task.step)
 	case Unclear:
 		p.stop(now, r, "start without an answer")
 	}
 }
 
+// stopGang stops the runs of a gang of which a member doesn't start, since the others would
+// wait for it in vain.
+func (p *Planner) stopGang(now time.Time, s *step) {
+	if !s.Gang {
+		return
+	}
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			p.stop(now, r, "a member of the gang doesn't start")
+		}
+	}
+}
+
 // IsStarting reports whether the start of a run on a worker is still wanted and not
 // answered yet.
 func (p *Planner) IsStarting(id RunID, workerID string) bool {
