--- a/standins/overloader/link.go
+++ b/standins/overloader/link.go
@@ -29,6 +29,8 @@
 	up, down time.Time
 	// unanswered counts the calls that ended before their answers.
 	unanswered int
+	// calls and bytes count the calls and what passed in both directions.
+	calls, bytes int
 }
 
 func newLink(rate float64) *link {
@@ -42,6 +44,7 @@
 		*busyUntil = now
 	}
 	*busyUntil = busyUntil.Add(l.observed.Transfer(bytes))
+	l.bytes += bytes
 	at := *busyUntil
 	l.mu.Unlock()
 	time.Sleep(time.Until(at) + latency)
@@ -50,6 +53,9 @@
 // call carries a request and its answer, the size of which execute returns. A call that is
 // not answered in time may still be executed.
 func (l *link) call(ctx context.Context, bytes int, execute func() int) error {
+	l.mu.Lock()
+	l.calls++
+	l.mu.Unlock()
 	answered := make(chan struct{})
 	go func() {
 		l.pass(&l.up, bytes)
@@ -76,6 +82,12 @@
 	return l.unanswered
 }
 
+func (l *link) traffic() (calls, bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls, l.bytes
+}
+
 // store returns a store's operations over the link.
 func (l *link) store(p storeclient.PrefixStore) storeclient.PrefixStore {
 	get, keepAlive, transact := p.Get, p.KeepAlive, p.Transact
--- a/standins/overloader/overloader.go
+++ b/standins/overloader/overloader.go
@@ -50,6 +50,9 @@
 	// UnansweredLater is the number of calls that were not answered later than
 	// recoveryTime after the load.
 	UnansweredLater int
+	// Calls and Bytes count the calls of the owner, to workers and the store, and what
+	// they moved in both directions, in the last half of the load.
+	Calls, Bytes int
 	// HasOwnerChanged is set if the shard got a new owner.
 	HasOwnerChanged bool
 }
@@ -82,7 +85,7 @@
 		return Result{}, err
 	}
 	var r Result
-	if r.Ended, err = p.submit(); err != nil {
+	if err := p.submit(&r); err != nil {
 		return Result{}, err
 	}
 	time.Sleep(recoveryTime)
@@ -99,7 +102,7 @@
 	var list []planner.Worker
 	for n := range p.options.Workers {
 		w := planner.Worker{
-			ID: fmt.Sprintf("w%02d", n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1), Service: "service",
+			ID: fmt.Sprintf("w%03d", n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 1), Service: "service",
 			Domain: "domain", Rack: "rack", Capacity: planner.Resources{CPU: 64000, Memory: 100_000},
 		}
 		list, p.workers[w.ID] = append(list, w), newWorker(taskTime)
@@ -120,19 +123,18 @@
 	return owner, err
 }
 
-// submit stores jobs for the time of the load, and returns how many runs ended in its last
-// half.
-func (p *play) submit() (int, error) {
-	ended := func() int {
-		n := 0
+// submit stores jobs for the time of the load, and counts what happens in its last half.
+func (p *play) submit(r *Result) error {
+	count := func() (ended, calls, bytes int) {
 		for _, w := range p.workers {
-			n += w.ended()
+			ended += w.ended()
 		}
-		return n
+		calls, bytes = p.link.traffic()
+		return ended, calls, bytes
 	}
 	interval := time.Second * tasksPerJob / time.Duration(p.options.TasksPerSecond)
 	payload := string(make([]byte, payloadBytes))
-	atHalf := -1
+	isHalf := false
 	for began, n := time.Now(), 0; time.Since(began) < p.options.Load; n++ {
 		j := planner.Job{
 			ID: fmt.Sprintf("%016x", n), Queue: planner.Queue{Name: "queue", Service: "service", Attempts: 2, Stretch: 2, Slack: time.Second},
@@ -141,15 +143,18 @@
 		}
 		value, err := planner.Encode(j)
 		if err != nil {
-			return 0, err
+			return err
 		}
 		p.keeper.Put(conductor.JobKey(shard, j.ID), value)
-		if atHalf < 0 && time.Since(began) > p.options.Load/2 {
-			atHalf = ended()
+		if !isHalf && time.Since(began) > p.options.Load/2 {
+			isHalf = true
+			r.Ended, r.Calls, r.Bytes = count()
 		}
 		time.Sleep(interval)
 	}
-	return ended() - atHalf, nil
+	ended, calls, bytes := count()
+	r.Ended, r.Calls, r.Bytes = ended-r.Ended, calls-r.Calls, bytes-r.Bytes
+	return nil
 }
 
 // revisionOfHead returns the revision of the shard's head, which changes with its owner.
