--- a/standins/overloader/link.go
+++ b/standins/overloader/link.go
@@ -50,29 +50,29 @@
 	time.Sleep(time.Until(at) + latency)
 }
 
-// call carries a request and its answer, the size of which execute returns. A call that is
-// not answered in time may still be executed.
-func (l *link) call(ctx context.Context, bytes int, execute func() int) error {
+// call carries a request over a link, and its answer, of which execute returns the content
+// and the size. A call that is not answered in time may still be executed.
+func call[T any](ctx context.Context, l *link, bytes int, execute func() (T, int)) (content T, lost error) {
 	l.mu.Lock()
 	l.calls++
 	l.mu.Unlock()
-	answered := make(chan struct{})
+	answered := make(chan T, 1)
 	go func() {
 		l.pass(&l.up, bytes)
 		l.observed.Add(bytes, 0)
-		n := execute()
+		content, n := execute()
 		l.pass(&l.down, n)
 		l.observed.Add(0, n)
-		close(answered)
+		answered <- content
 	}()
 	select {
-	case <-answered:
-		return nil
+	case content = <-answered:
+		return content, nil
 	case <-ctx.Done():
 		l.mu.Lock()
 		l.unanswered++
 		l.mu.Unlock()
-		return ctx.Err()
+		return content, ctx.Err()
 	}
 }
 
@@ -94,39 +94,43 @@
 	unavailable := func(op string, err error) error {
 		return &storeclient.UnavailableError{Op: op, MayHaveApplied: true, Err: err}
 	}
-	p.Get = func(ctx context.Context, key string) (e storeclient.Entry, err error) {
-		lost := l.call(ctx, requestBytes, func() int {
-			e, err = get(ctx, key)
-			return answerBytes + len(e.Value)
+	p.Get = func(ctx context.Context, key string) (storeclient.Entry, error) {
+		a, lost := call(ctx, l, requestBytes, func() (storeAnswer, int) {
+			e, err := get(ctx, key)
+			return storeAnswer{entry: e, err: err}, answerBytes + len(e.Value)
 		})
 		if lost != nil {
 			return storeclient.Entry{}, unavailable("get", lost)
 		}
-		return e, err
+		return a.entry, a.err
 	}
-	p.KeepAlive = func(ctx context.Context, id storeclient.LeaseID) (err error) {
-		lost := l.call(ctx, requestBytes, func() int {
-			err = keepAlive(ctx, id)
-			return answerBytes
-		})
+	p.KeepAlive = func(ctx context.Context, id storeclient.LeaseID) error {
+		err, lost := call(ctx, l, requestBytes, func() (error, int) { return keepAlive(ctx, id), answerBytes })
 		if lost != nil {
 			return unavailable("keep", lost)
 		}
 		return err
 	}
-	p.Transact = func(ctx context.Context, t storeclient.Transaction) (revision uint64, err error) {
+	p.Transact = func(ctx context.Context, t storeclient.Transaction) (uint64, error) {
 		bytes := requestBytes
 		for _, w := range t.Writes {
 			bytes += len(w.Value) * 4 / 3
 		}
-		lost := l.call(ctx, bytes, func() int {
-			revision, err = transact(ctx, t)
-			return answerBytes
+		a, lost := call(ctx, l, bytes, func() (storeAnswer, int) {
+			revision, err := transact(ctx, t)
+			return storeAnswer{revision: revision, err: err}, answerBytes
 		})
 		if lost != nil {
 			return 0, unavailable("transact", lost)
 		}
-		return revision, err
+		return a.revision, a.err
 	}
 	return p
 }
+
+// storeAnswer is what an operation of the store returns.
+type storeAnswer struct {
+	entry    storeclient.Entry
+	revision uint64
+	err      error
+}
--- a/standins/overloader/worker.go
+++ b/standins/overloader/worker.go
@@ -86,11 +86,8 @@
 
 // callWorkers returns the calls to workers, by id, over the link.
 func (l *link) callWorkers(all map[string]*worker) conductor.WorkerCalls {
-	order := func(ctx context.Context, bytes int, execute func() error) (err error) {
-		lost := l.call(ctx, bytes, func() int {
-			err = execute()
-			return answerBytes
-		})
+	order := func(ctx context.Context, bytes int, execute func() error) error {
+		err, lost := call(ctx, l, bytes, func() (error, int) { return execute(), answerBytes })
 		if lost != nil {
 			return lost
 		}
@@ -109,20 +106,15 @@
 		Pace: func(ctx context.Context, _ planner.Worker, _ conductor.PaceOrder) error {
 			return order(ctx, requestBytes, func() error { return nil })
 		},
-		Poll: func(ctx context.Context, w planner.Worker, o conductor.PollOrder) (a conductor.PollAnswer, err error) {
-			err = l.call(ctx, requestBytes, func() int {
+		Poll: func(ctx context.Context, w planner.Worker, o conductor.PollOrder) (conductor.PollAnswer, error) {
+			return call(ctx, l, requestBytes, func() (conductor.PollAnswer, int) {
 				for end := time.Now().Add(o.Wait); ; time.Sleep(pollStep) {
 					list, hasEnd := all[w.ID].list(o.Acknowledge)
 					if hasEnd || !time.Now().Before(end) {
-						a = list
-						return answerBytes + rowBytes*(len(a.Running)+len(a.Ended))
+						return list, answerBytes + rowBytes*(len(list.Running)+len(list.Ended))
 					}
 				}
 			})
-			if err != nil {
-				return conductor.PollAnswer{}, err
-			}
-			return a, nil
 		},
 	}
 }
