--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -148,9 +149,18 @@
 		}
 	}
 	w.record.printf("state %s, %d starts, %d runs ended failed, %d crashes", state, len(starts), failed, crashes.Load())
+	// The same work under another id tells whether it can be done.
+	again := "00000000000000d2"
+	if status := w.submit(w.instances[1], again, body); status != http.StatusOK {
+		return "", fmt.Errorf("not accepted: %d", status)
+	}
+	time.Sleep(8 * time.Second)
+	runs := w.state(w.instances[0], again) == "running" && len(w.startsOf(again)) == 1
 	switch {
+	case !runs:
+		return "", errors.New("the same work under another id doesn't run")
 	case state == "failed" && failed == 0:
-		return "LOST: a job that lasts is shown as failed, and none of its runs has ended failed", nil
+		return "LOST: a job that lasts is shown as failed, and none of its runs has ended failed; the same work under another id runs", nil
 	case state != "running":
 		return "", fmt.Errorf("state %q", state)
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,6 +10,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 var cases = map[string]func(w *world, trouble bool) (string, error){
@@ -29,6 +31,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		w.close()
+		os.Exit(2)
+	}()
 	broken, err := cases[os.Args[1]](w, os.Getenv("TROUBLE") != "0")
 	w.close()
 	switch {
