Keep a job cancelled that is accepted by a late transaction

Cause: receiver.Cancel read the index of accepted jobs and took the absence of the job for proof that there was nothing to cancel. A transaction without an answer is carried out later if its conditions still hold, and nothing made the condition of the accepting one fail. The same holds for a transaction of a peer that was asked to store the job, and for a submission that is repeated after the cancellation.

Change: such a cancellation writes a tombstone, under the condition that the job is not in the index, into one of 256 entries chosen by the job's id. Each transaction that accepts a job expects the revision of the entry for its id, so one of the two fails, whichever comes first; and a submission looks at the tombstones before it writes. GET and DELETE then answer 410 and POST 503 at every instance. Entries are bounded, and so is the rate of their writes. No stored record changes its form.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
+	"golang.org/x/time/rate"
 
 	"tarragonhead.example/tarragonhead/internal/conductor"
 	"tarragonhead.example/tarragonhead/internal/planner"
@@ -70,6 +71,11 @@
 	// Registry receives the metrics.
 	Registry prometheus.Registerer
 	Now      func() time.Time
+	// WallNow returns the wall-clock time.
+	WallNow func() time.Time
+	// Retention is how long a job stays cancelled that was cancelled before it was
+	// accepted.
+	Retention time.Duration
 }
 
 // Receiver accepts jobs and answers questions about them. It is safe for
@@ -81,6 +87,8 @@
 	// unansweredSince is when the store started to leave every call without an
 	// answer, in nanoseconds on the clock of Now; zero while it answers.
 	unansweredSince atomic.Int64
+	buckets         bucketCache
+	tombstoneLimit  *rate.Limiter
 	outcomes        *prometheus.CounterVec
 	latency         *prometheus.HistogramVec
 
@@ -94,6 +102,7 @@
 	factory := promauto.With(o.Registry)
 	return &Receiver{
 		options: o, shardByJob: newShardCache(), relayFailedAt: map[netip.AddrPort]time.Time{},
+		buckets: bucketCache{byKey: map[string]bucket{}}, tombstoneLimit: newTombstoneLimit(),
 		outcomes: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_submissions_total", Help: "Submissions by outcome."}, []string{"outcome"}),
 		latency:  factory.NewHistogramVec(prometheus.HistogramOpts{Name: "tarragonhead_client_seconds", Help: "Time until a client's call was answered, by call.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 13)}, []string{"call"}),
 	}
@@ -137,7 +146,7 @@
 func (e *UnknownJobError) Error() string { return "no job " + e.Job }
 
 // Submit stores a job; the job is accepted if the error is nil. Errors are
-// JobError, RefusedError and UndecidedError.
+// JobError, RefusedError, CancelledError and UndecidedError.
 func (r *Receiver) Submit(ctx context.Context, j planner.Job) error {
 	began := r.options.Now()
 	err := r.submit(ctx, j)
@@ -145,10 +154,13 @@
 	r.latency.WithLabelValues("submit").Observe(took.Seconds())
 	outcome := "accepted"
 	var refused *RefusedError
+	var cancelled *CancelledError
 	var undecided *UndecidedError
 	switch {
 	case errors.As(err, &refused):
 		outcome = "refused"
+	case errors.As(err, &cancelled):
+		outcome = "cancelled"
 	case errors.As(err, &undecided):
 		outcome = "undecided"
 	case err != nil:
@@ -197,23 +209,40 @@
 }
 
 // Store writes a job to the store, for a client or for a peer that doesn't
-// reach the store. Errors are RefusedError and UndecidedError.
+// reach the store. Errors are RefusedError, CancelledError and UndecidedError.
 func (r *Receiver) Store(ctx context.Context, j planner.Job) error {
 	value, err := planner.Encode(j)
 	if err != nil {
 		return &RefusedError{Reason: err.Error()}
 	}
-	index := storeclient.Expectation{Key: conductor.IndexKey(j.ID)}
+	index, tombstones := conductor.IndexKey(j.ID), bucketKey(j.ID)
 	shard := sharder.Name(r.options.Choose(j.ID, sharder.DemandOf(j)))
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err = r.options.Store.Transact(bounded, storeclient.Transaction{
-		Expect: []storeclient.Expectation{index},
-		Writes: []storeclient.Write{
-			{Key: index.Key, Value: []byte(shard)},
-			{Key: conductor.JobKey(shard, j.ID), Value: value},
-		},
-	})
+	for bounded.Err() == nil {
+		b := r.buckets.get(tombstones)
+		if err := r.checkNotCancelled(j.ID, b); err != nil {
+			return err
+		}
+		_, err = r.options.Store.Transact(bounded, storeclient.Transaction{
+			Expect: []storeclient.Expectation{{Key: index}, {Key: tombstones, Revision: b.revision}},
+			Writes: []storeclient.Write{
+				{Key: index, Value: []byte(shard)},
+				{Key: conductor.JobKey(shard, j.ID), Value: value},
+			},
+		})
+		var conflict *storeclient.ExpectationError
+		if !errors.As(err, &conflict) || conflict.Revision(index) != 0 {
+			return r.recordStored(j.ID, shard, err)
+		}
+		r.RecordStoreAnswer(true)
+		r.updateBucket(tombstones, conflict)
+	}
+	return &RefusedError{"the tombstones of cancelled jobs change too often", retryAfter}
+}
+
+// recordStored returns the outcome of the transaction that accepts a job.
+func (r *Receiver) recordStored(job, shard string, err error) error {
 	var conflict *storeclient.ExpectationError
 	var refused *storeclient.RefusedError
 	var limited *storeclient.LimitError
@@ -223,7 +252,7 @@
 		// the same job.
 		r.RecordStoreAnswer(true)
 		if err == nil {
-			r.shardByJob.Add(j.ID, shard)
+			r.shardByJob.Add(job, shard)
 		}
 		return nil
 	case errors.As(err, &refused), errors.As(err, &limited):
@@ -261,8 +290,9 @@
 
 // relay has a peer store a job that this daemon could not store. The peer's
 // write has the same expectation, so the job is accepted once, whichever write
-// takes effect. If no peer stores the job, the result is cause, or an
-// UndecidedError if a peer may have stored it.
+// takes effect. If no peer stores the job, the result is cause, a CancelledError if a
+// peer has found that the job is cancelled, or an UndecidedError if a peer may have
+// stored it.
 func (r *Receiver) relay(ctx context.Context, j planner.Job, cause error) error {
 	if cause == nil {
 		return nil
@@ -279,8 +309,12 @@
 			return nil
 		}
 		var refused *RefusedError
+		var cancelled *CancelledError
 		var unreached *UnreachedError
 		switch {
+		case errors.As(err, &cancelled):
+			// A write of this daemon that was sent before can't take effect any more.
+			return &CancelledError{j.ID, r.options.Retention}
 		case errors.As(err, &refused):
 		case errors.As(err, &unreached):
 			r.recordRelayFailure(peer)
@@ -332,7 +366,9 @@
 }
 
 // Cancel cancels a job and returns its state, which is Done or Failed if the
-// job ended before the cancellation.
+// job ended before the cancellation. After an UnknownJobError the job is not accepted
+// later either, not even by a write that was sent before. After a RefusedError the job may
+// still be accepted, or run.
 func (r *Receiver) Cancel(ctx context.Context, id string) (planner.State, error) {
 	return r.askAboutJob(ctx, conductor.Question{Kind: conductor.AskCancel, Job: id})
 }
@@ -348,45 +384,75 @@
 	defer cancel()
 	var cause error
 	for ctx.Err() == nil {
+		state, err := r.askOnce(ctx, q)
 		var unknown *UnknownJobError
-		var err error
-		if q.Shard, err = r.shardOf(ctx, q.Job); errors.As(err, &unknown) {
+		var refused *RefusedError
+		switch {
+		case err == nil:
+			r.options.Log.Info().Str("job", q.Job).Str("question", string(q.Kind)).Str("state", string(state)).Msg("receiver: answered")
+			return state, nil
+		case errors.As(err, &unknown):
+			r.options.Log.Info().Str("job", q.Job).Str("question", string(q.Kind)).Msg("receiver: no such job")
+			return "", err
+		case errors.As(err, &refused):
+			r.options.Log.Warn().Str("job", q.Job).Str("question", string(q.Kind)).Err(err).Msg("receiver: refused")
 			return "", err
-		}
-		if err != nil {
-			cause = err
-			waiter.Wait(ctx, askRetryDelay)
-			continue
-		}
-		reply, err := r.askOwner(ctx, q)
-		if err == nil && reply.Answer.Known {
-			r.options.Log.Info().Str("job", q.Job).Str("question", string(q.Kind)).Str("state", string(reply.Answer.State)).Msg("receiver: answered")
-			return reply.Answer.State, nil
 		}
 		cause = err
-		if err == nil {
-			// The owner may not have read the job yet, so the store decides
-			// whether it exists.
-			shard, err := r.readShard(ctx, q.Job)
-			switch {
-			case errors.As(err, &unknown):
-				r.options.Log.Info().Str("job", q.Job).Str("question", string(q.Kind)).Msg("receiver: no such job")
-				return "", err
-			case err != nil:
-				cause = err
-			case shard != q.Shard && r.options.Shards > 1:
-				// The cached shard was that of an earlier job with this id.
-				continue
-			case q.Kind == conductor.AskState:
-				return planner.Queued, nil
-			}
-		}
 		waiter.Wait(ctx, askRetryDelay)
 	}
 	r.options.Log.Warn().Str("job", q.Job).Str("question", string(q.Kind)).AnErr("cause", cause).Msg("receiver: not answered")
 	return "", &RefusedError{"the owner of the shard can't be reached", retryAfter}
 }
 
+// unreadJobError reports an accepted job that the owner of its shard has not read yet, or
+// whose shard this daemon has only just read.
+type unreadJobError struct{ Job string }
+
+func (e *unreadJobError) Error() string {
+	return "job " + e.Job + " is accepted, but not known to an owner yet"
+}
+
+// askOnce asks a question about a job once. After a RefusedError or an UnknownJobError it
+// must not be repeated.
+func (r *Receiver) askOnce(ctx context.Context, q conductor.Question) (planner.State, error) {
+	var err error
+	if q.Shard, err = r.shardOf(ctx, q.Job); err != nil {
+		return "", r.confirmUnknown(ctx, q, err)
+	}
+	reply, err := r.askOwner(ctx, q)
+	if err != nil {
+		return "", err
+	}
+	if reply.Answer.Known {
+		return reply.Answer.State, nil
+	}
+	// The owner may not have read the job yet, so the store decides whether it exists.
+	shard, err := r.readShard(ctx, q.Job)
+	switch {
+	case err != nil:
+		return "", r.confirmUnknown(ctx, q, err)
+	case q.Kind == conductor.AskState && (shard == q.Shard || r.options.Shards == 1):
+		return planner.Queued, nil
+	}
+	// The cached shard may have been that of an earlier job with this id.
+	return "", &unreadJobError{q.Job}
+}
+
+// confirmUnknown returns err. If it says that there is no job to cancel, confirmUnknown
+// first keeps the job from being accepted later, because a write that accepts it may still
+// be on its way.
+func (r *Receiver) confirmUnknown(ctx context.Context, q conductor.Question, err error) error {
+	var unknown *UnknownJobError
+	if q.Kind != conductor.AskCancel || !errors.As(err, &unknown) {
+		return err
+	}
+	if cancelErr := r.cancelUnaccepted(ctx, q.Job); cancelErr != nil {
+		return cancelErr
+	}
+	return err
+}
+
 // Pending returns how many accepted jobs of a queue have no started task.
 func (r *Receiver) Pending(ctx context.Context, queue string) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -21,6 +21,9 @@
 	// the client tries to cancel the job. refused is set while every response to
 	// the submission was a definite refusal, so that the job must never run.
 	accepted, cancelled, refused bool
+	// isGone is set once the cancellation was answered with 410: the job must not run from
+	// then on.
+	isGone bool
 	// isReportedDone and isReportedFailed are set once a client has received the
 	// state "done" or "failed".
 	isReportedDone, isReportedFailed bool
@@ -179,6 +182,9 @@
 	if j.refused {
 		c.fail("refused: %s is started, but every submission of its job was refused", e.Task)
 	}
+	if j.isGone {
+		c.fail("unrequested: %s is started, but its cancellation was answered with 410%s", e.Task, describeOrigin(e))
+	}
 	step, err := strconv.Atoi(parts[2])
 	if err != nil || step >= len(j.taskCounts) {
 		c.fail("unrequested: %s is started, but its job has no such step", e.Task)
@@ -207,6 +213,16 @@
 	change(j)
 }
 
+// checkGone checks and records that the cancellation of a job was answered with 410.
+func (c *checker) checkGone(j *job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j.isGone = true
+	if j.accepted {
+		c.fail("lost: %s was accepted, and its cancellation was answered with 410", j.id)
+	}
+}
+
 // checkState checks the status and the state that a client received for a job.
 func (c *checker) checkState(j *job, status int, state string) {
 	c.mu.Lock()
--- a/standins/soaker/checker_test.go
+++ b/standins/soaker/checker_test.go
@@ -112,9 +112,15 @@
 			c.checkState(j, 200, "failed")
 			c.checkFinalState()
 		}, ""},
-		"order":                   {func(c *checker, _ *job) { c.observe(event("v", "a.0.1.0", 1, "start")) }, "order"},
-		"unknown job":             {func(c *checker, _ *job) { c.observe(event("v", "b.0.0.0", 1, "start")) }, "unrequested"},
-		"refused":                 {func(c *checker, j *job) { j.refused = true; c.observe(event("v", "a.0.0.0", 1, "start")) }, "refused"},
+		"order":       {func(c *checker, _ *job) { c.observe(event("v", "a.0.1.0", 1, "start")) }, "order"},
+		"unknown job": {func(c *checker, _ *job) { c.observe(event("v", "b.0.0.0", 1, "start")) }, "unrequested"},
+		"refused":     {func(c *checker, j *job) { j.refused = true; c.observe(event("v", "a.0.0.0", 1, "start")) }, "refused"},
+		"cancelled before it was accepted": {func(c *checker, j *job) {
+			j.accepted = false
+			c.checkGone(j)
+			c.observe(event("v", "a.0.0.0", 1, "start"))
+		}, "unrequested"},
+		"accepted job gone":       {func(c *checker, j *job) { c.checkGone(j) }, "lost"},
 		"accepted job unknown":    {func(c *checker, j *job) { c.checkState(j, 410, "") }, "lost"},
 		"reported done too early": {func(c *checker, j *job) { c.checkState(j, 200, "done") }, "mixed"},
 		"reported failed":         {func(c *checker, j *job) { c.checkState(j, 200, "failed") }, "lost"},
--- a/standins/soaker/client.go
+++ b/standins/soaker/client.go
@@ -19,10 +19,13 @@
 	// callAttempts is how many times a client tries to submit or cancel a job.
 	callAttempts = 6
 	retryDelay   = 150 * time.Millisecond
-	// longRunningShare is the share of the jobs that are long-running, and
-	// cancelShare the share of the accepted jobs that are cancelled.
+	// longRunningShare is the share of the jobs that are long-running, cancelShare the
+	// share of the accepted jobs that are cancelled, and giveUpShare the share of the
+	// submissions that a client gives up, and cancels, after the first call that doesn't
+	// tell whether the job is accepted.
 	longRunningShare = 0.15
 	cancelShare      = 0.2
+	giveUpShare      = 0.5
 )
 
 // client submits jobs one after another. Its calls reuse open connections.
@@ -54,7 +57,7 @@
 		c.soak.checker.addJob(j)
 		c.jobs = append(c.jobs, j)
 		c.submit(j)
-		if j.accepted && c.rng.Float64() < cancelShare {
+		if !j.accepted && !j.refused || j.accepted && c.rng.Float64() < cancelShare {
 			c.cancel(j)
 		}
 		c.poll(c.jobs[c.rng.IntN(len(c.jobs))])
@@ -93,10 +96,11 @@
 	return string(data)
 }
 
-// submit submits a job, and retries with the same id until the job is accepted or
-// callAttempts are used up.
+// submit submits a job, and retries with the same id until the job is accepted,
+// callAttempts are used up or the client gives up.
 func (c *client) submit(j *job) {
 	mayBeAccepted := false
+	givesUp := c.rng.Float64() < giveUpShare
 	for range callAttempts {
 		c.soak.checker.update(j, func(j *job) { j.refused = false })
 		status, _ := c.call(fasthttp.MethodPost, j.id, encodeJob(j))
@@ -108,6 +112,9 @@
 			mayBeAccepted = true
 		}
 		c.soak.checker.update(j, func(j *job) { j.refused = !mayBeAccepted })
+		if mayBeAccepted && givesUp {
+			return
+		}
 		time.Sleep(retryDelay)
 	}
 }
@@ -116,7 +123,11 @@
 	for range callAttempts {
 		// From now on the job may be cancelled at any time.
 		c.soak.checker.update(j, func(j *job) { j.cancelled = true })
-		if status, _ := c.call(fasthttp.MethodDelete, j.id, ""); status == fasthttp.StatusOK || status == fasthttp.StatusGone {
+		switch status, _ := c.call(fasthttp.MethodDelete, j.id, ""); status {
+		case fasthttp.StatusGone:
+			c.soak.checker.checkGone(j)
+			return
+		case fasthttp.StatusOK:
 			return
 		}
 		time.Sleep(retryDelay)
