Keep the fraction of a second of times that are stored or sent

No disruption is needed.

Cause: planner.Encode and the calls between instances used the default mode of the CBOR library for times, which keeps whole seconds. An owner reads the job from the store, so every occurrence is due too early for it. Tasks that are handed over on the daemon's own interface lost the fraction in the same way; the committer had a mode of its own that keeps it.

Change: internal/marshaler encodes all records and messages, with exact times, and is the one place that chooses how.

Why it works: the time that is compared with the clock is the one that the client sent, on each way to an owner.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -10,12 +10,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
@@ -375,7 +375,7 @@
 			continue
 		}
 		found = &record{}
-		if err := cbor.Unmarshal(e.Value, found); err != nil {
+		if err := marshaler.Unmarshal(e.Value, found); err != nil {
 			return nil, &UndecidedError{"claim can't be decoded: " + err.Error()}
 		}
 		revision = e.Revision
@@ -395,7 +395,7 @@
 		return nil, 0, err
 	}
 	r := &record{}
-	if err := cbor.Unmarshal(e.Value, r); err != nil {
+	if err := marshaler.Unmarshal(e.Value, r); err != nil {
 		return nil, 0, errors.Wrap(err, "decode claim")
 	}
 	return r, e.Revision, nil
@@ -404,7 +404,7 @@
 // write writes a record under the lease of the current time bucket, and once
 // more under a new lease if that one has ended.
 func (c *Claimer) write(ctx context.Context, claim *Claim, r record, expected uint64) (uint64, error) {
-	value, err := cbor.Marshal(r)
+	value, err := marshaler.Marshal(r)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode claim")
 	}
--- a/internal/committer/codec.go
+++ b/internal/committer/codec.go
@@ -4,6 +4,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 )
 
 // maxDecodedBytes bounds the memory that decoding a corrupt value can
@@ -14,7 +16,6 @@
 var (
 	compressor, _   = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
 	decompressor, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(0), zstd.WithDecoderMaxMemory(maxDecodedBytes))
-	encoding        = must(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode())
 	// Unknown fields are an error. Otherwise a daemon of an older version
 	// would silently drop changes that it doesn't know.
 	decoding = must(cbor.DecOptions{ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode())
@@ -32,7 +33,7 @@
 }
 
 func encode(v any) ([]byte, error) {
-	data, err := encoding.Marshal(v)
+	data, err := marshaler.Marshal(v)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode ledger record or snapshot")
 	}
--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -5,9 +5,9 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/planner"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
@@ -142,7 +142,7 @@
 		return
 	}
 	list := c.planner.Recorded(now)
-	value, err := cbor.Marshal(list)
+	value, err := marshaler.Marshal(list)
 	if err != nil {
 		c.options.Log.Error().Err(err).Msg("conductor: list of workers not encoded")
 		return
@@ -197,7 +197,7 @@
 	room := c.planner.Room(now)
 	c.options.Log.Info().Str("shard", c.options.Shard).Int64("free", room.Free).Int64("spare", room.Spare).Int64("largest", room.Largest.CPU).
 		Int("workers", room.Workers).Msg("conductor: room announced")
-	value, err := cbor.Marshal(room)
+	value, err := marshaler.Marshal(room)
 	if err != nil {
 		c.options.Log.Error().Err(err).Msg("conductor: room not encoded")
 		return
--- a/internal/conductor/keys.go
+++ b/internal/conductor/keys.go
@@ -4,9 +4,9 @@
 	"net/netip"
 	"strings"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/planner"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
@@ -56,7 +56,7 @@
 // DecodeOwner returns the address in an owner's entry.
 func DecodeOwner(value []byte) (netip.AddrPort, error) {
 	var r ownerRecord
-	err := cbor.Unmarshal(value, &r)
+	err := marshaler.Unmarshal(value, &r)
 	return r.Address, errors.Wrap(err, "decode owner record")
 }
 
@@ -64,6 +64,6 @@
 // the name of its shard.
 func DecodeRoom(e storeclient.Entry) (string, planner.Room, error) {
 	var r planner.Room
-	err := cbor.Unmarshal(e.Value, &r)
+	err := marshaler.Unmarshal(e.Value, &r)
 	return strings.TrimPrefix(e.Key, RoomsPrefix), r, errors.Wrap(err, "decode room record")
 }
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -5,10 +5,10 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/follower"
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/planner"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 	"tarragonhead.example/tarragonhead/internal/waiter"
@@ -89,7 +89,7 @@
 	if records.workers.Revision > 0 {
 		c.revisions[c.keys.workers()] = records.workers.Revision
 		var unverified []planner.Worker
-		if err := cbor.Unmarshal(records.workers.Value, &unverified); err != nil {
+		if err := marshaler.Unmarshal(records.workers.Value, &unverified); err != nil {
 			c.options.Log.Error().Err(err).Msg("conductor: list of workers can't be decoded; tasks wait until every earlier lease has expired")
 			p.AddUnknownWorkers()
 			// Some entries may have been decoded in part.
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -6,11 +6,11 @@
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/follower"
 	"tarragonhead.example/tarragonhead/internal/interpreter"
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 	"tarragonhead.example/tarragonhead/internal/waiter"
 )
@@ -122,7 +122,7 @@
 			continue
 		}
 		var r ownerRecord
-		if err := cbor.Unmarshal(e.Value, &r); err != nil {
+		if err := marshaler.Unmarshal(e.Value, &r); err != nil {
 			c.options.Log.Error().Err(err).Msg("conductor: owner record can't be decoded")
 			continue
 		}
@@ -210,7 +210,7 @@
 		return a, err
 	default:
 		revision = entry.Revision
-		if err := cbor.Unmarshal(entry.Value, &head); err != nil {
+		if err := marshaler.Unmarshal(entry.Value, &head); err != nil {
 			return a, errors.Wrap(err, "decode head record")
 		}
 	}
@@ -226,11 +226,11 @@
 	}
 	a.grantedAt = c.options.Now()
 	a.epoch = head.Epoch + 1
-	headValue, err := cbor.Marshal(headRecord{a.epoch})
+	headValue, err := marshaler.Marshal(headRecord{a.epoch})
 	if err != nil {
 		return a, errors.Wrap(err, "encode head record")
 	}
-	ownerValue, err := cbor.Marshal(ownerRecord{c.options.Self, c.options.Address, a.epoch})
+	ownerValue, err := marshaler.Marshal(ownerRecord{c.options.Self, c.options.Address, a.epoch})
 	if err != nil {
 		return a, errors.Wrap(err, "encode owner record")
 	}
@@ -360,7 +360,7 @@
 
 // renewOwnerEntry writes the owner's entry again under a new lease.
 func (c *Conductor) renewOwnerEntry(ctx context.Context, epoch int64, head uint64) (storeclient.LeaseID, error) {
-	value, err := cbor.Marshal(ownerRecord{c.options.Self, c.options.Address, epoch})
+	value, err := marshaler.Marshal(ownerRecord{c.options.Self, c.options.Address, epoch})
 	if err != nil {
 		return 0, errors.Wrap(err, "encode owner record")
 	}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/messenger"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 )
@@ -69,7 +69,7 @@
 func (o *owner) sendTotals(ctx context.Context, c scheduler.ReportTotals) error {
 	totals := scheduler.TotalsReported{JobID: c.JobID, Counts: c.Counts}
 	if err := o.sendReport(ctx, c.ToShard, scheduler.Event{Totals: &totals}, func(r *messenger.ShardReport) (err error) {
-		r.Totals, err = cbor.Marshal(totals)
+		r.Totals, err = marshaler.Marshal(totals)
 		return err
 	}); err != nil {
 		return err
@@ -80,7 +80,7 @@
 
 func (o *owner) sendPeerReport(ctx context.Context, c scheduler.SendPeerReport) error {
 	return o.sendReport(ctx, c.ToShard, scheduler.Event{Peer: &c.Report}, func(r *messenger.ShardReport) (err error) {
-		r.Peer, err = cbor.Marshal(c.Report)
+		r.Peer, err = marshaler.Marshal(c.Report)
 		return err
 	})
 }
@@ -110,12 +110,12 @@
 	var e scheduler.Event
 	if len(r.Totals) > 0 {
 		e.Totals = &scheduler.TotalsReported{}
-		if err := cbor.Unmarshal(r.Totals, e.Totals); err != nil {
+		if err := marshaler.Unmarshal(r.Totals, e.Totals); err != nil {
 			return &NotAcceptedError{r.ToShard, "decode totals: " + err.Error()}
 		}
 	} else {
 		e.Peer = &scheduler.PeerReport{}
-		if err := cbor.Unmarshal(r.Peer, e.Peer); err != nil {
+		if err := marshaler.Unmarshal(r.Peer, e.Peer); err != nil {
 			return &NotAcceptedError{r.ToShard, "decode peer report: " + err.Error()}
 		}
 	}
--- a/internal/controller/transfer.go
+++ b/internal/controller/transfer.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/messenger"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 )
@@ -61,7 +61,7 @@
 	if peer == nil {
 		return errors.Errorf("no owner known for shard %s", h.ToShard)
 	}
-	task, err := cbor.Marshal(h.Task)
+	task, err := marshaler.Marshal(h.Task)
 	if err != nil {
 		return errors.Wrap(err, "encode task")
 	}
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -3,8 +3,9 @@
 import (
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 )
 
 // Progress is the part of a job's state that must survive a change of owner. It
@@ -62,16 +63,17 @@
 	Crashes []Crash `cbor:"crashes,omitempty"`
 }
 
-// Encode returns the stored form of v.
+// Encode returns the stored form of v. It fails if a time of v is outside of the years 0 to
+// 9999.
 func Encode[T Job | Progress](v T) ([]byte, error) {
-	data, err := cbor.Marshal(v)
+	data, err := marshaler.Marshal(v)
 	return data, errors.Wrap(err, "encode record")
 }
 
 // Decode decodes the stored form of a Job or Progress.
 func Decode[T Job | Progress](data []byte) (T, error) {
 	var v T
-	err := cbor.Unmarshal(data, &v)
+	err := marshaler.Unmarshal(data, &v)
 	return v, errors.Wrap(err, "decode record")
 }
 
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"tarragonhead.example/tarragonhead/internal/planner"
 )
@@ -134,3 +135,32 @@
 		})
 	}
 }
+
+// TestJobRecordKeepsTimes guards against occurrences that are due too early for an owner
+// that reads their job from the store. Records of earlier versions have whole seconds.
+func TestJobRecordKeepsTimes(t *testing.T) {
+	c := quicktest.New(t)
+	j := job("1", step(1, 1))
+	j.Times, j.First, j.Interval = 2, origin.Add(999*time.Millisecond), 1500*time.Millisecond
+	j.Received = origin.Add(time.Microsecond)
+	data, err := planner.Encode(j)
+	c.Assert(err, quicktest.IsNil)
+	read, err := planner.Decode[planner.Job](data)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(read.First.Equal(j.First), quicktest.IsTrue, quicktest.Commentf("%s", read.First))
+	c.Assert(read.Received.Equal(j.Received), quicktest.IsTrue, quicktest.Commentf("%s", read.Received))
+
+	d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+	d.add(read)
+	d.advance(998 * time.Millisecond)
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	d.advance(time.Millisecond)
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
+
+	earlier, err := cbor.Marshal(j)
+	c.Assert(err, quicktest.IsNil)
+	read, err = planner.Decode[planner.Job](earlier)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(read.First.Unix(), quicktest.Equals, j.First.Unix())
+	c.Assert(read.Interval, quicktest.Equals, j.Interval)
+}
--- a/internal/receiver/tombstones.go
+++ b/internal/receiver/tombstones.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
 	"tarragonhead.example/tarragonhead/internal/conductor"
 
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
@@ -112,7 +112,7 @@
 		if e.Key != key {
 			continue
 		}
-		if err := cbor.Unmarshal(e.Value, &b.tombstones); err != nil {
+		if err := marshaler.Unmarshal(e.Value, &b.tombstones); err != nil {
 			r.options.Log.Error().Str("key", key).Err(err).Msg("receiver: tombstones can't be decoded")
 			b.tombstones = nil
 		}
@@ -147,7 +147,7 @@
 		if len(next) > maxTombstones || !r.tombstoneLimit.AllowN(r.options.Now(), 1) {
 			return &RefusedError{"too many unknown jobs are cancelled", retryAfter}
 		}
-		value, err := cbor.Marshal(next)
+		value, err := marshaler.Marshal(next)
 		if err != nil {
 			return err
 		}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -5,11 +5,11 @@
 	"net/http"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/twitchtv/twirp"
 
 	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/messenger"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
 )
@@ -121,7 +121,7 @@
 // HandOver implements messenger.Peer.
 func (d *Server) HandOver(ctx context.Context, r *messenger.HandOverRequest) (*messenger.HandOverResponse, error) {
 	var t scheduler.Task
-	if err := cbor.Unmarshal(r.Task, &t); err != nil {
+	if err := marshaler.Unmarshal(r.Task, &t); err != nil {
 		return nil, twirp.InvalidArgumentError("task", err.Error())
 	}
 	if err := d.controller.TakeOver(ctx, r.ToShard, scheduler.TransferOffered{TransferID: r.TransferId, Task: t}); err != nil {
--- a/internal/sharder/instance.go
+++ b/internal/sharder/instance.go
@@ -5,9 +5,9 @@
 	"math"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
 
@@ -76,7 +76,7 @@
 func (s *Sharder) announce(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	value, err := cbor.Marshal(s.self)
+	value, err := marshaler.Marshal(s.self)
 	if err != nil {
 		return errors.Wrap(err, "encode instance record")
 	}
@@ -102,7 +102,7 @@
 	var all []Instance
 	for _, e := range list {
 		var i Instance
-		if err := cbor.Unmarshal(e.Value, &i); err != nil {
+		if err := marshaler.Unmarshal(e.Value, &i); err != nil {
 			s.reportFailure(errors.Wrap(err, "decode instance record"))
 			continue
 		}
--- a/standins/emulator/emulator.go
+++ b/standins/emulator/emulator.go
@@ -13,7 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
@@ -21,6 +20,7 @@
 	"tarragonhead.example/tarragonhead/internal/controller"
 	"tarragonhead.example/tarragonhead/internal/declarer"
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
+	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/messenger"
 	"tarragonhead.example/tarragonhead/internal/placer"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
@@ -344,7 +344,7 @@
 // HandOver implements messenger.Peer.
 func (p *peer) HandOver(ctx context.Context, r *messenger.HandOverRequest) (*messenger.HandOverResponse, error) {
 	var t scheduler.Task
-	if err := cbor.Unmarshal(r.Task, &t); err != nil {
+	if err := marshaler.Unmarshal(r.Task, &t); err != nil {
 		return nil, err
 	}
 	err := p.to.Controller.TakeOver(ctx, r.ToShard, scheduler.TransferOffered{TransferID: r.TransferId, Task: t})
