Keep a job cancelled whose submission reaches its owner later

On the daemon's own interface a job is indexed before it is submitted to the owner of its shard. Callers saw: `tarragonctl cancel` in between was answered as done, and the job ran.

Cause: the core dropped the cancellation of a job that it doesn't know. Change: it records the job as ended, so that the submission finds it.

Evidence: TestCancelBeforeSubmission fails before (tasks of the job exist) and passes now.

--- a/internal/scheduler/behaviour_test.go
+++ b/internal/scheduler/behaviour_test.go
@@ -398,3 +398,17 @@
 		}
 	}
 }
+
+// TestCancelBeforeSubmission guards against a job that runs although its cancellation was
+// answered, because the submission reaches the owner later.
+func TestCancelBeforeSubmission(t *testing.T) {
+	c := quicktest.New(t)
+	w := newSettledWorld(t, 3)
+	w.cancel("late")
+	w.run(time.Second)
+	w.submitJob(declarer.BatchJob{ID: "late", Team: "two", Tasks: 4, Resources: declarer.Resources{MilliCPU: 500, MemoryMB: 10}})
+	w.run(3 * time.Second)
+	requireNoError(t, w)
+	c.Assert(w.east().core.tasksByOwner["late"], quicktest.HasLen, 0)
+	c.Assert(w.east().core.jobs["late"].Ended, quicktest.IsTrue)
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -49,16 +49,20 @@
 }
 
 // cancelJob records one change that cancels the tasks without an attempt, and
-// stops the attempts of the other tasks.
+// stops the attempts of the other tasks. A job that is not known yet is recorded as
+// ended, because its submission may still be on its way.
 func (c *Core) cancelJob(e JobCancelled) {
 	j := c.jobs[e.JobID]
 	if j != nil && j.Ended {
 		c.unsentJobs[e.JobID] = true
 		return
 	}
-	if j == nil && (e.Home == "" || e.Home == c.options.Shard) {
+	if j == nil && e.Home == c.options.Shard {
 		return
 	}
+	if j == nil && e.Home == "" {
+		e.Home = c.options.Shard
+	}
 	c.record(Change{JobCancelled: &JobEnded{JobID: e.JobID, Reason: "cancelled by the caller", Home: e.Home}})
 	c.explain(Explanation{Action: "cancel", Job: e.JobID, Reason: "cancelled by the caller"})
 	for _, t := range sortedValues(c.tasksByOwner[e.JobID]) {
