Don't refuse a job that a write may still accept

Callers could see POST answered with 503, which says that the job never runs, while a write that accepts it is on its way.

Causes: a peer's answer that the job is cancelled counted as certain, though the tombstone may have expired by the clock of the daemon whose own write got no answer; and after a failed condition that an incomplete answer doesn't name, the submission was repeated until its time was over and then refused, though the id may be in the index. Both are undecided now, as the client's next call tells more.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -236,6 +236,10 @@
 			return r.recordStored(j.ID, shard, err)
 		}
 		r.RecordStoreAnswer(true)
+		if conflict.Revision(tombstones) == b.revision {
+			// The answer lacks the entry that has changed, which may be the index.
+			return &UndecidedError{conflict}
+		}
 		r.updateBucket(tombstones, conflict)
 	}
 	return &RefusedError{"the tombstones of cancelled jobs change too often", retryAfter}
@@ -288,6 +292,12 @@
 	return cause
 }
 
+// isRefusal reports whether err says that a job is certainly not stored.
+func isRefusal(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused)
+}
+
 // relay has a peer store a job that this daemon could not store. The peer's
 // write has the same expectation, so the job is accepted once, whichever write
 // takes effect. If no peer stores the job, the result is cause, a CancelledError if a
@@ -312,9 +322,12 @@
 		var cancelled *CancelledError
 		var unreached *UnreachedError
 		switch {
-		case errors.As(err, &cancelled):
-			// A write of this daemon that was sent before can't take effect any more.
+		case errors.As(err, &cancelled) && isRefusal(cause):
 			return &CancelledError{j.ID, r.options.Retention}
+		case errors.As(err, &cancelled):
+			// A write of this daemon may still take effect if the tombstone has expired
+			// by its clock.
+			return cause
 		case errors.As(err, &refused):
 		case errors.As(err, &unreached):
 			r.recordRelayFailure(peer)
--- a/internal/receiver/tombstones.go
+++ b/internal/receiver/tombstones.go
@@ -12,7 +12,6 @@
 	"golang.org/x/time/rate"
 
 	"tarragonhead.example/tarragonhead/internal/conductor"
-
 	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
--- a/internal/receiver/tombstones_test.go
+++ b/internal/receiver/tombstones_test.go
@@ -191,6 +191,30 @@
 	}
 }
 
+// TestCancelledAtPeer guards against a refusal of a job that may still be accepted by the
+// write of the daemon that got it, because a peer has found that the job is cancelled.
+func TestCancelledAtPeer(t *testing.T) {
+	for name, tt := range map[string]struct {
+		fault keeper.Fault
+		want  string
+	}{
+		"own write refused":    {keeper.Fault{Before: refusal}, "cancelled"},
+		"own write unanswered": {keeper.Fault{Before: noAnswer}, "undecided"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := keeper.New(time.Now)
+			k.SetFault(func(op, _ string) keeper.Fault {
+				if op == "transact" {
+					return tt.fault
+				}
+				return keeper.Fault{}
+			})
+			r := newReceiver(k, time.Now, []netip.AddrPort{peer}, func(context.Context, netip.AddrPort, planner.Job) error { return &receiver.CancelledError{} })
+			quicktest.Assert(t, cancelOutcome(r.Submit(context.Background(), testJob())), quicktest.Equals, tt.want)
+		})
+	}
+}
+
 // TestCancelWithoutStoreAnswer guards against a cancellation that is answered before it is
 // certain, and against one that is never answered because its own write had no answer.
 func TestCancelWithoutStoreAnswer(t *testing.T) {
