Submit jobs with times in the soak

The soak had no jobs with times, so it could not see that they start early. A fifth of its batch jobs now run one to three times, at random milliseconds, and each start is checked against its time, less the 250 ms of the target.

--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"tarragonhead.example/tarragonhead/standins/platformer"
 )
@@ -17,6 +19,11 @@
 	// previous step is done.
 	taskCounts    []int
 	isLongRunning bool
+	// times is the number of scheduled occurrences of the steps, 0 for a job that starts
+	// immediately. Occurrence k is due at first plus k times interval.
+	times    int
+	first    time.Time
+	interval time.Duration
 	// accepted is set by a 200 response to the submission, and cancelled before
 	// the client tries to cancel the job. refused is set while every response to
 	// the submission was a definite refusal, so that the job must never run.
@@ -29,6 +36,24 @@
 	isReportedDone, isReportedFailed bool
 }
 
+// task returns the id of a task.
+func (j *job) task(occurrence, step, index int) string {
+	return fmt.Sprintf("%s.%d.%d.%d", j.id, occurrence, step, index)
+}
+
+// tasks returns the ids of all tasks.
+func (j *job) tasks() []string {
+	var all []string
+	for k := range max(1, j.times) {
+		for s, count := range j.taskCounts {
+			for n := range count {
+				all = append(all, j.task(k, s, n))
+			}
+		}
+	}
+	return all
+}
+
 // checker compares what workers and clients observe with what the system
 // guarantees to them.
 type checker struct {
@@ -185,14 +210,18 @@
 	if j.isGone {
 		c.fail("unrequested: %s is started, but its cancellation was answered with 410%s", e.Task, describeOrigin(e))
 	}
-	step, err := strconv.Atoi(parts[2])
-	if err != nil || step >= len(j.taskCounts) {
+	occurrence, err := strconv.Atoi(parts[1])
+	step, stepErr := strconv.Atoi(parts[2])
+	if err != nil || stepErr != nil || occurrence >= max(1, j.times) || step >= len(j.taskCounts) {
 		c.fail("unrequested: %s is started, but its job has no such step", e.Task)
 		return
 	}
+	if early := time.Until(j.first.Add(time.Duration(occurrence) * j.interval)); j.times > 0 && early > earlyLimit {
+		c.fail("order: %s starts %s before its time", e.Task, early)
+	}
 	if step > 0 {
 		for n := range j.taskCounts[step-1] {
-			if predecessor := fmt.Sprintf("%s.0.%d.%d", j.id, step-1, n); !c.done[predecessor] {
+			if predecessor := j.task(occurrence, step-1, n); !c.done[predecessor] {
 				c.fail("order: %s starts before %s is done", e.Task, predecessor)
 			}
 		}
@@ -236,11 +265,9 @@
 		c.fail("lost: %s is reported as %s without a cause", j.id, state)
 	case state == "done":
 		j.isReportedDone = true
-		for s, count := range j.taskCounts {
-			for n := range count {
-				if task := fmt.Sprintf("%s.0.%d.%d", j.id, s, n); !c.done[task] {
-					c.fail("mixed: %s is reported as done before %s is done", j.id, task)
-				}
+		for _, task := range j.tasks() {
+			if !c.done[task] {
+				c.fail("mixed: %s is reported as done before %s is done", j.id, task)
 			}
 		}
 	}
@@ -249,14 +276,7 @@
 // mayHaveFailed reports whether a task of the job has used up its failed runs. The
 // caller holds c.mu.
 func (c *checker) mayHaveFailed(j *job) bool {
-	for s, count := range j.taskCounts {
-		for n := range count {
-			if len(c.failedRuns[fmt.Sprintf("%s.0.%d.%d", j.id, s, n)]) >= platformer.Attempts {
-				return true
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(j.tasks(), func(task string) bool { return len(c.failedRuns[task]) >= platformer.Attempts })
 }
 
 // checkFinalState checks the guarantees that hold once the faults have ended and
@@ -266,10 +286,8 @@
 	defer c.mu.Unlock()
 	for _, j := range c.jobs {
 		running := 0
-		for s, count := range j.taskCounts {
-			for n := range count {
-				running += len(c.running[fmt.Sprintf("%s.0.%d.%d", j.id, s, n)])
-			}
+		for _, task := range j.tasks() {
+			running += len(c.running[task])
 		}
 		switch {
 		case j.cancelled && running > 0:
@@ -293,7 +311,7 @@
 			continue
 		}
 		for n := range j.taskCounts[0] {
-			if len(c.running[fmt.Sprintf("%s.0.0.%d", j.id, n)]) == 0 {
+			if len(c.running[j.task(0, 0, n)]) == 0 {
 				return true
 			}
 		}
--- a/standins/soaker/checker_test.go
+++ b/standins/soaker/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -112,7 +113,12 @@
 			c.checkState(j, 200, "failed")
 			c.checkFinalState()
 		}, ""},
-		"order":       {func(c *checker, _ *job) { c.observe(event("v", "a.0.1.0", 1, "start")) }, "order"},
+		"order": {func(c *checker, _ *job) { c.observe(event("v", "a.0.1.0", 1, "start")) }, "order"},
+		"early occurrence": {func(c *checker, j *job) {
+			j.times, j.first, j.interval = 2, time.Now(), 2*earlyLimit
+			c.observe(event("v", "a.0.0.0", 1, "start"))
+			c.observe(event("v", "a.1.0.0", 1, "start"))
+		}, "order: a.1.0.0"},
 		"unknown job": {func(c *checker, _ *job) { c.observe(event("v", "b.0.0.0", 1, "start")) }, "unrequested"},
 		"refused":     {func(c *checker, j *job) { j.refused = true; c.observe(event("v", "a.0.0.0", 1, "start")) }, "refused"},
 		"cancelled before it was accepted": {func(c *checker, j *job) {
--- a/standins/soaker/client.go
+++ b/standins/soaker/client.go
@@ -24,8 +24,10 @@
 	// submissions that a client gives up, and cancels, after the first call that doesn't
 	// tell whether the job is accepted.
 	longRunningShare = 0.15
-	cancelShare      = 0.2
-	giveUpShare      = 0.5
+	// timedShare is the share of the other jobs that run at set times.
+	timedShare  = 0.2
+	cancelShare = 0.2
+	giveUpShare = 0.5
 )
 
 // client submits jobs one after another. Its calls reuse open connections.
@@ -64,7 +66,8 @@
 	}
 }
 
-// newJob returns a long-running job of one step or a batch job of one or two.
+// newJob returns a long-running job of one step, or a batch job of one or two that may
+// run at set times.
 func (c *client) newJob() *job {
 	c.jobCount++
 	j := &job{taskCounts: []int{1 + c.rng.IntN(4)}, isLongRunning: c.rng.Float64() < longRunningShare}
@@ -76,6 +79,11 @@
 	if c.rng.Float64() < 0.6 {
 		j.taskCounts = append(j.taskCounts, 1+c.rng.IntN(3))
 	}
+	if c.rng.Float64() < timedShare {
+		j.times = 1 + c.rng.IntN(3)
+		j.first = time.UnixMilli(time.Now().UnixMilli() + c.rng.Int64N(3000))
+		j.interval = time.Duration(c.rng.IntN(2000)) * time.Millisecond
+	}
 	return j
 }
 
@@ -89,7 +97,11 @@
 		}
 		steps = append(steps, s)
 	}
-	data, err := json.Marshal(map[string]any{"spec": "x", "phases": steps})
+	body := map[string]any{"spec": "x", "phases": steps}
+	if j.times > 0 {
+		body["times"], body["startMs"], body["intervalMs"] = j.times, j.first.UnixMilli(), j.interval.Milliseconds()
+	}
+	data, err := json.Marshal(body)
 	if err != nil {
 		panic(err)
 	}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -33,6 +33,8 @@
 	// completionPollInterval is the pause between two polls of the unfinished
 	// jobs after the last fault.
 	completionPollInterval = 200 * time.Millisecond
+	// earlyLimit is how long before its time an occurrence may start.
+	earlyLimit = 250 * time.Millisecond
 	// cancelGrace is how long tasks of a cancelled job may keep running: 3 s and
 	// the time that it takes to stop them.
 	cancelGrace = 4 * time.Second
