--- a/standins/soaker/client.go
+++ b/standins/soaker/client.go
@@ -19,13 +19,13 @@
 	// callAttempts is how many times a client tries to submit or cancel a job.
 	callAttempts = 6
 	retryDelay   = 150 * time.Millisecond
-	// longRunningShare is the share of the jobs that are long-running, cancelShare the
-	// share of the accepted jobs that are cancelled, and giveUpShare the share of the
-	// submissions that a client gives up, and cancels, after the first call that doesn't
-	// tell whether the job is accepted.
+	// longRunningShare is the share of the jobs that are long-running, and timedShare that
+	// of the others that run at set times.
 	longRunningShare = 0.15
-	// timedShare is the share of the other jobs that run at set times.
-	timedShare  = 0.2
+	timedShare       = 0.2
+	// cancelShare is the share of the accepted jobs that are cancelled, and giveUpShare
+	// that of the submissions that a client gives up, and cancels, after the first call
+	// that doesn't tell whether the job is accepted.
 	cancelShare = 0.2
 	giveUpShare = 0.5
 )
