--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -368,6 +368,7 @@
 	c.metrics.jobs.WithLabelValues("waiting_tasks").Set(float64(u.Waiting))
 	c.metrics.jobs.WithLabelValues("runs").Set(float64(u.Runs))
 	c.metrics.jobs.WithLabelValues("sick_workers").Set(float64(u.Sick))
+	c.metrics.jobs.WithLabelValues("unstored_ends").Set(float64(u.UnstoredEnds))
 }
 
 // isOwnershipConfirmed reports whether the ownership was proved so recently
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -112,7 +112,7 @@
 		return
 	}
 	c.metrics.isOwner.Set(1)
-	c.options.Log.Info().Int64("epoch", c.epoch).Int("jobs", len(records.jobs)).Int("suspects", p.UnverifiedCount()).Msg("conductor: shard loaded")
+	c.options.Log.Info().Int64("epoch", c.epoch).Int("jobs", len(records.jobs)).Int("suspects", len(p.Unverified())).Strs("workers", p.Unverified()).Msg("conductor: shard loaded")
 	c.updatePlannerWorkers()
 	c.followJobs(ctx)
 }
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -137,6 +137,7 @@
 	if p.unverified[w.ID] && !result.IsPartial {
 		delete(p.unverified, w.ID)
 		w.isUnverified = false
+		p.reportWorker("worker_verified", w, fmt.Sprintf("%d runs, %d ends", len(result.Running), len(result.Ended)))
 	}
 	if !result.IsPartial {
 		p.endUnlisted(w, result.Sent, seen)
@@ -270,6 +271,9 @@
 	switch e.Kind {
 	case EndDone:
 		w.recordDone()
+		if w.runs[e.Run] == nil && len(t.runs) > 0 {
+			p.reportRunID("done_elsewhere", e.Run, w, fmt.Sprintf("%d other runs", len(t.runs)))
+		}
 		p.completeTask(now, t, e.Run)
 	case EndFailed:
 		p.failTask(now, w, t, e.Run.Attempt)
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -75,7 +75,7 @@
 		case !p.unverified[w.ID] && w.areLeasesExpired(proven):
 			p.endLapsed(now, proven, w)
 		case w.isGone(now) && len(w.runs) == 0 && !w.hasUnknownRuns && len(w.withdrawnStarts) == 0 && !p.unverified[w.ID]:
-			p.reportWorker("worker_gone", w, "not listed")
+			p.reportWorker("worker_gone", w, fmt.Sprintf("not listed, %d ends not stored", w.unstoredEnds(proven)))
 			p.applyProcessEvent(w, "entry_expired")
 			p.forgetWorker(w)
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,6 +11,7 @@
 
 import (
 	_ "embed"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -196,8 +197,12 @@
 }
 
 func (p *Planner) reportRun(event string, r *run, detail string) {
+	p.reportRunID(event, r.id, r.worker, detail)
+}
+
+func (p *Planner) reportRunID(event string, id RunID, w *Worker, detail string) {
 	if p.options.OnDecision != nil {
-		p.options.OnDecision(Decision{Event: event, Job: r.id.Job, Run: r.id.String(), Worker: r.worker.ID, Detail: detail})
+		p.options.OnDecision(Decision{Event: event, Job: id.Job, Run: id.String(), Worker: w.ID, Detail: detail})
 	}
 }
 
@@ -449,19 +454,20 @@
 	return *w, true
 }
 
-// UnverifiedCount returns the number of workers of an earlier owner that have
-// not answered this owner.
-func (p *Planner) UnverifiedCount() int { return len(p.unverified) }
+// Unverified returns the ids of the workers of an earlier owner that have not answered
+// this owner, sorted.
+func (p *Planner) Unverified() []string { return slices.Sorted(maps.Keys(p.unverified)) }
 
-// Usage holds the numbers of unfinished jobs, waiting tasks, runs, workers and
-// sick workers for metrics.
-type Usage struct{ Jobs, Waiting, Runs, Workers, Sick int }
+// Usage holds the numbers of unfinished jobs, waiting tasks, runs, workers, sick
+// workers, and ends whose effect is not in the store, for metrics.
+type Usage struct{ Jobs, Waiting, Runs, Workers, Sick, UnstoredEnds int }
 
 // Usage returns the current counts.
 func (p *Planner) Usage(now time.Time) Usage {
 	u := Usage{Jobs: len(p.activeJobs), Workers: len(p.workers)}
 	for _, w := range p.sortedWorkers {
 		u.Runs += len(w.runs)
+		u.UnstoredEnds += w.unstoredEnds(p.provenAt)
 		if w.isSick(now) {
 			u.Sick++
 		}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -353,47 +353,6 @@
 	health
 }
 
-// unacknowledgedEnd is an end that was read and whose effect may not be
-// committed yet.
-type unacknowledgedEnd struct {
-	RunEnd
-	// job is nil if it is not known, and task is set if the end made it done.
-	job     *job
-	task    *task
-	version uint64
-	seen    time.Time
-}
-
-// setTask sets the task whose run ended.
-func (e *unacknowledgedEnd) setTask(t *task) {
-	e.job = t.step.occurrence.job
-	e.version = e.job.version
-	if e.Kind == EndDone && t.done && !t.step.Speculative {
-		e.task = t
-	}
-}
-
-// isStartUnderWay reports whether another run of the task that the end made done
-// may still start. An acknowledged end must not be followed by a start.
-func (e *unacknowledgedEnd) isStartUnderWay() bool {
-	return e.task != nil && slices.ContainsFunc(e.task.runs, func(r *run) bool { return r.id != e.Run })
-}
-
-// updateAcknowledged advances the number of the last end whose effect is
-// committed. The job of a run may still arrive from the store, which answered
-// this owner at proven, for a while.
-func (w *Worker) updateAcknowledged(proven time.Time) {
-	n := 0
-	for ; n < len(w.unacknowledgedEnds); n++ {
-		e := w.unacknowledgedEnds[n]
-		if e.job == nil && proven.Sub(e.seen) < unknownRunLimit || e.job != nil && e.job.committed < e.version || e.isStartUnderWay() {
-			break
-		}
-		w.acknowledged = e.Number
-	}
-	w.unacknowledgedEnds = w.unacknowledgedEnds[n:]
-}
-
 // LeavesAt returns the time from which the worker may be gone, because it has announced
 // that it leaves; zero if it has not.
 func (w *Worker) LeavesAt() time.Time {
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -126,7 +126,10 @@
 	var list []Worker
 	for _, w := range p.sortedWorkers {
 		if !w.mayHaveRuns(now) {
-			p.isRecordStale = p.isRecordStale || w.isRecorded
+			if w.isRecorded {
+				p.isRecordStale = true
+				p.reportWorker("worker_left_out", w, fmt.Sprintf("draining %v, %s, %d ends not stored", w.Draining, w.describeFailure(), w.unstoredEnds(p.provenAt)))
+			}
 			w.isRecorded = false
 			continue
 		}
