Keep a worker in the stored list until the effect of its ends is stored

Cause: the stored list of workers tells a successor whom to ask before it starts tasks. A worker was left out of it, and forgotten, as soon as it had no runs and was draining, silent for a second, or not listed, although the owner had only read the ends of its runs. The list and the progress of the jobs are stored by two transactions. If the list took effect and the progress didn't, because the store gave no answer or the owner ended, nobody asked the worker: its tasks started again, and its ends were acknowledged when it was polled as any other.

Why this works: whom a successor must ask, and whom the owner may forget, are now the same question, and it includes the ends that are read and not stored. The list without the worker is sent only after the store has confirmed the progress, so a successor finds the progress or the worker. An unverified worker that has listed its ends in part isn't dropped before these are stored either.

TestDrainingWorkerIsRemovedFromStore demanded the fault: it expected the worker to leave the list before the commit. It now expects it to stay until the commit, and to leave with it.

--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -136,7 +136,7 @@
 	return a
 }
 
-// recordWorkers stores the workers that may have runs, before they get any.
+// recordWorkers stores the workers that a successor has to ask, before they get any runs.
 func (c *Conductor) recordWorkers(ctx context.Context, now time.Time) {
 	if c.isRecordingWorkers || now.Before(c.nextCommitAt) || !c.planner.NeedsRecord(now) {
 		return
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -70,11 +70,11 @@
 func (p *Planner) dropLost(now, proven time.Time) {
 	for _, w := range slices.Clone(p.sortedWorkers) {
 		switch {
-		case p.unverified[w.ID] && proven.After(p.options.PredecessorLeaseEnd) && proven.After(w.leaseEnd):
+		case w.isUnverified && w.unstoredEnds(proven) == 0 && proven.After(p.options.PredecessorLeaseEnd) && proven.After(w.leaseEnd):
 			p.removeWorker(w, "leases_expired", "no answer before every lease expired")
-		case !p.unverified[w.ID] && w.areLeasesExpired(proven):
+		case !w.isUnverified && w.areLeasesExpired(proven):
 			p.endLapsed(now, proven, w)
-		case w.isGone(now) && len(w.runs) == 0 && !w.hasUnknownRuns && len(w.withdrawnStarts) == 0 && !p.unverified[w.ID]:
+		case w.isGone(now) && !w.isNeeded(proven) && len(w.withdrawnStarts) == 0:
 			p.reportWorker("worker_gone", w, fmt.Sprintf("not listed, %d ends not stored", w.unstoredEnds(proven)))
 			p.applyProcessEvent(w, "entry_expired")
 			p.forgetWorker(w)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -198,6 +198,8 @@
 	for _, o := range starts {
 		d.Assert(d.p.NeedsRecord(d.now), quicktest.IsFalse)
 		d.endRun(o, planner.EndDone)
+		d.Assert(d.p.NeedsRecord(d.now), quicktest.IsFalse, quicktest.Commentf("the end is not stored"))
+		d.commit()
 		d.Assert(d.p.NeedsRecord(d.now), quicktest.IsTrue)
 		d.p.SetRecorded(d.p.Recorded(d.now))
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -291,7 +291,7 @@
 	// isUnverified is set for a worker on which an earlier owner may have
 	// started tasks, until the worker has listed its runs to this owner.
 	isUnverified bool
-	// isRecorded is set when the stored list of workers that may have runs
+	// isRecorded is set when the stored list of workers that a successor asks
 	// includes the worker.
 	isRecorded bool
 	// free is the capacity that is not reserved by runs. It is negative if the
@@ -410,12 +410,19 @@
 // the worker is removed from the stored list, until it answers again.
 const lostAfter = time.Second
 
-// mayHaveRuns reports whether the worker has runs or may get some. A worker
-// without runs gets none while it is draining or lost. Such a worker is left out
-// of the stored list, because a successor would have to wait for its answer.
-func (w *Worker) mayHaveRuns(now time.Time) bool {
+// isNeeded reports whether only the worker can tell something that a successor needs:
+// it has runs, or ends whose effect isn't stored, or has not answered yet.
+func (w *Worker) isNeeded(proven time.Time) bool {
+	return len(w.runs) > 0 || w.hasUnknownRuns || w.isUnverified || w.unstoredEnds(proven) > 0
+}
+
+// mustBeStored reports whether the stored list needs the worker, because a successor has
+// to ask it or because it may get runs. A worker that isn't needed gets no runs while it
+// is draining or lost. Such a worker is left out, because a successor would have to wait
+// for its answer.
+func (w *Worker) mustBeStored(now, proven time.Time) bool {
 	switch {
-	case len(w.runs) > 0 || w.hasUnknownRuns || w.isUnverified:
+	case w.isNeeded(proven):
 		return true
 	case !w.isProved():
 		// A contested process has probably ended.
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -107,25 +107,25 @@
 // runsOf returns a copy of the worker's runs, for loops that end some of them.
 func runsOf(w *Worker) []*run { return slices.Clone(w.runsInOrder) }
 
-// NeedsRecord reports whether the stored list of workers differs from the
-// workers that may have runs. No task starts on a worker that is not stored,
-// and a worker that stays stored after it is gone delays a successor, which
-// waits for its answer. A list that this owner could not use is kept while it
-// may name workers with tasks, so that a successor waits for them too.
+// NeedsRecord reports whether the stored list of workers differs from the workers that
+// must be stored. No task starts on a worker that is not stored, and a worker that stays
+// stored after it is gone delays a successor, which waits for its answer. A list that
+// this owner could not use is kept while it may name workers with tasks, so that a
+// successor waits for them too.
 func (p *Planner) NeedsRecord(now time.Time) bool {
 	if p.hasUnknownWorkers {
 		return false
 	}
-	return p.isRecordStale || slices.ContainsFunc(p.sortedWorkers, func(w *Worker) bool { return w.isRecorded != w.mayHaveRuns(now) })
+	return p.isRecordStale || slices.ContainsFunc(p.sortedWorkers, func(w *Worker) bool { return w.isRecorded != w.mustBeStored(now, p.provenAt) })
 }
 
-// Recorded returns the workers to store: those that have runs or may get some.
-// The others count as not stored from now on, since the write may take effect at
-// any time, also if it is not answered.
+// Recorded returns the workers to store: those that a successor has to ask, and those
+// that may get runs. The others count as not stored from now on, since the write may
+// take effect at any time, also if it is not answered.
 func (p *Planner) Recorded(now time.Time) []Worker {
 	var list []Worker
 	for _, w := range p.sortedWorkers {
-		if !w.mayHaveRuns(now) {
+		if !w.mustBeStored(now, p.provenAt) {
 			if w.isRecorded {
 				p.isRecordStale = true
 				p.reportWorker("worker_left_out", w, fmt.Sprintf("draining %v, %s, %d ends not stored", w.Draining, w.describeFailure(), w.unstoredEnds(p.provenAt)))
