Acknowledge ends of unknown jobs only after a later read of the jobs

A task whose run ended done could run again: its end was acknowledged, and then its job arrived and all of its tasks started.

Cause: an owner stopped runs, and acknowledged ends, of jobs that it didn't know 5 s after they were listed, if the store had confirmed the ownership by then. That is proved by reads of the head, while the jobs come over a watch, which may be silent for longer. The job may be one that an earlier owner read after this one had loaded the shard, and started before it knew of its successor.

Why it works: a run exists only after its job was stored. The follower reports, after the changes of each answered read or watch, when that call began, and the planner compares this with when the run or end was listed: a job that is not known after a later call is not stored any more. The two reports go through one queue in order. The time on reads of the head is gone.

A watch on the jobs waits for 2.5 s instead of 5, so that an end of an unknown job is acknowledged within 5 s as before where no job is stored, and sooner where some are. This adds up to 0.2 calls a second for each idle shard.

TestStoppedEndIsAcknowledged waited for 5 s with a proof of the ownership; it now reads the jobs a millisecond after the end. TestEndOfUnknownJobDuringOutage is a case of TestEndOfUnreadJob, for 15 s instead of 6.

--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -165,6 +165,13 @@
 				}
 			})
 		},
+		Current: func(at time.Time) {
+			c.post(ctx, func() {
+				if c.role == "owning" && c.epoch == epoch {
+					c.planner.JobsRead(at)
+				}
+			})
+		},
 	})
 	c.stopFollowing = cancel
 	c.background.Go(func() { f.Run(ctx) })
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -55,8 +55,10 @@
 	// and ownerReadInterval how often the entries are read in addition.
 	ownerWatchWait    = 10 * time.Second
 	ownerReadInterval = time.Second
-	// jobsWatchWait is how long one watch on the jobs waits for a change.
-	jobsWatchWait = 5 * time.Second
+	// jobsWatchWait is how long one watch on the jobs waits for a change. Runs and ends
+	// of unknown jobs wait for the watch that begins after they were listed, for up to
+	// twice as long where no job is stored.
+	jobsWatchWait = 2500 * time.Millisecond
 )
 
 // longestLease returns the longest time that a lease lasts on a worker whose
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -45,6 +45,10 @@
 	// Confirmed is called after each read of the whole prefix with the time at
 	// which the read began. It may be nil.
 	Confirmed func(time.Time)
+	// Current is called after each answered read or watch, after its changes, with the
+	// time at which the call began. The reported changes include everything that was
+	// stored before. It may be nil.
+	Current func(time.Time)
 	// Failed is called with the error of each failed call. It may be nil.
 	Failed func(error)
 }
@@ -125,6 +129,7 @@
 }
 
 func (f *Follower) watchOnce(ctx context.Context, after uint64) error {
+	began := f.options.Now()
 	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+watchSlack)
 	defer cancel()
 	events, next, err := f.options.Store.Watch(ctx, f.options.Prefix, after, f.options.Wait)
@@ -141,7 +146,7 @@
 		}
 	}
 	f.watchRevision = max(f.watchRevision, next)
-	f.reportChanges(changes)
+	f.reportChanges(changes, began)
 	return nil
 }
 
@@ -187,7 +192,7 @@
 			delete(f.removed, key)
 		}
 	}
-	f.reportChanges(changes)
+	f.reportChanges(changes, began)
 	if f.options.Confirmed != nil {
 		f.options.Confirmed(began)
 	}
@@ -217,10 +222,14 @@
 	f.revisions[e.Key] = e.Revision
 }
 
-func (f *Follower) reportChanges(changes []storeclient.Event) {
+// reportChanges reports the changes that the answer to a call brought.
+func (f *Follower) reportChanges(changes []storeclient.Event, began time.Time) {
 	if len(changes) > 0 {
 		f.options.Changed(changes)
 	}
+	if f.options.Current != nil {
+		f.options.Current(began)
+	}
 }
 
 func (f *Follower) reportFailure(err error) {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,8 +92,10 @@
 			k.Put("p/a", []byte("1"))
 			k.Put("other", []byte("1"))
 			got := &localCopy{entries: map[string]string{}}
+			var current atomic.Int64
 			f := follower.New(follower.Options{
 				Store: k.Store(), Prefix: "p/", Wait: tt.wait, Interval: tt.interval, Now: time.Now, Changed: got.apply,
+				Current: func(at time.Time) { current.Store(at.UnixNano()) },
 			})
 			ctx, cancel := context.WithCancel(context.Background())
 			var done sync.WaitGroup
@@ -106,6 +109,41 @@
 			eventually(c, "change", func() bool { return got.equals(map[string]string{"p/a": "2", "p/b": "3"}) })
 			k.Remove("p/a")
 			eventually(c, "removal", func() bool { return got.equals(map[string]string{"p/b": "3"}) })
+			removedAt := time.Now()
+			eventually(c, "current", func() bool { return current.Load() > removedAt.UnixNano() })
 		})
 	}
 }
+
+// TestCurrentFollowsChanges guards against a copy that counts as current as of a time
+// after which it lacked a change.
+func TestCurrentFollowsChanges(t *testing.T) {
+	c := quicktest.New(t)
+	k := keeper.New(time.Now)
+	var stored, missed atomic.Int64
+	seen := map[string]bool{}
+	ctx, cancel := context.WithCancel(context.Background())
+	f := follower.New(follower.Options{
+		Store: k.Store(), Prefix: "p/", Wait: 20 * time.Millisecond, Interval: 5 * time.Millisecond, Now: time.Now,
+		Changed: func(events []storeclient.Event) {
+			for _, e := range events {
+				seen[e.Key] = true
+			}
+		},
+		Current: func(at time.Time) {
+			if n := stored.Load(); n > 0 && at.After(time.Unix(0, n)) && !seen["p/new"] {
+				missed.Add(1)
+			}
+		},
+	})
+	var done sync.WaitGroup
+	done.Go(func() { f.Run(ctx) })
+	time.Sleep(30 * time.Millisecond)
+	k.Put("p/new", []byte("1"))
+	stored.Store(time.Now().UnixNano())
+	time.Sleep(60 * time.Millisecond)
+	cancel()
+	done.Wait()
+	c.Assert(missed.Load(), quicktest.Equals, int64(0))
+	c.Assert(seen["p/new"], quicktest.IsTrue)
+}
--- a/internal/planner/acknowledge_test.go
+++ b/internal/planner/acknowledge_test.go
@@ -15,9 +15,9 @@
 func TestStoppedEndIsAcknowledged(t *testing.T) {
 	for name, tt := range map[string]struct {
 		job string
-		// wait is how long the job may still arrive from the store.
-		wait time.Duration
-	}{"job is cancelled": {"1", 0}, "job is not known": {"unknown", 5 * time.Second}} {
+		// isUnread is set if the job may still arrive from the store.
+		isUnread bool
+	}{"job is cancelled": {"1", false}, "job is not known": {"unknown", true}} {
 		t.Run(name, func(t *testing.T) {
 			d := newDriver(t, 1, worker("a", 8)).registerWorkers()
 			d.add(job("1", step(1, 1)))
@@ -27,9 +27,9 @@
 			d.commit()
 			run.Job = tt.job
 			d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now, Ended: []planner.RunEnd{{Number: 1, Run: run, Kind: planner.EndStopped}}})
-			if tt.wait > 0 {
-				d.advance(tt.wait)
-				d.p.Plan(d.now, d.proven())
+			if tt.isUnread {
+				d.advance(time.Millisecond)
+				d.p.JobsRead(d.now)
 				d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now})
 			}
 			d.Assert(d.p.Changes(100), quicktest.HasLen, 0)
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -128,7 +128,7 @@
 			p.applyRunEnd(now, w, e)
 		}
 	}
-	w.updateAcknowledged(p.provenAt)
+	w.updateAcknowledged(p.jobsReadAt)
 	w.hasOverdueEnds = w.acknowledged > w.delivered
 	w.polledAt, w.listedAt = now, result.Received
 	if w.listedAt.IsZero() {
@@ -200,7 +200,7 @@
 		w.hasUnknownRuns = true
 		if s, ok := p.unknownRuns[id]; !ok {
 			p.unknownRuns[id] = unknownRun{w, now}
-		} else if p.provenAt.Sub(s.seen) > unknownRunLimit {
+		} else if p.jobsReadAt.After(s.seen) {
 			p.commands = append(p.commands, Command{Kind: StopRun, Run: id, WorkerID: w.ID})
 		}
 		return nil
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -33,10 +33,6 @@
 	// under its id; such a process would forget ends of its own that were never
 	// read.
 	AcknowledgeWindow = 150 * time.Millisecond
-	// unknownRunLimit is how long a listed run, or end, of an unknown job may
-	// wait for the job to arrive from the store before it is stopped, or
-	// acknowledged. The wait lasts on while the store is away.
-	unknownRunLimit = 5 * time.Second
 	// attemptsPerEpoch separates the attempt numbers of successive owners, so
 	// that the attempts of a successor exceed any that its predecessor may have
 	// sent.
@@ -116,6 +112,8 @@
 	// provenAt is the latest time at which the store has confirmed the ownership,
 	// as of the last plan.
 	provenAt time.Time
+	// jobsReadAt is the time before which every job that is not known was not stored.
+	jobsReadAt time.Time
 	// hasUnknownWorkers is set while an earlier owner may have started tasks on
 	// workers that this owner can't identify. Nothing is recorded meanwhile.
 	hasUnknownWorkers bool
@@ -287,6 +285,15 @@
 	}
 }
 
+// JobsRead records that every job that was stored before the given time has been added.
+// A run of any other job is stopped, and its end acknowledged, if a worker listed it
+// before that time.
+func (p *Planner) JobsRead(at time.Time) {
+	if at.After(p.jobsReadAt) {
+		p.jobsReadAt = at
+	}
+}
+
 // Cancel cancels a job and reports whether the job is known. The cancellation
 // takes effect for clients once Committed has been called with its change.
 func (p *Planner) Cancel(now time.Time, id string) bool {
@@ -373,7 +380,7 @@
 		}
 	}
 	for _, w := range p.sortedWorkers {
-		w.updateAcknowledged(p.provenAt)
+		w.updateAcknowledged(p.jobsReadAt)
 	}
 }
 
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -380,13 +380,13 @@
 }
 
 // updateAcknowledged advances the number of the last end whose effect is
-// committed. The job of a run may still arrive from the store, which answered
-// this owner at proven, for a while.
-func (w *Worker) updateAcknowledged(proven time.Time) {
+// committed. The job of a run that ended may still arrive from the store until the end
+// was read before jobsReadAt.
+func (w *Worker) updateAcknowledged(jobsReadAt time.Time) {
 	n := 0
 	for ; n < len(w.unacknowledgedEnds); n++ {
 		e := w.unacknowledgedEnds[n]
-		if e.job == nil && proven.Sub(e.seen) < unknownRunLimit || e.job != nil && e.job.committed < e.version || e.isStartUnderWay() {
+		if e.job == nil && !jobsReadAt.After(e.seen) || e.job != nil && e.job.committed < e.version || e.isStartUnderWay() {
 			break
 		}
 		w.acknowledged = e.Number
--- a/internal/planner/unknown_jobs_test.go
+++ b/internal/planner/unknown_jobs_test.go
@@ -46,22 +46,26 @@
 	d.Assert(d.startTasks(), quicktest.HasLen, 0)
 }
 
-// TestEndOfUnknownJobDuringOutage guards against a task that runs again after it
-// was done, because its end was acknowledged while the store was away and the owner
-// could not read the job.
-func TestEndOfUnknownJobDuringOutage(t *testing.T) {
-	d := newDriver(t, 2, worker("a", 8)).registerWorkers()
-	end := planner.RunEnd{Number: 1, Run: planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}, Kind: planner.EndDone}
-	d.ends["a"] = []planner.RunEnd{end}
-	d.poll("a")
-	for range 12 {
-		d.advance(500 * time.Millisecond)
-		d.unprovenFor += 500 * time.Millisecond
-		d.p.Plan(d.now, d.proven())
-		d.poll("a")
-		d.Assert(d.p.Contacts(d.now)[0].Acknowledge, quicktest.Equals, uint64(0), quicktest.Commentf("the store has been away for %s", d.unprovenFor))
+// TestEndOfUnreadJob guards against a task that runs again after it was done, because
+// its end was acknowledged while the owner could not read the job.
+func TestEndOfUnreadJob(t *testing.T) {
+	for name, unproven := range map[string]time.Duration{"store is away": 500 * time.Millisecond, "only the jobs are not read": 0} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 2, worker("a", 8)).registerWorkers()
+			end := planner.RunEnd{Number: 1, Run: planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}, Kind: planner.EndDone}
+			d.ends["a"] = []planner.RunEnd{end}
+			d.poll("a")
+			d.p.JobsRead(d.now)
+			for i := range 30 {
+				d.advance(500 * time.Millisecond)
+				d.unprovenFor += unproven
+				d.p.Plan(d.now, d.proven())
+				d.poll("a")
+				d.Assert(d.p.Contacts(d.now)[0].Acknowledge, quicktest.Equals, uint64(0), quicktest.Commentf("answer %d", i))
+			}
+			d.unprovenFor = 0
+			d.add(job("1", step(1, 1)))
+			d.Assert(d.startTasks(), quicktest.HasLen, 0)
+		})
 	}
-	d.unprovenFor = 0
-	d.add(job("1", step(1, 1)))
-	d.Assert(d.startTasks(), quicktest.HasLen, 0)
 }
--- a/internal/planner/unknown_runs_test.go
+++ b/internal/planner/unknown_runs_test.go
@@ -25,6 +25,20 @@
 	return slices.ContainsFunc(d.p.Contacts(d.now), func(c planner.Contact) bool { return c.ID == id && c.NeedsPoll })
 }
 
+// TestUnreadJobIsNotStopped guards against the loss of a run whose job the owner has not
+// been able to read since it was listed, though it has proved its ownership.
+func TestUnreadJobIsNotStopped(t *testing.T) {
+	d, run := newUnknownRunDriver(t)
+	d.p.JobsRead(d.now)
+	for range 30 {
+		d.advance(500 * time.Millisecond)
+		d.poll("a")
+		d.Assert(d.stops(run), quicktest.IsFalse)
+	}
+	d.add(job("1", step(1, 1)))
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+}
+
 // TestWorkerWithUnknownRunIsPolled guards against a worker that never gets a task
 // again because it listed a run whose job doesn't arrive.
 func TestWorkerWithUnknownRunIsPolled(t *testing.T) {
@@ -37,6 +51,7 @@
 		if !d.needsPoll("a") {
 			continue
 		}
+		d.p.JobsRead(d.now)
 		d.poll("a")
 		if d.stops(run) {
 			d.running["a"] = nil
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -46,6 +46,7 @@
 	isReachable := !w.storeDown && o.isCurrent()
 	if isReachable {
 		o.provenAt = w.now
+		p.JobsRead(w.now)
 	}
 	for _, c := range p.Plan(w.now, o.provenAt) {
 		o.send(c)
