--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -412,17 +412,17 @@
 
 // isNeeded reports whether only the worker can tell something that a successor needs:
 // it has runs, or ends whose effect isn't stored, or has not answered yet.
-func (w *Worker) isNeeded(proven time.Time) bool {
-	return len(w.runs) > 0 || w.hasUnknownRuns || w.isUnverified || w.unstoredEnds(proven) > 0
+func (w *Worker) isNeeded(jobsReadAt time.Time) bool {
+	return len(w.runs) > 0 || w.hasUnknownRuns || w.isUnverified || w.unstoredEnds(jobsReadAt) > 0
 }
 
 // mustBeStored reports whether the stored list needs the worker, because a successor has
 // to ask it or because it may get runs. A worker that isn't needed gets no runs while it
 // is draining or lost. Such a worker is left out, because a successor would have to wait
 // for its answer.
-func (w *Worker) mustBeStored(now, proven time.Time) bool {
+func (w *Worker) mustBeStored(now, jobsReadAt time.Time) bool {
 	switch {
-	case w.isNeeded(proven):
+	case w.isNeeded(jobsReadAt):
 		return true
 	case !w.isProved():
 		// A contested process has probably ended.
--- a/internal/planner/unstored.go
+++ b/internal/planner/unstored.go
@@ -31,33 +31,32 @@
 	return e.task != nil && slices.ContainsFunc(e.task.runs, func(r *run) bool { return r.id != e.Run })
 }
 
-// isStored reports whether the effect of the end is in the store. The job of a run may
-// still arrive from the store, which answered this owner at proven, for a while.
-func (e *unacknowledgedEnd) isStored(proven time.Time) bool {
+// isStored reports whether the effect of the end is in the store. An unknown job may
+// still arrive from the store until the end was read before jobsReadAt.
+func (e *unacknowledgedEnd) isStored(jobsReadAt time.Time) bool {
 	if e.job == nil {
-		return proven.Sub(e.seen) >= unknownRunLimit
+		return jobsReadAt.After(e.seen)
 	}
 	return e.job.committed >= e.version
 }
 
 // unstoredEnds returns how many ends that the worker has listed are not in the store.
-func (w *Worker) unstoredEnds(proven time.Time) int {
+func (w *Worker) unstoredEnds(jobsReadAt time.Time) int {
 	count := 0
 	for i := range w.unacknowledgedEnds {
-		if !w.unacknowledgedEnds[i].isStored(proven) {
+		if !w.unacknowledgedEnds[i].isStored(jobsReadAt) {
 			count++
 		}
 	}
 	return count
 }
 
-// updateAcknowledged advances the number of the last end whose effect is
-// committed, as of the store's answer at proven.
-func (w *Worker) updateAcknowledged(proven time.Time) {
+// updateAcknowledged advances the number of the last end whose effect is committed.
+func (w *Worker) updateAcknowledged(jobsReadAt time.Time) {
 	n := 0
 	for ; n < len(w.unacknowledgedEnds); n++ {
 		e := &w.unacknowledgedEnds[n]
-		if !e.isStored(proven) || e.isStartUnderWay() {
+		if !e.isStored(jobsReadAt) || e.isStartUnderWay() {
 			break
 		}
 		w.acknowledged = e.Number
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -116,7 +116,7 @@
 	if p.hasUnknownWorkers {
 		return false
 	}
-	return p.isRecordStale || slices.ContainsFunc(p.sortedWorkers, func(w *Worker) bool { return w.isRecorded != w.mustBeStored(now, p.provenAt) })
+	return p.isRecordStale || slices.ContainsFunc(p.sortedWorkers, func(w *Worker) bool { return w.isRecorded != w.mustBeStored(now, p.jobsReadAt) })
 }
 
 // Recorded returns the workers to store: those that a successor has to ask, and those
@@ -125,10 +125,10 @@
 func (p *Planner) Recorded(now time.Time) []Worker {
 	var list []Worker
 	for _, w := range p.sortedWorkers {
-		if !w.mustBeStored(now, p.provenAt) {
+		if !w.mustBeStored(now, p.jobsReadAt) {
 			if w.isRecorded {
 				p.isRecordStale = true
-				p.reportWorker("worker_left_out", w, fmt.Sprintf("draining %v, %s, %d ends not stored", w.Draining, w.describeFailure(), w.unstoredEnds(p.provenAt)))
+				p.reportWorker("worker_left_out", w, fmt.Sprintf("draining %v, %s, %d ends not stored", w.Draining, w.describeFailure(), w.unstoredEnds(p.jobsReadAt)))
 			}
 			w.isRecorded = false
 			continue
