Keep the horizon of an earlier owner in a release record

Callers saw tasks run in two places: after an owner was cut off from the store, a second one took the shard over, could not reach a worker, and shut down gracefully. The third owner started the tasks of that worker again after about 11 s, while the first still renewed their leases for up to 15 min (2 h for services).

Cause: a release record meant that every renewal had ended. The owner that releases knows that of its own renewals only; when the leases of earlier owners end on workers that never answered it was in its memory, and its successor couldn't learn it.

Change: the release record sets, by class, how much longer than a fresh lease the attempts of the shard may still run. A release ends the horizons that it doesn't set, and a successor counts the recorded horizon from its own begin record in any case. It is zero if every worker with attempts has answered the owner, so that a successor still waits for one lease after an ordinary stop (TestReleasedShard). The format of the records is unchanged; a release record of an earlier version has no horizon and means what it did.

TestHorizons asked for the flag, which is gone; it now compares the horizons after a release, of which one is set by the release and one is not.

--- a/internal/committer/ledger.go
+++ b/internal/committer/ledger.go
@@ -87,7 +87,6 @@
 	// committed, in order.
 	pending  []Record
 	horizons Horizons
-	released bool
 }
 
 // New returns a ledger that must be replayed before its first append.
@@ -105,23 +104,21 @@
 // cover.
 func (l *Ledger) Uncovered() uint64 { return l.next - 1 - l.covered }
 
-// Horizons returns the latest recorded horizons.
+// Horizons returns the latest recorded horizons. A release record ends those
+// that it doesn't set itself.
 func (l *Ledger) Horizons() Horizons { return l.horizons }
 
-// Released reports whether the last record is a release record, whose owner
-// had ended all renewals before it wrote the record.
-func (l *Ledger) Released() bool { return l.released }
-
 func (l *Ledger) slotKey(sequence uint64) string {
 	return fmt.Sprintf("ledger/%s/%d", l.options.Shard, sequence%ringSlots)
 }
 
 func (l *Ledger) snapshotKey() string { return "snapshot/" + l.options.Shard }
 
-// recordMetadata updates the ledger's horizons and release flag from a
-// committed record.
+// recordMetadata updates the ledger's horizons from a committed record.
 func (l *Ledger) recordMetadata(r Record) {
-	l.released = r.Release
+	if r.Release {
+		clear(l.horizons)
+	}
 	for _, ch := range r.Changes {
 		if ch.HorizonSet != nil {
 			l.horizons[ch.HorizonSet.Class] = ch.HorizonSet.Length
@@ -148,9 +145,10 @@
 }
 
 // Release appends the last record of an owner that stops. The caller must have
-// ended all lease renewals.
-func (l *Ledger) Release(ctx context.Context) error {
-	return l.appendRecords(ctx, ringSlots, []Record{{Release: true}})
+// ended all lease renewals. The changes set the horizons of earlier owners that
+// may still renew leases.
+func (l *Ledger) Release(ctx context.Context, changes []scheduler.Change) error {
+	return l.appendRecords(ctx, ringSlots, []Record{{Release: true, Changes: changes}})
 }
 
 // splitIntoRecords distributes changes over records that fit the store's
--- a/internal/committer/ledger_test.go
+++ b/internal/committer/ledger_test.go
@@ -289,8 +289,9 @@
 	next, _ := openLedger(c, f.client(false), "y")
 	c.Assert(next.Horizons(), quicktest.DeepEquals, Horizons{declarer.ClassBatch: 900e9})
 	c.Assert(next.Epoch(), quicktest.Equals, uint64(2))
-	c.Assert(next.Release(context.Background()), quicktest.IsNil)
+	left := []scheduler.Change{{HorizonSet: &scheduler.HorizonSet{Class: declarer.ClassWatcher, Length: 60e9}}}
+	c.Assert(next.Release(context.Background(), left), quicktest.IsNil)
 	last := New(Options{Store: f.client(false), Shard: "a", Writer: "z"})
 	c.Assert(last.Replay(context.Background(), newCore(t)), quicktest.IsNil)
-	c.Assert(last.Released(), quicktest.IsTrue)
+	c.Assert(last.Horizons(), quicktest.DeepEquals, Horizons{declarer.ClassWatcher: 60e9})
 }
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -193,7 +193,7 @@
 		w <- nil
 	}
 	o.nextBatch = batch{}
-	return o.ledger.Release(ctx)
+	return o.ledger.Release(ctx, o.uncoveredHorizons(time.Now()))
 }
 
 // awaitCommit waits for the commit in flight and answers its callers.
--- a/internal/controller/horizon.go
+++ b/internal/controller/horizon.go
@@ -6,6 +6,7 @@
 
 	"tarragonhead.example/tarragonhead/internal/committer"
 	"tarragonhead.example/tarragonhead/internal/declarer"
+	"tarragonhead.example/tarragonhead/internal/scheduler"
 )
 
 const (
@@ -65,19 +66,32 @@
 // inheritedLeaseExpiry returns, by class, when the leases from earlier owners
 // have expired. No record of an earlier owner follows this owner's begin
 // record, which was committed before beganAt.
-func inheritedLeaseExpiry(l *committer.Ledger, recorded committer.Horizons, released bool, beganAt time.Time) map[declarer.Class]time.Time {
+func inheritedLeaseExpiry(l *committer.Ledger, recorded committer.Horizons, beganAt time.Time) map[declarer.Class]time.Time {
 	ends := map[declarer.Class]time.Time{}
 	if l.Epoch() == 1 {
 		return ends
 	}
 	for _, class := range classes {
-		// A released ledger means that the last owner had ended all renewals
-		// before it appended its last record.
-		length := leaseLength
-		if !released {
-			length += recorded[class]
-		}
-		ends[class] = beganAt.Add(lengthen(length) + callTimeout)
+		ends[class] = beganAt.Add(lengthen(leaseLength+recorded[class]) + callTimeout)
 	}
 	return ends
 }
+
+// uncoveredHorizons returns the changes of a release record: by class, how much
+// longer than a lease that is renewed now the attempts may run. An earlier owner
+// may still renew those on workers that haven't answered this owner.
+func (o *owner) uncoveredHorizons(now time.Time) []scheduler.Change {
+	left := map[declarer.Class]time.Duration{}
+	for _, t := range o.core.Tasks() {
+		if s := o.sessions[t.Worker]; s != nil {
+			left[t.Class] = max(left[t.Class], s.copyLeaseExpiry()[t.Class].Sub(now)-lengthen(leaseLength)-callTimeout)
+		}
+	}
+	var changes []scheduler.Change
+	for _, class := range classes {
+		if left[class] > 0 {
+			changes = append(changes, scheduler.Change{HorizonSet: &scheduler.HorizonSet{Class: class, Length: left[class]}})
+		}
+	}
+	return changes
+}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -172,7 +172,7 @@
 // begin appends the record that starts this owner's epoch, with the initial
 // horizons, and resumes the state that its predecessor left.
 func (o *owner) begin(ctx context.Context) error {
-	recorded, released := maps.Clone(o.ledger.Horizons()), o.ledger.Released()
+	recorded := maps.Clone(o.ledger.Horizons())
 	appendStart := time.Now()
 	changes := scheduler.HorizonChanges()
 	err := o.ledger.Begin(ctx, changes)
@@ -201,7 +201,7 @@
 		}
 	}
 	o.beganAt, o.lastSnapshotAt = time.Now(), time.Now()
-	o.inheritedExpiry = inheritedLeaseExpiry(o.ledger, recorded, released, o.beganAt)
+	o.inheritedExpiry = inheritedLeaseExpiry(o.ledger, recorded, o.beganAt)
 	if o.ledger.Uncovered() >= snapshotEvery {
 		if err := o.writeSnapshot(o.core.Snapshot()); err != nil {
 			return err
