Leave the leases at a former address unbounded by an answer elsewhere

Callers saw tasks run in two places: an owner that was cut off from the store renewed their leases at a worker's address; the worker's next process came up at another address, answered the successor there, and was unreachable after that. The successor started the tasks again 11 s later.

Cause: with the first answer at its epoch a successor concludes that no earlier owner can renew leases any more, and bounds them by one lease. That holds for the process that answered. At a new address it may be another one than the one that runs the attempts; the absence of an attempt from its reports was already not taken as an end, but the loss of the worker was.

Change: a session that replaces one at a former address keeps the expiry it inherits. If the process at the former address has answered this owner, its leases are bounded already.

--- a/internal/controller/intake.go
+++ b/internal/controller/intake.go
@@ -87,7 +87,7 @@
 		old := o.sessions[in.ID]
 		switch {
 		case old == nil:
-			o.openSession(seen, nil)
+			o.openSession(seen, nil, false)
 		case old.seen.Addr != in.Addr:
 			o.replaceSession(old, seen)
 		}
@@ -103,9 +103,10 @@
 }
 
 // openSession starts a session with a worker. leaseExpiry is, by class, when
-// leases that the worker may hold already expire.
-func (o *owner) openSession(seen scheduler.WorkerSeen, leaseExpiry map[declarer.Class]time.Time) {
-	s := newSession(o, seen, maps.Clone(leaseExpiry))
+// leases that the worker may hold already expire, and hasFormerProcess whether
+// a process at a former address may hold some of them.
+func (o *owner) openSession(seen scheduler.WorkerSeen, leaseExpiry map[declarer.Class]time.Time, hasFormerProcess bool) {
+	s := newSession(o, seen, maps.Clone(leaseExpiry), hasFormerProcess)
 	o.sessions[seen.ID] = s
 	o.sessionGoroutines.Go(func() { s.run(s.ctx) })
 	o.sessionGoroutines.Go(func() { s.runCommands(s.ctx) })
@@ -127,7 +128,7 @@
 	for _, p := range o.attemptsOn(seen.ID) {
 		p.conclusiveFrom = latest
 	}
-	o.openSession(seen, leaseExpiry)
+	o.openSession(seen, leaseExpiry, true)
 }
 
 // handleReport adds the end of each attempt that the worker doesn't know,
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -228,7 +228,7 @@
 	}
 	for _, w := range s.Workers {
 		o.awaitedWorkers[w.ID] = true
-		o.openSession(scheduler.WorkerSeen{ID: w.ID, Rack: w.Rack, Addr: w.Addr, Capacity: w.Capacity}, o.inheritedExpiry)
+		o.openSession(scheduler.WorkerSeen{ID: w.ID, Rack: w.Rack, Addr: w.Addr, Capacity: w.Capacity}, o.inheritedExpiry, false)
 	}
 }
 
--- a/internal/controller/session.go
+++ b/internal/controller/session.go
@@ -71,8 +71,12 @@
 
 	// Only run's goroutine uses the fields below.
 
+	// hasFormerProcess is set if a process at a former address of the worker
+	// may run attempts. An answer doesn't tell whether an earlier owner renews
+	// their leases.
+	hasFormerProcess bool
 	// hasAnswered is set once the worker has answered at this epoch. From then
-	// on no earlier owner can renew leases.
+	// on no earlier owner can renew leases of the process that answered.
 	hasAnswered bool
 	// unansweredRequests counts the requests since the last answer.
 	unansweredRequests int
@@ -80,14 +84,14 @@
 	isRenewalDue bool
 }
 
-func newSession(o *owner, seen scheduler.WorkerSeen, leaseExpiry map[declarer.Class]time.Time) *session {
+func newSession(o *owner, seen scheduler.WorkerSeen, leaseExpiry map[declarer.Class]time.Time, hasFormerProcess bool) *session {
 	if leaseExpiry == nil {
 		leaseExpiry = map[declarer.Class]time.Time{}
 	}
 	s := &session{
 		id: seen.ID, seen: seen, worker: o.shard.controller.options.Worker(seen.Addr), shard: o.shard.name, epoch: o.ledger.Epoch(),
 		post: o.post, remaining: o.horizon.remaining, commands: make(chan scheduler.Command, commandQueueSize), wake: make(chan struct{}, 1),
-		leaseExpiry: leaseExpiry, expiredClasses: map[declarer.Class]bool{},
+		leaseExpiry: leaseExpiry, expiredClasses: map[declarer.Class]bool{}, hasFormerProcess: hasFormerProcess,
 	}
 	s.ctx, s.end = context.WithCancel(o.servingCtx)
 	return s
@@ -262,11 +266,11 @@
 
 func (s *session) handleStatus(sent time.Time, status dispatcher.Status) {
 	now := time.Now()
-	first := !s.hasAnswered
+	boundsLeases := !s.hasAnswered && !s.hasFormerProcess
 	isNewProcess := s.setIncarnation(status.Process.Incarnation)
 	s.mu.Lock()
 	clear(s.expiredClasses)
-	if first {
+	if boundsLeases {
 		// No earlier owner can renew leases any more. A lease that one renewed
 		// just before this answer has expired by the time latest.
 		latest := now.Add(lengthen(leaseLength) + callTimeout)
