Record that an attempt may run at a worker's former address

Callers saw tasks run in two places: the next process of a worker came up at another address while the earlier one still ran its attempts under their leases, and the owner changed within these 10 s (a planned stop takes a second). The successor asked the new address, took the absence of the attempts from the first report for their end, and started them again.

Cause: that a report from the new address isn't conclusive for these attempts was in the owner's memory only (placedAttempt.conclusiveFrom); the ledger had the new address, without what had been placed at the former one.

Change: the change of a worker's address, which is in the ledger already, marks the worker's attempts as moved, deterministically at each replay, until they end. A successor waits for such attempts as for those on a worker that it can't reach, unless the worker lists them, and doesn't bound their leases by an answer from the new address. After a planned stop the wait is one lease; after the death of an owner within 10 s of the move it is the horizon, as for an unreachable worker.

Evidence: TestOwnerChangeAfterMove failed before (attempt 2 of three tasks overlapped attempt 1 on the former process) and passes now.

--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -215,20 +215,28 @@
 // offers of the replayed transfers.
 func (o *owner) resumeInherited() {
 	s := o.core.Snapshot()
+	hasMoved := map[string]bool{}
 	for _, t := range s.Tasks {
-		if t.Worker != "" {
-			// Once a worker has answered at this owner's epoch it carries out
-			// no earlier owner's commands, so already its first report is
-			// conclusive.
-			o.attemptsOn(t.Worker)[t.ID] = &placedAttempt{attempt: t.Attempt}
+		if t.Worker == "" {
+			continue
 		}
+		// Once a worker has answered at this owner's epoch it carries out no
+		// earlier owner's commands, so already its first report is conclusive.
+		p := &placedAttempt{attempt: t.Attempt}
+		if t.Moved {
+			// The process at the worker's address is not the one that runs the
+			// attempt.
+			hasMoved[t.Worker] = true
+			p.conclusiveFrom = o.inheritedExpiry[t.Class]
+		}
+		o.attemptsOn(t.Worker)[t.ID] = p
 	}
 	for _, t := range s.Transfers {
 		o.offerTransfer(scheduler.HandOverTask{TransferID: t.TransferID, ToShard: t.ToShard, Task: t})
 	}
 	for _, w := range s.Workers {
 		o.awaitedWorkers[w.ID] = true
-		o.openSession(scheduler.WorkerSeen{ID: w.ID, Rack: w.Rack, Addr: w.Addr, Capacity: w.Capacity}, o.inheritedExpiry, false)
+		o.openSession(scheduler.WorkerSeen{ID: w.ID, Rack: w.Rack, Addr: w.Addr, Capacity: w.Capacity}, o.inheritedExpiry, hasMoved[w.ID])
 	}
 }
 
--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -184,7 +184,7 @@
 	}
 	c.recordOutcome(t, ch.Outcome)
 	if !HoldsReservation(next) {
-		t.Resumed = ""
+		t.Resumed, t.Moved = "", false
 		t.NotBefore = ch.NotBefore
 		c.release(t)
 	}
--- a/internal/scheduler/apply_work.go
+++ b/internal/scheduler/apply_work.go
@@ -265,6 +265,11 @@
 		if !w.Reserved.FitsIn(ch.Worker.Capacity) {
 			return &InvariantError{Invariant: 1, Worker: w.ID, Problem: "new capacity is less than the reservations"}
 		}
+		if w.Addr != ch.Worker.Addr {
+			for _, t := range c.tasksByWorker[w.ID] {
+				t.Moved = true
+			}
+		}
 		w.Rack, w.Addr, w.Capacity = ch.Worker.Rack, ch.Worker.Addr, ch.Worker.Capacity
 		return nil
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -66,6 +66,9 @@
 	// Resumed is the checkpoint that the current attempt has consumed. It
 	// becomes Checkpoint again only if the attempt provably did not start.
 	Resumed string `cbor:"26,keyasint,omitempty"`
+	// Moved is set if the worker's address has changed since the current attempt
+	// was placed. The attempt may run on a process at a former address.
+	Moved bool `cbor:"27,keyasint,omitempty"`
 }
 
 // Job is the state of a batch job in one shard. The accepted tasks (Job.Tasks
--- a/standins/emulator/successor_test.go
+++ b/standins/emulator/successor_test.go
@@ -57,3 +57,27 @@
 		c.Assert(countStarts(s), quicktest.Equals, 3)
 	})
 }
+
+// TestOwnerChangeAfterMove guards against a successor that takes the first report
+// of a worker's new process for that of the process at the former address, which
+// still runs the attempts.
+func TestOwnerChangeAfterMove(t *testing.T) {
+	runSystem(t, oneDomain, func(c *quicktest.C, s *System) {
+		startJob(c, s, "a", 3, 30*time.Second)
+		owner := s.Owner("a")
+		s.Move("a-w0")
+		_, ok := WaitUntil(5*time.Second, func() bool {
+			for _, w := range s.Report("a").Workers {
+				if w.ID == "a-w0" {
+					return w.Addr.Port() == 2
+				}
+			}
+			return false
+		})
+		c.Assert(ok, quicktest.IsTrue)
+		time.Sleep(300 * time.Millisecond)
+		owner.Stop()
+		awaitTakeover(c, s, "a", owner, 10*time.Second)
+		awaitJob(c, s, "a", 3, 2*time.Minute)
+	})
+}
