Keep that a worker is leaving while it is lost

Callers saw new work on a worker that was leaving: when it had missed two requests and answered again, tasks started on it for up to a second, until the list of instances was read again; if the list had no entry of it any more, for good.

Cause: the state lost replaced the state leaving in the ledger, and an answer made the worker live. That it was leaving remained in the memory of the owner, which used it for the routes but not for placement, and which a successor couldn't learn.

Change: the worker's record has a field for it, set and cleared by the events leave and stay, which a lost worker accepts now; one that answers again is leaving in the same record. The routes use the field too, and the map in memory is gone.

--- a/internal/controller/intake.go
+++ b/internal/controller/intake.go
@@ -91,12 +91,11 @@
 		case old.seen.Addr != in.Addr:
 			o.replaceSession(old, seen)
 		}
-		o.leavingWorkers[in.ID] = in.Leaving
 		w, _ := o.core.LookupWorker(in.ID)
 		switch {
 		case in.Leaving:
 			o.handleEvent(scheduler.Event{WorkerLeaving: &scheduler.WorkerLeaving{ID: in.ID}})
-		case w.State == scheduler.Leaving:
+		case w.State == scheduler.Leaving || w.Leaving:
 			o.handleEvent(scheduler.Event{WorkerStaying: &scheduler.WorkerStaying{ID: in.ID}})
 		}
 	}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -105,9 +105,6 @@
 	attempts map[string]map[scheduler.TaskID]*placedAttempt
 	// runners holds the reported runner of each service task.
 	runners map[scheduler.TaskID]*messenger.Route
-	// leavingWorkers holds the workers that the newest list of instances that
-	// has them shows as leaving.
-	leavingWorkers map[string]bool
 	// awaitedWorkers holds the predecessor's workers that have neither
 	// answered nor become unreachable.
 	awaitedWorkers map[string]bool
@@ -163,7 +160,7 @@
 		shard: s, core: core, ledger: ledger, ownershipCtx: ownershipCtx, leaseEnded: leaseEnded,
 		inputs: make(chan input, 1024), committed: make(chan error, 1), undecidedAppends: make(chan bool, 1),
 		sessions: map[string]*session{}, attempts: map[string]map[scheduler.TaskID]*placedAttempt{}, runners: map[scheduler.TaskID]*messenger.Route{},
-		awaitedWorkers: map[string]bool{}, leavingWorkers: map[string]bool{}, peerCallSlots: make(chan struct{}, maxPeerCalls),
+		awaitedWorkers: map[string]bool{}, peerCallSlots: make(chan struct{}, maxPeerCalls),
 	}
 	o.servingCtx, o.endServing = context.WithCancel(ownershipCtx)
 	return o
--- a/internal/controller/routes.go
+++ b/internal/controller/routes.go
@@ -37,7 +37,7 @@
 func (o *owner) isLeaving(t scheduler.Task) bool {
 	w, _ := o.core.LookupWorker(t.Worker)
 	isServing := t.State == scheduler.Running || (t.State == scheduler.Unknown && !t.Cancelling && !t.Evicting)
-	return !isServing || w.State == scheduler.Leaving || o.leavingWorkers[t.Worker]
+	return !isServing || w.State == scheduler.Leaving || w.Leaving
 }
 
 // publishRoutes publishes a new version of the routing table if the routes
--- a/internal/scheduler/apply_work.go
+++ b/internal/scheduler/apply_work.go
@@ -282,6 +282,8 @@
 	}
 	c.setWorkerState(w, next)
 	switch ch.Event {
+	case "leave", "stay":
+		w.Leaving = ch.Event == "leave"
 	case "clear":
 		w.Probes, w.ProbeAt, w.FailedOwners = 0, ch.Worker.ProbeAt, nil
 	case "quarantine":
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -206,7 +206,7 @@
 	case e.ForeignOwner != nil:
 		c.handOverAll(e.ForeignOwner.To)
 	case e.WorkerLeaving != nil:
-		c.transitionWorker(e.WorkerLeaving.ID, "leave", "worker is listed as leaving")
+		c.markLeaving(e.WorkerLeaving.ID)
 	case e.WorkerStaying != nil:
 		c.transitionWorker(e.WorkerStaying.ID, "stay", "worker is no longer listed as leaving")
 	case e.Report != nil:
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -61,6 +61,13 @@
 	return c.record(Change{WorkerChanged: &WorkerChanged{Worker: Worker{ID: id, ProbeAt: probeAt}, Event: event, Reason: reason}})
 }
 
+// markLeaving records that a worker accepts no new work.
+func (c *Core) markLeaving(id string) {
+	if w := c.workers[id]; w != nil && !w.Leaving {
+		c.transitionWorker(id, "leave", "worker is listed as leaving")
+	}
+}
+
 // markUnreachable marks a worker as lost. Its attempts are kept in state
 // unknown until their leases expire.
 func (c *Core) markUnreachable(id string) {
@@ -105,6 +112,9 @@
 	}
 	if w.State == Lost {
 		c.transitionWorker(e.Worker, "return", "worker responds again")
+		if w.Leaving {
+			c.transitionWorker(e.Worker, "leave", "worker was listed as leaving")
+		}
 	}
 	listed := make(map[TaskID]bool, len(e.Running)+len(e.Ended))
 	for _, a := range e.Ended {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -155,6 +155,9 @@
 	Probes int `cbor:"8,keyasint,omitempty"`
 	// ProbeAt is when the next probe of a quarantined worker is due.
 	ProbeAt time.Time `cbor:"9,keyasint,omitzero"`
+	// Leaving is set while the platform lists the worker as leaving, also while
+	// its state is lost.
+	Leaving bool `cbor:"10,keyasint,omitempty"`
 }
 
 // maxFailureSources limits the distinct workers recorded for a job and the
--- a/standins/emulator/successor_test.go
+++ b/standins/emulator/successor_test.go
@@ -81,3 +81,22 @@
 		awaitJob(c, s, "a", 3, 2*time.Minute)
 	})
 }
+
+// TestLeavingWorkerAnswersAgain guards against new work on a leaving worker that
+// was unreachable for a while.
+func TestLeavingWorkerAnswersAgain(t *testing.T) {
+	runSystem(t, oneDomain, func(c *quicktest.C, s *System) {
+		startJob(c, s, "a", 60, 5*time.Second)
+		s.Store.SetLeaving("a-w0", true)
+		time.Sleep(6 * time.Second)
+		link := s.Owner("a").Link("a-w0")
+		before := countStartsOn(s, "a-w0")
+		for range 5 {
+			link.DropRequests.Store(true)
+			time.Sleep(7 * time.Second)
+			link.DropRequests.Store(false)
+			time.Sleep(7*time.Second + 130*time.Millisecond)
+		}
+		c.Assert(countStartsOn(s, "a-w0"), quicktest.Equals, before)
+	})
+}
