--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -105,9 +105,6 @@
 	attempts map[string]map[scheduler.TaskID]*placedAttempt
 	// runners holds the reported runner of each service task.
 	runners map[scheduler.TaskID]*messenger.Route
-	// leavingWorkers holds the workers that the newest list of instances that
-	// has them shows as leaving.
-	leavingWorkers map[string]bool
 	// awaitedWorkers holds the predecessor's workers that have neither
 	// answered nor become unreachable.
 	awaitedWorkers map[string]bool
@@ -163,7 +160,7 @@
 		shard: s, core: core, ledger: ledger, ownershipCtx: ownershipCtx, leaseEnded: leaseEnded,
 		inputs: make(chan input, 1024), committed: make(chan error, 1), undecidedAppends: make(chan bool, 1),
 		sessions: map[string]*session{}, attempts: map[string]map[scheduler.TaskID]*placedAttempt{}, runners: map[scheduler.TaskID]*messenger.Route{},
-		awaitedWorkers: map[string]bool{}, leavingWorkers: map[string]bool{}, peerCallSlots: make(chan struct{}, maxPeerCalls),
+		awaitedWorkers: map[string]bool{}, peerCallSlots: make(chan struct{}, maxPeerCalls),
 	}
 	o.servingCtx, o.endServing = context.WithCancel(ownershipCtx)
 	return o
@@ -172,7 +169,7 @@
 // begin appends the record that starts this owner's epoch, with the initial
 // horizons, and resumes the state that its predecessor left.
 func (o *owner) begin(ctx context.Context) error {
-	recorded, released := maps.Clone(o.ledger.Horizons()), o.ledger.Released()
+	recorded := maps.Clone(o.ledger.Horizons())
 	appendStart := time.Now()
 	changes := scheduler.HorizonChanges()
 	err := o.ledger.Begin(ctx, changes)
@@ -201,7 +198,7 @@
 		}
 	}
 	o.beganAt, o.lastSnapshotAt = time.Now(), time.Now()
-	o.inheritedExpiry = inheritedLeaseExpiry(o.ledger, recorded, released, o.beganAt)
+	o.inheritedExpiry = inheritedLeaseExpiry(o.ledger, recorded, o.beganAt)
 	if o.ledger.Uncovered() >= snapshotEvery {
 		if err := o.writeSnapshot(o.core.Snapshot()); err != nil {
 			return err
@@ -215,20 +212,28 @@
 // offers of the replayed transfers.
 func (o *owner) resumeInherited() {
 	s := o.core.Snapshot()
+	hasMoved := map[string]bool{}
 	for _, t := range s.Tasks {
-		if t.Worker != "" {
-			// Once a worker has answered at this owner's epoch it carries out
-			// no earlier owner's commands, so already its first report is
-			// conclusive.
-			o.attemptsOn(t.Worker)[t.ID] = &placedAttempt{attempt: t.Attempt}
+		if t.Worker == "" {
+			continue
 		}
+		// Once a worker has answered at this owner's epoch it carries out no
+		// earlier owner's commands, so already its first report is conclusive.
+		p := &placedAttempt{attempt: t.Attempt}
+		if t.Moved {
+			// The process at the worker's address is not the one that runs the
+			// attempt.
+			hasMoved[t.Worker] = true
+			p.conclusiveFrom = o.inheritedExpiry[t.Class]
+		}
+		o.attemptsOn(t.Worker)[t.ID] = p
 	}
 	for _, t := range s.Transfers {
 		o.offerTransfer(scheduler.HandOverTask{TransferID: t.TransferID, ToShard: t.ToShard, Task: t})
 	}
 	for _, w := range s.Workers {
 		o.awaitedWorkers[w.ID] = true
-		o.openSession(scheduler.WorkerSeen{ID: w.ID, Rack: w.Rack, Addr: w.Addr, Capacity: w.Capacity}, o.inheritedExpiry)
+		o.openSession(scheduler.WorkerSeen{ID: w.ID, Rack: w.Rack, Addr: w.Addr, Capacity: w.Capacity}, o.inheritedExpiry, hasMoved[w.ID])
 	}
 }
 
--- /dev/null
+++ b/standins/emulator/successor_test.go
@@ -0,0 +1,102 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestReleaseBeforeAnswer guards against tasks that start again while an owner
+// that is cut off from the store still renews their leases, because a successor
+// that never reached their worker has shut down gracefully.
+func TestReleaseBeforeAnswer(t *testing.T) {
+	o := oneDomain
+	o.Daemons = 3
+	runSystem(t, o, func(c *quicktest.C, s *System) {
+		startJob(c, s, "a", 3, time.Hour)
+		first := s.Owner("a")
+		for _, d := range s.Daemons() {
+			if d != first {
+				d.Link("a-w0").DropRequests.Store(true)
+			}
+		}
+		first.StoreDown.Store(true)
+		awaitTakeover(c, s, "a", first, 10*time.Second)
+		second := s.Owner("a")
+		time.Sleep(5 * time.Second)
+		second.Stop()
+		awaitTakeover(c, s, "a", second, 10*time.Second)
+		time.Sleep(5 * time.Minute)
+		c.Assert(countStarts(s), quicktest.Equals, 3)
+	})
+}
+
+// TestMovedWorkerOfCutOffOwner guards against tasks that start again while an
+// owner that is cut off from the store renews their leases at their worker's
+// former address, because the successor has reached the worker's new process.
+func TestMovedWorkerOfCutOffOwner(t *testing.T) {
+	runSystem(t, oneDomain, func(c *quicktest.C, s *System) {
+		startJob(c, s, "a", 3, 10*time.Minute)
+		old := s.Owner("a")
+		for _, d := range s.Daemons() {
+			if d != old {
+				d.Link("a-w0").DropRequests.Store(true)
+			}
+		}
+		old.StoreDown.Store(true)
+		s.Move("a-w0")
+		awaitTakeover(c, s, "a", old, 10*time.Second)
+		time.Sleep(5 * time.Second)
+		link := s.Owner("a").Link("a-w0")
+		link.DropRequests.Store(false)
+		time.Sleep(5 * time.Second)
+		link.DropRequests.Store(true)
+		time.Sleep(time.Minute)
+		link.DropRequests.Store(false)
+		c.Assert(countStarts(s), quicktest.Equals, 3)
+	})
+}
+
+// TestOwnerChangeAfterMove guards against a successor that takes the first report
+// of a worker's new process for that of the process at the former address, which
+// still runs the attempts.
+func TestOwnerChangeAfterMove(t *testing.T) {
+	runSystem(t, oneDomain, func(c *quicktest.C, s *System) {
+		startJob(c, s, "a", 3, 30*time.Second)
+		owner := s.Owner("a")
+		s.Move("a-w0")
+		_, ok := WaitUntil(5*time.Second, func() bool {
+			for _, w := range s.Report("a").Workers {
+				if w.ID == "a-w0" {
+					return w.Addr.Port() == 2
+				}
+			}
+			return false
+		})
+		c.Assert(ok, quicktest.IsTrue)
+		time.Sleep(300 * time.Millisecond)
+		owner.Stop()
+		awaitTakeover(c, s, "a", owner, 10*time.Second)
+		awaitJob(c, s, "a", 3, 2*time.Minute)
+	})
+}
+
+// TestLeavingWorkerAnswersAgain guards against new work on a leaving worker that
+// was unreachable for a while.
+func TestLeavingWorkerAnswersAgain(t *testing.T) {
+	runSystem(t, oneDomain, func(c *quicktest.C, s *System) {
+		startJob(c, s, "a", 60, 5*time.Second)
+		s.Store.SetLeaving("a-w0", true)
+		time.Sleep(6 * time.Second)
+		link := s.Owner("a").Link("a-w0")
+		before := countStartsOn(s, "a-w0")
+		for range 5 {
+			link.DropRequests.Store(true)
+			time.Sleep(7 * time.Second)
+			link.DropRequests.Store(false)
+			time.Sleep(7*time.Second + 130*time.Millisecond)
+		}
+		c.Assert(countStartsOn(s, "a-w0"), quicktest.Equals, before)
+	})
+}
