Keep the crashes that were stored after a task arrived

What callers would see: a task that crashes the workers which start it and that was handed over to another shard goes on after a change of owner there, since the new owner counts only the crashes from before the handover.

Cause: a new owner restores the stored progress, and then takes each arrival in the job's record for a new one, which replaces the crashes.

Evidence: TestSuccessorKeepsCrashesSinceArrival, case "crashed here": three stored crashes at the start, the job goes on as running; it fails now. The cases in which the arrival's crashes are newer were right and stay so.

Why it works: crashes that an owner of the shard has stored began with those of the arrival, so they replace it, unless the task has left the shard since.

--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -249,14 +249,16 @@
 		}
 		t.handovers, t.attemptFloor, t.isElsewhere, t.departure = a.Move, max(t.attemptFloor, a.Attempt), false, nil
 		t.readyAt, t.arrivedAt, t.reservedAt = now.Add(-a.Waited), now, time.Time{}
-		t.crashes = a.Crashes
+		if !t.hasStoredCrashes {
+			t.crashes = a.Crashes
+		}
 		p.enqueue(t)
 	}
 }
 
 // markElsewhere removes a task that another shard has from the waiting tasks.
 func (t *task) markElsewhere() {
-	t.isElsewhere = true
+	t.isElsewhere, t.hasStoredCrashes = true, false
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
 }
 
--- a/internal/planner/handover_test.go
+++ b/internal/planner/handover_test.go
@@ -330,3 +330,31 @@
 	d.advance(time.Second)
 	d.Assert(announce(5500*time.Millisecond), quicktest.Equals, 5500*time.Millisecond)
 }
+
+// TestSuccessorKeepsCrashesSinceArrival guards against a task that goes on to crash
+// workers because each owner of the shard that it was handed over to begins with the
+// crashes from before the handover.
+func TestSuccessorKeepsCrashesSinceArrival(t *testing.T) {
+	crash := func(id string) planner.Crash { return planner.Crash{Worker: id, Born: 1, IsPrompt: true} }
+	stored := []planner.Crash{crash("x"), crash("y"), crash("z")}
+	for name, tt := range map[string]struct {
+		progress planner.TaskProgress
+		want     planner.State
+	}{
+		"crashed here":         {planner.TaskProgress{Crashes: stored}, planner.Failed},
+		"not crashed here":     {planner.TaskProgress{Checkpoint: "c"}, planner.Running},
+		"crashed here earlier": {planner.TaskProgress{Crashes: stored, Departure: &planner.Departure{Shard: "2", Move: 2}}, planner.Running},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 2)
+			j := longRunningJob("1", 1, 1)
+			j.IsPart = true
+			j.Arrived = []planner.Arrival{{Move: 1, Crashes: stored[:1]}, {Move: 3, Crashes: stored[:2]}}
+			d.p.AddJob(d.now, j, planner.Progress{Occurrences: []planner.OccurrenceProgress{{Tasks: []planner.TaskProgress{tt.progress}}}})
+			d.p.Plan(d.now, d.proven())
+			d.commit()
+			state, _ := d.p.JobState("1")
+			d.Assert(state, quicktest.Equals, tt.want)
+		})
+	}
+}
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -133,6 +133,7 @@
 			s := o.steps[tp.Step]
 			t := s.tasks[tp.Index]
 			t.failures, t.checkpoint, t.crashes = tp.Failures, tp.Checkpoint, tp.Crashes
+			t.hasStoredCrashes = len(tp.Crashes) > 0
 			j.hasStarted = j.hasStarted || tp.Done || len(tp.Failures) > 0 || tp.Checkpoint != "" || len(tp.Crashes) > 0
 			if tp.Departure != nil {
 				t.departure, t.handovers = tp.Departure, tp.Departure.Move
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -126,6 +126,9 @@
 	// crashes holds the crashes of workers on which the task had just started, one
 	// for each process.
 	crashes []Crash
+	// hasStoredCrashes is set if an earlier owner of this shard has stored crashes, which
+	// include those from before the arrival, and the task has not left the shard since.
+	hasStoredCrashes bool
 	// crashVersion is the version of the job that has the last change of crashes.
 	crashVersion uint64
 	checkpoint   string
