Store the attempt to begin with once an epoch's attempts are used up

What callers would see: after a change of owner, workers reject the starts of a task as old for a while, and a run may have the number of an earlier one, if the task was started over 1,000 times under the predecessor: one that lasts and always fails, or that workers refuse ten times a second for 100 s.

Cause: a successor's attempts begin 1,000 above where its predecessor's began, and nothing bounded those of the predecessor.

Evidence: on the code before, a successor's first attempt was 1001 after 2500 starts; TestAttemptsAfterLongOwnership guards it over three owners now.

Why it works: before attempt 1,001 of an epoch the owner stores the number reached as the one that the gaps are added to, and starts the task only after that is stored, as with crashes.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -272,10 +272,11 @@
 // task.
 func (t *task) areCrashesStored() bool { return t.step.occurrence.job.committed >= t.crashVersion }
 
-// isSafeToStart reports whether a crash of the worker on which a task starts next would
-// not be lost with the owner: the crashes so far are stored, and a further one could be.
+// isSafeToStart reports whether a successor would know what it needs of the next run of a
+// task: an attempt number that the run is below, and the crash of its worker. The crashes
+// so far are stored, and a further one could be.
 func (p *Planner) isSafeToStart(now time.Time, t *task) bool {
-	return t.suspicion() == notSuspected || t.areCrashesStored() && now.Sub(p.provenAt) < suspectHorizon
+	return p.hasAttempt(t) && (t.suspicion() == notSuspected || t.areCrashesStored() && now.Sub(p.provenAt) < suspectHorizon)
 }
 
 // giveUpDeadlyTasks ends the jobs of the tasks that are given up, once it is known that
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -400,8 +400,24 @@
 
 // nextAttempt returns an attempt number above all that the task has used under
 // this and earlier owners and in earlier shards.
-func (p *Planner) nextAttempt(t *task) int {
-	return max(t.attempt+1, t.attemptFloor+int(p.options.Epoch-1)*attemptsPerEpoch+1)
+func (p *Planner) nextAttempt(t *task) int { return max(t.attempt, p.attemptBase(t)) + 1 }
+
+// attemptBase returns the number above which this owner's attempts at a task begin.
+func (p *Planner) attemptBase(t *task) int {
+	return t.attemptFloor + int(p.options.Epoch-1)*attemptsPerEpoch
+}
+
+// hasAttempt reports whether a successor's attempts at a task would be above the next one.
+// If not, it raises the floor of the task, which then waits until that is stored.
+func (p *Planner) hasAttempt(t *task) bool {
+	j := t.step.occurrence.job
+	if over := t.attempt - p.attemptBase(t); over >= attemptsPerEpoch {
+		t.attemptFloor += over
+		t.raisedFloor = t.attemptFloor
+		j.markChanged()
+		t.floorVersion = j.version
+	}
+	return j.committed >= t.floorVersion
 }
 
 // startRun adds a run of a task to a worker and queues its start command. A
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -61,6 +61,9 @@
 	Departure *Departure `cbor:"departure,omitempty"`
 	// Crashes holds the crashes of workers on which the task had just started.
 	Crashes []Crash `cbor:"crashes,omitempty"`
+	// Attempt is the highest attempt that an owner had used when it had used those of a
+	// whole epoch, less the gaps of the epochs before; zero if none has.
+	Attempt int `cbor:"attempt,omitempty"`
 }
 
 // Encode returns the stored form of v. It fails if a time of v is outside of the years 0 to
@@ -96,8 +99,8 @@
 					done.setDone(t.id.Index)
 					continue
 				}
-				if t.done || len(t.failures) > 0 || t.checkpoint != "" || t.departure != nil || len(t.crashes) > 0 {
-					op.Tasks = append(op.Tasks, TaskProgress{t.id.Step, t.id.Index, t.done, t.failures, t.checkpoint, t.departure, t.crashes})
+				if t.done || len(t.failures) > 0 || t.checkpoint != "" || t.departure != nil || len(t.crashes) > 0 || t.raisedFloor > 0 {
+					op.Tasks = append(op.Tasks, TaskProgress{t.id.Step, t.id.Index, t.done, t.failures, t.checkpoint, t.departure, t.crashes, t.raisedFloor})
 				}
 			}
 			if len(done.Done) > 0 {
@@ -134,6 +137,7 @@
 			t := s.tasks[tp.Index]
 			t.failures, t.checkpoint, t.crashes = tp.Failures, tp.Checkpoint, tp.Crashes
 			t.hasStoredCrashes = len(tp.Crashes) > 0
+			t.raisedFloor, t.attemptFloor = tp.Attempt, max(t.attemptFloor, tp.Attempt)
 			j.hasStarted = j.hasStarted || tp.Done || len(tp.Failures) > 0 || tp.Checkpoint != "" || len(tp.Crashes) > 0
 			if tp.Departure != nil {
 				t.departure, t.handovers = tp.Departure, tp.Departure.Move
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -164,3 +164,31 @@
 	c.Assert(read.First.Unix(), quicktest.Equals, j.First.Unix())
 	c.Assert(read.Interval, quicktest.Equals, j.Interval)
 }
+
+// TestAttemptsAfterLongOwnership guards against a successor whose attempts workers reject
+// as old, because a task was started more often under its predecessors than there are
+// attempts to an epoch.
+func TestAttemptsAfterLongOwnership(t *testing.T) {
+	j := longRunningJob("1", 1, 1)
+	var stored planner.Progress
+	last := 0
+	for epoch := range int64(3) {
+		d := newDriver(t, epoch+1, worker("a", 8)).registerWorkers()
+		d.p.AddJob(d.now, j, stored)
+		for i := range 2500 {
+			d.advance(500 * time.Millisecond)
+			for _, o := range d.p.Plan(d.now, d.proven()) {
+				if o.Kind == planner.StartRun {
+					d.Assert(o.Run.Attempt > last, quicktest.IsTrue, quicktest.Commentf("start %d of epoch %d: %d after %d", i, epoch+1, o.Run.Attempt, last))
+					last = o.Run.Attempt
+					d.p.StartAnswered(d.now, o.Run, o.WorkerID, planner.Refused, "")
+				}
+			}
+			if changes := d.p.Changes(1); len(changes) > 0 && i%2 == 0 {
+				stored = changes[0].Progress
+				d.p.Committed(changes)
+			}
+		}
+		d.Assert(last > int(epoch)*2000+2000, quicktest.IsTrue, quicktest.Commentf("only %d starts", last))
+	}
+}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -151,6 +151,10 @@
 	// and arrivedAt is when this shard took the task over.
 	attemptFloor int
 	arrivedAt    time.Time
+	// raisedFloor is attemptFloor if an owner of this shard has used the attempts of a
+	// whole epoch, and floorVersion the version of the job that has the last raise.
+	raisedFloor  int
+	floorVersion uint64
 	// reservedWorker is the worker last reserved for the task; the reservation
 	// may have expired. reservedAt is when the first worker was reserved during
 	// the present wait.
