--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -126,6 +126,9 @@
 	// crashes holds the crashes of workers on which the task had just started, one
 	// for each process.
 	crashes []Crash
+	// hasStoredCrashes is set if an earlier owner of this shard has stored crashes, which
+	// include those from before the arrival, and the task has not left the shard since.
+	hasStoredCrashes bool
 	// crashVersion is the version of the job that has the last change of crashes.
 	crashVersion uint64
 	checkpoint   string
@@ -148,6 +151,10 @@
 	// and arrivedAt is when this shard took the task over.
 	attemptFloor int
 	arrivedAt    time.Time
+	// raisedFloor is attemptFloor if an owner of this shard has used the attempts of a
+	// whole epoch, and floorVersion the version of the job that has the last raise.
+	raisedFloor  int
+	floorVersion uint64
 	// reservedWorker is the worker last reserved for the task; the reservation
 	// may have expired. reservedAt is when the first worker was reserved during
 	// the present wait.
