Close the control listener of a daemon that can't serve callers

Cause: the test chose the daemon's addresses by opening and closing listeners, and another process took that of the traffic listener before the daemon opened it. Run then returned an error and left the control listener open, with nobody to accept: a call to it waits until the garbage collector, which runs every 2 min in an idle process, finalizes the listener, and the kernel resets what is queued. The test didn't look at the error, since a dial to the traffic address succeeded.

Change: Run closes its listeners whenever it returns, so that such a call is refused at once. In production the process ends then, so callers saw nothing. In the tests the listeners exist before the daemon, which gets them through a field of platform, so that no other process can take their addresses, and nothing has to be awaited. What the tests check is unchanged.

--- a/internal/server/requests_test.go
+++ b/internal/server/requests_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -27,6 +29,44 @@
 	return l.Addr().String()
 }
 
+// newListeningServer returns a daemon without a store that listens on the listeners
+// returned, and on any other address not at all. The listeners exist before the
+// daemon, so that no other process takes their addresses in between.
+func newListeningServer(c *qt.C) (d *Server, listeners map[string]net.Listener) {
+	listeners = map[string]net.Listener{}
+	open := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { _ = l.Close() })
+		listeners[l.Addr().String()] = l
+		return l.Addr().String()
+	}
+	s := Settings{
+		ID: "d0", Domain: "a", Traffic: open(), Control: open(), Store: freeAddr(c), LogLevel: "error",
+		DrainTimeout: "10s", StopDelay: "2s", PanicOnViolation: true,
+	}
+	d, err := New(s, io.Discard, prometheus.NewRegistry())
+	c.Assert(err, qt.IsNil)
+	d.listen = func(addr netip.AddrPort) (net.Listener, error) {
+		if l := listeners[addr.String()]; l != nil {
+			return l, nil
+		}
+		return nil, syscall.EADDRINUSE
+	}
+	return d, listeners
+}
+
+// TestListenerInUse guards against a daemon that can't open one of its listeners
+// and leaves the other one open, where callers then wait without an answer.
+func TestListenerInUse(t *testing.T) {
+	c := qt.New(t)
+	d, listeners := newListeningServer(c)
+	delete(listeners, d.settings.Traffic)
+	c.Assert(d.Run(context.Background()), qt.ErrorIs, syscall.EADDRINUSE)
+	_, err := net.Dial("tcp", d.settings.Control)
+	c.Assert(err, qt.IsNotNil)
+}
+
 // startServer runs a daemon without a store, with one runner that takes 300 ms
 // for each request.
 func startServer(c *qt.C) (d *Server, stop func(), ended chan error) {
@@ -39,11 +79,7 @@
 		ctx.SetBodyString("answer")
 	}}
 	go func() { _ = target.Serve(l) }()
-	d, err = New(Settings{
-		ID: "d0", Domain: "a", Traffic: freeAddr(c), Control: freeAddr(c), Store: freeAddr(c), LogLevel: "error",
-		DrainTimeout: "10s", StopDelay: "2s", PanicOnViolation: true,
-	}, io.Discard, prometheus.NewRegistry())
-	c.Assert(err, qt.IsNil)
+	d, _ = newListeningServer(c)
 	d.router.Update(&messenger.RoutingTable{Shard: "b", Epoch: 1, Version: 1, Routes: []*messenger.Route{
 		{Service: "s", Task: "t", Addr: l.Addr().String(), Domain: "a", Slots: 8, Connections: 64},
 	}})
@@ -51,13 +87,6 @@
 	c.Cleanup(stop)
 	ended = make(chan error, 1)
 	go func() { ended <- d.Run(ctx) }()
-	for range 100 {
-		if conn, err := net.Dial("tcp", d.settings.Traffic); err == nil {
-			_ = conn.Close()
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
 	return d, stop, ended
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -45,6 +45,7 @@
 	settings   parsedSettings
 	log        *log.Logger
 	store      storeclient.Store
+	listen     func(addr netip.AddrPort) (net.Listener, error)
 	config     *configurer.Configurer
 	controller *controller.Controller
 	gossip     *gossiper.Gossiper
@@ -77,6 +78,7 @@
 	return newServer(c, output, registry, platform{
 		store: storeclient.Limit(storeclient.HTTP(c.store), storeclient.DefaultRates), worker: caller.Worker,
 		instances: func(ctx context.Context) ([]dispatcher.Instance, error) { return caller.Instances(ctx, c.store) },
+		listen:    func(addr netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", addr.String()) },
 	})
 }
 
@@ -85,6 +87,7 @@
 	store     storeclient.Store
 	worker    func(addr netip.AddrPort) dispatcher.Worker
 	instances func(ctx context.Context) ([]dispatcher.Instance, error)
+	listen    func(addr netip.AddrPort) (net.Listener, error)
 }
 
 // newServer builds a daemon from checked settings.
@@ -96,7 +99,7 @@
 	logger := &log.Logger{Level: log.ParseLevel(s.LogLevel), Writer: &log.IOWriter{Writer: output}, TimeFormat: time.RFC3339Nano}
 	d := &Server{
 		settings: s, log: logger, registry: registry, owners: map[string]*messenger.ShardOwner{}, fetching: map[string]bool{},
-		store: p.store,
+		store: p.store, listen: p.listen,
 		violations: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{Name: "tarragond_invariant_violations_total", Help: "Violations of an invariant of the design, by its number."},
 			[]string{"invariant"}),
 	}
@@ -190,14 +193,16 @@
 // Run serves until ctx ends. It then gives up the ownership of its shards and
 // finishes the requests in progress.
 func (d *Server) Run(ctx context.Context) error {
-	control, err := listen(d.settings.control)
+	control, err := d.openListener(d.settings.control)
 	if err != nil {
 		return err
 	}
-	traffic, err := listen(d.settings.traffic)
+	defer control.Close()
+	traffic, err := d.openListener(d.settings.traffic)
 	if err != nil {
 		return err
 	}
+	defer traffic.Close()
 	controlServer := &http.Server{Handler: d.controlHandler(), ReadHeaderTimeout: 5 * time.Second}
 	trafficServer := d.trafficServer()
 	serveErrors := make(chan error, 2)
@@ -284,7 +289,7 @@
 	return l.err
 }
 
-func listen(addr netip.AddrPort) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr.String())
+func (d *Server) openListener(addr netip.AddrPort) (net.Listener, error) {
+	l, err := d.listen(addr)
 	return &onceListener{Listener: l}, errors.Wrapf(err, "listen on %s", addr)
 }
