Record the revision of the configuration that a shard follows

Callers saw replicas stop and start again as a shard changed its owner: the successor had not yet read a change that its predecessor had carried out, and stopped the replicas that the change had added. A stalled watch is enough: a daemon that owns nothing reads the head every 2 s, and a planned stop hands the shard over in less than one. By the same way a watcher that had moved to another domain on the predecessor's report could be declared here again.

Cause: which revision the shard followed was in the owner's memory only. Each owner refused to go back, but a successor began with whatever its daemon had.

Change: an owner that begins to follow a revision records it in the ledger, in the same record as what it does under it and before its reports to other shards. A successor ignores lower revisions; until it has that one it starts and stops nothing, as without a configuration. It costs one small change of a record for each change of the configuration, and no read.

A daemon of the emulator can be cut off from the configuration alone, including the answer of a watch that waits.

--- a/internal/scheduler/apply.go
+++ b/internal/scheduler/apply.go
@@ -53,6 +53,8 @@
 		// leases and have no effect on the state.
 	case ch.DomainSet != nil:
 		c.isDomainOut, c.domainChangedAt = ch.DomainSet.Out, ch.DomainSet.At
+	case ch.ConfigSet != nil:
+		c.configRevision = ch.ConfigSet.Revision
 	case ch.AllowanceSet != nil && ch.AllowanceSet.Reset:
 		delete(c.allowances, ch.AllowanceSet.Team)
 	case ch.AllowanceSet != nil:
--- a/internal/scheduler/change.go
+++ b/internal/scheduler/change.go
@@ -26,6 +26,13 @@
 	DomainSet      *DomainSet      `cbor:"15,keyasint,omitempty"`
 	AllowanceSet   *AllowanceSet   `cbor:"16,keyasint,omitempty"`
 	JobForgotten   *JobForgotten   `cbor:"17,keyasint,omitempty"`
+	ConfigSet      *ConfigSet      `cbor:"18,keyasint,omitempty"`
+}
+
+// ConfigSet records the revision of the configuration that an owner has begun to
+// follow.
+type ConfigSet struct {
+	Revision uint64 `cbor:"1,keyasint"`
 }
 
 // JobAccepted adds a batch job with all of its tasks pending.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -76,6 +76,9 @@
 	// lastTransfer has the number of the last transfer sent, by path.
 	lastTransfer map[string]uint64
 	allowances   map[string]declarer.Resources
+	// configRevision is the highest revision of the configuration that an owner
+	// of the shard has followed.
+	configRevision uint64
 	// isDomainOut is true while the domain is out of service according to the
 	// last DomainSet; domainChangedAt is the time in that change.
 	isDomainOut     bool
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -24,7 +24,7 @@
 )
 
 func (c *Core) confirmConfig(now time.Time, e ConfigConfirmed) {
-	if c.config != nil && e.Config.Revision < c.config.Revision {
+	if e.Config.Revision < c.configRevision {
 		return
 	}
 	if e.At.After(c.confirmedAt) {
@@ -34,6 +34,9 @@
 		return
 	}
 	c.config, c.configChangedAt = e.Config, now
+	if e.Config.Revision > c.configRevision {
+		c.record(Change{ConfigSet: &ConfigSet{e.Config.Revision}})
+	}
 	c.queue.needsPass = true
 	c.indexTeams()
 	c.updateDomain()
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -20,6 +20,9 @@
 	Allowances []AllowanceSet   `cbor:"7,keyasint,omitempty"`
 	DomainOut  bool             `cbor:"9,keyasint,omitempty"`
 	DomainAt   time.Time        `cbor:"10,keyasint,omitzero"`
+	// ConfigRevision is the highest revision of the configuration that an owner
+	// has followed.
+	ConfigRevision uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // TakenTransfers are the numbers of the transfers taken over on one path, which
@@ -39,7 +42,7 @@
 
 // Snapshot returns a copy of the state in a deterministic order.
 func (c *Core) Snapshot() Snapshot {
-	s := Snapshot{Tasks: c.Tasks(), Jobs: c.Jobs(), Workers: c.Workers(), DomainOut: c.isDomainOut, DomainAt: c.domainChangedAt}
+	s := Snapshot{Tasks: c.Tasks(), Jobs: c.Jobs(), Workers: c.Workers(), DomainOut: c.isDomainOut, DomainAt: c.domainChangedAt, ConfigRevision: c.configRevision}
 	for _, path := range slices.Sorted(maps.Keys(c.takenOver)) {
 		n := c.takenOver[path]
 		s.TakenOver = append(s.TakenOver, TakenTransfers{path, n.through, slices.Sorted(maps.Keys(n.above))})
@@ -115,7 +118,7 @@
 	for _, a := range s.Allowances {
 		c.allowances[a.Team] = a.Amount
 	}
-	c.isDomainOut, c.domainChangedAt = s.DomainOut, s.DomainAt
+	c.isDomainOut, c.domainChangedAt, c.configRevision = s.DomainOut, s.DomainAt, s.ConfigRevision
 }
 
 // Tasks returns a copy of every task that is not final, not unstarted and not
--- a/standins/emulator/emulator.go
+++ b/standins/emulator/emulator.go
@@ -73,6 +73,8 @@
 	done       chan struct{}
 	// StoreDown makes the daemon's calls to the store and to discovery fail.
 	StoreDown atomic.Bool
+	// ConfigDown makes the daemon's reads of the configuration fail.
+	ConfigDown atomic.Bool
 	// DropPeerAnswers drops the answers of the daemon's peers.
 	DropPeerAnswers atomic.Bool
 	// isPaused blocks the daemon's calls, as if its process were suspended.
@@ -289,7 +291,7 @@
 	client := d.system.Store.Client()
 	checkStore := func(op, key string) error {
 		d.waitWhilePaused()
-		if d.isCutOff() {
+		if d.isCutOff() || (key == "config" && d.ConfigDown.Load()) {
 			return &storeclient.UnavailableError{Op: op, Key: key, Err: errors.New("injected fault")}
 		}
 		return nil
@@ -311,7 +313,11 @@
 		if err := checkStore("watch", key); err != nil {
 			return storeclient.Entry{}, err
 		}
-		return client.Watch(ctx, key, after)
+		entry, err := client.Watch(ctx, key, after)
+		if err == nil {
+			err = checkStore("watch", key)
+		}
+		return entry, err
 	}
 	s.Grant = func(ctx context.Context, ttl time.Duration) (storeclient.LeaseID, error) {
 		if err := checkStore("grant", ""); err != nil {
--- a/standins/emulator/successor_test.go
+++ b/standins/emulator/successor_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"tarragonhead.example/tarragonhead/internal/configurer"
+	"tarragonhead.example/tarragonhead/internal/declarer"
 )
 
 // TestReleaseBeforeAnswer guards against tasks that start again while an owner
@@ -100,3 +103,34 @@
 		c.Assert(countStartsOn(s, "a-w0"), quicktest.Equals, before)
 	})
 }
+
+// TestSuccessorWithOldConfig guards against a successor that reverts what its
+// predecessor did under a configuration that the successor hasn't read yet.
+func TestSuccessorWithOldConfig(t *testing.T) {
+	web := declarer.Service{Name: "web", Team: "team", Replicas: 2, Resources: taskSize}
+	o := oneDomain
+	o.Services = []declarer.Service{web}
+	runSystem(t, o, func(c *quicktest.C, s *System) {
+		running := func(n int) func() bool { return func() bool { return countInStates(s, "a", "running") == n } }
+		_, ok := WaitUntil(20*time.Second, running(2))
+		c.Assert(ok, quicktest.IsTrue)
+		old := s.Owner("a")
+		for _, d := range s.Daemons() {
+			d.ConfigDown.Store(d != old)
+		}
+		_, err := old.config.Propose(s.ctx, configurer.Change{ID: "more", Operator: "emulator", Summary: "more replicas", Edit: func(c *declarer.Config) error {
+			c.Services[0].Replicas = 6
+			return nil
+		}})
+		c.Assert(err, quicktest.IsNil)
+		_, ok = WaitUntil(20*time.Second, running(6))
+		c.Assert(ok, quicktest.IsTrue)
+		old.Stop()
+		awaitTakeover(c, s, "a", old, 10*time.Second)
+		time.Sleep(10 * time.Second)
+		s.Owner("a").ConfigDown.Store(false)
+		time.Sleep(10 * time.Second)
+		c.Assert(countInStates(s, "a", "running"), quicktest.Equals, 6)
+		c.Assert(countStarts(s), quicktest.Equals, 6)
+	})
+}
