Repeat the removal of an ended job that had no answer

What callers would see: the id of a job whose removal the store did not answer stays taken for as long as the owner lives: its state is told as queued, and a new job with the id is accepted and never runs.

Cause: the planner forgets an expired job before the removal is stored, and the conductor ignored the outcome.

Why it works: the conductor keeps what it has not seen removed and removes it again. Each removal expects the revision of the job's progress, so one that is carried out late, or repeated, can't remove a newer job with the same id.

--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -162,19 +163,28 @@
 	})
 }
 
-// removeExpiredJobs removes ended jobs from the store once the retention of
-// their state has passed.
+// expiredJob is a job that the planner has forgotten.
+type expiredJob struct {
+	planner.Job
+	// revision is that of the stored progress. A newer job with the same id has another.
+	revision uint64
+}
+
+// removeExpiredJobs removes ended jobs from the store once the retention of their state
+// has passed. It repeats a removal that has no answer.
 func (c *Conductor) removeExpiredJobs(ctx context.Context, now time.Time) {
 	if now.Sub(c.lastExpiryAt) < expiryInterval {
 		return
 	}
 	c.lastExpiryAt = now
-	jobs := c.planner.Expired(now)
-	for len(jobs) > 0 {
-		// Each job has up to four keys, and the head takes an expectation.
-		n := min(len(jobs), (storeclient.MaxTransactionEntries-1)/4)
+	for _, j := range c.planner.Expired(now) {
+		c.expired = append(c.expired, &expiredJob{j, c.revisions[c.keys.progress(j.ID)]})
+	}
+	// Each job has up to four keys and an expectation, and the head takes one too.
+	for batch := range slices.Chunk(slices.Clone(c.expired), (storeclient.MaxTransactionEntries-1)/5) {
 		t := storeclient.Transaction{Expect: []storeclient.Expectation{{Key: c.keys.head(), Revision: c.headRevision}}}
-		for _, j := range jobs[:n] {
+		for _, j := range batch {
+			t.Expect = append(t.Expect, storeclient.Expectation{Key: c.keys.progress(j.ID), Revision: j.revision})
 			t.Remove = append(t.Remove, JobKey(c.options.Shard, j.ID), c.keys.progress(j.ID))
 			if len(j.Arrived) > 0 || j.IsPart {
 				t.Remove = append(t.Remove, c.keys.cancelled(j.ID))
@@ -183,11 +193,23 @@
 				t.Remove = append(t.Remove, IndexKey(j.ID))
 			}
 		}
-		jobs = jobs[n:]
-		c.transact(ctx, t, "expiry", func(error) {})
+		c.transact(ctx, t, "expiry", func(err error) { c.finishRemoval(batch, err) })
 	}
 }
 
+// finishRemoval applies the outcome of a removal of expired jobs. After a conflict, those
+// whose progress has changed were removed before.
+func (c *Conductor) finishRemoval(batch []*expiredJob, err error) {
+	var conflict *storeclient.ExpectationError
+	isConflict := errors.As(err, &conflict)
+	if err != nil && !isConflict {
+		return
+	}
+	c.expired = slices.DeleteFunc(c.expired, func(j *expiredJob) bool {
+		return slices.Contains(batch, j) && (err == nil || conflict.Revision(c.keys.progress(j.ID)) != j.revision)
+	})
+}
+
 // announceRoom stores how much capacity the shard has free, for daemons that
 // accept jobs.
 func (c *Conductor) announceRoom(ctx context.Context, now time.Time) {
--- /dev/null
+++ b/internal/conductor/expiry_test.go
@@ -0,0 +1,66 @@
+package conductor_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/conductor"
+	"tarragonhead.example/tarragonhead/internal/keeper"
+	"tarragonhead.example/tarragonhead/internal/planner"
+	"tarragonhead.example/tarragonhead/internal/storeclient"
+)
+
+// TestUnansweredRemoval guards against a job that stays in the store because its removal
+// had no answer, so that its id can't be used again, and against the removal of a newer job
+// with the id.
+func TestUnansweredRemoval(t *testing.T) {
+	lost := &storeclient.UnavailableError{Op: "transact", MayHaveApplied: true, Err: errors.New("lost")}
+	for name, tt := range map[string]struct {
+		fault    keeper.Fault
+		isReused bool
+	}{
+		"not applied":                 {keeper.Fault{Before: lost}, false},
+		"applied":                     {keeper.Fault{After: lost}, false},
+		"applied, and the id is used": {keeper.Fault{After: lost}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTestCluster(t, 20*time.Millisecond)
+			var removals atomic.Int32
+			s.keeper.SetFault(func(op, key string) keeper.Fault {
+				// Only a removal writes nothing.
+				if op == "transact" && key == "" && removals.Add(1) == 1 {
+					return tt.fault
+				}
+				return keeper.Fault{}
+			})
+			d, stop := s.startDaemonOf(testShard{name: "0", cpu: 64000, pool: s.pool, retention: time.Millisecond}, 1)
+			defer stop()
+			s.submit("a", 1)
+			s.eventually("removal not answered", testTimeout, func() bool { return removals.Load() == 1 })
+			if tt.isReused {
+				s.pool.mu.Lock()
+				s.pool.taskDuration = time.Minute
+				s.pool.mu.Unlock()
+				s.submit("a", 2)
+				s.eventually("running", testTimeout, func() bool { return state(d, "a") == planner.Running })
+			}
+			exists := func() bool {
+				_, err := s.keeper.Store().Get(context.Background(), conductor.JobKey("0", "a"))
+				return err == nil
+			}
+			if !tt.isReused {
+				s.eventually("removed", testTimeout, func() bool { return !exists() })
+				return
+			}
+			s.eventually("removal repeated", testTimeout, func() bool { return removals.Load() == 2 })
+			time.Sleep(100 * time.Millisecond)
+			s.Assert(exists(), quicktest.IsTrue)
+		})
+	}
+}
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -395,6 +395,7 @@
 	c.planner = nil
 	// Results of transactions under way are ignored from now on.
 	c.isCommitting, c.isRecordingWorkers, c.isAnnouncing = false, false, false
+	c.expired = nil
 	if c.stopFollowing != nil {
 		c.stopFollowing()
 		c.stopFollowing = nil
