Remove the notice of a cancellation with each job of several shards

What callers would see: a job whose id was used before is cancelled at once, or at the next change of owner, by the notice that another shard wrote for the earlier job.

Cause: the notice was removed only with a job that the planner had read with arrivals. A job that was known before its tasks came back from another shard has none there, and that shard writes a notice for each shard that it gave tasks to, the job's own one too.

Evidence: TestExpiryRemovesNotice: the notice was still stored 10 s after the job; it is removed with the job now.

Why it works: the removal names the notice wherever there are other shards, and to remove a key that isn't there does nothing.

--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -186,7 +186,8 @@
 		for _, j := range batch {
 			t.Expect = append(t.Expect, storeclient.Expectation{Key: c.keys.progress(j.ID), Revision: j.revision})
 			t.Remove = append(t.Remove, JobKey(c.options.Shard, j.ID), c.keys.progress(j.ID))
-			if len(j.Arrived) > 0 || j.IsPart {
+			if c.options.Place != nil {
+				// Any shard that has had tasks of the job may have written a notice.
 				t.Remove = append(t.Remove, c.keys.cancelled(j.ID))
 			}
 			if !j.IsPart {
--- a/internal/conductor/expiry_test.go
+++ b/internal/conductor/expiry_test.go
@@ -64,3 +64,24 @@
 		})
 	}
 }
+
+// TestExpiryRemovesNotice guards against a notice of a cancellation that outlives its job
+// and cancels a later job with the same id. The job was known before tasks of it came back
+// from the shard that sends the notice.
+func TestExpiryRemovesNotice(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t, time.Minute)
+	place := func(planner.Resources, int, bool) (string, int) { return "1", 0 }
+	d, stop := s.startDaemonOf(testShard{name: "0", cpu: 64000, pool: s.pool, place: place, retention: time.Millisecond}, 1)
+	defer stop()
+	s.submit("a", 1)
+	s.eventually("running", testTimeout, func() bool { return state(d, "a") == planner.Running })
+	notice := conductor.JobKey("0", "a") + "/cancelled"
+	s.keeper.Put(notice, []byte{})
+	for _, key := range []string{conductor.JobKey("0", "a"), notice} {
+		s.eventually("removed: "+key, testTimeout, func() bool {
+			_, err := s.keeper.Store().Get(context.Background(), key)
+			return err != nil
+		})
+	}
+}
