Tell each shard that has had tasks of a job of its cancellation

What callers would see: nothing at first. A shard whose tasks of a job have all gone back keeps the record of the job for ever, and each of its owners loads it; a later job with the same id that is accepted in that shard doesn't run, since the owner takes it for the one that it knows.

Cause: a cancellation was written for the shards that have tasks of the job now. A task that comes back takes the place of the note of where it went.

Evidence: TestCancelNamesShardsOfReturnedTasks: no shard was named, under the owner that saw the task come back and under a later one; "other" is named now, and a shard whose handover failed is not.

Why it works: the progress names each shard that was given tasks, stored in the transaction that gives them.

--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -153,8 +153,9 @@
 	// Change is the job's progress in this shard after the handover. It must be
 	// stored in the same transaction as the record.
 	Change Change
-	// undo holds the state of the tasks before the handover.
-	undo []movedTask
+	// undo holds the state of the tasks, and shards that of the job, before the handover.
+	undo   []movedTask
+	shards []string
 }
 
 // movedTask holds the departure and the number of handovers that a task had
@@ -174,13 +175,14 @@
 	if j == nil || j.state.isFinal() || len(j.occurrences) == 0 || h.Step >= len(j.occurrences[0].steps) {
 		return Handover{}, false
 	}
-	if shards := j.handoverShards(); len(shards) >= maxShardsPerJob && !slices.Contains(shards, to) {
+	shards := j.handoverShards()
+	if len(shards) >= maxShardsPerJob && !slices.Contains(shards, to) {
 		return Handover{}, false
 	}
 	s := j.occurrences[0].steps[h.Step]
 	record := j.Job
 	record.IsPart, record.Arrived = true, nil
-	out := Handover{To: to}
+	out := Handover{To: to, shards: j.shards}
 	for _, t := range slices.Clone(s.waiting) {
 		if len(out.undo) == count || !p.isUnplaced(now, t) {
 			continue
@@ -194,6 +196,7 @@
 	if len(out.undo) == 0 {
 		return Handover{}, false
 	}
+	j.shards = j.handoverShards()
 	j.markChanged()
 	out.Job = record
 	out.Change = Change{Job: j.ID, Version: j.version, Progress: j.progress()}
@@ -224,6 +227,7 @@
 		p.enqueue(d.task)
 	}
 	if j := p.jobs[h.Job.ID]; j != nil {
+		j.shards = h.shards
 		j.markChanged()
 	}
 }
@@ -282,9 +286,9 @@
 }
 
 // handoverShards returns the sorted names of the shards to which tasks of the
-// job were handed over.
+// job were handed over, also of those from which the tasks have moved on.
 func (j *job) handoverShards() []string {
-	var list []string
+	list := slices.Clone(j.shards)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
--- a/internal/planner/handover_test.go
+++ b/internal/planner/handover_test.go
@@ -358,3 +358,32 @@
 		})
 	}
 }
+
+// TestCancelNamesShardsOfReturnedTasks guards against records of a job that stay in another
+// shard for ever, because all tasks had come back from it when the job was cancelled.
+func TestCancelNamesShardsOfReturnedTasks(t *testing.T) {
+	for name, change := range map[string]func(d *driver, back planner.Job, stored planner.Progress) *driver{
+		"same owner": func(d *driver, back planner.Job, _ planner.Progress) *driver {
+			d.add(back)
+			return d
+		},
+		"later owner": func(_ *driver, back planner.Job, stored planner.Progress) *driver {
+			o := newDriver(t, 3)
+			o.p.AddJob(o.now, back, stored)
+			return o
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newFullDriver(t, 2)
+			failed, _ := d.p.HandOver(d.now, d.p.Unplaced(d.now)[0], 1, "failed")
+			d.p.HandoverFailed(failed)
+			h, _ := d.p.HandOver(d.now, d.p.Unplaced(d.now)[0], 1, "other")
+			d.p.HandedOver(h)
+			back := longRunningJob("1", 2, 7)
+			back.Arrived = []planner.Arrival{{Index: h.Job.Arrived[0].Index, Attempt: 7, Move: 2}}
+			d = change(d, back, h.Change.Progress)
+			d.p.Cancel(d.now, "1")
+			d.Assert(d.p.Changes(1)[0].Cancels, quicktest.DeepEquals, []string{"other"})
+		})
+	}
+}
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -15,6 +15,9 @@
 	// Ended holds the numbers of the occurrences that are done.
 	Ended       []int                `cbor:"ended,omitempty"`
 	Occurrences []OccurrenceProgress `cbor:"occurrences,omitempty"`
+	// Shards names the shards to which tasks of the job were handed over. Each of them
+	// keeps a record of the job until it is told that the job is cancelled.
+	Shards []string `cbor:"shards,omitempty"`
 }
 
 // OccurrenceProgress is the progress of one occurrence that has started.
@@ -90,6 +93,7 @@
 		r.Ended = append(r.Ended, k)
 	}
 	slices.Sort(r.Ended)
+	r.Shards = j.shards
 	for _, o := range j.occurrences {
 		op := OccurrenceProgress{Number: o.number}
 		for _, s := range o.steps {
@@ -120,6 +124,7 @@
 	if j.state == "" {
 		j.state = Queued
 	}
+	j.shards = r.Shards
 	for _, k := range r.Ended {
 		j.ended[k] = true
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -22,6 +22,8 @@
 	version, committed uint64
 	occurrences        []*occurrence
 	ended              map[int]bool
+	// shards names the shards to which tasks of the job were handed over.
+	shards []string
 	// arrived is when the job was received, on the planner's clock.
 	arrived time.Time
 	// cachedObjective caches the objective, which every decision about a task
