--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -226,40 +226,6 @@
 	usedCPU int64
 }
 
-// minRateInterval is the shortest interval over which the rate of a run is
-// measured.
-const minRateInterval = 600 * time.Millisecond
-
-// updateRate measures the rate of a run. An interval in which the pace changed
-// is discarded.
-func (r *run) updateRate(now time.Time) {
-	if r.measuredAt.IsZero() || now.Sub(r.measuredAt) < minRateInterval {
-		if r.measuredAt.IsZero() {
-			r.measuredAt, r.measuredPercent = now, r.percent
-		}
-		return
-	}
-	if r.paceAt.Before(r.measuredAt) && r.pace == 100 {
-		r.rate = float64(r.percent-r.measuredPercent) / now.Sub(r.measuredAt).Seconds()
-		r.rateAt = now
-		r.learnEstimate()
-	}
-	r.measuredAt, r.measuredPercent = now, r.percent
-}
-
-// cpuShare returns the CPU that the run uses as a share of its need.
-func (r *run) cpuShare() float64 {
-	if r.task.step.Need.CPU == 0 {
-		return 1
-	}
-	return min(1, float64(r.usedCPU)/float64(r.task.step.Need.CPU))
-}
-
-// expectedCores returns the cores that the run is expected to use at its pace.
-func (r *run) expectedCores() float64 {
-	return float64(r.task.step.Need.CPU) / 1000 * float64(r.pace) / 100
-}
-
 // Worker is a machine that runs tasks.
 type Worker struct {
 	// ID identifies one incarnation of the worker's process, together with Born
