Record the address of a worker that has shrunk

Cause: a worker seen with less capacity than its attempts reserve was not updated at all, so that the ledger kept its former address, while the owner's session used the new one and attempts were started there. The successor learns of neither: it asks the former address first, and a process that still answers there lists none of the attempts that were started at the new one, which the successor then takes for ended and starts again. No caller is known to have seen it; it needs a worker that comes back smaller at another address while its earlier process still runs.

Change: address and rack are recorded in any case, and the capacity when the reservations fit it.

Evidence: TestAddressOfShrunkWorker failed before (the former address) and passes now. The order of events after that was read, not run.

--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -32,15 +32,19 @@
 	}
 }
 
-// registerWorker adds a worker or updates its address, rack and capacity.
+// registerWorker adds a worker or updates its address, rack and capacity. A
+// capacity below the worker's reservations is not taken over.
 func (c *Core) registerWorker(e WorkerSeen) {
 	w := c.workers[e.ID]
+	if w != nil && !w.Reserved.FitsIn(e.Capacity) {
+		e.Capacity = w.Capacity
+	}
 	seen := Worker{ID: e.ID, Rack: e.Rack, Addr: e.Addr, Capacity: e.Capacity, State: Live}
 	switch {
 	case w == nil:
 		c.record(Change{WorkerChanged: &WorkerChanged{Worker: seen}})
 		c.releaseFitting(e.Capacity)
-	case (w.Addr != e.Addr || w.Rack != e.Rack || w.Capacity != e.Capacity) && w.Reserved.FitsIn(e.Capacity):
+	case w.Addr != e.Addr || w.Rack != e.Rack || w.Capacity != e.Capacity:
 		c.record(Change{WorkerChanged: &WorkerChanged{Worker: Worker{ID: e.ID, Rack: e.Rack, Addr: e.Addr, Capacity: e.Capacity}, Event: workerUpdate}})
 		c.releaseFitting(e.Capacity)
 	}
