--- a/internal/conductor/acknowledge_test.go
+++ b/internal/conductor/acknowledge_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"tarragonhead.example/tarragonhead/internal/conductor"
+	"tarragonhead.example/tarragonhead/internal/keeper"
 	"tarragonhead.example/tarragonhead/internal/planner"
 	"tarragonhead.example/tarragonhead/internal/storeclient"
 )
@@ -87,3 +88,29 @@
 	s.Assert(latest.Load() > 0, quicktest.IsTrue)
 	s.Assert(time.Duration(latest.Load()) <= limit, quicktest.IsTrue, quicktest.Commentf("acknowledged %s after the answer", time.Duration(latest.Load())))
 }
+
+// TestAcknowledgementNeedsAnsweredCommit guards against a task that runs again under the
+// next owner, because its end was acknowledged on a commit that had no answer.
+func TestAcknowledgementNeedsAnsweredCommit(t *testing.T) {
+	lost := &storeclient.UnavailableError{Op: "transact", MayHaveApplied: true}
+	for name, fault := range map[string]keeper.Fault{"not applied": {Before: lost}, "applied": {After: lost}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTestCluster(t, 20*time.Millisecond)
+			s.keeper.SetFault(func(op, key string) keeper.Fault {
+				if op == "transact" && strings.HasPrefix(key, "th/0/progress/") {
+					return fault
+				}
+				return keeper.Fault{}
+			})
+			_, stop := s.startDaemon(1)
+			defer stop()
+			s.submit("a", 2)
+			s.eventually("ended", testTimeout, func() bool { return s.pool.endCount() == 2 })
+			time.Sleep(1500 * time.Millisecond)
+			s.Assert(s.pool.endCount(), quicktest.Equals, 2)
+			s.keeper.SetFault(nil)
+			s.eventually("acknowledged", testTimeout, func() bool { return s.pool.endCount() == 0 })
+		})
+	}
+}
