Stop the run of a task of another shard only after a later read of the jobs

What callers would see: a task that lasts is stopped though it works, and starts again when its arrival is read.

A run that a worker lists and whose task is elsewhere was stopped at once, but the task may have arrived: an earlier owner read the arrival after this one had loaded the shard, and started the task before it knew of its successor.

Evidence: TestRunOfUnreadArrival: the run was stopped by the first plan; it is adopted when the arrival is read now.

Why it works: such a run waits as that of an unknown job does, until the jobs were read after it was listed. A run of a task that has left this shard is stopped at once as before, since the task may run in the other shard, and so is one of a job in a final state.

--- a/internal/planner/handover_test.go
+++ b/internal/planner/handover_test.go
@@ -387,3 +387,39 @@
 		})
 	}
 }
+
+// TestRunOfUnreadArrival guards against the stop of a run whose task has arrived in this
+// shard, because its owner has not read the arrival yet.
+func TestRunOfUnreadArrival(t *testing.T) {
+	d := newDriver(t, 2, worker("a", 8)).registerWorkers()
+	j := longRunningJob("1", 4, 1)
+	j.IsPart = true
+	j.Arrived = []planner.Arrival{{Index: 0, Move: 1}}
+	d.add(j)
+	d.startTasks()
+	run := planner.RunID{TaskID: planner.TaskID{Job: "1", Index: 1}, Attempt: 1}
+	d.running["a"] = append(d.running["a"], planner.RunStatus{Run: run, Percent: 100})
+	d.poll("a")
+	d.Assert(d.stopsOn("a", run), quicktest.IsFalse)
+	j.Arrived = append(j.Arrived, planner.Arrival{Index: 1, Move: 1})
+	d.add(j)
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	// A run whose task has not arrived by the time the jobs are read again isn't needed.
+	late := planner.RunID{TaskID: planner.TaskID{Job: "1", Index: 2}, Attempt: 1}
+	d.running["a"] = append(d.running["a"], planner.RunStatus{Run: late, Percent: 100})
+	d.poll("a")
+	d.advance(time.Millisecond)
+	d.p.JobsRead(d.now)
+	d.poll("a")
+	d.Assert(d.stopsOn("a", late), quicktest.IsTrue)
+	// Nor is one of a job that is cancelled.
+	cancelled := planner.RunID{TaskID: planner.TaskID{Job: "1", Index: 3}, Attempt: 1}
+	d.running["a"] = append(d.running["a"], planner.RunStatus{Run: cancelled, Percent: 100})
+	d.poll("a")
+	d.p.Cancel(d.now, "1")
+	d.poll("a")
+	d.Assert(d.stopsOn("a", cancelled), quicktest.IsTrue)
+	d.add(j)
+	d.poll("a")
+	d.Assert(d.p.Usage(d.now).Runs, quicktest.Equals, 4)
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -196,15 +196,22 @@
 func (p *Planner) adopt(now time.Time, w *Worker, id RunID) *run {
 	j := p.jobs[id.Job]
 	t := p.findTask(id.TaskID)
-	if t == nil {
-		w.hasUnknownRuns = true
-		if s, ok := p.unknownRuns[id]; !ok {
+	// A task that this shard has not had may have arrived since the jobs were read.
+	if t == nil || t.isElsewhere && t.departure == nil && !j.state.isFinal() {
+		s, ok := p.unknownRuns[id]
+		if !ok {
 			p.unknownRuns[id] = unknownRun{w, now}
-		} else if p.jobsReadAt.After(s.seen) {
-			p.commands = append(p.commands, Command{Kind: StopRun, Run: id, WorkerID: w.ID})
 		}
-		return nil
+		isUnread := !ok || !p.jobsReadAt.After(s.seen)
+		if t == nil || isUnread {
+			w.hasUnknownRuns = true
+			if !isUnread {
+				p.commands = append(p.commands, Command{Kind: StopRun, Run: id, WorkerID: w.ID})
+			}
+			return nil
+		}
 	}
+	delete(p.unknownRuns, id)
 	r := &run{id: id, task: t, worker: w, state: p.chart.Start(), startedAt: now, decidedAt: now, isListed: true, progressAt: now, pace: 100, targetPace: 100}
 	p.transition(r, "confirm")
 	w.addRun(r)
@@ -222,6 +229,25 @@
 	return r
 }
 
+// adoptUnknownRuns takes over the runs of a job, or of tasks of it, that were listed before
+// the job was known or the tasks had arrived.
+func (p *Planner) adoptUnknownRuns(now time.Time, j *job) {
+	var ids []RunID
+	for id := range p.unknownRuns {
+		if id.Job == j.ID {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, compareRuns)
+	for _, id := range ids {
+		w := p.unknownRuns[id].worker
+		delete(p.unknownRuns, id)
+		if p.workers[w.ID] == w {
+			p.adopt(now, w, id)
+		}
+	}
+}
+
 // forgetUnknownRuns forgets the runs of unknown jobs on a worker, except for those
 // that it still lists.
 func (p *Planner) forgetUnknownRuns(w *Worker, listed map[RunID]bool) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -131,7 +131,8 @@
 	// unplaceable holds, by place key, the smallest resource need for which the
 	// present plan has found no worker. Plan clears it.
 	unplaceable map[placeKey]Resources
-	// unknownRuns holds listed runs whose job is not known yet.
+	// unknownRuns holds listed runs whose job is not known yet, or whose task has not been
+	// in this shard yet.
 	unknownRuns  map[RunID]unknownRun
 	interference *tailModels
 	headroom     headroom
@@ -240,6 +241,7 @@
 func (p *Planner) AddJob(now time.Time, d Job, r Progress) {
 	if j := p.jobs[d.ID]; j != nil {
 		p.acceptArrivals(now, j, d.Arrived)
+		p.adoptUnknownRuns(now, j)
 		return
 	}
 	if q, ok := p.config.Queues[d.Queue.Name]; ok {
@@ -275,14 +277,7 @@
 		}
 	}
 	p.applyUnknownEnds(now, j)
-	for id, s := range p.unknownRuns {
-		if id.Job == d.ID {
-			delete(p.unknownRuns, id)
-			if w := p.workers[s.worker.ID]; w == s.worker {
-				p.adopt(now, w, id)
-			}
-		}
-	}
+	p.adoptUnknownRuns(now, j)
 }
 
 // JobsRead records that every job that was stored before the given time has been added.
