Count a task as done whose end arrives after its leases

Callers saw a batch task run again that had completed: its worker had been silent for longer than a lease as the task ended, the task was returned to the queue, and the end that the worker then reported was dropped and acknowledged, though the task hadn't started again.

Cause: an end counted only for an attempt that holds a reservation. The owner acknowledges every end that it has read, so nobody could learn it any more.

If the next attempt has started, the end still has no effect, as the leases had run out.

The fault matrix has the transitions. Its fake worker forgot an end as soon as the task had no attempt, even before an owner had read it, which no worker does; it now waits for that.

Evidence: TestCompletionAfterExpiry failed before in each of its cases, and passes now, as the two new rows of the matrix with all pairs of faults do.

--- a/internal/scheduler/fakes_test.go
+++ b/internal/scheduler/fakes_test.go
@@ -48,11 +48,14 @@
 			ses.answeredAt, ses.reached, ses.lost = w.now, true, nil
 			r := report
 			s.step(Event{Report: &r})
+			for _, e := range r.Ended {
+				x.read[fmt.Sprintf("%s#%d", e.Task, e.Attempt)] = true
+			}
 		})
 	})
-	// The worker forgets an ended attempt once its end is committed.
+	// The worker forgets an ended attempt once an owner has read and committed it.
 	for name, e := range x.ended {
-		if t := s.replayed.tasks[e.Task]; len(s.uncommitted) == 0 && (t == nil || t.Attempt != e.Attempt || !HoldsReservation(t.State)) && !x.unreachable {
+		if t := s.replayed.tasks[e.Task]; x.read[name] && len(s.uncommitted) == 0 && (t == nil || t.Attempt != e.Attempt || !HoldsReservation(t.State)) && !x.unreachable {
 			delete(x.ended, name)
 		}
 	}
--- a/internal/scheduler/matrix_test.go
+++ b/internal/scheduler/matrix_test.go
@@ -227,9 +227,33 @@
 		w.isolateTarget()
 		w.until(w.targetIn(Unknown), 20*time.Second)
 	}},
+	"pending complete": {reach: completeUnseen, trigger: reachWorkers},
+	"parked complete": {reach: func(w *world) {
+		completeUnseen(w)
+		w.actOnTarget(func(c *Core, _ *Task) { c.parkJob(c.jobs["j"], "test") })
+	}, trigger: reachWorkers},
 	"unknown stopped": {trigger: func(w *world) { w.cancel("j"); w.finishTarget(OutcomeStopped) }},
 }
 
+// completeUnseen completes the target on a worker that is unreachable until the
+// leases have expired.
+func completeUnseen(w *world) {
+	reachState[Running](w)
+	x := w.targetWorker()
+	x.finish(target, OutcomeCompleted)
+	x.unreachable, w.east().withholdConfig = true, true
+	w.until(w.targetIn(Pending), 20*time.Second)
+}
+
+// reachWorkers makes the workers reachable before anything can start.
+func reachWorkers(w *world) {
+	for _, x := range w.east().workers {
+		x.unreachable = false
+	}
+	w.run(4 * time.Second)
+	w.clearFaults()
+}
+
 func endBeforeCheckpoint(w *world, o Outcome) {
 	w.until(w.targetIn(Running), 20*time.Second)
 	if w.east().core.tasks[target] == nil {
--- a/internal/scheduler/moved_test.go
+++ b/internal/scheduler/moved_test.go
@@ -39,3 +39,30 @@
 	changes, _ := core.Step(now, Event{WorkerSeen: &seen})
 	c.Check(changes, qt.HasLen, 0)
 }
+
+// TestCompletionAfterExpiry guards against a task that runs again although its
+// worker, unreachable until the lease had expired, reports that it is done before
+// the next attempt.
+func TestCompletionAfterExpiry(t *testing.T) {
+	for name, state := range map[string]func(*Core, time.Time){
+		"pending": func(*Core, time.Time) {},
+		"parked":  func(core *Core, _ time.Time) { core.parkJob(core.jobs["j"], "test") },
+		"restored": func(core *Core, _ time.Time) {
+			if err := core.Restore(core.Snapshot()); err != nil {
+				panic(err)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			core, now, seen := runLastTask(c)
+			core.Step(now, Event{WorkerLost: &WorkerLost{ID: "w"}})
+			c.Assert(core.tasks[target].State, qt.Equals, Pending)
+			state(core, now)
+			core.Step(now, Event{WorkerSeen: &seen})
+			changes, _ := core.Step(now, Event{Report: &WorkerReport{Worker: "w", Ended: []EndedAttempt{{Task: target, Attempt: 1, Outcome: OutcomeCompleted}}}})
+			c.Assert(core.jobs["j"].Done, qt.Equals, 1, qt.Commentf("%+v", changes))
+			c.Assert(core.tasks[target], qt.IsNil)
+		})
+	}
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -125,7 +125,9 @@
 		if t := c.currentTask(e.Worker, a.Task, a.Attempt); t != nil {
 			listed[a.Task] = true
 			c.endAttempt(t, a)
+			continue
 		}
+		c.completeExpired(a)
 	}
 	for _, r := range e.Running {
 		if t := c.currentTask(e.Worker, r.Task, r.Attempt); t != nil {
@@ -143,6 +145,18 @@
 	}
 }
 
+// completeExpired ends a task whose last attempt has completed, although its
+// leases had expired before its worker reported that, unless the task has
+// another attempt by now.
+func (c *Core) completeExpired(a EndedAttempt) {
+	t := c.tasks[a.Task]
+	if t == nil || t.Class != declarer.ClassBatch || t.Attempt != a.Attempt || HoldsReservation(t.State) || a.Outcome != OutcomeCompleted {
+		return
+	}
+	c.explain(Explanation{Action: "attempt_complete", Task: t.ID, Job: t.Owner, Reason: "reported after its leases had expired", Figures: []Figure{{"attempt", float64(t.Attempt)}}})
+	c.record(Change{TaskMoved: &TaskMoved{Task: t.ID, Event: "complete", Reason: "reported after its leases had expired"}})
+}
+
 // handleRunning handles an attempt that its worker reports as running.
 func (c *Core) handleRunning(now time.Time, t *Task) {
 	a := c.attempt(t)
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -94,6 +94,8 @@
 	attempts   map[TaskID]uint64
 	running    map[TaskID]*fakeRun
 	ended      map[string]EndedAttempt
+	// read has the ended attempts that an owner has read.
+	read map[string]bool
 	// unreachable and dead are faults of the worker; failAll makes every
 	// attempt fail, and slow keeps batch attempts from completing.
 	unreachable, dead, failAll, slow bool
@@ -140,7 +142,7 @@
 		s := &simShard{w: w, domain: d, workers: map[string]*fakeWorker{}}
 		for i := range workers {
 			id := fmt.Sprintf("%s-%d", d, i)
-			s.workers[id] = &fakeWorker{id: id, domain: d, capacity: declarer.Resources{MilliCPU: 8000, MemoryMB: 8000}, attempts: map[TaskID]uint64{}, running: map[TaskID]*fakeRun{}, ended: map[string]EndedAttempt{}}
+			s.workers[id] = &fakeWorker{id: id, domain: d, capacity: declarer.Resources{MilliCPU: 8000, MemoryMB: 8000}, attempts: map[TaskID]uint64{}, running: map[TaskID]*fakeRun{}, ended: map[string]EndedAttempt{}, read: map[string]bool{}}
 		}
 		s.replayed = s.newCore()
 		s.startOwner()
