Publish no routes before a predecessor's workers have been asked

Callers saw fewer targets after a change of owner: the first table of the new owner had the runners of the workers that had answered by its first commit, and every daemon dropped the others, with their idle connections, until the slower workers answered and, since tables were published after commits only, until something changed after that.

Cause: the addresses of the runners are in the owner's memory, and a successor learns them from the workers. The routers keep the predecessor's targets until the successor's first table, and that was published too early.

Change: a new owner publishes no table before each of its predecessor's workers has answered or counts as unreachable, at most 3 s, which is also how long it starts nothing; and it publishes at each tick, so that a report without a change is not left out. The runners of a worker that the successor can't reach are dropped after that, as before.

Evidence: TestRoutesOfSlowWorker failed before (4 of 8 routes) and passes now.

--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -124,7 +124,7 @@
 			s.acknowledge(e.name)
 		}
 	}
-	o.publishRoutes()
+	o.publishRoutes(time.Now())
 }
 
 // sendCommand passes a command to the session of its worker. A start that no
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -25,9 +25,9 @@
 	// if anything has changed.
 	snapshotEvery    = 256
 	snapshotInterval = time.Minute
-	// inheritedWorkersTimeout bounds how long a new owner starts nothing while
-	// it waits until each of its predecessor's workers has answered or counts
-	// as unreachable.
+	// inheritedWorkersTimeout bounds how long a new owner starts nothing, and
+	// publishes no routes, while it waits until each of its predecessor's
+	// workers has answered or counts as unreachable.
 	inheritedWorkersTimeout = 3 * time.Second
 	// homeReturnDelay is how long a daemon of the shard's own domain must be
 	// present before an owner of another domain releases the shard.
@@ -298,15 +298,22 @@
 		o.deliverConfig(now)
 	}
 	o.handleEvent(scheduler.Event{Tick: &scheduler.Tick{}})
+	o.publishRoutes(now)
 	o.flush(now)
 	return false
 }
 
+// isAwaitingWorkers reports whether some of the predecessor's workers have yet
+// to be asked, and inheritedWorkersTimeout has not passed.
+func (o *owner) isAwaitingWorkers(now time.Time) bool {
+	return len(o.awaitedWorkers) > 0 && now.Sub(o.beganAt) < inheritedWorkersTimeout
+}
+
 // deliverConfig passes the confirmed configuration to the core. The core
 // starts nothing without one, so it is withheld until the predecessor's
 // workers have been asked or inheritedWorkersTimeout has passed.
 func (o *owner) deliverConfig(now time.Time) {
-	if len(o.awaitedWorkers) > 0 && now.Sub(o.beganAt) < inheritedWorkersTimeout {
+	if o.isAwaitingWorkers(now) {
 		return
 	}
 	config, at := o.shard.controller.options.Config.Current()
--- a/internal/controller/routes.go
+++ b/internal/controller/routes.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"tarragonhead.example/tarragonhead/internal/messenger"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
@@ -42,8 +43,13 @@
 
 // publishRoutes publishes a new version of the routing table if the routes
 // have changed. A runner whose task is ending or whose worker is leaving stays
-// in the table as leaving until it has ended.
-func (o *owner) publishRoutes() {
+// in the table as leaving until it has ended. A new owner publishes none before
+// its predecessor's workers have been asked, since the routers drop the runners
+// that a table lacks.
+func (o *owner) publishRoutes(now time.Time) {
+	if o.isAwaitingWorkers(now) {
+		return
+	}
 	old := o.shard.routes.Load()
 	table := &messenger.RoutingTable{Shard: o.shard.name, Epoch: o.ledger.Epoch(), Version: old.Version}
 	for _, id := range slices.Sorted(maps.Keys(o.runners)) {
--- a/standins/emulator/successor_test.go
+++ b/standins/emulator/successor_test.go
@@ -134,3 +134,30 @@
 		c.Assert(countStarts(s), quicktest.Equals, 6)
 	})
 }
+
+// TestRoutesOfSlowWorker guards against a routing table of a new owner that lacks
+// the runners of a worker which hasn't answered yet.
+func TestRoutesOfSlowWorker(t *testing.T) {
+	o := oneDomain
+	o.Services = []declarer.Service{{Name: "web", Team: "team", Replicas: 8, Resources: taskSize}}
+	runSystem(t, o, func(c *quicktest.C, s *System) {
+		awaitTakeover(c, s, "a", nil, 10*time.Second)
+		old := s.Owner("a")
+		_, ok := WaitUntil(20*time.Second, func() bool { return len(old.Controller.Routes("a").GetRoutes()) == 8 })
+		c.Assert(ok, quicktest.IsTrue)
+		for _, d := range s.Daemons() {
+			d.Link("a-w0").DropRequests.Store(d != old)
+		}
+		old.Stop()
+		awaitTakeover(c, s, "a", old, 10*time.Second)
+		next := s.Owner("a")
+		time.AfterFunc(800*time.Millisecond, func() { next.Link("a-w0").DropRequests.Store(false) })
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			if table := next.Controller.Routes("a"); table.GetVersion() > 0 {
+				c.Assert(table.GetRoutes(), quicktest.HasLen, 8)
+			}
+		}
+		c.Assert(next.Controller.Routes("a").GetVersion() > 0, quicktest.IsTrue)
+	})
+}
