Store the list of workers again after a write without an answer

What callers would see: after a change of owner, tasks wait for 8 s for a worker that never had one (LOST).

Cause: a list that named a worker was being stored when the worker left, or when another process took its id. The write had no answer, or came after that, so the stored list named the worker, and the owner took it for right: it compared only what it had seen stored, by the id alone.

Why this works: a list counts as unknown from when it is handed out until a write of it is answered, and the process counts, not the id.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -118,8 +118,8 @@
 	// hasUnknownWorkers is set while an earlier owner may have started tasks on
 	// workers that this owner can't identify. Nothing is recorded meanwhile.
 	hasUnknownWorkers bool
-	// isRecordStale is set when the stored list may include a worker that need
-	// not be stored.
+	// isRecordStale is set when the stored list may include a worker that need not be
+	// stored, or is not known because a write of it has had no answer.
 	isRecordStale bool
 	// hadPredecessor is set when the shard had an earlier owner whose workers
 	// were added.
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -121,13 +121,14 @@
 
 // Recorded returns the workers to store: those that a successor has to ask, and those
 // that may get runs. The others count as not stored from now on, since the write may
-// take effect at any time, also if it is not answered.
+// take effect at any time, also if it is not answered. NeedsRecord is true until
+// SetRecorded is called.
 func (p *Planner) Recorded(now time.Time) []Worker {
+	p.isRecordStale = true
 	var list []Worker
 	for _, w := range p.sortedWorkers {
 		if !w.mustBeStored(now, p.jobsReadAt) {
 			if w.isRecorded {
-				p.isRecordStale = true
 				p.reportWorker("worker_left_out", w, fmt.Sprintf("draining %v, %s, %d ends not stored", w.Draining, w.describeFailure(), w.unstoredEnds(p.jobsReadAt)))
 			}
 			w.isRecorded = false
@@ -141,7 +142,10 @@
 
 // SetRecorded records that the stored list of workers is now list.
 func (p *Planner) SetRecorded(list []Worker) {
-	p.isRecordStale = slices.ContainsFunc(list, func(n Worker) bool { return p.workers[n.ID] == nil })
+	p.isRecordStale = slices.ContainsFunc(list, func(n Worker) bool {
+		w := p.workers[n.ID]
+		return w == nil || IsOtherProcess(w.Born, n.Born)
+	})
 	stored := map[string]int64{}
 	for _, n := range list {
 		stored[n.ID] = n.Born
