Count the leases of earlier owners for workers that have answered

What callers saw, or would see: after a change of owner, a task ran beside itself (TWICE), or a task that lasts never started again (LOST).

Cause: the end of the leases on a worker was that of the leases which the present owner had granted. A worker that had answered it counted as without any other. If it was leaving, its leases were short, and the longer one of the predecessor lasted on as its tasks started elsewhere. If the owner had granted none yet when the worker was lost, its runs never lapsed.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -70,7 +70,7 @@
 func (p *Planner) dropLost(now, proven time.Time) {
 	for _, w := range slices.Clone(p.sortedWorkers) {
 		switch {
-		case w.isUnverified && w.unstoredEnds(p.jobsReadAt) == 0 && proven.After(p.options.PredecessorLeaseEnd) && proven.After(w.leaseEnd):
+		case w.isUnverified && w.unstoredEnds(p.jobsReadAt) == 0 && proven.After(w.leaseEnd):
 			p.removeWorker(w, "leases_expired", "no answer before every lease expired")
 		case !w.isUnverified && w.areLeasesExpired(proven):
 			p.endLapsed(now, proven, w)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -304,8 +304,8 @@
 	// withdrawnStarts holds the unanswered starts whose runs have ended before the
 	// process listed them.
 	withdrawnStarts []withdrawnStart
-	// leaseEnd is when the last lease granted to the worker has certainly
-	// expired.
+	// leaseEnd is when the last lease that this or, if it may have used the worker, an
+	// earlier owner has granted to the worker has certainly expired.
 	leaseEnd time.Time
 	// polledAt is when the last answer to a poll was applied.
 	polledAt time.Time
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -11,7 +11,7 @@
 // AddUnverifiedWorker adds a worker on which an earlier owner may have started
 // tasks.
 func (p *Planner) AddUnverifiedWorker(w Worker) {
-	w.isRecorded, w.isUnverified = true, true
+	w.isRecorded, w.isUnverified, w.leaseEnd = true, true, p.options.PredecessorLeaseEnd
 	p.addWorker(time.Time{}, &w)
 	p.unverified[w.ID] = true
 	p.hadPredecessor = true
