Wait for workers that list in part while the stored list can't be decoded

What callers would see: a task whose end is beyond the 500 that fit into an answer runs again under the next owner (TWICE), if the stored list of workers can't be decoded.

Cause: only workers of the stored list count as unverified until they have listed everything. Without the list every task waits for the predecessor's leases alone, though a worker that answers may have more ends after that.

Why this works: such a worker counts as unverified as if the list had named it.

Evidence: TestUnreadableListDoesNotWaitForPartialAnswers failed before (a start 14 s after the takeover).

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -134,6 +134,11 @@
 	if w.listedAt.IsZero() {
 		w.listedAt = now
 	}
+	if p.hasUnknownWorkers && result.IsPartial {
+		// An earlier owner may have used the worker, which has more to list.
+		p.unverified[w.ID], w.isUnverified = true, true
+		p.Leased(w.ID, p.options.PredecessorLeaseEnd)
+	}
 	if p.unverified[w.ID] && !result.IsPartial {
 		delete(p.unverified, w.ID)
 		w.isUnverified = false
--- a/internal/planner/unverified_ends_test.go
+++ b/internal/planner/unverified_ends_test.go
@@ -72,3 +72,24 @@
 	d.p.PollAnswered(d.now, "b", planner.PollResult{Sent: d.now, Acknowledged: 500, Ended: []planner.RunEnd{end}})
 	d.Assert(d.startTasks(), quicktest.HasLen, 0)
 }
+
+// TestUnreadableListDoesNotWaitForPartialAnswers guards against a second run of a task
+// whose end is on a worker that answers and has renewed leases, but lists more ends than
+// fit into an answer, while the list of workers can't be decoded.
+func TestUnreadableListDoesNotWaitForPartialAnswers(t *testing.T) {
+	d := newDriver(t, 2, worker("a", 8), worker("b", 8))
+	d.p.AddUnknownWorkers()
+	d.add(job("1", step(1, 1)))
+	d.p.SetWorkers(d.now, d.workers)
+	run := planner.RunID{TaskID: planner.TaskID{Job: "other"}, Attempt: 1}
+	for i := range 25 {
+		d.advance(700 * time.Millisecond)
+		d.p.Leased("b", d.now.Add(6*time.Second))
+		d.p.PollAnswered(d.now, "b", planner.PollResult{Sent: d.now, ProcessStart: 1, Ended: []planner.RunEnd{{Number: 1, Run: run, Kind: planner.EndDone}}, IsPartial: true})
+		d.poll("a")
+		if d.p.NeedsRecord(d.now) {
+			d.p.SetRecorded(d.p.Recorded(d.now))
+		}
+		d.Assert(d.startTasks(), quicktest.HasLen, 0, quicktest.Commentf("answer %d, %s after the takeover: further ends of b are not read", i, d.now.Sub(origin)))
+	}
+}
