Store the attempts of all members of a gang by one commit

What callers would see: a gang waits for one commit after the other, as many as it has members, once the attempts of an epoch are used up.

Cause: the check of the members ended at the first one that wasn't safe to start, and only the check of a member raises its floor.

Evidence: TestGangAfterAttemptsOfEpoch failed before.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -445,10 +445,16 @@
 // startGang starts all tasks of a gang or none. All tasks get the same attempt
 // number and resume from the same checkpoint.
 func (p *Planner) startGang(now time.Time, s *step) {
+	areSafe := true
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || now.Before(t.retryAt) || !p.isSafeToStart(now, t) {
+		if t.done || len(t.runs) > 0 || now.Before(t.retryAt) {
 			return
 		}
+		// One commit stores what is missing of all members.
+		areSafe = p.isSafeToStart(now, t) && areSafe
+	}
+	if !areSafe {
+		return
 	}
 	attempt := 0
 	checkpoint := ""
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -192,3 +192,27 @@
 		d.Assert(last > int(epoch)*2000+2000, quicktest.IsTrue, quicktest.Commentf("only %d starts", last))
 	}
 }
+
+// TestGangAfterAttemptsOfEpoch guards against a gang whose members each wait for a commit
+// of their own once the attempts of an epoch are used up.
+func TestGangAfterAttemptsOfEpoch(t *testing.T) {
+	gang := step(4, 1)
+	gang.Gang = true
+	d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+	d.add(job("1", gang))
+	var ends []planner.RunEnd
+	for i := range 4 {
+		ends = append(ends, planner.RunEnd{Number: uint64(i + 1), Run: planner.RunID{TaskID: planner.TaskID{Job: "1", Index: i}, Attempt: 1000}, Kind: planner.EndStopped})
+	}
+	d.ends["a"] = ends
+	d.poll("a")
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	commits := 0
+	for len(d.startTasks()) == 0 {
+		d.commit()
+		commits++
+		d.advance(50 * time.Millisecond)
+		d.Assert(commits < 50, quicktest.IsTrue)
+	}
+	d.Assert(commits, quicktest.Equals, 1)
+}
