Ignore the record of a job that the owner has forgotten

What callers would see: a job that has ended as done runs again (TWICE).

Cause: an owner forgets a job before it is removed from the store. If the removal has no answer, a read of the jobs that comes later brings the record again, without its progress, and the owner takes it for a new job.

Why this works: the owner keeps what it removes until a read that began before the answer has ended. The record is older than the job's last progress; that of a new job with the id is newer.

Evidence: TestForgottenJobIsReadAgain failed before (2 starts after the end).

--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -166,8 +166,12 @@
 // expiredJob is a job that the planner has forgotten.
 type expiredJob struct {
 	planner.Job
-	// revision is that of the stored progress. A newer job with the same id has another.
+	// revision is that of the stored progress. A newer job with the same id has another,
+	// and its record has a higher one.
 	revision uint64
+	// removedAt is when the removal was answered; zero before. A read that began earlier
+	// may still bring the job's record.
+	removedAt time.Time
 }
 
 // removeExpiredJobs removes ended jobs from the store once the retention of their state
@@ -177,11 +181,15 @@
 		return
 	}
 	c.lastExpiryAt = now
+	c.expired = slices.DeleteFunc(c.expired, func(j *expiredJob) bool {
+		return !j.removedAt.IsZero() && now.Sub(j.removedAt) > expiryInterval
+	})
 	for _, j := range c.planner.Expired(now) {
-		c.expired = append(c.expired, &expiredJob{j, c.revisions[c.keys.progress(j.ID)]})
+		c.expired = append(c.expired, &expiredJob{Job: j, revision: c.revisions[c.keys.progress(j.ID)]})
 	}
+	left := slices.DeleteFunc(slices.Clone(c.expired), func(j *expiredJob) bool { return !j.removedAt.IsZero() })
 	// Each job has up to four keys and an expectation, and the head takes one too.
-	for batch := range slices.Chunk(slices.Clone(c.expired), (storeclient.MaxTransactionEntries-1)/5) {
+	for batch := range slices.Chunk(left, (storeclient.MaxTransactionEntries-1)/5) {
 		t := storeclient.Transaction{Expect: []storeclient.Expectation{{Key: c.keys.head(), Revision: c.headRevision}}}
 		for _, j := range batch {
 			t.Expect = append(t.Expect, storeclient.Expectation{Key: c.keys.progress(j.ID), Revision: j.revision})
@@ -206,9 +214,16 @@
 	if err != nil && !isConflict {
 		return
 	}
-	c.expired = slices.DeleteFunc(c.expired, func(j *expiredJob) bool {
-		return slices.Contains(batch, j) && (err == nil || conflict.Revision(c.keys.progress(j.ID)) != j.revision)
-	})
+	for _, j := range batch {
+		if err == nil || conflict.Revision(c.keys.progress(j.ID)) != j.revision {
+			j.removedAt = c.options.Now()
+		}
+	}
+}
+
+// isExpired reports whether an entry is the record of a job that the planner has forgotten.
+func (c *Conductor) isExpired(id string, e storeclient.Entry) bool {
+	return slices.ContainsFunc(c.expired, func(j *expiredJob) bool { return j.ID == id && e.Revision < j.revision })
 }
 
 // announceRoom stores how much capacity the shard has free, for daemons that
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -210,7 +210,8 @@
 	nextCommitAt       time.Time
 	isRecordingWorkers bool
 	lastExpiryAt       time.Time
-	// expired has the jobs whose removal from the store isn't known to be done.
+	// expired has the jobs whose removal from the store isn't known to be done, or was
+	// done lately.
 	expired []*expiredJob
 	// lastAnnouncementAt is when the free capacity was last announced, and
 	// isAnnouncing is set while an announcement is being stored.
--- a/internal/conductor/expiry_test.go
+++ b/internal/conductor/expiry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -85,3 +86,45 @@
 		})
 	}
 }
+
+// TestForgottenJobIsReadAgain guards against a second run of a job that has ended as done,
+// because its record is delivered without its progress after the owner has forgotten it
+// and while its removal has no answer.
+func TestForgottenJobIsReadAgain(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t, 20*time.Millisecond)
+	first, stop := s.startDaemonOf(testShard{name: "0", cpu: 64000, pool: s.pool}, 1)
+	s.submit("a", 1)
+	s.eventually("done", testTimeout, func() bool { return state(first, "a") == planner.Done })
+	s.eventually("ends acknowledged", testTimeout, func() bool { return s.pool.endCount() == 0 })
+	stop()
+	lost := &storeclient.UnavailableError{Op: "transact", MayHaveApplied: true, Err: errors.New("lost")}
+	var reads, removals atomic.Int32
+	var isRead atomic.Bool
+	second, stop := s.startDaemonOf(testShard{name: "0", cpu: 64000, pool: s.pool, retention: time.Millisecond, change: func(o *conductor.Options) {
+		list, transact := o.Store.Range, o.Store.Transact
+		o.Store.Range = func(ctx context.Context, prefix string) ([]storeclient.Entry, uint64, error) {
+			if strings.HasPrefix(prefix, "th/0/job") && reads.Add(1) > 1 && !isRead.Load() {
+				return nil, 0, &storeclient.UnavailableError{Op: "range", Err: errors.New("lost")}
+			}
+			return list(ctx, prefix)
+		}
+		o.Store.Transact = func(ctx context.Context, t storeclient.Transaction) (uint64, error) {
+			if len(t.Writes) == 0 {
+				removals.Add(1)
+				return 0, lost
+			}
+			return transact(ctx, t)
+		}
+	}}, 2)
+	defer stop()
+	s.eventually("owned", testTimeout, second.IsOwner)
+	s.eventually("removal not answered", testTimeout, func() bool { return removals.Load() > 0 })
+	t.Logf("forgotten: state %q, reads %d", state(second, "a"), reads.Load())
+	isRead.Store(true)
+	time.Sleep(2 * time.Second)
+	t.Logf("read again: state %q, reads %d", state(second, "a"), reads.Load())
+	for id, n := range s.pool.startsOf("a") {
+		s.Assert(n, quicktest.Equals, 1, quicktest.Commentf("%s", id))
+	}
+}
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -123,7 +123,7 @@
 // progress, because its tasks may be done.
 func (c *Conductor) addJob(now time.Time, e storeclient.Entry, progress map[string]storeclient.Entry) {
 	id := strings.TrimPrefix(e.Key, c.keys.jobs())
-	if c.unusableJobs[id] {
+	if c.unusableJobs[id] || c.isExpired(id, e) {
 		return
 	}
 	d, err := planner.Decode[planner.Job](e.Value)
