--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -65,9 +65,9 @@
 	return records, err
 }
 
-// finishLoading creates the planner from the records in the store.
-func (c *Conductor) finishLoading(ctx context.Context, records shardRecords) {
-	if c.role != "loading" {
+// finishLoading creates the planner from the records that were read in an epoch.
+func (c *Conductor) finishLoading(ctx context.Context, epoch int64, records shardRecords) {
+	if c.role != "loading" || c.epoch != epoch {
 		return
 	}
 	now := c.options.Now()
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -271,7 +271,7 @@
 			records, err := c.readShard(bounded)
 			cancel()
 			if err == nil {
-				c.post(ctx, func() { c.finishLoading(ctx, records) })
+				c.post(ctx, func() { c.finishLoading(ctx, a.epoch, records) })
 				return
 			}
 			c.options.Log.Warn().Err(err).Msg("conductor: shard not read")
--- a/internal/conductor/unread_jobs_test.go
+++ b/internal/conductor/unread_jobs_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
 	"tarragonhead.example/tarragonhead/internal/conductor"
@@ -47,3 +48,22 @@
 	s.checkEachStartedOnce("a", 2)
 	s.eventually("acknowledged", testTimeout, func() bool { return s.pool.endCount() == 0 })
 }
+
+// TestEndOfUnusableJobIsKept guards against a task that runs again after it was done,
+// because an owner that can't use the stored progress of its job acknowledged the end.
+// The next owner can use it, as in a rolling replacement.
+func TestEndOfUnusableJobIsKept(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t, time.Hour)
+	s.submit("a", 1)
+	s.keeper.Put("th/0/progress/a", []byte("of another version"))
+	run := planner.RunID{TaskID: planner.TaskID{Job: "a"}, Attempt: 1}
+	s.pool.runs[run] = time.Now()
+	s.pool.starts[run.TaskID]++
+	s.pool.end(run, planner.EndDone)
+	d, stop := s.startDaemonOf(testShard{name: "0", cpu: 64000, pool: s.pool}, 1)
+	defer stop()
+	s.eventually("owned", testTimeout, d.IsOwner)
+	time.Sleep(7 * time.Second)
+	s.Assert(s.pool.endCount(), quicktest.Equals, 1, quicktest.Commentf("the end is not stored"))
+}
--- a/internal/planner/unverified_ends_test.go
+++ b/internal/planner/unverified_ends_test.go
@@ -93,3 +93,19 @@
 		d.Assert(d.startTasks(), quicktest.HasLen, 0, quicktest.Commentf("answer %d, %s after the takeover: further ends of b are not read", i, d.now.Sub(origin)))
 	}
 }
+
+// TestSilentWorkerStaysUntilEndsAreStored guards against a second run of a task under the
+// owner after next, because a worker that listed in part and went silent was taken out of
+// the stored list before the effect of its ends was stored.
+func TestSilentWorkerStaysUntilEndsAreStored(t *testing.T) {
+	d, end := newSuccessorDriver(t)
+	d.p.PollAnswered(d.now, "b", planner.PollResult{Sent: d.now, Ended: []planner.RunEnd{end}, IsPartial: true})
+	d.p.Unanswered(d.now, "b")
+	d.advance(14 * time.Second)
+	d.poll("a")
+	d.startTasks()
+	d.Assert(d.p.Recorded(d.now), quicktest.HasLen, 2)
+	d.commit()
+	d.startTasks()
+	d.Assert(d.p.Recorded(d.now), quicktest.HasLen, 1)
+}
