Add owners that end before they have stored ends to the soak

Workers drain, are missing from the list (new in the stand-in) or are cut off one way before that, and are cut off while the successor takes over.

--- a/standins/platformer/cancel_test.go
+++ b/standins/platformer/cancel_test.go
@@ -25,7 +25,7 @@
 			r := newRunRecorder()
 			s := newTestPlatformWith(t, platformer.Options{
 				TaskDuration: restartTaskDuration / 10, Observe: r.observe,
-				TransactionDelay: func() time.Duration {
+				TransactionDelay: func(string) time.Duration {
 					if isLate.Load() {
 						return delay
 					}
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -1,6 +1,7 @@
 package platformer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -59,9 +60,16 @@
 	// ends as failed instead of done.
 	Fails func(task string, attempt int) bool
 	// TransactionDelay and OrderDelay, if not nil, return for each transaction of an
-	// instance with the store and each call to a worker how much later it takes
-	// effect. It then gets no response. With 0 it takes effect at once.
-	TransactionDelay, OrderDelay func() time.Duration
+	// instance with the store, by the first key that it writes, and each call to a
+	// worker how much later it takes effect. It then gets no response. With 0 it takes
+	// effect at once.
+	TransactionDelay func(key string) time.Duration
+	OrderDelay       func() time.Duration
+	// TransactionSilence is how long the connection of a transaction that takes effect
+	// late stays open without a response.
+	TransactionSilence time.Duration
+	// MaxLease is the longest lease of a run, 3 s if zero.
+	MaxLease time.Duration
 }
 
 // Event is an event of a run on a worker.
@@ -129,9 +137,10 @@
 
 // New starts a store and workers, without instances.
 func New(o Options) (*Platform, error) {
+	o.MaxLease = cmp.Or(o.MaxLease, defaultMaxLease)
 	p := &Platform{options: o, instanceHost: newInstanceHost(), Keeper: keeper.New(time.Now), stopped: make(chan struct{}), addressesByName: map[string][3]string{}}
 	var err error
-	if p.storeAddress, err = p.listen(func(ctx *fasthttp.RequestCtx) { serveStore(p.Keeper, o.TransactionDelay, ctx) }); err != nil {
+	if p.storeAddress, err = p.listen(func(ctx *fasthttp.RequestCtx) { serveStore(p.Keeper, o, ctx) }); err != nil {
 		return nil, err
 	}
 	for n := range o.Workers {
@@ -278,7 +287,7 @@
 limits.cores=1
 bounds.graceS=2
 bounds.drainMs=2000
-bounds.maxHoldMs=3000
+bounds.maxHoldMs=%d
 bounds.stopMs=500
 bounds.paceMs=100
 bounds.violationMs=4000
@@ -289,7 +298,7 @@
 platform.writesPerS=400
 platform.readsPerS=2000
 platform.minTtlMs=500
-`, name, domain, addresses[0], addresses[1], addresses[2], strings.Join(seeds, ","), store)
+`, name, domain, addresses[0], addresses[1], addresses[2], strings.Join(seeds, ","), p.options.MaxLease.Milliseconds(), store)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "write settings file")
 	}
--- a/standins/platformer/process.go
+++ b/standins/platformer/process.go
@@ -9,9 +9,9 @@
 	"github.com/valyala/fasthttp"
 )
 
-// maxLease is the longest lease that a worker grants, as bounds.maxHoldMs in the
-// settings of the instances.
-const maxLease = 3 * time.Second
+// defaultMaxLease is the longest lease that a worker grants, as bounds.maxHoldMs in
+// the settings of the instances.
+const defaultMaxLease = 3 * time.Second
 
 // runKey identifies a run, as on the wire, by the name of its task and its attempt.
 type runKey struct {
@@ -143,7 +143,7 @@
 	p.fence = o.Fence
 	if o.Deadline > 0 {
 		deadline := p.startedAt.Add(time.Duration(o.Deadline) * time.Millisecond)
-		if longest := time.Now().Add(maxLease); deadline.After(longest) {
+		if longest := time.Now().Add(p.worker.options.MaxLease); deadline.After(longest) {
 			deadline = longest
 		}
 		if deadline.After(p.leaseEnd) {
--- a/standins/platformer/store.go
+++ b/standins/platformer/store.go
@@ -49,7 +49,7 @@
 }
 
 // serveStore serves the HTTP interface of the store.
-func serveStore(k *keeper.Keeper, transactionDelay func() time.Duration, ctx *fasthttp.RequestCtx) {
+func serveStore(k *keeper.Keeper, o Options, ctx *fasthttp.RequestCtx) {
 	s := k.Store()
 	callCtx, cancel := context.WithTimeout(context.Background(), maxWait)
 	defer cancel()
@@ -79,7 +79,7 @@
 		}
 		respond(ctx, map[string]any{"events": items, "storeRevision": revision}, err)
 	case path == "/v1/kv-txn":
-		serveTransaction(callCtx, ctx, s, transactionDelay)
+		serveTransaction(callCtx, ctx, s, o)
 	case path == "/v1/kv-lease":
 		var in struct {
 			TTL int64 `json:"ttlMs"`
@@ -109,7 +109,7 @@
 	return 0, false
 }
 
-func serveTransaction(callCtx context.Context, ctx *fasthttp.RequestCtx, s storeclient.PrefixStore, delay func() time.Duration) {
+func serveTransaction(callCtx context.Context, ctx *fasthttp.RequestCtx, s storeclient.PrefixStore, o Options) {
 	var in transaction
 	if !decode(ctx, &in) {
 		return
@@ -121,11 +121,15 @@
 	for _, w := range in.Writes {
 		t.Writes = append(t.Writes, storeclient.Write(w))
 	}
-	if delay != nil {
-		if d := delay(); d > 0 {
+	if o.TransactionDelay != nil {
+		key := ""
+		if len(t.Writes) > 0 {
+			key = t.Writes[0].Key
+		}
+		if d := o.TransactionDelay(key); d > 0 {
 			// Its conditions are checked when it takes effect.
 			time.AfterFunc(d, func() { _, _ = s.Transact(context.Background(), t) })
-			dropResponse(ctx)
+			dropResponseAfter(ctx, o.TransactionSilence)
 			return
 		}
 	}
@@ -174,9 +178,15 @@
 }
 
 // dropResponse closes the connection without a response.
-func dropResponse(ctx *fasthttp.RequestCtx) {
+func dropResponse(ctx *fasthttp.RequestCtx) { dropResponseAfter(ctx, 0) }
+
+// dropResponseAfter closes the connection after a silence, without a response.
+func dropResponseAfter(ctx *fasthttp.RequestCtx, silence time.Duration) {
 	ctx.HijackSetNoResponse(true)
-	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+	ctx.Hijack(func(c net.Conn) {
+		time.Sleep(silence)
+		_ = c.Close()
+	})
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
--- a/standins/platformer/worker.go
+++ b/standins/platformer/worker.go
@@ -57,6 +57,8 @@
 	// process is the current process, or the last one while the worker is down.
 	process     *process
 	startCounts map[string]int
+	// unlistedUntil is the end of the time in which no heartbeat is sent.
+	unlistedUntil time.Time
 }
 
 // Restart says how the process of a worker ends and how the next one starts.
@@ -136,6 +138,16 @@
 	return nil
 }
 
+// Unlist removes the entry of the current process, which goes on, and sends no
+// heartbeat for a while, as when heartbeats are lost until the entry has expired.
+func (w *Worker) Unlist(length time.Duration) {
+	w.mu.Lock()
+	w.unlistedUntil = time.Now().Add(length)
+	p := w.process
+	w.mu.Unlock()
+	w.removeEntry(p)
+}
+
 // newProcess returns a process with an id that no other process has. The id of a
 // process sorts before that of its predecessor or after it, since the list of
 // workers is in the order of ids.
@@ -196,6 +208,10 @@
 // writeEntry writes the entry of the process under a new lease.
 func (w *Worker) writeEntry(p *process) error {
 	w.mu.Lock()
+	if time.Now().Before(w.unlistedUntil) {
+		w.mu.Unlock()
+		return nil
+	}
 	p.seq++
 	state := "ready"
 	if p.isDraining {
--- a/standins/soaker/faults.go
+++ b/standins/soaker/faults.go
@@ -35,6 +35,9 @@
 	// lateTransactions and lateOrders are the shares of the transactions of
 	// instances and of the calls to workers that take effect late.
 	lateTransactions, lateOrders overlay[float64]
+	// lateProgress is the share of the transactions that write progress and take
+	// effect late.
+	lateProgress overlay[float64]
 }
 
 // largest returns the largest share in effect, 0 if there is none.
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -52,6 +52,9 @@
 	Clients int
 	// Duration is how long faults are injected.
 	Duration time.Duration
+	// UnstoredEnds says that the only faults are those in which an owner ends before
+	// it has stored the ends of runs.
+	UnstoredEnds bool
 }
 
 // Report is the result of a soak.
@@ -122,12 +125,16 @@
 		return nil, errors.Wrap(err, "create log file")
 	}
 	s.checker.log = s.log
-	s.platform, err = platformer.New(platformer.Options{
+	p := platformer.Options{
 		Binary: o.Binary, Directory: o.Directory, Workers: o.Workers, TaskDuration: taskDuration, Output: s.output, ProxyAddress: s.proxyAddress,
 		Observe: s.observe, Fails: s.runFails,
-		TransactionDelay: func() time.Duration { return s.delay(&s.shares.lateTransactions) },
+		TransactionDelay: s.transactionDelay,
 		OrderDelay:       func() time.Duration { return s.delay(&s.shares.lateOrders) },
-	})
+	}
+	if o.UnstoredEnds {
+		p.TransactionSilence, p.MaxLease = transactionSilence, unstoredMaxLease
+	}
+	s.platform, err = platformer.New(p)
 	if err != nil {
 		_ = s.output.Close()
 		return nil, err
@@ -168,10 +175,14 @@
 	}
 	s.startedAt = time.Now()
 	var injectors sync.WaitGroup
-	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 1))}).injectInstanceFaults)
-	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 3))}).injectWorkerFaults)
-	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 4))}).injectRestarts)
-	injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 5))}).injectTakeovers)
+	if o.UnstoredEnds {
+		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 8))}).injectUnstoredEnds)
+	} else {
+		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 1))}).injectInstanceFaults)
+		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 3))}).injectWorkerFaults)
+		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 4))}).injectRestarts)
+		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 5))}).injectTakeovers)
+	}
 	injectors.Wait()
 	close(stopClients)
 	clientsDone.Wait()
