--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -32,6 +32,10 @@
 // store had gone silent.
 var configSeeds = map[string]uint64{"short run": 1, "silent connections": 3}
 
+// unstoredSeeds holds the seeds of the short run in which owners end before they have
+// stored the ends of runs.
+var unstoredSeeds = map[string]uint64{"workers missing": 36000, "workers drain": 36002, "workers drain again": 36009}
+
 // buildDaemon builds tarragond and returns its path.
 func buildDaemon(c *quicktest.C, dir string) string {
 	binary := filepath.Join(dir, "tarragond")
@@ -79,3 +83,23 @@
 		})
 	}
 }
+
+// TestUnstoredEndsRunNoTaskTwice guards against tasks that run again after the end of
+// an owner that had read the ends of their runs and not stored them (issue 36).
+func TestUnstoredEndsRunNoTaskTwice(t *testing.T) {
+	c := quicktest.New(t)
+	dir := t.TempDir()
+	binary := buildDaemon(c, dir)
+	for name, seed := range unstoredSeeds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			sub := filepath.Join(dir, fmt.Sprint(seed))
+			c.Assert(os.Mkdir(sub, 0o700), quicktest.IsNil)
+			r, err := soaker.Run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 6, Clients: 4, Duration: 8 * time.Second, UnstoredEnds: true})
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
+			c.Assert(r.Accepted > 0, quicktest.IsTrue)
+		})
+	}
+}
