Give a start in the scheduler's tests one process that it is meant for

A start that the network doubles reached the next process of a restarted worker and was carried out again. A worker of the platform refuses that, since each start names the process that it is meant for (TestRequestForOtherProcess); the fake worker had no process. The checks are unchanged.

--- a/internal/scheduler/random_test.go
+++ b/internal/scheduler/random_test.go
@@ -78,6 +78,7 @@
 	s := drawShard(w, t)
 	x := s.workers[rapid.SampledFrom(slices.Sorted(maps.Keys(s.workers))).Draw(t, "worker")]
 	x.dead = true
+	x.process++
 	clear(x.running)
 	clear(x.ended)
 	clear(x.attempts)
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -90,10 +90,12 @@
 type fakeWorker struct {
 	id, domain string
 	capacity   declarer.Resources
-	epoch      uint64
-	attempts   map[TaskID]uint64
-	running    map[TaskID]*fakeRun
-	ended      map[string]EndedAttempt
+	// process is the number of the process. A start is meant for one process.
+	process  int
+	epoch    uint64
+	attempts map[TaskID]uint64
+	running  map[TaskID]*fakeRun
+	ended    map[string]EndedAttempt
 	// read has the ended attempts that an owner has read.
 	read map[string]bool
 	// unreachable and dead are faults of the worker; failAll makes every
