--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -276,7 +276,7 @@
 // task: an attempt number that the run is below, and the crash of its worker. The crashes
 // so far are stored, and a further one could be.
 func (p *Planner) isSafeToStart(now time.Time, t *task) bool {
-	return p.hasAttempt(t) && (t.suspicion() == notSuspected || t.areCrashesStored() && now.Sub(p.provenAt) < suspectHorizon)
+	return p.ensureAttempt(t) && (t.suspicion() == notSuspected || t.areCrashesStored() && now.Sub(p.provenAt) < suspectHorizon)
 }
 
 // giveUpDeadlyTasks ends the jobs of the tasks that are given up, once it is known that
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -407,9 +407,9 @@
 	return t.attemptFloor + int(p.options.Epoch-1)*attemptsPerEpoch
 }
 
-// hasAttempt reports whether a successor's attempts at a task would be above the next one.
+// ensureAttempt reports whether a successor's attempts at a task would be above the next one.
 // If not, it raises the floor of the task, which then waits until that is stored.
-func (p *Planner) hasAttempt(t *task) bool {
+func (p *Planner) ensureAttempt(t *task) bool {
 	j := t.step.occurrence.job
 	if over := t.attempt - p.attemptBase(t); over >= attemptsPerEpoch {
 		t.attemptFloor += over
