Kill owners later where workers are missing from the list

The stored list loses a missing worker after 2.5 s and a reading of the list, and ends are stored by then unless most transactions get no response. So the owner ends 3.3 to 4.5 s after that, and 0.7 to 1 of the transactions with progress are late.

--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -34,7 +34,7 @@
 
 // unstoredSeeds holds the seeds of the short run in which owners end before they have
 // stored the ends of runs.
-var unstoredSeeds = map[string]uint64{"workers missing": 36000, "workers drain": 36002, "workers drain again": 36009}
+var unstoredSeeds = map[string]uint64{"workers missing": 36007, "workers drain": 36002, "workers drain again": 36009}
 
 // buildDaemon builds tarragond and returns its path.
 func buildDaemon(c *quicktest.C, dir string) string {
--- a/standins/soaker/unstored.go
+++ b/standins/soaker/unstored.go
@@ -38,7 +38,7 @@
 // before that, and are cut off while the successor takes the shard over.
 func (j *injector) injectUnstoredEnds() {
 	for time.Since(j.startedAt) < j.options.Duration {
-		progress, other := 0.5+j.rng.Float64()/2, 0.2*j.rng.Float64()
+		progress, other := 0.7+0.3*j.rng.Float64(), 0.2*j.rng.Float64()
 		j.recordFault("%.2f of the transactions with progress and %.2f of the others take effect late", progress, other)
 		endProgress, endOther := j.shares.lateProgress.add(progress), j.shares.lateTransactions.add(other)
 		kind := j.rng.IntN(3)
@@ -50,8 +50,8 @@
 			}
 		}
 		// The stored list may lose a draining worker at once, a silent one after a
-		// second and a missing one after 2.5 s.
-		limits := [...][2]time.Duration{{300 * time.Millisecond, 2 * time.Second}, {1500 * time.Millisecond, 3 * time.Second}, {2600 * time.Millisecond, 4 * time.Second}}[kind]
+		// second, and a missing one after 2.5 s and a reading of the list.
+		limits := [...][2]time.Duration{{300 * time.Millisecond, 2 * time.Second}, {1500 * time.Millisecond, 3 * time.Second}, {3300 * time.Millisecond, 4500 * time.Millisecond}}[kind]
 		time.Sleep(j.randomDuration(limits[0], limits[1]))
 		if owner := j.owner(); owner != nil {
 			j.restartAfter(owner, syscall.SIGKILL, j.randomDuration(0, 2*time.Second), nil)
