Revert "Count the time for which a long-running task was held back as its wait"

What callers saw: tasks that last stay away longer after a change of owner (LOST), the opposite of what the change was for.

Why: not traced further than to this commit.

--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -100,22 +100,13 @@
 	return demand
 }
 
-// missedSince returns since when a long-running task waits to run, which includes the time
-// for which its job was held back after a change of owner.
-func (t *task) missedSince() time.Time {
-	if j := t.step.occurrence.job; t.attempt == 0 && t.arrivedAt.IsZero() && !j.heldSince.IsZero() {
-		return j.heldSince
-	}
-	return t.readyAt
-}
-
 // admitLongRunning reports whether a long-running task may start without using
 // up the headroom, and deducts its CPU need from the free CPU if so. A task
 // that has waited headroomWait and may have run before is always admitted.
 func (p *Planner) admitLongRunning(now time.Time, t *task) bool {
 	h := &p.headroom
 	mayHaveRun := t.attempt > 0 || t.attemptFloor > 0 || t.step.occurrence.job.mayPredateOwner
-	if mayHaveRun && now.Sub(t.missedSince()) > headroomWait {
+	if mayHaveRun && now.Sub(t.readyAt) > headroomWait {
 		return true
 	}
 	if float64(h.free-t.step.Need.CPU) < h.required() {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -253,9 +253,6 @@
 		d.Queue = q
 	}
 	j := &job{Job: d, ended: map[int]bool{}, mayHaveUnverifiedRuns: p.hasUnverifiedWorkers(), mayPredateOwner: p.hadPredecessor}
-	if j.mayHaveUnverifiedRuns {
-		j.heldSince = now
-	}
 	// Clocks of instances differ, so the arrival is clamped to the present.
 	age := max(0, p.options.WallTime(now).Sub(d.Received))
 	j.arrived = now.Add(-age)
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -79,7 +79,7 @@
 func (p *Planner) reserveWorker(now time.Time, t *task, candidates []*Worker) {
 	// When the fleet is full, a reservation would take the worker from short
 	// work.
-	if now.Sub(t.missedSince()) < reserveAfter || p.headroom.free < reserveFreeFactor*t.step.Need.CPU {
+	if now.Sub(t.readyAt) < reserveAfter || p.headroom.free < reserveFreeFactor*t.step.Need.CPU {
 		return
 	}
 	if t.hasReservedWorker(now) {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -33,8 +33,6 @@
 	// mayHaveUnverifiedRuns is set while an earlier owner may have started
 	// tasks of the job on workers that have not answered this owner.
 	mayHaveUnverifiedRuns bool
-	// heldSince is when this owner added the job if it held it back then for that reason.
-	heldSince time.Time
 	// mayPredateOwner is set when this owner had a predecessor, which may have
 	// started tasks of the job.
 	mayPredateOwner bool
