--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -370,6 +370,8 @@
 	c.metrics.jobs.WithLabelValues("jobs").Set(float64(u.Jobs))
 	c.metrics.jobs.WithLabelValues("waiting_tasks").Set(float64(u.Waiting))
 	c.metrics.jobs.WithLabelValues("runs").Set(float64(u.Runs))
+	c.metrics.jobs.WithLabelValues("workers").Set(float64(u.Workers))
+	c.metrics.jobs.WithLabelValues("listed_workers").Set(float64(len(c.workers)))
 	c.metrics.jobs.WithLabelValues("sick_workers").Set(float64(u.Sick))
 	c.metrics.jobs.WithLabelValues("unstored_ends").Set(float64(u.UnstoredEnds))
 }
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -96,7 +96,7 @@
 // of the worker's process.
 func (p *Planner) removeWorker(w *Worker, event interpreter.Event, reason string) {
 	p.applyProcessEvent(w, event)
-	p.reportWorker("worker_lost", w, fmt.Sprintf("%s; %s, %d runs, %s", reason, w.describe(), len(w.runs), w.describeFailure()))
+	p.reportWorker("worker_lost", w, fmt.Sprintf("%s; %s, listed %t, %d runs, %s", reason, w.describe(), w.isListed || w.relisted != nil, len(w.runs), w.describeFailure()))
 	for _, r := range runsOf(w) {
 		p.endRun(r, "lapse", "worker lost: "+reason)
 	}
