Know a listed worker again after it was dropped or replaced

Cause: the planner got the list of workers only when an entry of it changed. But it also forgets workers by itself: those that don't answer a new owner before every lease has expired, and ended processes that are replaced by the next one under their id. Such a worker was known again, or counted as listed again, only when any entry of the shard changed, or at the next owner. A worker that was cut off for a while changes nothing in its entry.

Change: the planner keeps the list and applies it again in each plan before which it has forgotten a worker. The worker is as silent as before, so that the stored list doesn't name it until it answers, and no successor waits for it; and it leaves when it said, counted from its announcement. A session belongs to one process, also where the planner adds another process under the id.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -95,9 +95,13 @@
 	return atLeast + lease, now.Add(longestLease(lease))
 }
 
-// session returns the session with a worker. It creates one if there is none.
+// session returns the session with a worker's process. It creates one if there is none.
 func (c *Conductor) session(w planner.Worker) *session {
 	s := c.sessions[w.ID]
+	if s != nil && planner.IsOtherProcess(s.born, w.Born) {
+		c.endSession(w.ID, s)
+		s = nil
+	}
 	if s == nil {
 		s = &session{born: w.Born, answeredAt: c.options.Now()}
 		c.sessions[w.ID] = s
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -44,6 +44,9 @@
 	clear(p.busyServices)
 	p.dropUnknownWorkers(proven)
 	p.dropLost(now, proven)
+	if len(p.forgotten) > 0 {
+		p.applyDiscovered(now)
+	}
 	p.recordCrashes(now)
 	p.giveUpDeadlyTasks(now)
 	p.openOccurrences(now)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -102,7 +102,11 @@
 	activeJobs []*job
 	workers    map[string]*Worker
 	// sortedWorkers holds the workers sorted by id.
-	sortedWorkers    []*Worker
+	sortedWorkers []*Worker
+	// discovered is the list of workers from discovery as of its last change, and
+	// forgotten holds the workers, by id, that were forgotten since it was applied.
+	discovered       []Worker
+	forgotten        map[string]*Worker
 	evacuatedDomains map[string]bool
 	// endedProcesses holds the processes that have ended and that the list may
 	// still show.
@@ -188,7 +192,7 @@
 		return nil, err
 	}
 	return &Planner{
-		options: o, chart: c, processChart: processes, endedProcesses: map[processID]bool{}, jobs: map[string]*job{}, workers: map[string]*Worker{}, evacuatedDomains: map[string]bool{},
+		options: o, chart: c, processChart: processes, endedProcesses: map[processID]bool{}, jobs: map[string]*job{}, workers: map[string]*Worker{}, forgotten: map[string]*Worker{}, evacuatedDomains: map[string]bool{},
 		unverified: map[string]bool{}, unknownRuns: map[RunID]unknownRun{}, interference: newTailModels(),
 		startLimit:     math.MaxInt,
 		candidateCache: map[candidateKey][]*Worker{}, unplaceable: map[placeKey]Resources{}, busyServices: map[string]bool{},
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -399,11 +399,11 @@
 	switch {
 	case w.isNeeded(jobsReadAt):
 		return true
+	case !w.failedSince.IsZero() && now.Sub(w.failedSince) > lostAfter:
+		return false
 	case !w.isProved():
 		// A contested process has probably ended.
 		return !w.isContested
-	case !w.failedSince.IsZero() && now.Sub(w.failedSince) > lostAfter:
-		return false
 	default:
 		return !w.Draining
 	}
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -46,16 +46,42 @@
 func (p *Planner) forgetWorker(w *Worker) {
 	p.isRecordStale = p.isRecordStale || w.isRecorded
 	delete(p.workers, w.ID)
+	p.forgotten[w.ID] = w
 	p.forgetUnknownRuns(w, nil)
 	p.sortedWorkers = slices.DeleteFunc(p.sortedWorkers, func(o *Worker) bool { return o == w })
 	p.updateContested(w)
 }
 
-// SetWorkers applies the list of workers from discovery. The list adds workers,
-// but ends no process: see process.go.
+// SetWorkers applies a change of the list of workers from discovery. The list adds
+// workers, but ends no process: see process.go.
 func (p *Planner) SetWorkers(now time.Time, list []Worker) {
+	earlier := map[processID]Worker{}
+	for _, n := range p.discovered {
+		earlier[n.processID()] = n
+	}
+	p.discovered = slices.Clone(list)
+	for i := range p.discovered {
+		n := &p.discovered[i]
+		if !n.Draining {
+			continue
+		}
+		n.drainingSince, n.leavesAt = now, now.Add(n.Remaining)
+		if e := earlier[n.processID()]; e.Draining {
+			n.drainingSince = e.drainingSince
+			if e.Remaining == n.Remaining {
+				n.leavesAt = e.leavesAt
+			}
+		}
+	}
+	p.applyDiscovered(now)
+}
+
+// applyDiscovered brings the known workers in line with the list. It is also due when
+// a worker was forgotten, since the list may still show its process or another one
+// under its id, and need not change any more.
+func (p *Planner) applyDiscovered(now time.Time) {
 	listed, ended := map[string]bool{}, map[processID]bool{}
-	for _, n := range list {
+	for _, n := range p.discovered {
 		if p.endedProcesses[n.processID()] {
 			ended[n.processID()] = true
 			continue
@@ -67,24 +93,20 @@
 		}
 		listed[n.ID] = true
 		if w == nil {
-			w = &n
-			p.addWorker(now, w)
-			p.reportWorker("worker_found", w, w.describe())
+			w = p.discover(now, n)
 		}
 		w.update(n)
 		w.isListed, w.missingSince = true, time.Time{}
 		if n.Draining && !w.Draining {
 			p.reportWorker("worker_draining", w, n.Remaining.String())
 		}
-		if n.Draining && (!w.Draining || n.Remaining != w.Remaining) {
-			w.leavesAt = now.Add(n.Remaining)
-		}
 		w.Draining, w.Remaining = n.Draining, n.Remaining
-		if w.Draining && w.drainingSince.IsZero() {
-			w.drainingSince = now
+		if n.Draining {
+			w.leavesAt, w.drainingSince = n.leavesAt, n.drainingSince
 		}
 	}
 	p.endedProcesses = ended
+	clear(p.forgotten)
 	for _, w := range p.sortedWorkers {
 		if !listed[w.ID] && (w.isListed || w.missingSince.IsZero()) {
 			w.isListed, w.missingSince = false, now
@@ -92,6 +114,18 @@
 	}
 }
 
+// discover adds a worker from its entry in the list.
+func (p *Planner) discover(now time.Time, n Worker) *Worker {
+	w := &n
+	if f := p.forgotten[n.ID]; f != nil && f.Address == n.Address {
+		// The worker is as silent as before it was forgotten.
+		w.failedSince = f.failedSince
+	}
+	p.addWorker(now, w)
+	p.reportWorker("worker_found", w, w.describe())
+	return w
+}
+
 // removeWorker removes a worker and ends its runs. The event ends the life cycle
 // of the worker's process.
 func (p *Planner) removeWorker(w *Worker, event interpreter.Event, reason string) {
