--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -57,7 +57,9 @@
 func (p *Planner) SetWorkers(now time.Time, list []Worker) {
 	earlier := map[processID]Worker{}
 	for _, n := range p.discovered {
-		earlier[n.processID()] = n
+		if n.Draining {
+			earlier[n.processID()] = n
+		}
 	}
 	p.discovered = slices.Clone(list)
 	for i := range p.discovered {
@@ -66,7 +68,7 @@
 			continue
 		}
 		n.drainingSince, n.leavesAt = now, now.Add(n.Remaining)
-		if e := earlier[n.processID()]; e.Draining {
+		if e, ok := earlier[n.processID()]; ok {
 			n.drainingSince = e.drainingSince
 			if e.Remaining == n.Remaining {
 				n.leavesAt = e.leavesAt
