Kill owners in the soak while no worker can be reached

The soak's faults change the list of workers all the time, which hid that a dropped worker was only known again with such a change. Here the list stays the same: workers are cut off from the instances, not from the store, until the next owner has dropped them.

--- a/standins/cmd/soak/main.go
+++ b/standins/cmd/soak/main.go
@@ -26,6 +26,7 @@
 	clients := app.Flag("clients", "Clients per soak.").Default("4").Int()
 	configs := app.Flag("configs", "Change the configuration while open connections break, and check when each version is in force.").Bool()
 	unstored := app.Flag("unstored-ends", "Only kill owners before they have stored the ends of runs, beside workers that drain, are silent or are missing.").Bool()
+	cuts := app.Flag("cuts", "Only kill owners while no worker can be reached until its successor has dropped them.").Bool()
 	verbose := app.Flag("verbose", "Print the injected faults of each seed.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -50,7 +51,7 @@
 			if *configs {
 				run = soaker.RunConfigs
 			}
-			r, err := run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: *instances, Workers: *workers, Clients: *clients, Duration: *length, UnstoredEnds: *unstored})
+			r, err := run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: *instances, Workers: *workers, Clients: *clients, Duration: *length, UnstoredEnds: *unstored, Cuts: *cuts})
 			app.FatalIfError(err, "seed %d", seed)
 			mu.Lock()
 			defer mu.Unlock()
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -55,6 +55,9 @@
 	// UnstoredEnds says that the only faults are those in which an owner ends before
 	// it has stored the ends of runs.
 	UnstoredEnds bool
+	// Cuts says that the only faults are those in which owners end while workers are cut
+	// off.
+	Cuts bool
 }
 
 // Report is the result of a soak.
@@ -175,9 +178,12 @@
 	}
 	s.startedAt = time.Now()
 	var injectors sync.WaitGroup
-	if o.UnstoredEnds {
+	switch {
+	case o.UnstoredEnds:
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 8))}).injectUnstoredEnds)
-	} else {
+	case o.Cuts:
+		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 9))}).injectCuts)
+	default:
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 1))}).injectInstanceFaults)
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 3))}).injectWorkerFaults)
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 4))}).injectRestarts)
--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -36,6 +36,9 @@
 // stored the ends of runs.
 var unstoredSeeds = map[string]uint64{"workers missing": 36007, "workers drain": 36002, "workers drain again": 36009}
 
+// cutSeeds holds the seeds of the short run in which owners end while workers are cut off.
+var cutSeeds = map[string]uint64{"short run": 1, "short run again": 2}
+
 // buildDaemon builds tarragond and returns its path.
 func buildDaemon(c *quicktest.C, dir string) string {
 	binary := filepath.Join(dir, "tarragond")
@@ -103,3 +106,23 @@
 		})
 	}
 }
+
+// TestCutWorkersAreUsedAgain guards against workers that are cut off during a change of
+// owner and that the successor never uses (issue 38).
+func TestCutWorkersAreUsedAgain(t *testing.T) {
+	c := quicktest.New(t)
+	dir := t.TempDir()
+	binary := buildDaemon(c, dir)
+	for name, seed := range cutSeeds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			sub := filepath.Join(dir, fmt.Sprint(seed))
+			c.Assert(os.Mkdir(sub, 0o700), quicktest.IsNil)
+			r, err := soaker.Run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 6, Clients: 3, Duration: time.Second, Cuts: true})
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
+			c.Assert(r.Accepted > 0, quicktest.IsTrue)
+		})
+	}
+}
