Remember ended processes until the list changes

Ended processes that it doesn't show were forgotten then too, sooner than before, so that an entry which a late write adds again let the living process be contested until both had been polled. Found by reading the change afresh.

--- a/internal/planner/dropped_test.go
+++ b/internal/planner/dropped_test.go
@@ -84,3 +84,19 @@
 	d.Assert(ok, quicktest.IsTrue)
 	d.Assert(w.LeavesAt(), quicktest.Equals, until)
 }
+
+// TestLateEntryOfEndedProcess guards against a process that is added again, and contests
+// the next one at its address, because a late write shows it after it was found to have
+// ended and has left the list.
+func TestLateEntryOfEndedProcess(t *testing.T) {
+	ended := worker("a", 8)
+	living := successor("b", ended)
+	d := newDriver(t, 1, ended).registerWorkers()
+	d.list(living)
+	d.advance(time.Millisecond)
+	d.poll(living.ID)
+	d.startTasks()
+	d.list(ended, living)
+	d.Assert(d.p.Contacts(d.now), quicktest.HasLen, 1)
+	d.Assert(d.p.Contacts(d.now)[0].IsContested, quicktest.IsFalse)
+}
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -55,37 +56,48 @@
 // SetWorkers applies a change of the list of workers from discovery. The list adds
 // workers, but ends no process: see process.go.
 func (p *Planner) SetWorkers(now time.Time, list []Worker) {
-	earlier := map[processID]Worker{}
-	for _, n := range p.discovered {
-		if n.Draining {
-			earlier[n.processID()] = n
+	list = slices.Clone(list)
+	dateAnnouncements(now, list, p.discovered)
+	p.discovered = list
+	listed := map[processID]bool{}
+	for i := range list {
+		listed[list[i].processID()] = true
+	}
+	maps.DeleteFunc(p.endedProcesses, func(id processID, _ bool) bool { return !listed[id] })
+	p.applyDiscovered(now)
+}
+
+// dateAnnouncements sets when the draining workers of a list announced that they leave,
+// and until when they stay. An announcement that the earlier list has counts from then.
+func dateAnnouncements(now time.Time, list, earlier []Worker) {
+	known := map[processID]Worker{}
+	for _, w := range earlier {
+		if w.Draining {
+			known[w.processID()] = w
 		}
 	}
-	p.discovered = slices.Clone(list)
-	for i := range p.discovered {
-		n := &p.discovered[i]
-		if !n.Draining {
+	for i := range list {
+		w := &list[i]
+		if !w.Draining {
 			continue
 		}
-		n.drainingSince, n.leavesAt = now, now.Add(n.Remaining)
-		if e, ok := earlier[n.processID()]; ok {
-			n.drainingSince = e.drainingSince
-			if e.Remaining == n.Remaining {
-				n.leavesAt = e.leavesAt
+		w.drainingSince, w.leavesAt = now, now.Add(w.Remaining)
+		if e, ok := known[w.processID()]; ok {
+			w.drainingSince = e.drainingSince
+			if e.Remaining == w.Remaining {
+				w.leavesAt = e.leavesAt
 			}
 		}
 	}
-	p.applyDiscovered(now)
 }
 
 // applyDiscovered brings the known workers in line with the list. It is also due when
 // a worker was forgotten, since the list may still show its process or another one
 // under its id, and need not change any more.
 func (p *Planner) applyDiscovered(now time.Time) {
-	listed, ended := map[string]bool{}, map[processID]bool{}
+	listed := map[string]bool{}
 	for _, n := range p.discovered {
 		if p.endedProcesses[n.processID()] {
-			ended[n.processID()] = true
 			continue
 		}
 		w := p.workers[n.ID]
@@ -107,7 +119,6 @@
 			w.leavesAt, w.drainingSince = n.leavesAt, n.drainingSince
 		}
 	}
-	p.endedProcesses = ended
 	clear(p.forgotten)
 	for _, w := range p.sortedWorkers {
 		if !listed[w.ID] && (w.isListed || w.missingSince.IsZero()) {
