Deliver late polls to the next process of a worker's id

The stand-in for the platform executed late starts and stops on the process that has the address by then, but dropped late polls, so neither its tests nor the soak could see what the users saw: a poll for an ended process renews the lease on the next one of its id, which is cut off, and a task there runs twice.

Late polls reach the next process too. A test can delay or lose the calls to one worker and keep their connections silent.

The soak executes late polls as well from now on; it was not run on this.

--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -61,17 +61,20 @@
 	Fails func(task string, attempt int) bool
 	// TransactionDelay and OrderDelay, if not nil, return for each transaction of an
 	// instance with the store, by the first key that it writes, and each call to a
-	// worker how much later it takes effect. It then gets no response. With 0 it takes
-	// effect at once.
+	// worker, by its name, how much later it takes effect. It then gets no response.
+	// With 0 it takes effect at once, and a call to a worker with Lost never does.
 	TransactionDelay func(key string) time.Duration
-	OrderDelay       func() time.Duration
-	// TransactionSilence is how long the connection of a transaction that takes effect
-	// late stays open without a response.
-	TransactionSilence time.Duration
+	OrderDelay       func(worker string) time.Duration
+	// TransactionSilence and OrderSilence are how long the connection of a transaction
+	// or a call to a worker that takes effect late stays open without a response.
+	TransactionSilence, OrderSilence time.Duration
 	// MaxLease is the longest lease of a run, 3 s if zero.
 	MaxLease time.Duration
 }
 
+// Lost is the delay of a call to a worker that never takes effect.
+const Lost time.Duration = -1
+
 // Event is an event of a run on a worker.
 type Event struct {
 	Worker string
--- a/standins/platformer/process.go
+++ b/standins/platformer/process.go
@@ -90,9 +90,11 @@
 		return
 	}
 	if delay := p.worker.options.OrderDelay; delay != nil {
-		if d := delay(); d > 0 {
-			p.executeLater(ctx, o, d)
-			dropResponse(ctx)
+		if d := delay(p.worker.name); d != 0 {
+			if d != Lost {
+				p.executeLater(ctx, o, d)
+			}
+			dropResponseAfter(ctx, p.worker.options.OrderSilence)
 			return
 		}
 	}
@@ -101,9 +103,8 @@
 	p.execute(ctx, o)
 }
 
-// executeLater executes a call after the delay. A start or a stop may then reach
-// the process that has replaced this one. A poll may not: nothing in it protects the
-// ends that a new process with the same id has not reported yet.
+// executeLater executes a call after the delay, on the process that has the address
+// by then.
 func (p *process) executeLater(ctx *fasthttp.RequestCtx, o order, delay time.Duration) {
 	var late fasthttp.RequestCtx
 	ctx.Request.CopyTo(&late.Request)
@@ -111,7 +112,7 @@
 		w := p.worker
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if current := w.process; !current.hasEnded() && (current == p || o.Task != "") {
+		if current := w.process; !current.hasEnded() {
 			o.isFromEarlier = current != p
 			current.execute(&late, o)
 		}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -132,7 +132,7 @@
 		Binary: o.Binary, Directory: o.Directory, Workers: o.Workers, TaskDuration: taskDuration, Output: s.output, ProxyAddress: s.proxyAddress,
 		Observe: s.observe, Fails: s.runFails,
 		TransactionDelay: s.transactionDelay,
-		OrderDelay:       func() time.Duration { return s.delay(&s.shares.lateOrders) },
+		OrderDelay:       func(string) time.Duration { return s.delay(&s.shares.lateOrders) },
 	}
 	if o.UnstoredEnds {
 		p.TransactionSilence, p.MaxLease = transactionSilence, unstoredMaxLease
