Let polls take effect late in the replays

The model of an owner's calls had late commands, but polls were answered or lost. A fault late_polls makes a share of the polls take effect 2 to 12 s later, on the process that has the worker's address and id by then.

The other patterns with late calls pass; their random numbers are the same as before.

--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -7,8 +7,21 @@
 	"tarragonhead.example/tarragonhead/internal/planner"
 )
 
-// commandTimeout is how long an owner waits for the answer to a command.
-const commandTimeout = 400 * time.Millisecond
+const (
+	// commandTimeout is how long an owner waits for the answer to a command, and
+	// pollSlack how much longer than its wait for that to a poll.
+	commandTimeout = 400 * time.Millisecond
+	pollSlack      = 500 * time.Millisecond
+	// minLateness and maxLateness bound how much later a call without an answer
+	// takes effect.
+	minLateness = 2 * time.Second
+	maxLateness = 12 * time.Second
+)
+
+// drawLateness draws how much later a call takes effect.
+func (w *World) drawLateness() time.Duration {
+	return minLateness + time.Duration(w.noise.IntN(int((maxLateness-minLateness).Milliseconds())))*time.Millisecond
+}
 
 // owner drives the planner of one ownership of the shard. An owner that was
 // replaced can't reach the store, and reaches only the workers that its
@@ -112,7 +125,7 @@
 	if !o.canReach(m) || isDelayed {
 		w.schedule(w.now.Add(commandTimeout), func() { o.handleTimeout(c, s) })
 		if o.canReach(m) {
-			w.schedule(w.now.Add(2*time.Second+time.Duration(w.noise.IntN(10000))*time.Millisecond), func() { o.execute(known, c, l, true) })
+			w.schedule(w.now.Add(w.drawLateness()), func() { o.execute(known, c, l, true) })
 		}
 		return
 	}
@@ -228,6 +241,11 @@
 	if acknowledge == 0 && c.Committed > 0 && !m.isDown && m.ID == c.ID && m.Born == c.Born {
 		acknowledge, sent = c.Committed, sent.Add(2*delay)
 	}
+	if w.delayedPollShare > 0 && w.noise.Float64() < w.delayedPollShare {
+		w.schedule(sent.Add(wait+pollSlack), func() { o.handlePollFailure(c.ID, s) })
+		w.schedule(sent.Add(w.drawLateness()), func() { o.executeLatePoll(c, l, acknowledge) })
+		return
+	}
 	w.schedule(sent.Add(delay), func() {
 		m := w.machineAt(c.Address)
 		switch {
@@ -241,13 +259,25 @@
 			o.remove()
 			return
 		}
-		m.epoch = o.epoch
-		m.renew(l.endOn(w, m))
-		m.acknowledge(w, acknowledge)
+		m.executePoll(w, o.epoch, l, acknowledge)
 		o.answerPoll(m, s, acknowledge, sent, w.now.Add(wait))
 	})
 }
 
+// executeLatePoll executes a poll without an answer on the process that has the
+// worker's address and id by now.
+func (o *owner) executeLatePoll(c planner.Contact, l lease, acknowledge uint64) {
+	w := o.world
+	m := w.machineAt(c.Address)
+	if m.isDown || m.ID != c.ID || o.epoch < m.epoch {
+		return
+	}
+	if c.Born != 0 && m.Born != c.Born {
+		w.recordMoment(PollAtNextProcess)
+	}
+	m.executePoll(w, o.epoch, l, acknowledge)
+}
+
 func (o *owner) handlePollFailure(id string, s *session) {
 	if o.isRemoved() || s.isStale {
 		return
--- a/standins/replayer/faults.go
+++ b/standins/replayer/faults.go
@@ -43,6 +43,9 @@
 	case "late":
 		w.delayedShare = f.Share
 		end(func() { w.delayedShare = 0 })
+	case "late_polls":
+		w.delayedPollShare = f.Share
+		end(func() { w.delayedPollShare = 0 })
 	case "outage":
 		w.storeDown = true
 		end(func() { w.storeDown = false })
--- a/standins/replayer/machine.go
+++ b/standins/replayer/machine.go
@@ -261,6 +261,13 @@
 	}
 }
 
+// executePoll renews the lease and forgets the ends that a poll acknowledges.
+func (m *machine) executePoll(w *World, epoch int64, l lease, acknowledge uint64) {
+	m.epoch = epoch
+	m.renew(l.endOn(w, m))
+	m.acknowledge(w, acknowledge)
+}
+
 // pollResult returns the machine's answer to a poll.
 func (m *machine) pollResult(w *World, sent time.Time) planner.PollResult {
 	r := planner.PollResult{Sent: sent, ProcessStart: m.Born, Ended: slices.Clone(m.ends)}
--- a/standins/replayer/moment.go
+++ b/standins/replayer/moment.go
@@ -44,6 +44,9 @@
 	// follows the one that they were sent to, under another id or the same.
 	StartAtNextID      Moment = "start_at_next_id"
 	StartAtNextProcess Moment = "start_at_next_process"
+	// PollAtNextProcess is a poll that takes effect late, on a process that follows
+	// the one that it was sent to under the same id.
+	PollAtNextProcess Moment = "poll_at_next_process"
 	// OwnerWhileDown and OwnerWhileListed are changes of the owner while a process
 	// is down, and while the list shows an ended one.
 	OwnerWhileDown   Moment = "owner_while_down"
--- a/standins/replayer/replayer.go
+++ b/standins/replayer/replayer.go
@@ -74,12 +74,12 @@
 	// how long it lasts.
 	At, For time.Duration
 	// Kind is silent, hang, fail, slow, crash, restart, restart_same_id, drain,
-	// late, outage, takeover, split or burst. After a crash the list of workers
-	// no longer shows the ended process. After a restart it does, until the entry
-	// expires.
+	// late, late_polls, outage, takeover, split or burst. After a crash the list of
+	// workers no longer shows the ended process. After a restart it does, until the
+	// entry expires.
 	Kind string
-	// Share is the share of the workers or, for late, of the commands that are
-	// affected.
+	// Share is the share of the workers or, for late and late_polls, of the commands
+	// and polls that are affected.
 	Share float64
 	// Factor multiplies the run times for slow and the arrival rate of best-effort
 	// jobs for burst. For restarts it is how often each worker restarts, at least
@@ -189,11 +189,11 @@
 	// shows, and restarts draws what differs between restarts.
 	staleEntries []staleEntry
 	restarts     *rand.Rand
-	// delayedShare is the share of commands that arrive late, and burst
-	// multiplies the arrival rate of best-effort jobs.
-	delayedShare float64
-	burst        float64
-	credit       map[string]float64
+	// delayedShare and delayedPollShare are the shares of commands and of polls that
+	// arrive late, and burst multiplies the arrival rate of best-effort jobs.
+	delayedShare, delayedPollShare float64
+	burst                          float64
+	credit                         map[string]float64
 	// interferenceCache holds the results of interference, and salt makes them
 	// depend on the seed.
 	interferenceCache map[string]float64
--- a/standins/replayer/replayer_test.go
+++ b/standins/replayer/replayer_test.go
@@ -53,6 +53,10 @@
 		replayer.Fault{Kind: "late", At: 5 * time.Second, For: 8 * time.Second, Share: 0.1}, restart(6*time.Second, 500*time.Millisecond, 3)),
 	"quick restarts under the same id while commands are late": replayer.Cellarlog(scale).With(
 		replayer.Fault{Kind: "late", At: 5 * time.Second, For: 8 * time.Second, Share: 0.1}, restartSameID(6*time.Second, 500*time.Millisecond, 3)),
+	"restarts under the same id while polls are late": resumable(replayer.Cellarlog(scale)).With(
+		latePolls(), manyRestartSameID(5*time.Second), manyRestartSameID(17*time.Second)),
+	"restarts under the same id and silence while polls are late": resumable(replayer.Cellarlog(scale)).With(
+		latePolls(), manyRestartSameID(5*time.Second), longSilence(7600*time.Millisecond), manyRestartSameID(17*time.Second), longSilence(19600*time.Millisecond)),
 	"quick restarts while partitioned with the owner": replayer.Cellarlog(scale).With(
 		replayer.Fault{Kind: "split", At: 8 * time.Second, For: 5500 * time.Millisecond, Share: 0.25}, restart(9*time.Second, time.Second, 2), restartSameID(11*time.Second, 500*time.Millisecond, 2)),
 	"quick restarts during an outage": replayer.Cellarlog(scale).With(
@@ -90,6 +94,17 @@
 	return replayer.Fault{Kind: "silent", At: at, For: 2 * time.Second, Share: 0.4}
 }
 
+// longSilence returns a fault with which three fifths of the workers don't answer for
+// longer than a lease.
+func longSilence(at time.Duration) replayer.Fault {
+	return replayer.Fault{Kind: "silent", At: at, For: 9 * time.Second, Share: 0.6}
+}
+
+// latePolls returns a fault with which many polls have no answer and take effect late.
+func latePolls() replayer.Fault {
+	return replayer.Fault{Kind: "late_polls", At: 3 * time.Second, For: 22 * time.Second, Share: 0.3}
+}
+
 // outage returns a fault with which the store doesn't answer for 3 s.
 func outage(at time.Duration) replayer.Fault {
 	return replayer.Fault{Kind: "outage", At: at, For: 3 * time.Second}
@@ -132,17 +147,19 @@
 // must come, so that the pattern goes on testing them.
 var moments = map[string][]replayer.Moment{
 	"quick restarts": {replayer.BackBeforeExpiry, replayer.ListedFirst, replayer.ListedLast, replayer.WrittenLate},
-	"restarts after the entries have expired":                   {replayer.BackAfterExpiry},
-	"series of restarts":                                        {replayer.RestartedAgain},
-	"series of restarts under the same id":                      {replayer.RestartedAgain, replayer.WrittenLate},
-	"series of restarts and new owners":                         {replayer.OwnerWhileDown, replayer.OwnerWhileListed, replayer.RestartedAgain},
-	"quick restarts while commands are late":                    {replayer.StartAtNextID},
-	"quick restarts under the same id while commands are late":  {replayer.StartAtNextProcess},
-	"quick restarts during an outage":                           {replayer.EndLost},
-	"quick restarts of failing tasks":                           {replayer.EndLost, replayer.FailureLost},
-	"quick restarts of tasks with checkpoints":                  {replayer.CheckpointLeft, replayer.Resumed},
-	"quick restarts of gangs":                                   {replayer.GangBroken, replayer.CheckpointLeft, replayer.Resumed},
-	"quick restarts of speculative tasks beside silent workers": {replayer.CopyLost, replayer.Copied},
+	"restarts after the entries have expired":                     {replayer.BackAfterExpiry},
+	"series of restarts":                                          {replayer.RestartedAgain},
+	"series of restarts under the same id":                        {replayer.RestartedAgain, replayer.WrittenLate},
+	"series of restarts and new owners":                           {replayer.OwnerWhileDown, replayer.OwnerWhileListed, replayer.RestartedAgain},
+	"quick restarts while commands are late":                      {replayer.StartAtNextID},
+	"quick restarts under the same id while commands are late":    {replayer.StartAtNextProcess},
+	"restarts under the same id while polls are late":             {replayer.PollAtNextProcess},
+	"restarts under the same id and silence while polls are late": {replayer.PollAtNextProcess},
+	"quick restarts during an outage":                             {replayer.EndLost},
+	"quick restarts of failing tasks":                             {replayer.EndLost, replayer.FailureLost},
+	"quick restarts of tasks with checkpoints":                    {replayer.CheckpointLeft, replayer.Resumed},
+	"quick restarts of gangs":                                     {replayer.GangBroken, replayer.CheckpointLeft, replayer.Resumed},
+	"quick restarts of speculative tasks beside silent workers":   {replayer.CopyLost, replayer.Copied},
 }
 
 // restart returns a fault with which a third of the workers end and are back
@@ -156,6 +173,12 @@
 	return replayer.Fault{Kind: "restart_same_id", At: at, For: away, Share: 0.3, Factor: times}
 }
 
+// manyRestartSameID returns a fault with which three fifths of the workers end and are
+// back under their ids soon after.
+func manyRestartSameID(at time.Duration) replayer.Fault {
+	return replayer.Fault{Kind: "restart_same_id", At: at, For: 600 * time.Millisecond, Share: 0.6, Factor: 1}
+}
+
 // TestInvariants guards against concurrent runs of one task, runs after the last
 // attempt or after a noted end, runs from a wrong checkpoint, gangs that start in
 // part, overcommitted workers, steps out of order, lost jobs, jobs reported as
