Log the process and the lease that an unanswered call was meant for

The log couldn't tell a poll that was sent to a worker's ended process from one to the next process with its id: neither the start time of the process nor the lease or the acknowledgement in the call were logged, and calls of a session that had ended weren't logged at all.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -208,6 +208,9 @@
 		took := c.options.Now().Sub(sent)
 		c.post(ctx, func() {
 			outbox.Done(o.WorkerID)
+			if err != nil {
+				c.options.Log.Info().Str("order", orderKinds[o.Kind]).Str("run", o.Run.String()).Str("worker", o.WorkerID).Int64("born", w.Born).Int64("epoch", epoch).Dur("deadline", deadline).Dur("took", took).Bool("stale", s.isStale).Err(err).Msg("conductor: order not done")
+			}
 			if !s.isStale && c.planner != nil && c.epoch == epoch {
 				c.applyOrderResult(o.Command, s, took, err)
 			}
@@ -272,9 +275,6 @@
 	}
 	c.metrics.orders.WithLabelValues(kind, outcome).Inc()
 	c.metrics.latency.WithLabelValues(kind).Observe(took.Seconds())
-	if err != nil {
-		c.options.Log.Info().Str("order", kind).Str("run", o.Run.String()).Str("worker", o.WorkerID).Int64("epoch", c.epoch).Dur("took", took).Err(err).Msg("conductor: order not done")
-	}
 	c.measureOrder(s, took, err)
 	if !c.applyAnswer(now, o.WorkerID, s, took, err) {
 		return
@@ -361,6 +361,9 @@
 	}
 	post := func(answer PollAnswer, err error) {
 		c.post(ctx, func() {
+			if err != nil {
+				c.options.Log.Info().Str("worker", w.ID).Int64("born", w.Born).Int64("epoch", epoch).Dur("deadline", o.Deadline).Uint64("acknowledged", answer.Acknowledged).Bool("stale", s.isStale).Err(err).Msg("conductor: poll not answered")
+			}
 			if s.isStale || c.planner == nil || c.epoch != epoch {
 				return
 			}
@@ -414,7 +417,6 @@
 	}
 	if err != nil {
 		s.nextPollAt = now.Add(pollRetryDelay)
-		c.options.Log.Info().Str("worker", w.ID).Int64("epoch", c.epoch).Err(err).Msg("conductor: poll not answered")
 		return
 	}
 	if planner.IsOtherProcess(w.Born, a.ProcessStart) {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -98,7 +98,7 @@
 	p.forgetUnknownRuns(w, nil)
 	lapsed := slices.DeleteFunc(runsOf(w), func(r *run) bool { return !proven.After(w.leaseEndOf(r)) })
 	if len(lapsed) > 0 {
-		p.reportWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s, %d of %d runs", now.Sub(w.failedSince), len(lapsed), len(w.runs)))
+		p.reportWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s, leases ended %s ago, %d of %d runs", now.Sub(w.failedSince), now.Sub(w.leaseEnd), len(lapsed), len(w.runs)))
 	}
 	p.recordCrash(w, lapsed)
 	for _, r := range lapsed {
