Use a higher fence for each process that is found under a used id

What callers saw: tasks ran twice after workers had started again under their ids and were cut off.

Cause: a call that was sent to a worker's ended process and had no answer takes effect on the next process with its id. Nothing in the call tells the two apart: the expected instance is the same, the fence isn't lower than what the new process has seen, and a deadline on the ended process's clock lies far ahead on the new one's. So a late poll renewed the leases there while the owner took them for expired, a late start ran its task again, and a late acknowledgement made the process forget ends that no owner had read.

Change: the planner gives each worker a fence above the owner's lowest one. It is raised when another process is found under an id, by an answer or in the list. The answer by which a process is found no longer makes it usable: only one to a poll with the new fence does, since the process rejects everything that was meant for the former one from then on. Starts that this answer doesn't list have been rejected, so their tasks need not wait. Until that answer a late call may have granted the longest lease, which the owner counts.

If they are used up, a process is not polled until no earlier call can arrive any more.

Tests changed: planner tests that used a process after the answer by which it was found poll it once more. TestStartReachesNewProcessOfSameID and TestStopOfEndedProcessConfirmsNothing keep what they assert for a process that has not answered a poll with its fence. The replayer counts a late start that arrives at the next process also if it is rejected there.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -189,7 +189,7 @@
 		return
 	}
 	s := c.session(w)
-	epoch, timeout := c.epoch, c.orderTimeout(s)
+	epoch, fence, timeout := c.epoch, c.fence(w), c.orderTimeout(s)
 	deadline, expiry := c.leaseDeadline(now, w, s)
 	if o.Kind == planner.StartRun {
 		c.planner.Leased(w.ID, expiry)
@@ -202,7 +202,7 @@
 			err = &NotSentError{age}
 		} else {
 			bounded, cancel := context.WithTimeout(ctx, timeout)
-			err = c.callWorker(bounded, w, o.Command, deadline, epoch)
+			err = c.callWorker(bounded, w, o.Command, deadline, fence)
 			cancel()
 		}
 		took := c.options.Now().Sub(sent)
@@ -244,17 +244,20 @@
 }
 
 // callWorker makes the call of an order.
-func (c *Conductor) callWorker(ctx context.Context, w planner.Worker, o planner.Command, deadline time.Duration, epoch int64) error {
+func (c *Conductor) callWorker(ctx context.Context, w planner.Worker, o planner.Command, deadline time.Duration, fence int64) error {
 	switch o.Kind {
 	case planner.StartRun:
-		return c.options.Workers.Start(ctx, w, StartOrder{o.Run, o.Payload, o.Checkpoint, deadline, epoch})
+		return c.options.Workers.Start(ctx, w, StartOrder{o.Run, o.Payload, o.Checkpoint, deadline, fence})
 	case planner.StopRun:
-		return c.options.Workers.Stop(ctx, w, StopOrder{o.Run, epoch})
+		return c.options.Workers.Stop(ctx, w, StopOrder{o.Run, fence})
 	default:
-		return c.options.Workers.Pace(ctx, w, PaceOrder{o.Run, o.Percent, epoch})
+		return c.options.Workers.Pace(ctx, w, PaceOrder{o.Run, o.Percent, fence})
 	}
 }
 
+// fence returns the fence of the calls to a worker.
+func (c *Conductor) fence(w planner.Worker) int64 { return lowestFence(c.epoch) + w.Fence }
+
 // applyOrderResult applies the answer to an order.
 func (c *Conductor) applyOrderResult(o planner.Command, s *session, took time.Duration, err error) {
 	now := c.options.Now()
@@ -311,7 +314,7 @@
 	var disconnected *DisconnectedError
 	switch {
 	case errors.As(err, &fenced):
-		c.loseOwnership("worker " + workerID + " has seen a higher epoch")
+		c.loseOwnership("worker " + workerID + " has seen a higher fence")
 		return false
 	case errors.As(err, &other):
 		c.endSession(workerID, s)
@@ -352,7 +355,7 @@
 		deadline, expiry = 0, time.Time{}
 	}
 	c.planner.Leased(w.ID, expiry)
-	o := PollOrder{Epoch: epoch, Acknowledge: contact.Acknowledge, Deadline: deadline, Wait: pollWait}
+	o := PollOrder{Fence: c.fence(w), Acknowledge: contact.Acknowledge, Deadline: deadline, Wait: pollWait}
 	if s.clockReceivedAt.IsZero() || contact.IsContested || contact.IsFailing {
 		// The first poll returns the worker's clock, which leases need. That of
 		// a contested worker, or of one that didn't answer, tells which process
@@ -368,6 +371,10 @@
 				return
 			}
 			s.isPolling = false
+			answer.Fence = w.Fence
+			if err == nil && contact.MayHoldOtherLease {
+				c.planner.Leased(w.ID, answer.Received.Add(longestLease(c.options.Limits.MaxLease)))
+			}
 			c.applyPollResult(w, s, answer, err)
 		})
 	}
--- a/internal/conductor/cluster_test.go
+++ b/internal/conductor/cluster_test.go
@@ -67,7 +67,7 @@
 func (p *pool) start(_ context.Context, _ planner.Worker, o conductor.StartOrder) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := p.admit("start", o.Epoch); err != nil {
+	if err := p.admit("start", o.Fence); err != nil {
 		return err
 	}
 	if p.barredAttempts[o.Run.TaskID] >= o.Run.Attempt {
@@ -83,7 +83,7 @@
 func (p *pool) stop(_ context.Context, _ planner.Worker, o conductor.StopOrder) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := p.admit("stop", o.Epoch); err != nil {
+	if err := p.admit("stop", o.Fence); err != nil {
 		return err
 	}
 	p.end(o.Run, planner.EndStopped)
@@ -103,7 +103,7 @@
 	time.Sleep(5 * time.Millisecond)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := p.admit("poll", o.Epoch); err != nil {
+	if err := p.admit("poll", o.Fence); err != nil {
 		return conductor.PollAnswer{}, err
 	}
 	for len(p.ends) > 0 && p.ends[0].Number <= o.Acknowledge {
--- a/internal/conductor/keys.go
+++ b/internal/conductor/keys.go
@@ -47,8 +47,8 @@
 	Epoch   int64          `cbor:"epoch"`
 }
 
-// headRecord holds the epoch of a shard. It is kept when the owner changes, so
-// that each new owner gets a higher epoch.
+// headRecord holds the epoch of a shard, which is the highest fence that its owner uses.
+// It is kept when the owner changes, so that the fences of each new owner are higher.
 type headRecord struct {
 	Epoch int64 `cbor:"epoch"`
 }
--- a/internal/conductor/orders.go
+++ b/internal/conductor/orders.go
@@ -8,8 +8,7 @@
 	"tarragonhead.example/tarragonhead/internal/planner"
 )
 
-// These are the orders to workers. Epoch is the owner's fencing token. Deadline
-// is when the run's lease ends on the worker's clock; zero leaves the lease
+// These are the orders to workers. Fence is their fencing token. Deadline is when the run's lease ends on the worker's clock; zero leaves the lease
 // unchanged.
 type (
 	// StartOrder starts a run.
@@ -18,22 +17,22 @@
 		Payload    string
 		Checkpoint string
 		Deadline   time.Duration
-		Epoch      int64
+		Fence      int64
 	}
 	// StopOrder stops a run, or prevents its start if it has not started yet.
 	StopOrder struct {
 		Run   planner.RunID
-		Epoch int64
+		Fence int64
 	}
 	// PaceOrder sets the percentage of its full rate at which a run works.
 	PaceOrder struct {
 		Run     planner.RunID
 		Percent int
-		Epoch   int64
+		Fence   int64
 	}
 	// PollOrder asks a worker for its runs and renews their leases.
 	PollOrder struct {
-		Epoch int64
+		Fence int64
 		// Acknowledge is the number of the last ended run whose effect is
 		// committed. The worker need not list that end and earlier ones again.
 		Acknowledge uint64
@@ -71,12 +70,11 @@
 
 func (e *RefusedError) Error() string { return "worker refused: " + e.Reason }
 
-// FencedError reports an order with an epoch lower than one the worker has
-// seen.
+// FencedError reports an order with a fence lower than one the worker has seen.
 type FencedError struct{ Worker string }
 
 func (e *FencedError) Error() string {
-	return fmt.Sprintf("worker %s has seen a higher epoch", e.Worker)
+	return fmt.Sprintf("worker %s has seen a higher fence", e.Worker)
 }
 
 // OtherProcessError reports that another process than the intended one answered.
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -43,6 +43,12 @@
 	// acquireTimeout bounds an acquisition or a load as a whole.
 	acquireTimeout = 3 * time.Second
 
+	// Fences.
+
+	// fencesPerEpoch is how many fences an owner has. The calls to each next process of
+	// a worker's id take the next one.
+	fencesPerEpoch = 16
+
 	// Leases of runs.
 
 	// maxClockDrift is the largest fraction by which a worker's clock may run
@@ -67,6 +73,9 @@
 	return time.Duration(float64(lease) / (1 - maxClockDrift))
 }
 
+// lowestFence returns the lowest fence of an owner. The highest one is its epoch.
+func lowestFence(epoch int64) int64 { return epoch - fencesPerEpoch + 1 }
+
 // leaseState is the lease of the owner's entry.
 type leaseState struct {
 	id         storeclient.LeaseID
@@ -227,7 +236,7 @@
 		return a, err
 	}
 	a.grantedAt = c.options.Now()
-	a.epoch = head.Epoch + 1
+	a.epoch = head.Epoch + fencesPerEpoch
 	headValue, err := marshaler.Marshal(headRecord{a.epoch})
 	if err != nil {
 		return a, errors.Wrap(err, "encode head record")
@@ -378,7 +387,7 @@
 }
 
 // loseOwnership ends the ownership. Workers refuse orders that are still under
-// way as soon as the successor has called them with its higher epoch.
+// way as soon as the successor has called them with its higher fence.
 func (c *Conductor) loseOwnership(reason string) {
 	if c.role != "owning" && c.role != "loading" {
 		return
--- a/internal/conductor/process_test.go
+++ b/internal/conductor/process_test.go
@@ -23,6 +23,13 @@
 	clear(p.barredAttempts)
 }
 
+// fence returns the highest fence that the workers' process has seen.
+func (p *pool) fence() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.epoch
+}
+
 func (p *pool) runCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -70,8 +77,17 @@
 	var hasStopped atomic.Bool
 	stopSent, answerStop := make(chan bool), make(chan bool)
 	lost := errors.New("no answer")
+	var fence atomic.Int64
 	c, end := s.startDaemonOf(testShard{name: "0", cpu: 64000, pool: s.pool, calls: &conductor.WorkerCalls{
-		Pace: calls.Pace, Poll: calls.Poll,
+		Pace: calls.Pace,
+		Poll: func(ctx context.Context, w planner.Worker, o conductor.PollOrder) (conductor.PollAnswer, error) {
+			fence.CompareAndSwap(0, o.Fence)
+			// The new process answers no poll that makes it reject the start.
+			if o.Fence > fence.Load() && !hasStopped.Load() {
+				return conductor.PollAnswer{}, lost
+			}
+			return calls.Poll(ctx, w, o)
+		},
 		Start: func(ctx context.Context, w planner.Worker, o conductor.StartOrder) error {
 			if starts.Add(1) == 1 {
 				return lost
--- /dev/null
+++ b/internal/planner/fence_test.go
@@ -0,0 +1,111 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+// TestFenceOfNextProcess guards against calls to a worker's ended process that take effect
+// on the next one with its id.
+func TestFenceOfNextProcess(t *testing.T) {
+	w, other := worker("a", 8), worker("b", 8)
+	next := successor(w.ID, w)
+	forget := func(d *driver) {
+		d.list(other)
+		d.advance(6 * time.Second)
+		d.startTasks()
+	}
+	for name, tt := range map[string]struct {
+		do   func(d *driver)
+		want int64
+	}{
+		"same process answers":              {func(d *driver) { d.answer(w, d.now, w.Born) }, 0},
+		"next process answers":              {func(d *driver) { d.answer(w, d.now, next.Born) }, 1},
+		"one started earlier answers":       {func(d *driver) { d.answer(w, d.now, -1) }, 1},
+		"next process is listed":            {func(d *driver) { d.list(next, other) }, 0},
+		"next process is listed later":      {func(d *driver) { forget(d); d.list(next, other) }, 1},
+		"same process is listed again":      {func(d *driver) { forget(d); d.list(w, other) }, 0},
+		"next process is listed again":      {func(d *driver) { d.answer(w, d.now, next.Born); forget(d); d.advance(time.Hour); d.list(next, other) }, 1},
+		"next process is listed long after": {func(d *driver) { forget(d); d.advance(time.Hour); d.list(other); forget(d); d.list(next, other) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 1, w, other).registerWorkers()
+			d.advance(time.Millisecond)
+			tt.do(d)
+			_, isKnown := d.p.Worker(w.ID)
+			d.Assert(isKnown, quicktest.IsTrue)
+			d.Assert(d.fence(w.ID), quicktest.Equals, tt.want)
+		})
+	}
+}
+
+// TestNextProcessIsUsedOnceFenced guards against tasks on a process that still accepts
+// calls which were meant for the one that had its id before.
+func TestNextProcessIsUsedOnceFenced(t *testing.T) {
+	w := worker("a", 8)
+	d := newDriver(t, 1, w).registerWorkers()
+	d.advance(time.Millisecond)
+	d.answer(w, d.now, 2)
+	d.list(successor("a", w))
+	d.p.SetRecorded(d.p.Recorded(d.now))
+	d.add(job("1", step(1, 1)))
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	contact := d.p.Contacts(d.now)[0]
+	d.Assert(contact.NeedsPoll && contact.MayHoldOtherLease, quicktest.IsTrue)
+	d.answer(w, d.now, 2)
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
+	d.Assert(d.p.Contacts(d.now)[0].MayHoldOtherLease, quicktest.IsFalse)
+}
+
+// TestRejectedStartDelaysNoTask guards against a task that waits until its start can't
+// reach the worker's next process any more, although that one rejects it.
+func TestRejectedStartDelaysNoTask(t *testing.T) {
+	for name, isListed := range map[string]bool{"start was carried out": true, "start is rejected": false} {
+		t.Run(name, func(t *testing.T) {
+			w, other := worker("a", 8), worker("b", 8)
+			d := newDriver(t, 1, w, other).registerWorkers()
+			d.p.SetEvacuatedDomains([]string{other.Domain})
+			d.add(job("1", step(1, 1)))
+			start := d.p.Plan(d.now, d.proven())[0]
+			d.p.SetEvacuatedDomains([]string{w.Domain})
+			d.advance(time.Millisecond)
+			d.answer(w, d.now, 2)
+			d.advance(time.Millisecond)
+			result := planner.PollResult{Sent: d.now, Fence: 1, ProcessStart: 2}
+			if isListed {
+				result.Running = []planner.RunStatus{{Run: start.Run}}
+			}
+			d.p.PollAnswered(d.now, w.ID, result)
+			d.Assert(len(d.startTasks()) == 0, quicktest.Equals, isListed)
+		})
+	}
+}
+
+// TestUsedUpFences guards against calls to ended processes that take effect on the next one
+// because no higher fence was left for it.
+func TestUsedUpFences(t *testing.T) {
+	w := worker("a", 8)
+	d := newDriver(t, 1, w).registerWorkers()
+	d.add(job("1", step(1, 1)))
+	born := w.Born
+	for range 16 {
+		born++
+		d.advance(time.Second)
+		d.answer(w, d.now, born)
+	}
+	w.Born = born
+	d.list(w)
+	d.p.SetRecorded(d.p.Recorded(d.now))
+	d.Assert(d.fence("a"), quicktest.Equals, int64(15))
+	d.Assert(d.p.Contacts(d.now)[0].NeedsPoll, quicktest.IsFalse)
+	d.answer(w, d.now, born)
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	d.advance(planner.LateCallLimit)
+	d.Assert(d.p.Contacts(d.now)[0].NeedsPoll, quicktest.IsTrue)
+	d.answer(w, d.now, born)
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
+}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -60,6 +60,8 @@
 	// ProcessStart is when the process that answered was started, or zero if it
 	// does not tell.
 	ProcessStart int64
+	// Fence is that of the contact for which the poll was sent.
+	Fence int64
 	// Acknowledged is the number of the last end that the poll acknowledged.
 	Acknowledged uint64
 	Running      []RunStatus
@@ -99,7 +101,9 @@
 }
 
 // PollAnswered applies a worker's answer to a poll. The answer also proves which
-// process is alive, and that it rejects calls of earlier owners from now on.
+// process is alive, and that it rejects from now on the calls of earlier owners and
+// those that were meant for an earlier process of its id. An answer by which a process
+// is found doesn't prove this, since its poll was meant for the earlier one.
 func (p *Planner) PollAnswered(now time.Time, workerID string, result PollResult) {
 	w := p.workers[workerID]
 	if w == nil {
@@ -112,7 +116,11 @@
 	} else {
 		p.retractCrash(w)
 	}
-	p.proveAlive(w, result.Sent)
+	isFenced := result.Fence >= w.Fence && !result.Sent.Before(w.unusedUntil)
+	isFirst := isFenced && !w.isProved()
+	if isFenced {
+		p.proveAlive(w, result.Sent)
+	}
 	p.Answered(now, workerID)
 	w.hasUnknownRuns = false
 	w.delivered = max(w.delivered, result.Acknowledged)
@@ -145,6 +153,9 @@
 		p.reportWorker("worker_verified", w, fmt.Sprintf("%d runs, %d ends", len(result.Running), len(result.Ended)))
 	}
 	if !result.IsPartial {
+		if isFirst {
+			p.endRejected(w, seen)
+		}
 		p.endUnlisted(w, result.Sent, seen)
 		p.forgetUnknownRuns(w, seen)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -57,6 +57,8 @@
 	// Epoch is the number of this ownership; each new owner of the shard has a
 	// higher one.
 	Epoch int64
+	// MaxFence is the highest Fence of a worker.
+	MaxFence int64
 	// Horizon is how long this owner continues to start tasks without proof
 	// that it still owns the shard.
 	Horizon time.Duration
@@ -114,6 +116,8 @@
 	// unverified holds the ids of the unverified workers, on which an earlier
 	// owner may have started tasks.
 	unverified map[string]bool
+	// fences holds the fence of each worker id.
+	fences map[string]fence
 	// provenAt is the latest time at which the store has confirmed the ownership,
 	// as of the last plan.
 	provenAt time.Time
@@ -192,7 +196,7 @@
 		return nil, err
 	}
 	return &Planner{
-		options: o, chart: c, processChart: processes, endedProcesses: map[processID]bool{}, jobs: map[string]*job{}, workers: map[string]*Worker{}, forgotten: map[string]*Worker{}, evacuatedDomains: map[string]bool{},
+		options: o, chart: c, processChart: processes, endedProcesses: map[processID]bool{}, fences: map[string]fence{}, jobs: map[string]*job{}, workers: map[string]*Worker{}, forgotten: map[string]*Worker{}, evacuatedDomains: map[string]bool{},
 		unverified: map[string]bool{}, unknownRuns: map[RunID]unknownRun{}, interference: newTailModels(),
 		startLimit:     math.MaxInt,
 		candidateCache: map[candidateKey][]*Worker{}, unplaceable: map[placeKey]Resources{}, busyServices: map[string]bool{},
@@ -421,6 +425,9 @@
 	// IsContested is set while another process may have the worker's address. A
 	// poll that is answered immediately tells sooner.
 	IsContested bool
+	// MayHoldOtherLease is set while a call that was meant for an earlier process of
+	// the worker's id may reach this one and grant it the longest lease.
+	MayHoldOtherLease bool
 	// NeedsPoll is set when the worker has runs, also of unknown jobs, has ends
 	// to acknowledge, is contested, has not answered this owner yet, is listed
 	// and did not answer the last call, or has withdrawn starts.
@@ -439,7 +446,10 @@
 		}
 		isSilent := w.isListed && !w.failedSince.IsZero()
 		needsPoll = needsPoll || w.isContested || isSilent || len(w.withdrawnStarts) > 0
-		contact := Contact{Worker: *w, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll}
+		contact := Contact{
+			Worker: *w, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll && !now.Before(w.unusedUntil),
+			MayHoldOtherLease: !w.isProved() && !w.isStoredProcess,
+		}
 		if until := w.listedAt.Add(AcknowledgeWindow); !now.After(until) {
 			contact.Acknowledge, contact.AcknowledgeUntil = w.acknowledged, until
 		}
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -87,7 +87,7 @@
 func (w *Worker) leaseEndOf(r *run) time.Time {
 	mayArrive := r.wasSentToEnded && !r.isAnswered && r.state != "settling"
 	if !r.isListed && (w.relisted != nil || mayArrive) {
-		return w.leaseEnd.Add(lateStartLimit)
+		return w.leaseEnd.Add(LateCallLimit)
 	}
 	return w.leaseEnd
 }
@@ -114,6 +114,17 @@
 	}
 }
 
+// endRejected ends the runs whose starts were sent to an ended process and that the
+// present one doesn't list in the answer that proves it, since it rejects them by then.
+func (p *Planner) endRejected(w *Worker, listed map[RunID]bool) {
+	w.withdrawnStarts = nil
+	for _, r := range runsOf(w) {
+		if r.wasSentToEnded && !listed[r.id] {
+			p.endRun(r, "reject", "the worker's new process rejects its start")
+		}
+	}
+}
+
 // replaceProcess replaces a worker by the process that was started at the given
 // time under the same id, and returns the new worker. Its description is that of
 // the ended process until the list shows its own. A start that the ended process
--- a/internal/planner/process_test.go
+++ b/internal/planner/process_test.go
@@ -48,7 +48,7 @@
 // answer answers a poll, sent at a given time, as the process started at born,
 // which has no runs unless it is the worker's own.
 func (d *driver) answer(w planner.Worker, sent time.Time, born int64) {
-	result := planner.PollResult{Sent: sent, ProcessStart: born}
+	result := planner.PollResult{Sent: sent, Fence: d.fence(w.ID), ProcessStart: born}
 	if born == w.Born {
 		result.Running = d.running[w.ID]
 	}
@@ -117,7 +117,7 @@
 // answerInPart answers a poll of a worker as the process started at born, which
 // lists no runs and has more ends to list.
 func (d *driver) answerInPart(w planner.Worker, born int64) {
-	d.p.PollAnswered(d.now, w.ID, planner.PollResult{Sent: d.now, ProcessStart: born, IsPartial: true})
+	d.p.PollAnswered(d.now, w.ID, planner.PollResult{Sent: d.now, Fence: d.fence(w.ID), ProcessStart: born, IsPartial: true})
 }
 
 func (d *driver) list(workers ...planner.Worker) { d.p.SetWorkers(d.now, workers) }
@@ -175,12 +175,16 @@
 			d.Assert(commands, quicktest.HasLen, 1)
 			d.Assert(commands[0].Kind, quicktest.Equals, planner.StopRun)
 			d.Assert(commands[0].Run, quicktest.Equals, start.Run)
+			// The polls have the fence of the ended process.
+			unfenced := planner.PollResult{ProcessStart: 2}
 			d.advance(time.Millisecond)
-			d.answer(w, d.now, 2)
+			unfenced.Sent = d.now
+			d.p.PollAnswered(d.now, w.ID, unfenced)
 			d.Assert(d.startTasks(), quicktest.HasLen, 0, quicktest.Commentf("the stop is not confirmed"))
 			d.p.StopAnswered(d.now, start.Run, start.WorkerID)
 			d.advance(time.Millisecond)
-			d.answer(w, d.now, 2)
+			unfenced.Sent = d.now
+			d.p.PollAnswered(d.now, w.ID, unfenced)
 			d.Assert(d.startTasks(), quicktest.HasLen, 1)
 		})
 	}
@@ -240,6 +244,7 @@
 	d.commit()
 	d.advance(time.Second)
 	d.answer(w, d.now, 2)
+	d.answer(w, d.now, 2)
 	d.list(successor("a", w))
 	d.p.SetRecorded(d.p.Recorded(d.now))
 	again := d.startTasks()
@@ -278,6 +283,7 @@
 	stored := d.p.Recorded(d.now)
 	d.advance(time.Second)
 	d.answer(w, d.now, w.Born+1)
+	d.answer(w, d.now, w.Born+1)
 	d.list(successor("a", w))
 	d.p.SetRecorded(stored)
 	d.add(job("1", step(1, 1)))
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -106,6 +106,7 @@
 	d.add(job("1", step(1, 1)))
 	stored := d.p.Recorded(d.now)
 	d.answer(w, d.now, 2)
+	d.answer(w, d.now, 2)
 	d.list(successor("a", w))
 	d.Assert(d.startTasks(), quicktest.HasLen, 0)
 	d.p.SetRecorded(stored)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -246,6 +246,11 @@
 	Draining  bool          `cbor:"-"`
 	Remaining time.Duration `cbor:"-"`
 
+	// Fence is added to the fence of the ownership in calls to the worker. It is higher
+	// for each process that is found under a used id, so that the process rejects the
+	// calls that were meant for an earlier one.
+	Fence int64 `cbor:"-"`
+
 	// isListed is set while discovery lists the worker, and missingSince is
 	// when it was first missing.
 	isListed     bool
@@ -256,6 +261,11 @@
 	// knownSince is when the process became known; zero if an earlier owner knew
 	// it.
 	knownSince time.Time
+	// isStoredProcess is set if the stored list of an earlier owner has the process.
+	isStoredProcess bool
+	// unusedUntil is until when calls that were meant for an earlier process may reach
+	// this one, if no higher fence was left for it. It isn't polled before.
+	unusedUntil time.Time
 	// relisted is the process that the list shows under the same id with another
 	// start time, until a poll tells which of them is alive.
 	relisted *Worker
--- a/internal/planner/stored_list_test.go
+++ b/internal/planner/stored_list_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/frankban/quicktest"
-
-	"tarragonhead.example/tarragonhead/internal/planner"
 )
 
 // TestUnansweredListNamesGoneWorker guards against a successor that waits for a
@@ -44,7 +42,8 @@
 func TestReplacedProcessStaysInStoredList(t *testing.T) {
 	d := newDriver(t, 1, worker("a", 4), worker("b", 4)).registerWorkers()
 	list := d.p.Recorded(d.now)
-	d.p.PollAnswered(d.now, "b", planner.PollResult{Sent: d.now, ProcessStart: 2})
+	d.answer(d.workers[1], d.now, 2)
+	d.answer(d.workers[1], d.now, 2)
 	d.workers[1].Born, d.workers[1].Draining = 2, true
 	d.list(d.workers...)
 	d.p.SetRecorded(list)
--- a/internal/planner/withdraw.go
+++ b/internal/planner/withdraw.go
@@ -5,11 +5,6 @@
 	"time"
 )
 
-// lateStartLimit is how long after it was sent an unanswered start may still be
-// carried out. Workers carry out late orders up to 12 s after they were sent. The
-// lease in a start doesn't limit that on a new process, whose clock starts anew.
-const lateStartLimit = 15 * time.Second
-
 // withdrawnStart is a start whose run has ended before the start was answered. The
 // process that confirmed the stop rejects the start if it arrives late. A new process
 // with the same id would carry it out, so the stop is sent there too. The worker is
@@ -44,7 +39,7 @@
 // sendWithdrawals sends the stops of withdrawn starts that the worker's process
 // has not confirmed, and forgets the starts that can't arrive any more.
 func (p *Planner) sendWithdrawals(now time.Time, w *Worker) {
-	w.withdrawnStarts = slices.DeleteFunc(w.withdrawnStarts, func(s withdrawnStart) bool { return now.Sub(s.sentAt) > lateStartLimit })
+	w.withdrawnStarts = slices.DeleteFunc(w.withdrawnStarts, func(s withdrawnStart) bool { return now.Sub(s.sentAt) > LateCallLimit })
 	for i := range w.withdrawnStarts {
 		s := &w.withdrawnStarts[i]
 		if !s.isConfirmed && now.Sub(s.stopSent) > stopInterval {
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -12,7 +12,7 @@
 // AddUnverifiedWorker adds a worker on which an earlier owner may have started
 // tasks.
 func (p *Planner) AddUnverifiedWorker(w Worker) {
-	w.isRecorded, w.isUnverified, w.leaseEnd = true, true, p.options.PredecessorLeaseEnd
+	w.isRecorded, w.isUnverified, w.isStoredProcess, w.leaseEnd = true, true, true, p.options.PredecessorLeaseEnd
 	p.addWorker(time.Time{}, &w)
 	p.unverified[w.ID] = true
 	p.hadPredecessor = true
@@ -38,6 +38,7 @@
 func (p *Planner) addWorker(now time.Time, w *Worker) {
 	w.free, w.runs, w.runsInOrder = w.Capacity, map[RunID]*run{}, nil
 	w.process, w.knownSince = p.processChart.Start(), now
+	p.setFence(now, w)
 	p.workers[w.ID] = w
 	at, _ := slices.BinarySearchFunc(p.sortedWorkers, w, func(a, b *Worker) int { return compareStrings(a.ID, b.ID) })
 	p.sortedWorkers = slices.Insert(p.sortedWorkers, at, w)
@@ -48,6 +49,7 @@
 	p.isRecordStale = p.isRecordStale || w.isRecorded
 	delete(p.workers, w.ID)
 	p.forgotten[w.ID] = w
+	p.fences[w.ID] = fence{born: w.Born, number: w.Fence}
 	p.forgetUnknownRuns(w, nil)
 	p.sortedWorkers = slices.DeleteFunc(p.sortedWorkers, func(o *Worker) bool { return o == w })
 	p.updateContested(w)
@@ -119,6 +121,7 @@
 			w.leavesAt, w.drainingSince = n.leavesAt, n.drainingSince
 		}
 	}
+	p.pruneFences(now)
 	clear(p.forgotten)
 	for _, w := range p.sortedWorkers {
 		if !listed[w.ID] && (w.isListed || w.missingSince.IsZero()) {
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -39,6 +39,12 @@
 	checkpoints map[planner.TaskID]string
 }
 
+// fencesPerEpoch is how many fences an owner has.
+const fencesPerEpoch = 16
+
+// fence returns the fence of the owner's calls to a worker.
+func (o *owner) fence(known planner.Worker) int64 { return o.epoch*fencesPerEpoch + known.Fence }
+
 func (o *owner) isCurrent() bool { return o == o.world.currentOwner() }
 
 // canReach reports whether calls of the owner arrive at m.
@@ -89,6 +95,14 @@
 	}
 }
 
+// noteFenced handles a call that was rejected because the worker has seen a higher fence.
+// If that is not one of the owner's own, the owner is removed.
+func (o *owner) noteFenced(known planner.Worker) {
+	if w, ok := o.planner.Worker(known.ID); ok && w.Fence == known.Fence {
+		o.remove()
+	}
+}
+
 // remove removes an owner whose call was rejected because of a higher epoch.
 func (o *owner) remove() {
 	o.world.owners = slices.DeleteFunc(o.world.owners, func(x *owner) bool { return x == o })
@@ -177,14 +191,15 @@
 	case m.ID != known.ID:
 		w.recordArrival(c, known, m)
 		return misdirected
-	case o.epoch < m.epoch:
-		o.remove()
+	case o.fence(known) < m.fence:
+		w.recordArrival(c, known, m)
+		o.noteFenced(known)
 		return refused
 	}
 	w.recordArrival(c, known, m)
 	switch c.Kind {
 	case planner.StartRun:
-		if !m.start(w, c, o.epoch, l.endOn(w, m), isLate || !o.isCurrent()) {
+		if !m.start(w, c, o.fence(known), l.endOn(w, m), isLate || !o.isCurrent()) {
 			return refused
 		}
 	case planner.StopRun:
@@ -255,12 +270,12 @@
 		case m.ID != c.ID:
 			w.schedule(w.now.Add(delay), func() { o.handleOtherProcess(c.ID, s) })
 			return
-		case o.epoch < m.epoch:
-			o.remove()
+		case o.fence(c.Worker) < m.fence:
+			o.noteFenced(c.Worker)
 			return
 		}
-		m.executePoll(w, o.epoch, l, acknowledge)
-		o.answerPoll(m, s, acknowledge, sent, w.now.Add(wait))
+		m.executePoll(w, o.fence(c.Worker), l, acknowledge)
+		o.answerPoll(m, s, planner.PollResult{Sent: sent, Fence: c.Fence, Acknowledged: acknowledge}, w.now.Add(wait))
 	})
 }
 
@@ -269,13 +284,13 @@
 func (o *owner) executeLatePoll(c planner.Contact, l lease, acknowledge uint64) {
 	w := o.world
 	m := w.machineAt(c.Address)
-	if m.isDown || m.ID != c.ID || o.epoch < m.epoch {
+	if m.isDown || m.ID != c.ID || o.fence(c.Worker) < m.fence {
 		return
 	}
 	if c.Born != 0 && m.Born != c.Born {
 		w.recordMoment(PollAtNextProcess)
 	}
-	m.executePoll(w, o.epoch, l, acknowledge)
+	m.executePoll(w, o.fence(c.Worker), l, acknowledge)
 }
 
 func (o *owner) handlePollFailure(id string, s *session) {
@@ -295,7 +310,7 @@
 
 // answerPoll answers a poll once the worker has the end of a run to report or
 // until has passed.
-func (o *owner) answerPoll(m *machine, s *session, acknowledged uint64, sent, until time.Time) {
+func (o *owner) answerPoll(m *machine, s *session, r planner.PollResult, until time.Time) {
 	w := o.world
 	if m.isDown {
 		w.schedule(w.now.Add(delay), func() { o.handleConnectionFailure(m.ID, s) })
@@ -306,10 +321,9 @@
 		return
 	}
 	if len(m.ends) == 0 && w.now.Before(until) {
-		w.schedule(w.now.Add(tick), func() { o.answerPoll(m, s, acknowledged, sent, until) })
+		w.schedule(w.now.Add(tick), func() { o.answerPoll(m, s, r, until) })
 		return
 	}
-	r := m.pollResult(w, sent)
-	r.Acknowledged = acknowledged
+	m.fillPollResult(w, &r)
 	w.schedule(w.now.Add(delay), func() { o.handlePollAnswer(m, s, r) })
 }
--- a/standins/replayer/machine.go
+++ b/standins/replayer/machine.go
@@ -17,7 +17,8 @@
 	sorted   []*execution
 	ends     []planner.RunEnd
 	endCount uint64
-	epoch    int64
+	// fence is the highest fence that the process has seen.
+	fence int64
 	// finishedAttempts holds the highest attempt of each task that was stopped or
 	// ended on this machine. It rejects late starts of these attempts.
 	finishedAttempts map[planner.TaskID]int
@@ -225,11 +226,11 @@
 
 // start executes a start command and reports whether the machine accepted it.
 // IsLate is set if the command arrives late.
-func (m *machine) start(w *World, c planner.Command, epoch int64, lease time.Time, isLate bool) bool {
-	if epoch < m.epoch || m.finishedAttempts[c.Run.TaskID] >= c.Run.Attempt || !w.now.Before(lease) {
+func (m *machine) start(w *World, c planner.Command, fence int64, lease time.Time, isLate bool) bool {
+	if fence < m.fence || m.finishedAttempts[c.Run.TaskID] >= c.Run.Attempt || !w.now.Before(lease) {
 		return false
 	}
-	m.epoch = epoch
+	m.fence = fence
 	m.renew(lease)
 	if m.runs[c.Run] != nil {
 		return true
@@ -262,15 +263,15 @@
 }
 
 // executePoll renews the lease and forgets the ends that a poll acknowledges.
-func (m *machine) executePoll(w *World, epoch int64, l lease, acknowledge uint64) {
-	m.epoch = epoch
+func (m *machine) executePoll(w *World, fence int64, l lease, acknowledge uint64) {
+	m.fence = fence
 	m.renew(l.endOn(w, m))
 	m.acknowledge(w, acknowledge)
 }
 
-// pollResult returns the machine's answer to a poll.
-func (m *machine) pollResult(w *World, sent time.Time) planner.PollResult {
-	r := planner.PollResult{Sent: sent, ProcessStart: m.Born, Ended: slices.Clone(m.ends)}
+// fillPollResult adds the machine's runs and ends to the answer to a poll.
+func (m *machine) fillPollResult(w *World, r *planner.PollResult) {
+	r.ProcessStart, r.Ended = m.Born, slices.Clone(m.ends)
 	for _, e := range m.sortedRuns() {
 		s := planner.RunStatus{Run: e.run, Checkpoint: w.checkpoint(e), Percent: 100}
 		if e.step.LongRunning {
@@ -287,5 +288,4 @@
 		}
 		r.Running = append(r.Running, s)
 	}
-	return r
 }
