Acknowledge ends once

A poll acknowledged all ends known to be stored as long as the last answer was recent, also those that an answered poll had acknowledged before. Each such poll that has no answer and reaches the next process of a worker's id, before that one rejects it, makes the process forget ends that no owner has read, so that their tasks run again. Now only polls with something new to acknowledge do.

TestAcknowledgementIsNotRepeated fails before this change (1, want 0).

--- a/internal/planner/acknowledge_test.go
+++ b/internal/planner/acknowledge_test.go
@@ -93,3 +93,17 @@
 	d.Assert(c.Acknowledge, quicktest.Equals, uint64(1))
 	d.Assert(c.NeedsPoll, quicktest.IsTrue)
 }
+
+// TestAcknowledgementIsNotRepeated guards against ends that are lost because a poll which
+// acknowledges ends of an earlier process reaches the next one with its id.
+func TestAcknowledgementIsNotRepeated(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+	d.add(job("1", step(2, 1)))
+	starts := d.startTasks()
+	d.endRun(starts[0], planner.EndDone)
+	d.commit()
+	d.p.PollAnswered(d.now, "a", planner.PollResult{Sent: d.now, Acknowledged: 1, Running: d.running["a"]})
+	c := d.p.Contacts(d.now)[0]
+	d.Assert(c.NeedsPoll, quicktest.IsTrue)
+	d.Assert(c.Acknowledge, quicktest.Equals, uint64(0))
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -410,9 +410,8 @@
 // Contact holds what a caller needs to poll a worker.
 type Contact struct {
 	Worker
-	// Acknowledge is the number of the last end whose effect is committed, or
-	// zero if the poll must not acknowledge any. A poll that is sent after
-	// AcknowledgeUntil must not acknowledge it.
+	// Acknowledge is Committed, or zero if the poll must not acknowledge any end. A
+	// poll that is sent after AcknowledgeUntil must not acknowledge it.
 	Acknowledge      uint64
 	AcknowledgeUntil time.Time
 	// Committed is the number of the last end whose effect is committed, if no
@@ -450,11 +449,11 @@
 			Worker: *w, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll && !now.Before(w.unusedUntil),
 			MayHoldOtherLease: !w.isProved() && !w.isStoredProcess,
 		}
-		if until := w.listedAt.Add(AcknowledgeWindow); !now.After(until) {
-			contact.Acknowledge, contact.AcknowledgeUntil = w.acknowledged, until
-		}
 		if w.acknowledged > w.delivered {
 			contact.Committed = w.acknowledged
+			if until := w.listedAt.Add(AcknowledgeWindow); !now.After(until) {
+				contact.Acknowledge, contact.AcknowledgeUntil = w.acknowledged, until
+			}
 		}
 		list = append(list, contact)
 	}
