--- /dev/null
+++ b/internal/conductor/answered_start_test.go
@@ -0,0 +1,93 @@
+package conductor_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/conductor"
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+// TestAnsweredStartOnUnknownProcess guards against a second run of a task whose start was
+// carried out and answered by a new process with the worker's id, which is cut off before
+// a poll tells of it: its clock started anew, so that the lease in the start lasts there
+// for the longest time.
+func TestAnsweredStartOnUnknownProcess(t *testing.T) {
+	t.Parallel()
+	const maxLease = 10 * time.Second
+	s := newTestCluster(t, time.Minute)
+	other := newPool(time.Minute)
+	var mu sync.Mutex
+	var arrived, again time.Time
+	lost := errors.New("no answer")
+	isCut := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return !arrived.IsZero()
+	}
+	poll, start, stop := s.pool.poll, s.pool.start, s.pool.stop
+	calls := s.pool.calls()
+	calls.Poll = func(ctx context.Context, w planner.Worker, o conductor.PollOrder) (conductor.PollAnswer, error) {
+		if w.ID == "other" {
+			return other.poll(ctx, w, o)
+		}
+		a, err := poll(ctx, w, o)
+		if isCut() {
+			return conductor.PollAnswer{}, lost
+		}
+		return a, err
+	}
+	calls.Stop = func(ctx context.Context, w planner.Worker, o conductor.StopOrder) error {
+		if w.ID == "other" {
+			return other.stop(ctx, w, o)
+		}
+		if isCut() {
+			return lost
+		}
+		return stop(ctx, w, o)
+	}
+	calls.Start = func(ctx context.Context, w planner.Worker, o conductor.StartOrder) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if w.ID == "other" {
+			again = time.Now()
+			return other.start(ctx, w, o)
+		}
+		arrived = time.Now()
+		s.pool.restart(20)
+		return start(ctx, w, o)
+	}
+	s.pool.born = 10
+	var c *conductor.Conductor
+	c, end := s.startDaemonOf(testShard{name: "0", pool: s.pool, calls: &calls, maxLease: maxLease, change: func(o *conductor.Options) {
+		o.Discover = func(ctx context.Context) {
+			first, second := s.worker(1, 64000), s.worker(2, 64000)
+			first.Born, second.Born = 10, 10
+			second.ID, second.Domain = "other", "evacuated"
+			c.SetWorkers(ctx, []planner.Worker{first, second}, nil)
+		}
+	}}, 1)
+	defer end()
+	c.SetEvacuatedDomains([]string{"evacuated"})
+	s.eventually("owned", testTimeout, c.IsOwner)
+	time.Sleep(500 * time.Millisecond)
+	s.submit("a", 1)
+	s.eventually("started", testTimeout, isCut)
+	c.SetEvacuatedDomains(nil)
+	s.eventually("started again", 2*maxLease+lateCallLimit, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return !again.IsZero()
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	s.Assert(again.Sub(arrived) >= maxLease, quicktest.IsTrue, quicktest.Commentf("started again after %s", again.Sub(arrived)))
+}
+
+// lateCallLimit is how long after it was sent a call may still be carried out.
+const lateCallLimit = 15 * time.Second
