Count the leases on a process that may take calls for an ended one

Two tasks ran twice in tests: one whose run a new process listed in the answer by which it was found, before it was cut off, since calls that were meant for the ended process could still renew its lease; and one whose start was answered by a new process before any poll told of it, whose clock had started anew. The owner counted the lease that it knew in both.

Runs on a process that has not answered a poll with its fence count as running for as long as such calls may arrive, and then for the last lease. A start that was answered and is not listed counts for the longest lease.

--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -75,7 +75,8 @@
 	p, err := planner.New(planner.Options{
 		Epoch: lowestFence(c.epoch), MaxFence: fencesPerEpoch - 1, Horizon: horizon, ViolationLimit: limits.ViolationLimit,
 		Retention: limits.StateRetention, WallTime: c.options.WallTime, HasRoom: c.options.HasRoom,
-		PredecessorLeaseEnd: now.Add(longestLease(min(leaseHorizon, horizon+limits.MaxLease))), OnDecision: c.logDecision,
+		PredecessorLeaseEnd: now.Add(longestLease(min(leaseHorizon, horizon+limits.MaxLease))), LongestLease: longestLease(limits.MaxLease),
+		OnDecision: c.logDecision,
 	})
 	if err != nil {
 		c.options.Log.Error().Err(err).Msg("conductor: planner not created")
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -70,6 +70,9 @@
 	// PredecessorLeaseEnd is when the last call and the last lease of the
 	// predecessor have expired on every worker.
 	PredecessorLeaseEnd time.Time
+	// LongestLease is the longest time for which a process keeps a lease from the arrival
+	// of a call that was meant for an earlier process.
+	LongestLease time.Duration
 	// WallTime converts a time on the planner's clock to wall-clock time.
 	WallTime func(time.Time) time.Time
 	// HasRoom reports whether another shard has room for a long-running task; nil if
@@ -424,8 +427,8 @@
 	// IsContested is set while another process may have the worker's address. A
 	// poll that is answered immediately tells sooner.
 	IsContested bool
-	// MayHoldOtherLease is set while a call that was meant for an earlier process of
-	// the worker's id may reach this one and grant it the longest lease.
+	// MayHoldOtherLease is set until the process rejects the calls that were meant for
+	// an earlier one of its id. Each may have granted it the longest lease.
 	MayHoldOtherLease bool
 	// NeedsPoll is set when the worker has runs, also of unknown jobs, has ends
 	// to acknowledge, is contested, has not answered this owner yet, is listed
@@ -447,7 +450,7 @@
 		needsPoll = needsPoll || w.isContested || isSilent || len(w.withdrawnStarts) > 0
 		contact := Contact{
 			Worker: *w, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll && !now.Before(w.unusedUntil),
-			MayHoldOtherLease: !w.isProved() && !w.isStoredProcess,
+			MayHoldOtherLease: !w.isProved(),
 		}
 		if w.acknowledged > w.delivered {
 			contact.Committed = w.acknowledged
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -83,11 +83,22 @@
 // leaseEndOf returns when the last lease of a run has certainly expired. A start that
 // no process has listed may reach a later process under the worker's id than the one it
 // was sent to: the one that the list shows, or the present one if that has replaced
-// another. A lease counts there from its arrival, since the clock started anew.
-func (w *Worker) leaseEndOf(r *run) time.Time {
-	mayArrive := r.wasSentToEnded && !r.isAnswered && r.state != "settling"
-	if !r.isListed && (w.relisted != nil || mayArrive) {
+// another. A lease counts there from its arrival, since the clock started anew. Until
+// the present process rejects the calls that were meant for an ended one, these may also
+// renew the lease of a run that it has listed. An answer to a start doesn't tell whether
+// it was given by the process that the start was meant for.
+func (p *Planner) leaseEndOf(r *run) time.Time {
+	w := r.worker
+	isStopped := r.state == "settling"
+	mayArrive := !r.isListed && (w.relisted != nil || r.wasSentToEnded && !r.isAnswered && !isStopped)
+	mayBeRenewed := w.Fence > 0 && !w.isProved() && !isStopped
+	switch {
+	case mayArrive || mayBeRenewed:
 		return w.leaseEnd.Add(LateCallLimit)
+	case r.isAnswered && !r.isListed:
+		if end := r.startedAt.Add(p.options.LongestLease); end.After(w.leaseEnd) {
+			return end
+		}
 	}
 	return w.leaseEnd
 }
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -261,8 +261,6 @@
 	// knownSince is when the process became known; zero if an earlier owner knew
 	// it.
 	knownSince time.Time
-	// isStoredProcess is set if the stored list of an earlier owner has the process.
-	isStoredProcess bool
 	// unusedUntil is until when calls that were meant for an earlier process may reach
 	// this one, if no higher fence was left for it. It isn't polled before.
 	unusedUntil time.Time
