Deliver every late call of the stand-in to the next process of an id

Late polls were dropped where the process that they were sent to had ended, and a call to a worker without a process was lost or got no answer. On the users' machines such calls take effect on the next process, and the header that names the expected process tells only the id.

Now all calls that are carried out late reach the present process, and those to an ended process are held until the test releases them if Restart.Released is set. The event "late" shows the arrival of each. The first processes are an hour old by their clocks, so that a deadline that was meant for one lies far ahead on the next one's clock; before, it lay as far ahead as the process had run.

--- a/standins/platformer/ended_test.go
+++ b/standins/platformer/ended_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"os"
 	"testing"
@@ -76,3 +77,64 @@
 		})
 	}
 }
+
+// TestLateCallsReachNextProcess guards against a stand-in that drops calls which the
+// platform delivers to the next process of a worker's id.
+func TestLateCallsReachNextProcess(t *testing.T) {
+	const delay = 500 * time.Millisecond
+	paths := []string{"/v1/hold", "/v1/run-start", "/v1/run-stop", "/v1/pace"}
+	for name, tt := range map[string]struct {
+		orderDelay time.Duration
+		isHeld     bool
+	}{
+		"carried out late":       {delay, false},
+		"sent to no process yet": {0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			r := newRunRecorder()
+			p, err := platformer.New(platformer.Options{
+				Directory: t.TempDir(), Workers: 1, TaskDuration: time.Minute, Observe: r.observe,
+				OrderDelay: func() time.Duration { return tt.orderDelay },
+			})
+			c.Assert(err, quicktest.IsNil)
+			t.Cleanup(p.Stop)
+			e, err := p.Keeper.Store().Get(context.Background(), "servers/"+p.Workers[0].Name())
+			c.Assert(err, quicktest.IsNil)
+			var entry struct {
+				Address string `json:"addr"`
+			}
+			c.Assert(json.Unmarshal(e.Value, &entry), quicktest.IsNil)
+			send := func() {
+				for _, path := range paths {
+					conn, err := net.Dial("tcp4", entry.Address)
+					c.Assert(err, quicktest.IsNil)
+					t.Cleanup(func() { _ = conn.Close() })
+					const body = `{"task":"x.0.0.0","attempt":1,"fence":1,"deadlineMs":5000}`
+					_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: w\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+					c.Assert(err, quicktest.IsNil)
+				}
+				time.Sleep(delay / 4)
+			}
+			restart := platformer.Restart{KeepsID: true}
+			released := make(chan struct{})
+			if tt.isHeld {
+				restart.Downtime, restart.Released = delay, released
+				go func() {
+					time.Sleep(delay / 4)
+					send()
+				}()
+			} else {
+				send()
+			}
+			c.Assert(p.Workers[0].Restart(restart), quicktest.IsNil)
+			close(released)
+			time.Sleep(2 * delay)
+			for _, path := range paths {
+				late := r.count(func(e platformer.Event) bool { return e.Kind == "late" && e.Call == path && e.Process == 2 })
+				c.Assert(late, quicktest.Equals, 1, quicktest.Commentf("%s: %s", path, r.text()))
+			}
+		})
+	}
+}
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -34,6 +34,11 @@
 // Attempts is the number of failed runs of a task after which it isn't started again.
 const Attempts = 2
 
+// firstAge is how long before the platform the first processes of the workers were
+// started, by their clocks. A lease deadline that was meant for such a process lies far
+// ahead on the clock of the next one.
+const firstAge = time.Hour
+
 // shutdownTimeout bounds the wait for open connections when the platform stops.
 const shutdownTimeout = 50 * time.Millisecond
 
@@ -79,14 +84,17 @@
 	Process int
 	Task    string
 	Attempt int
-	// IsFromEarlier says, of a start, that it was sent to an earlier process of the
-	// worker, whose id the process has.
+	// IsFromEarlier says that the call which starts the run or acknowledges its end was
+	// sent to an earlier process of the worker.
 	IsFromEarlier bool
+	// Call is the path of a late call.
+	Call string
 	// Kind is "start" when the run starts, and "done", "failed", "stopped" or
 	// "lapsed" when it ends as done, failed, stopped or with an expired lease. It is
 	// "noted" when that end is acknowledged, or "void" if before that the lease
 	// expired or the process ended, so that the task may have been started again. It
-	// is "killed" when the process ends during the run.
+	// is "killed" when the process ends during the run. "late" is no event of a run: a
+	// call that was sent to an earlier process reaches this one, which may refuse it.
 	Kind string
 }
 
@@ -145,7 +153,8 @@
 	}
 	for n := range o.Workers {
 		w := newWorker(n, o, p.Keeper.Store(), p.stopped)
-		first := w.newProcess(1, 0)
+		first := w.newProcess(1, -firstAge)
+		first.startedAt = first.startedAt.Add(-firstAge)
 		if err = w.listen(first); err == nil {
 			p.Workers = append(p.Workers, w)
 			w.entryAddress, err = p.proxyAddress(w.name, w.address)
--- a/standins/platformer/process.go
+++ b/standins/platformer/process.go
@@ -37,9 +37,11 @@
 	// isDraining says that heartbeats report the process as draining.
 	isDraining bool
 	// ended is closed when the process has ended, and isSilent says that connections
-	// then stay open without a response until the next process starts.
+	// then stay open without a response until the next process starts. If released is
+	// not nil, calls to the ended process reach the next one when it is closed.
 	ended    chan struct{}
 	isSilent bool
+	released <-chan struct{}
 
 	// fence is the highest fencing token received. Calls with a lower one are refused.
 	fence int64
@@ -96,14 +98,26 @@
 			return
 		}
 	}
+	arrived, isHeld := time.Now(), p.hasEnded() && p.released != nil
+	if isHeld {
+		select {
+		case <-p.released:
+		case <-p.worker.stopped:
+			return
+		}
+	}
 	p.worker.mu.Lock()
 	defer p.worker.mu.Unlock()
-	p.execute(ctx, o)
+	target := p
+	if isHeld {
+		target = p.worker.process
+		o.isFromEarlier = arrived.Before(target.startedAt)
+	}
+	target.execute(ctx, o)
 }
 
-// executeLater executes a call after the delay. A start or a stop may then reach
-// the process that has replaced this one. A poll may not: nothing in it protects the
-// ends that a new process with the same id has not reported yet.
+// executeLater executes a call after the delay. It may then reach the process that has
+// replaced this one.
 func (p *process) executeLater(ctx *fasthttp.RequestCtx, o order, delay time.Duration) {
 	var late fasthttp.RequestCtx
 	ctx.Request.CopyTo(&late.Request)
@@ -111,7 +125,7 @@
 		w := p.worker
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if current := w.process; !current.hasEnded() && (current == p || o.Task != "") {
+		if current := w.process; !current.hasEnded() {
 			o.isFromEarlier = current != p
 			current.execute(&late, o)
 		}
@@ -131,6 +145,9 @@
 		return
 	}
 	p.advance()
+	if o.isFromEarlier {
+		p.emitEvent(Event{Task: o.Task, Attempt: o.Attempt, Kind: "late", Call: string(ctx.Path()), IsFromEarlier: true})
+	}
 	expectedInstance := string(ctx.Request.Header.Peek("Tarragonhead-Expect-Instance"))
 	switch {
 	case expectedInstance != "" && expectedInstance != p.id:
@@ -193,7 +210,7 @@
 			// may have started the task again and the end no longer counts.
 			p.emit(k, "void")
 		case isAcknowledged:
-			p.emit(k, "noted")
+			p.emitEvent(Event{Task: k.task, Attempt: k.attempt, Kind: "noted", IsFromEarlier: o.isFromEarlier})
 		}
 		return isAcknowledged
 	})
--- a/standins/platformer/restart_test.go
+++ b/standins/platformer/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -23,16 +24,67 @@
 	noted    map[string]bool
 	repeated []string
 	starts   int
+	events   []platformer.Event
+	// timeline describes the events, each with the time since startedAt.
+	timeline  []string
+	startedAt time.Time
 }
 
 func newRunRecorder() *runRecorder {
-	return &runRecorder{running: map[string]map[string]bool{}, done: map[string]bool{}, noted: map[string]bool{}}
+	return &runRecorder{running: map[string]map[string]bool{}, done: map[string]bool{}, noted: map[string]bool{}, startedAt: time.Now()}
+}
+
+// note adds a line to the timeline.
+func (r *runRecorder) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.add(format, args...)
+}
+
+// add adds a line to the timeline. The caller holds r.mu.
+func (r *runRecorder) add(format string, args ...any) {
+	r.timeline = append(r.timeline, fmt.Sprintf("%.3f s: ", time.Since(r.startedAt).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// text returns the timeline.
+func (r *runRecorder) text() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.Join(r.timeline, "\n")
+}
+
+// count returns the number of events so far that match.
+func (r *runRecorder) count(matches func(platformer.Event) bool) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.events {
+		if matches(e) {
+			n++
+		}
+	}
+	return n
+}
+
+// runningTasks returns the number of tasks that run.
+func (r *runRecorder) runningTasks() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, runs := range r.running {
+		if len(runs) > 0 {
+			n++
+		}
+	}
+	return n
 }
 
 func (r *runRecorder) observe(e platformer.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	run := fmt.Sprintf("%s attempt %d on %s process %d", e.Task, e.Attempt, e.Worker, e.Process)
+	r.events = append(r.events, e)
+	r.add("%s %s %s", e.Kind, e.Call, run)
 	switch e.Kind {
 	case "start":
 		r.starts++
@@ -45,7 +97,7 @@
 		r.running[e.Task][run] = true
 	case "noted":
 		r.noted[e.Task] = r.noted[e.Task] || r.done[run]
-	case "void":
+	case "void", "late":
 	default:
 		delete(r.running[e.Task], run)
 		r.done[run] = e.Kind == "done"
--- a/standins/platformer/worker.go
+++ b/standins/platformer/worker.go
@@ -76,6 +76,10 @@
 	// response, also those that are opened before the next process starts, as after
 	// a loss of power. Otherwise they are closed, and new ones refused.
 	IsSilent bool
+	// Released, if not nil, says that calls to the ended process, also those sent before
+	// the next process starts, are held up and reach the next process when the channel
+	// is closed. Their connections stay open meanwhile, as with IsSilent.
+	Released <-chan struct{}
 	// LateWriteDelay is how long after its end the last heartbeat of the process
 	// takes effect; 0 for no such heartbeat.
 	LateWriteDelay time.Duration
@@ -117,7 +121,8 @@
 		time.Sleep(r.DrainTime)
 	}
 	w.mu.Lock()
-	ended.kill(r.IsSilent)
+	ended.released = r.Released
+	ended.kill(r.IsSilent || r.Released != nil)
 	w.mu.Unlock()
 	if r.DrainTime > 0 {
 		w.removeEntry(ended)
--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -135,7 +135,7 @@
 			c.failedRuns[e.Task][run] = true
 			c.checkBudget(e.Task)
 		}
-	case "void":
+	case "void", "late":
 	default:
 		delete(c.running[e.Task], run)
 		switch e.Kind {
