Add a failing test: a held poll acknowledges ends that no owner has read

Tasks end on the next process of a worker's id while it is cut off. A poll to the former process arrives there, and its cursor counts that process's ends, which were more; the new process forgets its own. The owner starts the tasks again when it takes the lease for expired, after ends as done that were taken note of.

--- a/standins/platformer/held_test.go
+++ b/standins/platformer/held_test.go
@@ -14,32 +14,28 @@
 
 const (
 	heldMaxLease = 5 * time.Second
-	// heldTaskDuration outlasts the test.
-	heldTaskDuration = time.Minute
 	// heldTasks is the number of tasks of a heldJob.
 	heldTasks = 6
-	heldJob   = `{"spec":"x","phases":[{"count":6,"cpu":500,"memMb":100,"estimateMs":60000}]}`
+	heldJob   = `{"spec":"x","phases":[{"count":6,"cpu":500,"memMb":100,"estimateMs":2000}]}`
 )
 
-// TestHeldCallsRunNoTaskTwice guards against tasks that run twice at once because a call
-// to the former process of a worker reaches the next one under its id, which is cut off
-// by then, and renews the lease there (issue 41).
-func TestHeldCallsRunNoTaskTwice(t *testing.T) {
-	for name, submitsMeanwhile := range map[string]bool{"polls": false, "polls and orders": true} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			testHeldCalls(t, submitsMeanwhile)
-		})
-	}
+// heldPlatform is a platform with an instance, on which a worker starts again under its
+// id, while calls to it are held, and is then cut off.
+type heldPlatform struct {
+	*testPlatform
+	*runRecorder
+	proxies  map[string]*soaker.Proxy
+	instance *platformer.Instance
+	// worker is the worker that starts again.
+	worker   *platformer.Worker
+	jobs     int
+	released chan struct{}
 }
 
-// testHeldCalls submits a job while the calls to the ended process are held, so that
-// some of them are orders, if submitsMeanwhile is set.
-func testHeldCalls(t *testing.T, submitsMeanwhile bool) {
-	r := newRunRecorder()
-	proxies := map[string]*soaker.Proxy{}
-	s := newTestPlatformWith(t, platformer.Options{
-		TaskDuration: heldTaskDuration, MaxLease: heldMaxLease, Observe: r.observe,
+func newHeldPlatform(t *testing.T, taskDuration time.Duration) *heldPlatform {
+	h := &heldPlatform{runRecorder: newRunRecorder(), proxies: map[string]*soaker.Proxy{}, released: make(chan struct{})}
+	h.testPlatform = newTestPlatformWith(t, platformer.Options{
+		TaskDuration: taskDuration, MaxLease: heldMaxLease, Observe: h.observe,
 		ProxyAddress: func(name, address string) (string, error) {
 			if strings.HasPrefix(name, "edge-") {
 				return address, nil
@@ -48,71 +44,126 @@
 			if err != nil {
 				return "", err
 			}
-			proxies[name] = p
+			h.proxies[name] = p
 			return p.Address(), nil
 		},
 	})
 	stop := make(chan struct{})
 	t.Cleanup(func() {
 		close(stop)
-		for _, p := range proxies {
+		for _, p := range h.proxies {
 			p.Close()
 		}
 	})
-	for _, w := range s.Workers {
+	for _, w := range h.Workers {
 		go w.Advance(stop)
 	}
-	a := s.startInstance("edge-1")
-	jobs := 0
-	submit := func() {
-		status, body := s.call(a, "POST", jobID(jobs), heldJob)
-		s.Assert(status, quicktest.Equals, fasthttp.StatusOK, quicktest.Commentf("%s", body))
-		jobs++
-	}
-	w := s.Workers[0]
-	hasStarted := func(process int) bool {
-		return r.count(func(e platformer.Event) bool {
-			return e.Kind == "start" && e.Worker == w.Name() && e.Process == process
-		}) > 0
-	}
-	submit()
-	s.eventually("tasks run on the worker", func() bool { return hasStarted(1) })
-	released, restarted := make(chan struct{}), make(chan error, 1)
-	r.note("the process ends")
+	h.worker, h.instance = h.Workers[0], h.startInstance("edge-1")
+	return h
+}
+
+func (h *heldPlatform) submit() {
+	status, body := h.call(h.instance, "POST", jobID(h.jobs), heldJob)
+	h.Assert(status, quicktest.Equals, fasthttp.StatusOK, quicktest.Commentf("%s", body))
+	h.jobs++
+}
+
+// submitUntil submits jobs until f returns true.
+func (h *heldPlatform) submitUntil(what string, f func() bool) {
+	h.Helper()
+	h.eventually(what, func() bool {
+		h.submit()
+		time.Sleep(200 * time.Millisecond)
+		return f()
+	})
+}
+
+// countOn returns the number of events of one kind on a process of the worker.
+func (h *heldPlatform) countOn(process int, kind string) int {
+	return h.count(func(e platformer.Event) bool {
+		return e.Kind == kind && e.Worker == h.worker.Name() && e.Process == process
+	})
+}
+
+// lateCalls returns the number of calls to a path that reached a later process.
+func (h *heldPlatform) lateCalls(path string) int {
+	return h.count(func(e platformer.Event) bool { return e.Kind == "late" && e.Call == path })
+}
+
+// restartHeld starts the worker again and returns when the owner knows that the former
+// process has ended and tasks run on the next one. It calls meanwhile while calls to
+// the former process are held.
+func (h *heldPlatform) restartHeld(meanwhile func()) {
+	restarted := make(chan error, 1)
+	h.note("the process ends")
 	go func() {
-		restarted <- w.Restart(platformer.Restart{Downtime: 600 * time.Millisecond, KeepsID: true, Released: released})
+		restarted <- h.worker.Restart(platformer.Restart{Downtime: 600 * time.Millisecond, KeepsID: true, Released: h.released})
 	}()
 	time.Sleep(100 * time.Millisecond)
-	if submitsMeanwhile {
-		submit()
-	}
-	s.Assert(<-restarted, quicktest.IsNil)
-	r.note("the next process listens")
-	s.eventually("tasks of the first job start again", func() bool {
-		return r.count(func(e platformer.Event) bool {
-			return e.Kind == "start" && e.Attempt > 1 && strings.HasPrefix(e.Task, jobID(0))
-		}) > 0
+	meanwhile()
+	h.Assert(<-restarted, quicktest.IsNil)
+	h.note("the next process listens")
+	h.eventually("tasks of the former process start again", func() bool {
+		return h.count(func(e platformer.Event) bool { return e.Kind == "start" && e.Attempt > 1 }) > 0
 	})
-	s.eventually("tasks run on the next process", func() bool {
-		submit()
-		time.Sleep(200 * time.Millisecond)
-		return hasStarted(2)
-	})
-	// The owner learns of the runs.
-	time.Sleep(500 * time.Millisecond)
-	r.note("the worker is cut off")
-	defer proxies[w.Name()].Impair(soaker.Impairment{DropToServer: true, DropFromServer: true})()
-	// The leases that the owner granted before the cut have not expired yet.
+	h.submitUntil("tasks run on the next process", func() bool { return h.countOn(2, "start") > 0 })
+}
+
+// cutAndRelease cuts the worker off, releases the held calls before the leases that the
+// owner granted have expired, and returns when every lease has expired.
+func (h *heldPlatform) cutAndRelease() {
+	h.note("the worker is cut off")
+	h.proxies[h.worker.Name()].Impair(soaker.Impairment{DropToServer: true, DropFromServer: true})
 	time.Sleep(heldMaxLease * 3 / 4)
-	r.note("the held calls are released")
-	close(released)
+	h.note("the held calls are released")
+	close(h.released)
 	time.Sleep(heldMaxLease + time.Second)
-	starts, repeated := r.summary()
-	timeline := r.text()
-	s.Assert(repeated, quicktest.HasLen, 0, quicktest.Commentf("%d of %d starts\n%s", len(repeated), starts, timeline))
-	for call, isExpected := range map[string]bool{"/v1/hold": true, "/v1/run-start": submitsMeanwhile} {
-		late := r.count(func(e platformer.Event) bool { return e.Kind == "late" && e.Call == call })
-		s.Assert(late > 0, quicktest.Equals, isExpected, quicktest.Commentf("%s\n%s", call, timeline))
+}
+
+func (h *heldPlatform) assertNoneTwice() {
+	h.Helper()
+	starts, repeated := h.summary()
+	h.Assert(repeated, quicktest.HasLen, 0, quicktest.Commentf("%d of %d starts\n%s", len(repeated), starts, h.text()))
+	h.Assert(h.lateCalls("/v1/hold") > 0, quicktest.IsTrue, quicktest.Commentf("%s", h.text()))
+}
+
+// TestHeldCallsRunNoTaskTwice guards against tasks that run twice at once because a call
+// to the former process of a worker reaches the next one under its id, which is cut off
+// by then, and renews the lease there (issue 41).
+func TestHeldCallsRunNoTaskTwice(t *testing.T) {
+	t.Parallel()
+	for name, submitsMeanwhile := range map[string]bool{"polls": false, "polls and orders": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			// The tasks outlast the test.
+			h := newHeldPlatform(t, time.Minute)
+			h.submitUntil("tasks run on the worker", func() bool { return h.countOn(1, "start") > 0 })
+			h.restartHeld(func() {
+				if submitsMeanwhile {
+					h.submit()
+				}
+			})
+			// The owner learns of the runs.
+			time.Sleep(500 * time.Millisecond)
+			h.cutAndRelease()
+			h.assertNoneTwice()
+			h.Assert(h.lateCalls("/v1/run-start") > 0, quicktest.Equals, submitsMeanwhile, quicktest.Commentf("%s", h.text()))
+			h.eventually("each task runs again", func() bool { return h.runningTasks() == h.jobs*heldTasks })
+		})
+	}
+}
+
+// TestHeldAcknowledgementRunsNoTaskTwice guards against tasks that run again after a poll
+// to the former process of a worker has acknowledged their ends on the next one under its
+// id, where no owner has read them (issue 41).
+func TestHeldAcknowledgementRunsNoTaskTwice(t *testing.T) {
+	t.Parallel()
+	h := newHeldPlatform(t, 1500*time.Millisecond)
+	h.submitUntil("ends are acknowledged", func() bool { return h.countOn(1, "noted") >= heldTasks })
+	h.restartHeld(func() {})
+	h.cutAndRelease()
+	h.assertNoneTwice()
+	for n := range h.jobs {
+		h.eventually("done", func() bool { return h.isDone(h.instance, jobID(n)) })
 	}
-	s.eventually("each task runs again", func() bool { return r.runningTasks() == jobs*heldTasks })
 }
