--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -96,7 +96,7 @@
 func (p *Planner) endLapsed(now, proven time.Time, w *Worker) {
 	w.hasUnknownRuns = false
 	p.forgetUnknownRuns(w, nil)
-	lapsed := slices.DeleteFunc(runsOf(w), func(r *run) bool { return !proven.After(w.leaseEndOf(r)) })
+	lapsed := slices.DeleteFunc(runsOf(w), func(r *run) bool { return !proven.After(p.leaseEndOf(r)) })
 	if len(lapsed) > 0 {
 		p.reportWorker("worker_lapsed", w, fmt.Sprintf("no answer for %s, leases ended %s ago, %d of %d runs", now.Sub(w.failedSince), now.Sub(w.leaseEnd), len(lapsed), len(w.runs)))
 	}
--- a/standins/platformer/process.go
+++ b/standins/platformer/process.go
@@ -37,9 +37,11 @@
 	// isDraining says that heartbeats report the process as draining.
 	isDraining bool
 	// ended is closed when the process has ended, and isSilent says that connections
-	// then stay open without a response until the next process starts.
+	// then stay open without a response until the next process starts. If released is
+	// not nil, calls to the ended process reach the next one when it is closed.
 	ended    chan struct{}
 	isSilent bool
+	released <-chan struct{}
 
 	// fence is the highest fencing token received. Calls with a lower one are refused.
 	fence int64
@@ -98,9 +100,22 @@
 			return
 		}
 	}
+	arrived, isHeld := time.Now(), p.hasEnded() && p.released != nil
+	if isHeld {
+		select {
+		case <-p.released:
+		case <-p.worker.stopped:
+			return
+		}
+	}
 	p.worker.mu.Lock()
 	defer p.worker.mu.Unlock()
-	p.execute(ctx, o)
+	target := p
+	if isHeld {
+		target = p.worker.process
+		o.isFromEarlier = arrived.Before(target.startedAt)
+	}
+	target.execute(ctx, o)
 }
 
 // executeLater executes a call after the delay, on the process that has the address
@@ -132,6 +147,9 @@
 		return
 	}
 	p.advance()
+	if o.isFromEarlier {
+		p.emitEvent(Event{Task: o.Task, Attempt: o.Attempt, Kind: "late", Call: string(ctx.Path()), IsFromEarlier: true})
+	}
 	expectedInstance := string(ctx.Request.Header.Peek("Tarragonhead-Expect-Instance"))
 	switch {
 	case expectedInstance != "" && expectedInstance != p.id:
@@ -194,7 +212,7 @@
 			// may have started the task again and the end no longer counts.
 			p.emit(k, "void")
 		case isAcknowledged:
-			p.emit(k, "noted")
+			p.emitEvent(Event{Task: k.task, Attempt: k.attempt, Kind: "noted", IsFromEarlier: o.isFromEarlier})
 		}
 		return isAcknowledged
 	})
