--- a/standins/replayer/replayer.go
+++ b/standins/replayer/replayer.go
@@ -263,7 +263,7 @@
 	p, err := planner.New(planner.Options{
 		Epoch: w.epoch, MaxFence: fencesPerEpoch - 1, Horizon: horizon, ViolationLimit: w.pattern.ViolationLimit,
 		Retention: time.Hour, WallTime: func(t time.Time) time.Time { return t },
-		PredecessorLeaseEnd: w.now.Add(horizon + time.Duration(slowClock*float64(maxLease))),
+		PredecessorLeaseEnd: w.now.Add(horizon + time.Duration(slowClock*float64(maxLease))), LongestLease: time.Duration(slowClock * float64(maxLease)),
 		OnDecision: func(d planner.Decision) {
 			if w.onDecision != nil {
 				w.onDecision(w.now.Sub(w.origin), d)
--- a/standins/replayer/replayer_test.go
+++ b/standins/replayer/replayer_test.go
@@ -1,6 +1,7 @@
 package replayer_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -55,6 +56,9 @@
 		replayer.Fault{Kind: "late", At: 5 * time.Second, For: 8 * time.Second, Share: 0.1}, restartSameID(6*time.Second, 500*time.Millisecond, 3)),
 	"restarts under the same id while polls are late": resumable(replayer.Cellarlog(scale)).With(
 		latePolls(), manyRestartSameID(5*time.Second), manyRestartSameID(17*time.Second)),
+	"restarts under the same id and silence while commands are late": resumable(replayer.Cellarlog(scale)).With(
+		replayer.Fault{Kind: "late", At: 3 * time.Second, For: 22 * time.Second, Share: 0.2},
+		manyRestartSameID(5*time.Second), longSilence(7600*time.Millisecond), manyRestartSameID(17*time.Second), longSilence(19600*time.Millisecond)),
 	"restarts under the same id and silence while polls are late": resumable(replayer.Cellarlog(scale)).With(
 		latePolls(), manyRestartSameID(5*time.Second), longSilence(7600*time.Millisecond), manyRestartSameID(17*time.Second), longSilence(19600*time.Millisecond)),
 	"quick restarts while partitioned with the owner": replayer.Cellarlog(scale).With(
@@ -179,6 +183,12 @@
 	return replayer.Fault{Kind: "restart_same_id", At: at, For: 600 * time.Millisecond, Share: 0.6, Factor: 1}
 }
 
+// seedCounts holds the number of seeds of a pattern, if it isn't the usual one.
+var seedCounts = map[string]uint64{"restarts under the same id while polls are late": 3}
+
+// usualSeeds is the usual number of seeds of a pattern.
+const usualSeeds = 2
+
 // TestInvariants guards against concurrent runs of one task, runs after the last
 // attempt or after a noted end, runs from a wrong checkpoint, gangs that start in
 // part, overcommitted workers, steps out of order, lost jobs, jobs reported as
@@ -186,7 +196,7 @@
 // over their latency target.
 func TestInvariants(t *testing.T) {
 	for name, p := range patterns {
-		for seed := range uint64(2) {
+		for seed := range cmp.Or(seedCounts[name], usualSeeds) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed+1), func(t *testing.T) {
 				t.Parallel()
 				c := quicktest.New(t)
