Recognise a start that a later process has answered by its clock

An answer to a start doesn't name the process. If the worker's process had just ended and the next one with its id answered, the owner took the run for one of the ended process, under the lease that it had granted. The next process holds the longest lease from the arrival, and calls that were meant for the ended process could still renew it, so that the task ran twice when it was cut off before a poll told of it. The answer has the time of the worker's clock, though, and each process's clock starts anew. A start with an answer outside of the range in which the clock must be counts as sent to an ended process: its run is stopped, and holds its task as long as a late call may renew the lease.

From the review of the fences: the first poll with a new fence is answered at once, since nothing starts on the process before; and the lease of a start that is answered while its run is stopping counts from the answer.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -42,6 +42,8 @@
 	pollWait = 700 * time.Millisecond
 	// minPollSlack is the least time that a poll may take longer than its wait.
 	minPollSlack = 500 * time.Millisecond
+	// maxAnswerAge bounds how long the answer to a poll may have been under way.
+	maxAnswerAge = 2 * time.Second
 	// pollRetryDelay is the delay between polls of a worker that doesn't
 	// answer.
 	pollRetryDelay = 200 * time.Millisecond
@@ -95,6 +97,19 @@
 	return atLeast + lease, now.Add(longestLease(lease))
 }
 
+// clockRange returns between which times the worker's clock is when it answers a call
+// that is sent now and times out after the given time.
+func (s *session) clockRange(now time.Time, timeout time.Duration) ClockRange {
+	if s.clockReceivedAt.IsZero() {
+		return ClockRange{}
+	}
+	elapsed := float64(now.Sub(s.clockReceivedAt))
+	return ClockRange{
+		From: s.clock + time.Duration((1-maxClockDrift)*elapsed) - time.Millisecond,
+		To:   s.clock + time.Duration((1+maxClockDrift)*elapsed) + timeout + maxAnswerAge,
+	}
+}
+
 // session returns the session with a worker's process. It creates one if there is none.
 func (c *Conductor) session(w planner.Worker) *session {
 	s := c.sessions[w.ID]
@@ -191,6 +206,7 @@
 	s := c.session(w)
 	epoch, fence, timeout := c.epoch, c.fence(w), c.orderTimeout(s)
 	deadline, expiry := c.leaseDeadline(now, w, s)
+	clock := s.clockRange(now, timeout)
 	if o.Kind == planner.StartRun {
 		c.planner.Leased(w.ID, expiry)
 	}
@@ -202,7 +218,7 @@
 			err = &NotSentError{age}
 		} else {
 			bounded, cancel := context.WithTimeout(ctx, timeout)
-			err = c.callWorker(bounded, w, o.Command, deadline, fence)
+			err = c.callWorker(bounded, w, o.Command, deadline, fence, clock)
 			cancel()
 		}
 		took := c.options.Now().Sub(sent)
@@ -244,10 +260,10 @@
 }
 
 // callWorker makes the call of an order.
-func (c *Conductor) callWorker(ctx context.Context, w planner.Worker, o planner.Command, deadline time.Duration, fence int64) error {
+func (c *Conductor) callWorker(ctx context.Context, w planner.Worker, o planner.Command, deadline time.Duration, fence int64, clock ClockRange) error {
 	switch o.Kind {
 	case planner.StartRun:
-		return c.options.Workers.Start(ctx, w, StartOrder{o.Run, o.Payload, o.Checkpoint, deadline, fence})
+		return c.options.Workers.Start(ctx, w, StartOrder{o.Run, o.Payload, o.Checkpoint, deadline, fence, clock})
 	case planner.StopRun:
 		return c.options.Workers.Stop(ctx, w, StopOrder{o.Run, fence})
 	default:
@@ -284,7 +300,14 @@
 	}
 	switch o.Kind {
 	case planner.StartRun:
+		var restarted *RestartedError
 		switch {
+		case errors.As(err, &restarted):
+			// The clock of the process is not known, nor what lease it has granted. The
+			// next poll tells.
+			s.clockReceivedAt, s.nextPollAt = time.Time{}, time.Time{}
+			c.planner.Leased(o.WorkerID, now.Add(longestLease(c.options.Limits.MaxLease)))
+			c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Misplaced, err.Error())
 		case isRefused:
 			c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Refused, refused.Reason)
 		case err != nil:
@@ -356,10 +379,10 @@
 	}
 	c.planner.Leased(w.ID, expiry)
 	o := PollOrder{Fence: c.fence(w), Acknowledge: contact.Acknowledge, Deadline: deadline, Wait: pollWait}
-	if s.clockReceivedAt.IsZero() || contact.IsContested || contact.IsFailing {
+	if s.clockReceivedAt.IsZero() || contact.IsContested || contact.IsFailing || contact.MayHoldOtherLease {
 		// The first poll returns the worker's clock, which leases need. That of
 		// a contested worker, or of one that didn't answer, tells which process
-		// has its address.
+		// has its address. No task starts on a new process before its answer.
 		o.Wait = 0
 	}
 	post := func(answer PollAnswer, err error) {
--- a/internal/conductor/orders.go
+++ b/internal/conductor/orders.go
@@ -18,6 +18,8 @@
 		Checkpoint string
 		Deadline   time.Duration
 		Fence      int64
+		// Clock is that of the process which the order is meant for.
+		Clock ClockRange
 	}
 	// StopOrder stops a run, or prevents its start if it has not started yet.
 	StopOrder struct {
@@ -43,6 +45,14 @@
 	}
 )
 
+// ClockRange bounds the time of a worker's clock when it answers; zero if it is not known.
+type ClockRange struct{ From, To time.Duration }
+
+// Contains reports whether a time is within the range.
+func (r ClockRange) Contains(t time.Duration) bool {
+	return r == ClockRange{} || r.From <= t && t <= r.To
+}
+
 // PollAnswer lists a worker's runs and gives the time of its clock.
 type PollAnswer struct {
 	planner.PollResult
@@ -52,7 +62,7 @@
 
 // WorkerCalls are the calls to a worker. Each is safe for concurrent use.
 // Errors are RefusedError if the worker did nothing, FencedError,
-// OtherProcessError, DisconnectedError, or any other error if the outcome is unknown.
+// OtherProcessError, RestartedError, DisconnectedError, or any other error if the outcome is unknown.
 type WorkerCalls struct {
 	Start func(ctx context.Context, w planner.Worker, o StartOrder) error
 	Stop  func(ctx context.Context, w planner.Worker, o StopOrder) error
@@ -84,6 +94,18 @@
 	return fmt.Sprintf("another process answered for worker %s", e.Worker)
 }
 
+// RestartedError reports an order that was carried out by a later process with the
+// worker's id than the intended one. The clock of that one started at another time.
+type RestartedError struct {
+	Worker string
+	// Clock is the time of the worker's clock in the answer.
+	Clock time.Duration
+}
+
+func (e *RestartedError) Error() string {
+	return fmt.Sprintf("a later process of worker %s answered, its clock is at %s", e.Worker, e.Clock)
+}
+
 // DisconnectedError reports a call without an answer whose connection was closed or
 // refused at the worker's address. Its outcome is unknown.
 type DisconnectedError struct {
--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -127,7 +127,7 @@
 	if !ok {
 		return false
 	}
-	return !r.isListed && age <= unlistedAge || r.isAnswered && age <= promptAge
+	return !r.isListed && age <= unlistedAge || r.isAnswered() && age <= promptAge
 }
 
 // ageAt returns the age of the run when its worker crashed, and false if its start was
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -449,6 +449,8 @@
 	Refused
 	// Unclear means that the worker may have the run or may still start it.
 	Unclear
+	// Misplaced means that a later process with the worker's id has the run.
+	Misplaced
 )
 
 // StartAnswered applies the outcome of a start command.
@@ -458,7 +460,9 @@
 		return
 	}
 	r := w.runs[id]
-	r.isAnswered = o != Unclear
+	if o == Started || o == Refused {
+		r.answeredAt = now
+	}
 	j := r.task.step.occurrence.job
 	switch o {
 	case Started:
@@ -473,6 +477,9 @@
 		p.stopGang(now, r.task.step)
 	case Unclear:
 		p.stop(now, r, "start without an answer")
+	case Misplaced:
+		r.wasSentToEnded = true
+		p.stop(now, r, "start answered by a later process")
 	}
 }
 
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -90,13 +90,13 @@
 func (p *Planner) leaseEndOf(r *run) time.Time {
 	w := r.worker
 	isStopped := r.state == "settling"
-	mayArrive := !r.isListed && (w.relisted != nil || r.wasSentToEnded && !r.isAnswered && !isStopped)
+	mayArrive := !r.isListed && (w.relisted != nil || r.wasSentToEnded && !r.isAnswered() && !isStopped)
 	mayBeRenewed := w.Fence > 0 && !w.isProved() && !isStopped
 	switch {
 	case mayArrive || mayBeRenewed:
 		return w.leaseEnd.Add(LateCallLimit)
-	case r.isAnswered && !r.isListed:
-		if end := r.startedAt.Add(p.options.LongestLease); end.After(w.leaseEnd) {
+	case r.isAnswered() && !r.isListed:
+		if end := r.answeredAt.Add(p.options.LongestLease); end.After(w.leaseEnd) {
 			return end
 		}
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -179,9 +179,9 @@
 	// isListed is set once the worker's process has listed the run. The start of
 	// any other run may still be under way.
 	isListed bool
-	// isAnswered is set once the start was answered, so that it can't be carried out
-	// any more.
-	isAnswered bool
+	// answeredAt is when the start was answered, so that it can't be carried out any
+	// more; zero before.
+	answeredAt time.Time
 	// suspicion is that of the task, as the worker counts it.
 	suspicion suspicion
 	// wasSentToEnded is set when the start was sent to an ended process that had the
@@ -226,6 +226,8 @@
 	usedCPU int64
 }
 
+func (r *run) isAnswered() bool { return !r.answeredAt.IsZero() }
+
 // Worker is a machine that runs tasks.
 type Worker struct {
 	// ID identifies one incarnation of the worker's process, together with Born
--- a/internal/planner/withdraw.go
+++ b/internal/planner/withdraw.go
@@ -23,7 +23,7 @@
 // way. A start counts as unanswered only after its timeout, so a stop and a poll may
 // have been answered before.
 func (w *Worker) noteWithdrawn(r *run) {
-	if !r.isAnswered && !r.isListed {
+	if !r.isAnswered() && !r.isListed {
 		w.withdrawnStarts = append(w.withdrawnStarts, withdrawnStart{run: r.id, sentAt: r.startedAt, isConfirmed: true})
 	}
 }
