Start best-effort tasks slowly where that does little harm

Cause: in a busy service a best-effort task was placed by its harm at the full pace until it had waited for 30 s (busyIgnoreHarmAfter), although it starts at 20% of its pace after such a wait. A job of wide or disturbing tasks started nothing meanwhile.

Change: after a wait of 6 s (10 s if the job is late and the service busy) a task that finds no place at its full pace may start at 20% of it where its harm at that pace is within the limit of a task that has not waited (0.15). No task starts beside a long-running one over its target, as before. A task that has waited for 6 s also starts at 20% where only a long-running task over its target speaks against the full pace.

--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -58,7 +58,11 @@
 	for _, w := range list {
 		if w.free.Fits(s.reserved()) {
 			withRoom++
-			if _, ok := p.placementCost(now, t, w, limit); ok && p.isWithinWorkerLimit(t, w) && w.isSeparate(t) {
+			_, ok := p.placementCost(now, t, w, 100, limit)
+			if !ok && p.mayStartSlowly(now, t) {
+				_, ok = p.placementCost(now, t, w, minPace, harmLimit)
+			}
+			if ok && p.isWithinWorkerLimit(t, w) && w.isSeparate(t) {
 				suitable++
 			}
 		}
--- a/internal/planner/overload_test.go
+++ b/internal/planner/overload_test.go
@@ -151,6 +151,31 @@
 	d.Assert(d.startTasks(), quicktest.HasLen, 1, quicktest.Commentf("the task must not wait forever"))
 }
 
+// TestSlowStartInBusyService guards against a job of best-effort tasks that starts
+// nothing for half a minute in a busy service, because its tasks would do too much
+// harm at their full pace on every worker.
+func TestSlowStartInBusyService(t *testing.T) {
+	d := newBusyDriver(t, -0.35)
+	j := bestEffortJob("batch")
+	j.Steps[0].Need.CPU = 60000
+	j.Queue.Slack = time.Minute
+	d.add(j)
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	d.advance(5 * time.Second)
+	d.poll("a")
+	d.Assert(d.startTasks(), quicktest.HasLen, 0, quicktest.Commentf("it waits for a place at its full pace first"))
+	d.advance(2 * time.Second)
+	d.poll("a")
+	d.Assert(d.startTasks(), quicktest.HasLen, 1, quicktest.Commentf("%s", d.p.Explain(d.now, "batch")))
+	var paces []int
+	for _, c := range d.p.Plan(d.now, d.proven()) {
+		if c.Kind == planner.PaceRun {
+			paces = append(paces, c.Percent)
+		}
+	}
+	d.Assert(paces, quicktest.DeepEquals, []int{20})
+}
+
 // TestWaitsOfTasksDoNotAddUp guards against a step of a late job that takes the
 // longest wait once for each of its tasks. Only the first task of a step was seen
 // to wait.
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -50,13 +50,15 @@
 	candidateKey
 	image string
 	limit float64
+	// maySlow is set if the task may also start at minPace.
+	maySlow bool
 }
 
 func (p *Planner) keyOf(now time.Time, t *task) placeKey {
 	s := t.step
 	k := placeKey{candidateKey: candidateKey{s.occurrence.job.Queue.Service, s.RequiredLabel}}
 	if s.BestEffort {
-		k.image, k.limit = s.Image, p.harmLimitFor(now, t)
+		k.image, k.limit, k.maySlow = s.Image, p.harmLimitFor(now, t), p.mayStartSlowly(now, t)
 	}
 	return k
 }
@@ -85,16 +87,30 @@
 // chooseWorker returns the worker with the lowest cost on which the task can
 // start, or nil if there is none.
 func (p *Planner) chooseWorker(now time.Time, t *task, candidates []*Worker) *Worker {
-	s := t.step
-	need := s.reserved()
-	limit := p.harmLimitFor(now, t)
+	w := p.cheapestWorker(now, t, candidates, 100, p.harmLimitFor(now, t))
+	if w == nil && p.mayStartSlowly(now, t) {
+		w = p.cheapestWorker(now, t, candidates, minPace, harmLimit)
+	}
+	return w
+}
+
+// mayStartSlowly reports whether a best-effort task has waited for so long for a
+// place at its full pace that it may start at minPace.
+func (p *Planner) mayStartSlowly(now time.Time, t *task) bool {
+	return t.step.BestEffort && now.Sub(t.readyAt) > ignoreHarmAfter && p.harmLimitFor(now, t) > harmLimit
+}
+
+// cheapestWorker returns the worker with the lowest cost on which the task can
+// start at the given pace with a harm within limit, or nil if there is none.
+func (p *Planner) cheapestWorker(now time.Time, t *task, candidates []*Worker, pace int, limit float64) *Worker {
+	need := t.step.reserved()
 	var best *Worker
 	var lowest float64
 	for _, w := range candidates {
 		if !w.free.Fits(need) || !p.isWithinWorkerLimit(t, w) || w.isReservedAgainst(now, t) || !w.isSeparate(t) {
 			continue
 		}
-		cost, ok := p.placementCost(now, t, w, limit)
+		cost, ok := p.placementCost(now, t, w, pace, limit)
 		if ok && (best == nil || cost < lowest) {
 			best, lowest = w, cost
 		}
@@ -118,8 +134,8 @@
 }
 
 // placementCost returns the cost of placing a task on a worker, and whether the
-// harm to long-running tasks there is within limit.
-func (p *Planner) placementCost(now time.Time, t *task, w *Worker, limit float64) (float64, bool) {
+// harm that it does at the given pace to long-running tasks there is within limit.
+func (p *Planner) placementCost(now time.Time, t *task, w *Worker, pace int, limit float64) (float64, bool) {
 	s := t.step
 	cost := w.load() + float64(s.Need.CPU)/float64(max(1, w.Capacity.CPU))
 	if s.PreferredRack != "" && w.Rack != s.PreferredRack {
@@ -134,7 +150,7 @@
 	if slices.Contains(t.avoidedWorkers, w.ID) {
 		cost += avoidPenalty
 	}
-	harm, ok := p.interferenceCost(now, w, t, limit)
+	harm, ok := p.interferenceCost(now, w, s, pace, limit)
 	return cost + harm + w.companionCost(t), ok
 }
 
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -424,21 +424,21 @@
 }
 
 // startRun adds a run of a task to a worker and queues its start command. A
-// best-effort task that starts because it has waited for ignoreHarmAfter gets
-// minPace if its harm exceeds relaxedHarmLimit.
+// best-effort task that has waited for ignoreHarmAfter gets minPace if its harm
+// at the full pace exceeds relaxedHarmLimit.
 func (p *Planner) startRun(now time.Time, t *task, w *Worker, attempt int) {
 	p.startsLeft--
 	t.attempt = attempt
 	r := &run{id: RunID{t.id, attempt}, task: t, worker: w, state: p.chart.Start(), startedAt: now, decidedAt: now, pace: 100, targetPace: 100}
 	if t.step.BestEffort && now.Sub(t.readyAt) > ignoreHarmAfter && !t.readyAt.IsZero() {
-		if harm := p.interference.harm(now, w, t.step, float64(t.step.Need.CPU)/1000); harm > relaxedHarmLimit {
+		if _, ok := p.interference.bestEffortCost(now, w, t.step, 100, relaxedHarmLimit); !ok {
 			r.targetPace, r.pace = minPace, minPace
 		}
 	}
 	w.addRun(r)
 	t.runs = append(t.runs, r)
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
-	harm, _ := p.interferenceCost(now, w, t, p.harmLimitFor(now, t))
+	harm, _ := p.interferenceCost(now, w, t.step, r.pace, p.harmLimitFor(now, t))
 	p.reportRun("start", r, fmt.Sprintf("needs %d, load %.2f, harm %.2f, image %s, waited %s, job waited %s, due in %s", t.step.Need.CPU, w.load(), harm, t.step.Image, now.Sub(t.readyAt), now.Sub(t.step.occurrence.job.arrived), t.step.occurrence.job.due().Sub(now)))
 	p.commands = append(p.commands, Command{
 		Kind: StartRun, Run: r.id, WorkerID: w.ID, Payload: t.step.occurrence.job.Payload, Checkpoint: t.checkpoint,
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -39,7 +39,8 @@
 
 	// minPace is the pace of a task that has no better place: a task that was
 	// slowed more than minPaceDelay ago, as long as no long-running task on its
-	// worker is over its target, or a task that has waited for ignoreHarmAfter.
+	// worker is over its target, or a task that has waited for ignoreHarmAfter and
+	// would do too much harm at its full pace.
 	minPace      = 20
 	minPaceDelay = 4 * time.Second
 
@@ -76,7 +77,8 @@
 	ignoreHarmAfter = 6 * time.Second
 	// busyIgnoreHarmAfter replaces ignoreHarmAfter if the service is busy. A
 	// sequence of tasks that start beside a long-running task over its target
-	// would keep it there.
+	// would keep it there. Where minPace does little harm, a task does not wait
+	// as long.
 	busyIgnoreHarmAfter = 30 * time.Second
 
 	// Supervision of running best-effort tasks.
@@ -187,11 +189,10 @@
 // interferenceCost returns the cost of the harm that a task does to the
 // long-running tasks of a worker or, for a long-running task, of the
 // disturbance that it meets there. It reports false if the harm exceeds limit.
-func (p *Planner) interferenceCost(now time.Time, w *Worker, t *task, limit float64) (float64, bool) {
-	st := t.step
+func (p *Planner) interferenceCost(now time.Time, w *Worker, st *step, pace int, limit float64) (float64, bool) {
 	switch {
 	case st.BestEffort:
-		return p.interference.bestEffortCost(now, w, t, limit)
+		return p.interference.bestEffortCost(now, w, st, pace, limit)
 	case st.LatencyTarget > 0:
 		return p.interference.colocationCost(w, st), true
 	default:
@@ -325,16 +326,16 @@
 }
 
 // bestEffortCost returns the cost of the harm of one more best-effort task on a
-// worker, and whether the harm is within limit.
-func (s *tailModels) bestEffortCost(now time.Time, w *Worker, t *task, limit float64) (float64, bool) {
-	cores := float64(t.step.Need.CPU) / 1000
-	harm := s.harm(now, w, t.step, cores)
+// worker at the given pace, and whether the harm is within limit.
+func (s *tailModels) bestEffortCost(now time.Time, w *Worker, st *step, pace int, limit float64) (float64, bool) {
+	cores := float64(st.Need.CPU) / 1000 * float64(pace) / 100
+	harm := s.harm(now, w, st, cores)
 	// While a long-running task is over its target, its model underestimates
 	// what the tasks beside it do, so a further task counts as one more
 	// violation.
 	for _, v := range s.victimsOf(now, w) {
 		over := v.run.overTargetSince
-		if !over.IsZero() && (now.Sub(over) > settleTime || v.rise(t.step, cores) > minRise) {
+		if !over.IsZero() && (now.Sub(over) > settleTime || v.rise(st, cores) > minRise) {
 			harm++
 		}
 	}
