Let the tasks of a step wait at the same time

Cause: a step stopped at its first task without a place, so only that one was seen to wait. Each next task began the longest wait (30 s in a busy service, 6 s in an idle one) when the one before it had started.

Change: readyAt begins for all tasks of a step that may start; it bounds the whole wait, and opens the slow start. The limit of harm still grows by the time that a place has been sought for this task (soughtAt), after those before it.

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -421,7 +421,7 @@
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	p.reportRun("run_ended", r, reason)
 	if len(t.runs) == 0 {
-		t.readyAt, t.reservedAt = time.Time{}, time.Time{}
+		t.readyAt, t.soughtAt, t.reservedAt = time.Time{}, time.Time{}, time.Time{}
 		p.enqueue(t)
 	}
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -358,13 +358,15 @@
 	}
 }
 
-// startStep starts as many waiting tasks of a step as there is room for.
+// startStep starts as many waiting tasks of a step as there is room for. The
+// waits of those for which there is none begin at the same time.
 func (p *Planner) startStep(now time.Time, s *step) {
 	candidates := p.candidates(now, s)
 	if s.LongRunning {
 		p.updateHeadroom(now, candidates)
 	}
 	waiting := slices.Clone(s.waiting)
+	isFull := false
 	for _, t := range waiting {
 		if t.done || len(t.runs) > 0 {
 			s.waiting = slices.DeleteFunc(s.waiting, func(o *task) bool { return o == t })
@@ -382,8 +384,15 @@
 		if s.LongRunning && !p.admitLongRunning(now, t) {
 			continue
 		}
+		if isFull {
+			continue
+		}
+		if t.soughtAt.IsZero() {
+			t.soughtAt = now
+		}
 		if !s.LongRunning && p.isUnplaceable(now, t) {
-			return
+			isFull = true
+			continue
 		}
 		w := p.chooseWorker(now, t, candidates)
 		if w == nil && s.LongRunning {
@@ -395,7 +404,8 @@
 		}
 		if w == nil {
 			p.markUnplaceable(now, t)
-			return
+			isFull = true
+			continue
 		}
 		p.startRun(now, t, w, p.nextAttempt(t))
 	}
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -310,15 +310,17 @@
 }
 
 // harmLimitFor returns the harm that a best-effort task may do. The limit grows
-// with the time that the task has waited, except that a late job has a low
-// limit at first if its service is busy.
+// with the time that a place has been sought for the task, so that the tasks of a
+// step do it one after the other, except that a late job has a low limit at first if
+// its service is busy. It ends with the whole wait of the task.
 func (p *Planner) harmLimitFor(now time.Time, t *task) float64 {
-	switch waited := now.Sub(t.readyAt); {
-	case waited < lateWaitLimit && p.rank(now, t.step) != rankInTime && p.isBusy(t.step.occurrence.job.Queue.Service):
-		return lateHarmLimit
-	case waited > busyIgnoreHarmAfter, waited > ignoreHarmAfter && !p.isBusy(t.step.occurrence.job.Queue.Service):
+	isBusy := p.isBusy(t.step.occurrence.job.Queue.Service)
+	switch waited, sought := now.Sub(t.readyAt), now.Sub(t.soughtAt); {
+	case waited > busyIgnoreHarmAfter, waited > ignoreHarmAfter && !isBusy:
 		return math.Inf(1)
-	case waited > relaxHarmAfter:
+	case sought < lateWaitLimit && p.rank(now, t.step) != rankInTime && isBusy:
+		return lateHarmLimit
+	case sought > relaxHarmAfter:
 		return relaxedHarmLimit
 	default:
 		return harmLimit
@@ -472,7 +474,7 @@
 		// which the move discards. The harm limit at the new place is that of a
 		// task that has not waited.
 		if len(r.task.runs) == 1 && (r.task.step.Checkpoints || r.percent < 50) {
-			r.task.readyAt = now
+			r.task.readyAt, r.task.soughtAt = now, now
 			if w := p.chooseWorker(now, r.task, p.candidates(now, r.task.step)); w != nil {
 				p.stop(now, r, fmt.Sprintf("at a pace of %d%% for %s, has a place on %s", r.targetPace, sincePaced, w.ID))
 				return
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -142,8 +142,9 @@
 	avoidedWorkers []string
 	// retryAt is the earliest time at which the task may start after a failure.
 	retryAt time.Time
-	// readyAt is when the task was first seen waiting in an open step.
-	readyAt time.Time
+	// readyAt is when the task was first seen waiting in an open step. soughtAt is
+	// when a place was first sought for it, after those before it in its step.
+	readyAt, soughtAt time.Time
 	// isElsewhere is set while another shard has the task. departure names the
 	// shard that received the task last, and handovers counts its handovers.
 	isElsewhere bool
