--- a/standins/platformer/process.go
+++ b/standins/platformer/process.go
@@ -38,7 +38,8 @@
 	isDraining bool
 	// ended is closed when the process has ended, and isSilent says that connections
 	// then stay open without a response until the next process starts. If released is
-	// not nil, calls to the ended process reach the next one when it is closed.
+	// not nil, the calls on them reach the next process: those before its start when
+	// released is closed, later ones immediately.
 	ended    chan struct{}
 	isSilent bool
 	released <-chan struct{}
@@ -98,10 +99,10 @@
 			return
 		}
 	}
-	arrived, isHeld := time.Now(), p.hasEnded() && p.released != nil
-	if isHeld {
+	if p.isHolding() {
 		select {
 		case <-p.released:
+			o.isFromEarlier = true
 		case <-p.worker.stopped:
 			return
 		}
@@ -109,13 +110,20 @@
 	p.worker.mu.Lock()
 	defer p.worker.mu.Unlock()
 	target := p
-	if isHeld {
+	if p.released != nil {
 		target = p.worker.process
-		o.isFromEarlier = arrived.Before(target.startedAt)
 	}
 	target.execute(ctx, o)
 }
 
+// isHolding reports whether calls to the process are held: it has ended, and the next
+// one doesn't listen yet.
+func (p *process) isHolding() bool {
+	p.worker.mu.Lock()
+	defer p.worker.mu.Unlock()
+	return p.released != nil && p.worker.process == p
+}
+
 // executeLater executes a call after the delay. It may then reach the process that has
 // replaced this one.
 func (p *process) executeLater(ctx *fasthttp.RequestCtx, o order, delay time.Duration) {
--- a/standins/platformer/worker.go
+++ b/standins/platformer/worker.go
@@ -76,9 +76,9 @@
 	// response, also those that are opened before the next process starts, as after
 	// a loss of power. Otherwise they are closed, and new ones refused.
 	IsSilent bool
-	// Released, if not nil, says that calls to the ended process, also those sent before
-	// the next process starts, are held up and reach the next process when the channel
-	// is closed. Their connections stay open meanwhile, as with IsSilent.
+	// Released, if not nil, says that calls which are made while no process listens are
+	// held, and reach the next process when the channel is closed. Connections to the
+	// ended process stay open; later calls on them reach the next process immediately.
 	Released <-chan struct{}
 	// LateWriteDelay is how long after its end the last heartbeat of the process
 	// takes effect; 0 for no such heartbeat.
