Cut off restarted workers in the soak while calls to their former processes arrive

In rounds, about half of the workers start again under their ids, calls made meanwhile are held for 1 to 6 s, and these workers are cut off for 4 to 7 s, 1 to 3 s after the restart. A quarter of the owners end between the two.

--- /dev/null
+++ b/standins/soaker/held.go
@@ -0,0 +1,51 @@
+package soaker
+
+import (
+	"syscall"
+	"time"
+
+	"tarragonhead.example/tarragonhead/standins/platformer"
+)
+
+// minHold and maxHold bound how long calls to an ended process are held, and
+// minHeldCut and maxHeldCut how long its worker is then cut off. A cut outlasts the
+// longest lease.
+const (
+	minHold    = time.Second
+	maxHold    = 6 * time.Second
+	minHeldCut = 4 * time.Second
+	maxHeldCut = 7 * time.Second
+)
+
+// injectHeldCalls restarts workers under their ids, in rounds, while calls to them are
+// held, and cuts them off soon after. Some owners end between the two.
+func (j *injector) injectHeldCalls() {
+	for time.Since(j.startedAt) < j.options.Duration {
+		// Clients submit long-running jobs.
+		time.Sleep(j.randomDuration(2*time.Second, 3*time.Second))
+		var restarted []*platformer.Worker
+		for _, w := range j.platform.Workers {
+			if j.rng.IntN(2) == 0 {
+				restarted = append(restarted, w)
+				j.restartHeld(w)
+			}
+		}
+		time.Sleep(j.randomDuration(time.Second, 3*time.Second))
+		if owner := j.owner(); owner != nil && j.rng.IntN(4) == 0 {
+			j.restartAfter(owner, syscall.SIGKILL, j.randomDuration(0, 2*time.Second), nil)
+		}
+		for _, w := range restarted {
+			j.cutOff(w, j.randomDuration(minHeldCut, maxHeldCut))
+		}
+		time.Sleep(maxHeldCut)
+	}
+}
+
+// restartHeld restarts a worker under its id and holds the calls to the ended process.
+func (j *injector) restartHeld(w *platformer.Worker) {
+	released, length := make(chan struct{}), j.randomDuration(minHold, maxHold)
+	r := platformer.Restart{Downtime: j.randomDuration(50*time.Millisecond, 600*time.Millisecond), KeepsID: true, Released: released}
+	j.recordFault("calls to the present process of %s are held for %s", w.Name(), length)
+	j.runRestarts(w, []workerRestart{{Restart: r}})
+	j.endLater(length, func() { close(released) })
+}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -58,6 +58,9 @@
 	// Cuts says that the only faults are those in which owners end while workers are cut
 	// off.
 	Cuts bool
+	// HeldCalls says that the only faults are those in which calls to the former process
+	// of a worker reach the next one, which is cut off.
+	HeldCalls bool
 }
 
 // Report is the result of a soak.
@@ -183,6 +186,8 @@
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 8))}).injectUnstoredEnds)
 	case o.Cuts:
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 9))}).injectCuts)
+	case o.HeldCalls:
+		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 100))}).injectHeldCalls)
 	default:
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 1))}).injectInstanceFaults)
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 3))}).injectWorkerFaults)
--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -39,6 +39,10 @@
 // cutSeeds holds the seeds of the short run in which owners end while workers are cut off.
 var cutSeeds = map[string]uint64{"short run": 1, "short run again": 2}
 
+// heldSeeds holds the seeds of the short run in which calls to the former processes of
+// workers take effect on the next ones.
+var heldSeeds = map[string]uint64{"short run": 41001, "short run again": 41002}
+
 // buildDaemon builds tarragond and returns its path.
 func buildDaemon(c *quicktest.C, dir string) string {
 	binary := filepath.Join(dir, "tarragond")
@@ -126,3 +130,24 @@
 		})
 	}
 }
+
+// TestCallsToFormerProcessRunNoTaskTwice guards against tasks that run twice after calls to the former
+// processes of workers took effect on the next ones, which are cut off (issue 41).
+func TestCallsToFormerProcessRunNoTaskTwice(t *testing.T) {
+	c := quicktest.New(t)
+	dir := t.TempDir()
+	binary := buildDaemon(c, dir)
+	for name, seed := range heldSeeds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			sub := filepath.Join(dir, fmt.Sprint(seed))
+			c.Assert(os.Mkdir(sub, 0o700), quicktest.IsNil)
+			r, err := soaker.Run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 6, Clients: 3, Duration: time.Second, HeldCalls: true})
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
+			c.Assert(r.Accepted > 0, quicktest.IsTrue)
+			c.Assert(r.Restarts > 0, quicktest.IsTrue)
+		})
+	}
+}
