--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -358,13 +358,15 @@
 	}
 }
 
-// startStep starts as many waiting tasks of a step as there is room for.
+// startStep starts as many waiting tasks of a step as there is room for. The
+// waits of those for which there is none begin at the same time.
 func (p *Planner) startStep(now time.Time, s *step) {
 	candidates := p.candidates(now, s)
 	if s.LongRunning {
 		p.updateHeadroom(now, candidates)
 	}
 	waiting := slices.Clone(s.waiting)
+	isFull := false
 	for _, t := range waiting {
 		if t.done || len(t.runs) > 0 {
 			s.waiting = slices.DeleteFunc(s.waiting, func(o *task) bool { return o == t })
@@ -382,8 +384,15 @@
 		if s.LongRunning && !p.admitLongRunning(now, t) {
 			continue
 		}
+		if isFull {
+			continue
+		}
+		if t.soughtAt.IsZero() {
+			t.soughtAt = now
+		}
 		if !s.LongRunning && p.isUnplaceable(now, t) {
-			return
+			isFull = true
+			continue
 		}
 		w := p.chooseWorker(now, t, candidates)
 		if w == nil && s.LongRunning {
@@ -395,7 +404,8 @@
 		}
 		if w == nil {
 			p.markUnplaceable(now, t)
-			return
+			isFull = true
+			continue
 		}
 		p.startRun(now, t, w, p.nextAttempt(t))
 	}
@@ -424,21 +434,21 @@
 }
 
 // startRun adds a run of a task to a worker and queues its start command. A
-// best-effort task that starts because it has waited for ignoreHarmAfter gets
-// minPace if its harm exceeds relaxedHarmLimit.
+// best-effort task that has waited for ignoreHarmAfter gets minPace if its harm
+// at the full pace exceeds relaxedHarmLimit.
 func (p *Planner) startRun(now time.Time, t *task, w *Worker, attempt int) {
 	p.startsLeft--
 	t.attempt = attempt
 	r := &run{id: RunID{t.id, attempt}, task: t, worker: w, state: p.chart.Start(), startedAt: now, decidedAt: now, pace: 100, targetPace: 100}
 	if t.step.BestEffort && now.Sub(t.readyAt) > ignoreHarmAfter && !t.readyAt.IsZero() {
-		if harm := p.interference.harm(now, w, t.step, float64(t.step.Need.CPU)/1000); harm > relaxedHarmLimit {
+		if _, ok := p.interference.bestEffortCost(now, w, t.step, 100, relaxedHarmLimit); !ok {
 			r.targetPace, r.pace = minPace, minPace
 		}
 	}
 	w.addRun(r)
 	t.runs = append(t.runs, r)
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
-	harm, _ := p.interferenceCost(now, w, t, p.harmLimitFor(now, t))
+	harm, _ := p.interferenceCost(now, w, t.step, r.pace, p.harmLimitFor(now, t))
 	p.reportRun("start", r, fmt.Sprintf("needs %d, load %.2f, harm %.2f, image %s, waited %s, job waited %s, due in %s", t.step.Need.CPU, w.load(), harm, t.step.Image, now.Sub(t.readyAt), now.Sub(t.step.occurrence.job.arrived), t.step.occurrence.job.due().Sub(now)))
 	p.commands = append(p.commands, Command{
 		Kind: StartRun, Run: r.id, WorkerID: w.ID, Payload: t.step.occurrence.job.Payload, Checkpoint: t.checkpoint,
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -39,7 +39,8 @@
 
 	// minPace is the pace of a task that has no better place: a task that was
 	// slowed more than minPaceDelay ago, as long as no long-running task on its
-	// worker is over its target, or a task that has waited for ignoreHarmAfter.
+	// worker is over its target, or a task that has waited for ignoreHarmAfter and
+	// would do too much harm at its full pace.
 	minPace      = 20
 	minPaceDelay = 4 * time.Second
 
@@ -76,7 +77,8 @@
 	ignoreHarmAfter = 6 * time.Second
 	// busyIgnoreHarmAfter replaces ignoreHarmAfter if the service is busy. A
 	// sequence of tasks that start beside a long-running task over its target
-	// would keep it there.
+	// would keep it there. Where minPace does little harm, a task does not wait
+	// as long.
 	busyIgnoreHarmAfter = 30 * time.Second
 
 	// Supervision of running best-effort tasks.
@@ -187,11 +189,10 @@
 // interferenceCost returns the cost of the harm that a task does to the
 // long-running tasks of a worker or, for a long-running task, of the
 // disturbance that it meets there. It reports false if the harm exceeds limit.
-func (p *Planner) interferenceCost(now time.Time, w *Worker, t *task, limit float64) (float64, bool) {
-	st := t.step
+func (p *Planner) interferenceCost(now time.Time, w *Worker, st *step, pace int, limit float64) (float64, bool) {
 	switch {
 	case st.BestEffort:
-		return p.interference.bestEffortCost(now, w, t, limit)
+		return p.interference.bestEffortCost(now, w, st, pace, limit)
 	case st.LatencyTarget > 0:
 		return p.interference.colocationCost(w, st), true
 	default:
@@ -309,15 +310,17 @@
 }
 
 // harmLimitFor returns the harm that a best-effort task may do. The limit grows
-// with the time that the task has waited, except that a late job has a low
-// limit at first if its service is busy.
+// with the time that a place has been sought for the task, so that the tasks of a
+// step do it one after the other, except that a late job has a low limit at first if
+// its service is busy. It ends with the whole wait of the task.
 func (p *Planner) harmLimitFor(now time.Time, t *task) float64 {
-	switch waited := now.Sub(t.readyAt); {
-	case waited < lateWaitLimit && p.rank(now, t.step) != rankInTime && p.isBusy(t.step.occurrence.job.Queue.Service):
-		return lateHarmLimit
-	case waited > busyIgnoreHarmAfter, waited > ignoreHarmAfter && !p.isBusy(t.step.occurrence.job.Queue.Service):
+	isBusy := p.isBusy(t.step.occurrence.job.Queue.Service)
+	switch waited, sought := now.Sub(t.readyAt), now.Sub(t.soughtAt); {
+	case waited > busyIgnoreHarmAfter, waited > ignoreHarmAfter && !isBusy:
 		return math.Inf(1)
-	case waited > relaxHarmAfter:
+	case sought < lateWaitLimit && p.rank(now, t.step) != rankInTime && isBusy:
+		return lateHarmLimit
+	case sought > relaxHarmAfter:
 		return relaxedHarmLimit
 	default:
 		return harmLimit
@@ -325,16 +328,16 @@
 }
 
 // bestEffortCost returns the cost of the harm of one more best-effort task on a
-// worker, and whether the harm is within limit.
-func (s *tailModels) bestEffortCost(now time.Time, w *Worker, t *task, limit float64) (float64, bool) {
-	cores := float64(t.step.Need.CPU) / 1000
-	harm := s.harm(now, w, t.step, cores)
+// worker at the given pace, and whether the harm is within limit.
+func (s *tailModels) bestEffortCost(now time.Time, w *Worker, st *step, pace int, limit float64) (float64, bool) {
+	cores := float64(st.Need.CPU) / 1000 * float64(pace) / 100
+	harm := s.harm(now, w, st, cores)
 	// While a long-running task is over its target, its model underestimates
 	// what the tasks beside it do, so a further task counts as one more
 	// violation.
 	for _, v := range s.victimsOf(now, w) {
 		over := v.run.overTargetSince
-		if !over.IsZero() && (now.Sub(over) > settleTime || v.rise(t.step, cores) > minRise) {
+		if !over.IsZero() && (now.Sub(over) > settleTime || v.rise(st, cores) > minRise) {
 			harm++
 		}
 	}
@@ -471,7 +474,7 @@
 		// which the move discards. The harm limit at the new place is that of a
 		// task that has not waited.
 		if len(r.task.runs) == 1 && (r.task.step.Checkpoints || r.percent < 50) {
-			r.task.readyAt = now
+			r.task.readyAt, r.task.soughtAt = now, now
 			if w := p.chooseWorker(now, r.task, p.candidates(now, r.task.step)); w != nil {
 				p.stop(now, r, fmt.Sprintf("at a pace of %d%% for %s, has a place on %s", r.targetPace, sincePaced, w.ID))
 				return
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -142,8 +142,9 @@
 	avoidedWorkers []string
 	// retryAt is the earliest time at which the task may start after a failure.
 	retryAt time.Time
-	// readyAt is when the task was first seen waiting in an open step.
-	readyAt time.Time
+	// readyAt is when the task was first seen waiting in an open step. soughtAt is
+	// when a place was first sought for it, after those before it in its step.
+	readyAt, soughtAt time.Time
 	// isElsewhere is set while another shard has the task. departure names the
 	// shard that received the task last, and handovers counts its handovers.
 	isElsewhere bool
@@ -179,9 +180,9 @@
 	// isListed is set once the worker's process has listed the run. The start of
 	// any other run may still be under way.
 	isListed bool
-	// isAnswered is set once the start was answered, so that it can't be carried out
-	// any more.
-	isAnswered bool
+	// answeredAt is when the start was answered, so that it can't be carried out any
+	// more; zero before.
+	answeredAt time.Time
 	// suspicion is that of the task, as the worker counts it.
 	suspicion suspicion
 	// wasSentToEnded is set when the start was sent to an ended process that had the
@@ -226,6 +227,8 @@
 	usedCPU int64
 }
 
+func (r *run) isAnswered() bool { return !r.answeredAt.IsZero() }
+
 // Worker is a machine that runs tasks.
 type Worker struct {
 	// ID identifies one incarnation of the worker's process, together with Born
