--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -305,7 +305,7 @@
 		case errors.As(err, &restarted):
 			// The clock of the process is not known, nor what lease it has granted. The
 			// next poll tells.
-			s.clockReceivedAt, s.nextPollAt = time.Time{}, time.Time{}
+			s.clockReceivedAt, s.nextPollAt, s.isPolling = time.Time{}, time.Time{}, false
 			c.planner.Leased(o.WorkerID, now.Add(longestLease(c.options.Limits.MaxLease)))
 			c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Misplaced, err.Error())
 		case isRefused:
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -121,6 +121,9 @@
 	if isFenced {
 		p.proveAlive(w, result.Sent)
 	}
+	if !result.Sent.Before(w.replacedAt) {
+		w.replacedAt = time.Time{}
+	}
 	p.Answered(now, workerID)
 	w.hasUnknownRuns = false
 	w.delivered = max(w.delivered, result.Acknowledged)
@@ -478,7 +481,7 @@
 	case Unclear:
 		p.stop(now, r, "start without an answer")
 	case Misplaced:
-		r.wasSentToEnded = true
+		r.wasSentToEnded, w.replacedAt = true, now
 		p.stop(now, r, "start answered by a later process")
 	}
 }
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -269,6 +269,9 @@
 	// unusedUntil is until when calls that were meant for an earlier process may reach
 	// this one, if no higher fence was left for it. It isn't polled before.
 	unusedUntil time.Time
+	// replacedAt is when the answer to a start showed that a later process has the id;
+	// zero once a poll sent since then has told which. No task starts on the worker before.
+	replacedAt time.Time
 	// relisted is the process that the list shows under the same id with another
 	// start time, until a poll tells which of them is alive.
 	relisted *Worker
