--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -23,8 +23,8 @@
 	"short run again": 3,
 	// An owner lost its shard during a commit, acquired the shard again and
 	// committed nothing any more (TestOwnerReacquiresDuringCommit).
-	"owner reacquires during commit":       30,
-	"owner reacquires during commit, late": 47,
+	"owner reacquires during commit":      30,
+	"owner reacquires during commit late": 47,
 }
 
 // configSeeds holds the seeds of the short run of changes of the configuration. With
