Announce no room that the shard's own waiting tasks need

Each of the eleven other shards reckons with the whole announcement, and 500 tasks were handed over to shard 7 from 28.5 to 30 s. At 29.4 s its own tasks started, with 1121 cores missing, and it handed 460 tasks on, those of one job each 100 ms, until 46 s.

Change: the announced room leaves out the waiting long-running tasks that fit on a worker and are admitted despite the headroom. If they need more than is free, no worker counts as having room for urgent tasks either. Tasks that fit on no worker don't count, so that smaller ones still find the room.

--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -53,11 +53,13 @@
 // Room is the free capacity of a shard on the workers that may get tasks.
 type Room struct {
 	// Free is the CPU that is not reserved by runs, and Spare is the part of
-	// Free that is not headroom for short work, both in millicores.
+	// Free that is neither headroom for short work nor needed by long-running tasks
+	// that wait in the shard, both in millicores.
 	Free  int64 `cbor:"free"`
 	Spare int64 `cbor:"spare"`
 	// Largest is the most that a long-running task can get on one worker once
-	// the short tasks there have ended.
+	// the short tasks there have ended. It is zero if the waiting tasks of the
+	// shard need more than Free.
 	Largest Resources `cbor:"largest"`
 	// Workers is the number of workers that may get tasks.
 	Workers int `cbor:"workers"`
@@ -78,10 +80,37 @@
 	}
 	p.updateHeadroom(now, usable)
 	r.Workers = len(usable)
-	r.Spare = r.Free - int64(max(0, p.headroom.required()))
+	claimed := p.claimedCPU(r.Largest)
+	r.Spare = r.Free - int64(max(0, p.headroom.required())) - claimed
+	if claimed > r.Free {
+		r.Largest = Resources{}
+	}
 	return r
 }
 
+// claimedCPU returns the CPU need, in millicores, of the waiting long-running tasks that
+// fit into largest and are admitted despite the headroom. A new owner that holds
+// them back until all workers have answered would otherwise announce their room,
+// and get tasks from all other shards that it has to hand over one after the other.
+func (p *Planner) claimedCPU(largest Resources) int64 {
+	var sum int64
+	for _, j := range p.activeJobs {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if !s.LongRunning || !s.isOpen || !largest.Fits(s.reserved()) {
+					continue
+				}
+				for _, t := range s.waiting {
+					if !t.done && len(t.runs) == 0 && t.mayHaveRun() {
+						sum += s.Need.CPU
+					}
+				}
+			}
+		}
+	}
+	return sum
+}
+
 // Unplaced is a group of identical long-running tasks that fit on no worker of
 // the shard.
 type Unplaced struct {
--- a/internal/planner/handover_test.go
+++ b/internal/planner/handover_test.go
@@ -226,6 +226,42 @@
 	d.Assert(d.p.Unplaced(d.now)[0].Count, quicktest.Equals, 2, quicktest.Commentf("the reservation has not led to a start in time"))
 }
 
+// TestRoomOfSuccessor guards against a new owner that announces the room which its own
+// tasks need, while it holds them back because some workers have not answered. All
+// other shards handed their tasks over to it at once.
+func TestRoomOfSuccessor(t *testing.T) {
+	d := newDriver(t, 2, worker("a", 40), worker("b", 40))
+	for _, w := range d.workers {
+		d.p.AddUnverifiedWorker(w)
+	}
+	d.add(longRunningJob("1", 4, 9))
+	d.p.SetWorkers(d.now, d.workers)
+	d.p.SetRecorded(d.p.Recorded(d.now))
+	d.poll("a")
+	d.Assert(d.startTasks(), quicktest.HasLen, 0, quicktest.Commentf("the tasks may run on the other worker"))
+	r := d.p.Room(d.now)
+	d.Assert(r.Free, quicktest.Equals, int64(40_000))
+	d.Assert(r.Spare <= 4000, quicktest.IsTrue, quicktest.Commentf("%d", r.Spare))
+	d.Assert(r.Largest.CPU, quicktest.Equals, int64(40_000))
+
+	d.add(longRunningJob("2", 1, 9))
+	d.Assert(d.p.Room(d.now).Largest.CPU, quicktest.Equals, int64(0), quicktest.Commentf("the tasks of the shard need all of it"))
+	d.poll("b")
+	d.Assert(d.startTasks(), quicktest.HasLen, 5)
+	r = d.p.Room(d.now)
+	d.Assert(r.Spare > 0 && r.Largest.CPU > 0, quicktest.IsTrue, quicktest.Commentf("%+v", r))
+}
+
+// TestRoomBesideWiderTasks guards against room that is not announced because tasks
+// wait which fit on no worker.
+func TestRoomBesideWiderTasks(t *testing.T) {
+	d := newFullDriver(t, 3)
+	d.workers = append(d.workers, worker("b", 6))
+	d.registerWorkers()
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	d.Assert(d.p.Room(d.now).Largest.CPU, quicktest.Equals, int64(6000))
+}
+
 // TestLateRunOfHandedOverTask guards against a run that a delayed start command
 // creates in a shard which has handed over the task.
 func TestLateRunOfHandedOverTask(t *testing.T) {
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -100,13 +100,18 @@
 	return demand
 }
 
+// mayHaveRun reports whether the task may have run under this or an earlier owner, or
+// in another shard.
+func (t *task) mayHaveRun() bool {
+	return t.attempt > 0 || t.attemptFloor > 0 || t.step.occurrence.job.mayPredateOwner
+}
+
 // admitLongRunning reports whether a long-running task may start without using
 // up the headroom, and deducts its CPU need from the free CPU if so. A task
 // that has waited headroomWait and may have run before is always admitted.
 func (p *Planner) admitLongRunning(now time.Time, t *task) bool {
 	h := &p.headroom
-	mayHaveRun := t.attempt > 0 || t.attemptFloor > 0 || t.step.occurrence.job.mayPredateOwner
-	if mayHaveRun && now.Sub(t.readyAt) > headroomWait {
+	if t.mayHaveRun() && now.Sub(t.readyAt) > headroomWait {
 		return true
 	}
 	if float64(h.free-t.step.Need.CPU) < h.required() {
