Name the offset of a worker's fence, and what a start on a later process is

From the review, read as a newcomer would: Fence stood for an offset in the planner and for the number in a call in the conductor; a start that a later process has carried out was counted as unanswered in the metrics; some comments still said that any answer proves a process. No change of logic.

--- a/internal/conductor/answered_start_test.go
+++ b/internal/conductor/answered_start_test.go
@@ -91,4 +91,4 @@
 }
 
 // lateCallLimit is how long after it was sent a call may still be carried out.
-const lateCallLimit = 15 * time.Second
+const lateCallLimit = planner.LateCallLimit
--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -263,7 +263,7 @@
 func (c *Conductor) callWorker(ctx context.Context, w planner.Worker, o planner.Command, deadline time.Duration, fence int64, clock ClockRange) error {
 	switch o.Kind {
 	case planner.StartRun:
-		return c.options.Workers.Start(ctx, w, StartOrder{o.Run, o.Payload, o.Checkpoint, deadline, fence, clock})
+		return c.options.Workers.Start(ctx, w, StartOrder{Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint, Deadline: deadline, Fence: fence, Clock: clock})
 	case planner.StopRun:
 		return c.options.Workers.Stop(ctx, w, StopOrder{o.Run, fence})
 	default:
@@ -272,7 +272,7 @@
 }
 
 // fence returns the fence of the calls to a worker.
-func (c *Conductor) fence(w planner.Worker) int64 { return lowestFence(c.epoch) + w.Fence }
+func (c *Conductor) fence(w planner.Worker) int64 { return lowestFence(c.epoch) + w.FenceOffset }
 
 // applyOrderResult applies the answer to an order.
 func (c *Conductor) applyOrderResult(o planner.Command, s *session, took time.Duration, err error) {
@@ -284,11 +284,14 @@
 	}
 	kind := orderKinds[o.Kind]
 	var refused *RefusedError
+	var restarted *RestartedError
 	outcome := "done"
 	isRefused := errors.As(err, &refused)
 	switch {
 	case isRefused:
 		outcome = "refused"
+	case errors.As(err, &restarted):
+		outcome = "misplaced"
 	case err != nil:
 		outcome = "unanswered"
 	}
@@ -300,7 +303,6 @@
 	}
 	switch o.Kind {
 	case planner.StartRun:
-		var restarted *RestartedError
 		switch {
 		case errors.As(err, &restarted):
 			// The clock of the process is not known, nor what lease it has granted. The
@@ -379,7 +381,7 @@
 	}
 	c.planner.Leased(w.ID, expiry)
 	o := PollOrder{Fence: c.fence(w), Acknowledge: contact.Acknowledge, Deadline: deadline, Wait: pollWait}
-	if s.clockReceivedAt.IsZero() || contact.IsContested || contact.IsFailing || contact.MayHoldOtherLease {
+	if s.clockReceivedAt.IsZero() || contact.IsContested || contact.IsFailing || contact.MayHoldUnknownLease {
 		// The first poll returns the worker's clock, which leases need. That of
 		// a contested worker, or of one that didn't answer, tells which process
 		// has its address. No task starts on a new process before its answer.
@@ -394,8 +396,8 @@
 				return
 			}
 			s.isPolling = false
-			answer.Fence = w.Fence
-			if err == nil && contact.MayHoldOtherLease {
+			answer.FenceOffset = w.FenceOffset
+			if err == nil && contact.MayHoldUnknownLease {
 				c.planner.Leased(w.ID, answer.Received.Add(longestLease(c.options.Limits.MaxLease)))
 			}
 			c.applyPollResult(w, s, answer, err)
--- a/internal/conductor/orders.go
+++ b/internal/conductor/orders.go
@@ -8,8 +8,8 @@
 	"tarragonhead.example/tarragonhead/internal/planner"
 )
 
-// These are the orders to workers. Fence is their fencing token. Deadline is when the run's lease ends on the worker's clock; zero leaves the lease
-// unchanged.
+// These are the orders to workers. Fence is their fencing token. Deadline is when the
+// run's lease ends on the worker's clock; zero leaves the lease unchanged.
 type (
 	// StartOrder starts a run.
 	StartOrder struct {
--- a/internal/planner/answered_lease_test.go
+++ b/internal/planner/answered_lease_test.go
@@ -16,7 +16,7 @@
 	const longest, answer = 10 * time.Second, 1900 * time.Millisecond
 	d := newDriver(t, 1, worker("a", 1), worker("b", 1))
 	p, err := planner.New(planner.Options{
-		Epoch: 1, MaxFence: 15, Horizon: 7 * time.Second, ViolationLimit: 4 * time.Second, Retention: time.Minute,
+		Epoch: 1, MaxFenceOffset: 15, Horizon: 7 * time.Second, ViolationLimit: 4 * time.Second, Retention: time.Minute,
 		PredecessorLeaseEnd: origin, LongestLease: longest, WallTime: func(t time.Time) time.Time { return t },
 	})
 	d.Assert(err, quicktest.IsNil)
--- a/internal/planner/fence.go
+++ b/internal/planner/fence.go
@@ -16,7 +16,7 @@
 type fence struct {
 	// born is the start time of the last process that was known under the id.
 	born   int64
-	number int64
+	offset int64
 	// forgottenAt is when the process was found to be forgotten; zero before.
 	forgottenAt time.Time
 }
@@ -27,13 +27,13 @@
 	f, isUsed := p.fences[w.ID]
 	switch {
 	case !isUsed || !IsOtherProcess(f.born, w.Born):
-	case f.number < p.options.MaxFence:
-		f.number++
+	case f.offset < p.options.MaxFenceOffset:
+		f.offset++
 	default:
 		w.unusedUntil = now.Add(LateCallLimit)
 	}
-	w.Fence = f.number
-	p.fences[w.ID] = fence{born: w.Born, number: f.number}
+	w.FenceOffset = f.offset
+	p.fences[w.ID] = fence{born: w.Born, offset: f.offset}
 }
 
 // pruneFences forgets the fences of the workers to which no call can be under way any
@@ -46,6 +46,6 @@
 		}
 	}
 	maps.DeleteFunc(p.fences, func(_ string, f fence) bool {
-		return f.number == 0 && !f.forgottenAt.IsZero() && now.Sub(f.forgottenAt) > LateCallLimit
+		return f.offset == 0 && !f.forgottenAt.IsZero() && now.Sub(f.forgottenAt) > LateCallLimit
 	})
 }
--- a/internal/planner/fence_test.go
+++ b/internal/planner/fence_test.go
@@ -55,10 +55,10 @@
 	d.add(job("1", step(1, 1)))
 	d.Assert(d.startTasks(), quicktest.HasLen, 0)
 	contact := d.p.Contacts(d.now)[0]
-	d.Assert(contact.NeedsPoll && contact.MayHoldOtherLease, quicktest.IsTrue)
+	d.Assert(contact.NeedsPoll && contact.MayHoldUnknownLease, quicktest.IsTrue)
 	d.answer(w, d.now, 2)
 	d.Assert(d.startTasks(), quicktest.HasLen, 1)
-	d.Assert(d.p.Contacts(d.now)[0].MayHoldOtherLease, quicktest.IsFalse)
+	d.Assert(d.p.Contacts(d.now)[0].MayHoldUnknownLease, quicktest.IsFalse)
 }
 
 // TestRejectedStartDelaysNoTask guards against a task that waits until its start can't
@@ -75,7 +75,7 @@
 			d.advance(time.Millisecond)
 			d.answer(w, d.now, 2)
 			d.advance(time.Millisecond)
-			result := planner.PollResult{Sent: d.now, Fence: 1, ProcessStart: 2}
+			result := planner.PollResult{Sent: d.now, FenceOffset: 1, ProcessStart: 2}
 			if isListed {
 				result.Running = []planner.RunStatus{{Run: start.Run}}
 			}
--- a/internal/planner/late_lease_test.go
+++ b/internal/planner/late_lease_test.go
@@ -85,7 +85,7 @@
 			d.p.Leased(w.ID, d.now.Add(lease))
 			d.answer(w, d.now, 2)
 			if tt.isListed {
-				d.p.PollAnswered(d.now, w.ID, planner.PollResult{Sent: d.now, Fence: d.fence(w.ID), ProcessStart: 2, Running: []planner.RunStatus{{Run: start.Run}}})
+				d.p.PollAnswered(d.now, w.ID, planner.PollResult{Sent: d.now, FenceOffset: d.fence(w.ID), ProcessStart: 2, Running: []planner.RunStatus{{Run: start.Run}}})
 			}
 			if tt.isConfirmed {
 				d.p.StopAnswered(d.now, start.Run, w.ID)
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -60,8 +60,8 @@
 	// ProcessStart is when the process that answered was started, or zero if it
 	// does not tell.
 	ProcessStart int64
-	// Fence is that of the contact for which the poll was sent.
-	Fence int64
+	// FenceOffset is that of the contact for which the poll was sent.
+	FenceOffset int64
 	// Acknowledged is the number of the last end that the poll acknowledged.
 	Acknowledged uint64
 	Running      []RunStatus
@@ -116,7 +116,7 @@
 	} else {
 		p.retractCrash(w)
 	}
-	isFenced := result.Fence >= w.Fence && !result.Sent.Before(w.unusedUntil)
+	isFenced := result.FenceOffset >= w.FenceOffset && !result.Sent.Before(w.unusedUntil)
 	isFirst := isFenced && !w.isProved()
 	if isFenced {
 		p.proveAlive(w, result.Sent)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -57,8 +57,8 @@
 	// Epoch is the number of this ownership; each new owner of the shard has a
 	// higher one.
 	Epoch int64
-	// MaxFence is the highest Fence of a worker.
-	MaxFence int64
+	// MaxFenceOffset is the highest FenceOffset of a worker.
+	MaxFenceOffset int64
 	// Horizon is how long this owner continues to start tasks without proof
 	// that it still owns the shard.
 	Horizon time.Duration
@@ -428,12 +428,13 @@
 	// IsContested is set while another process may have the worker's address. A
 	// poll that is answered immediately tells sooner.
 	IsContested bool
-	// MayHoldOtherLease is set until the process rejects the calls that were meant for
+	// MayHoldUnknownLease is set until the process rejects the calls that were meant for
 	// an earlier one of its id. Each may have granted it the longest lease.
-	MayHoldOtherLease bool
+	MayHoldUnknownLease bool
 	// NeedsPoll is set when the worker has runs, also of unknown jobs, has ends
 	// to acknowledge, is contested, has not answered this owner yet, is listed
-	// and did not answer the last call, or has withdrawn starts.
+	// and did not answer the last call, or has withdrawn starts, unless calls that
+	// were meant for an earlier process may still reach it with the same fence.
 	NeedsPoll bool
 }
 
@@ -451,7 +452,7 @@
 		needsPoll = needsPoll || w.isContested || isSilent || len(w.withdrawnStarts) > 0
 		contact := Contact{
 			Worker: *w, IsFailing: !w.failedSince.IsZero(), IsContested: w.isContested, NeedsPoll: needsPoll && !now.Before(w.unusedUntil),
-			MayHoldOtherLease: !w.isProved(),
+			MayHoldUnknownLease: !w.isProved(),
 		}
 		if w.acknowledged > w.delivered {
 			contact.Committed = w.acknowledged
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -39,7 +39,7 @@
 	p, err := planner.New(planner.Options{
 		OnDecision: func(d planner.Decision) { decisionCounts[d.Event]++ },
 		HasRoom:    func(planner.Resources) bool { return *hasRoom },
-		Epoch:      epoch, MaxFence: 15, Horizon: 7 * time.Second, ViolationLimit: 4 * time.Second, Retention: time.Minute,
+		Epoch:      epoch, MaxFenceOffset: 15, Horizon: 7 * time.Second, ViolationLimit: 4 * time.Second, Retention: time.Minute,
 		PredecessorLeaseEnd: origin.Add(13 * time.Second), WallTime: func(t time.Time) time.Time { return t },
 	})
 	c.Assert(err, quicktest.IsNil)
@@ -57,13 +57,13 @@
 }
 
 func (d *driver) poll(id string) {
-	d.p.PollAnswered(d.now, id, planner.PollResult{Sent: d.now, Fence: d.fence(id), Running: d.running[id], Ended: d.ends[id]})
+	d.p.PollAnswered(d.now, id, planner.PollResult{Sent: d.now, FenceOffset: d.fence(id), Running: d.running[id], Ended: d.ends[id]})
 }
 
 // fence returns the fence of the calls to a worker.
 func (d *driver) fence(id string) int64 {
 	w, _ := d.p.Worker(id)
-	return w.Fence
+	return w.FenceOffset
 }
 
 func (d *driver) advance(t time.Duration) { d.now = d.now.Add(t) }
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -91,7 +91,7 @@
 	w := r.worker
 	isStopped := r.state == "settling"
 	mayArrive := !r.isListed && (w.relisted != nil || r.wasSentToEnded && !r.isAnswered() && !isStopped)
-	mayBeRenewed := w.Fence > 0 && !w.isProved() && !isStopped
+	mayBeRenewed := w.FenceOffset > 0 && !w.isProved() && !isStopped
 	switch {
 	case mayArrive || mayBeRenewed:
 		return w.leaseEnd.Add(LateCallLimit)
--- a/internal/planner/process_test.go
+++ b/internal/planner/process_test.go
@@ -48,7 +48,7 @@
 // answer answers a poll, sent at a given time, as the process started at born,
 // which has no runs unless it is the worker's own.
 func (d *driver) answer(w planner.Worker, sent time.Time, born int64) {
-	result := planner.PollResult{Sent: sent, Fence: d.fence(w.ID), ProcessStart: born}
+	result := planner.PollResult{Sent: sent, FenceOffset: d.fence(w.ID), ProcessStart: born}
 	if born == w.Born {
 		result.Running = d.running[w.ID]
 	}
@@ -117,7 +117,7 @@
 // answerInPart answers a poll of a worker as the process started at born, which
 // lists no runs and has more ends to list.
 func (d *driver) answerInPart(w planner.Worker, born int64) {
-	d.p.PollAnswered(d.now, w.ID, planner.PollResult{Sent: d.now, Fence: d.fence(w.ID), ProcessStart: born, IsPartial: true})
+	d.p.PollAnswered(d.now, w.ID, planner.PollResult{Sent: d.now, FenceOffset: d.fence(w.ID), ProcessStart: born, IsPartial: true})
 }
 
 func (d *driver) list(workers ...planner.Worker) { d.p.SetWorkers(d.now, workers) }
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -251,17 +251,18 @@
 	Draining  bool          `cbor:"-"`
 	Remaining time.Duration `cbor:"-"`
 
-	// Fence is added to the fence of the ownership in calls to the worker. It is higher
-	// for each process that is found under a used id, so that the process rejects the
+	// FenceOffset is added to the lowest fence of the owner in calls to the worker. It is
+	// higher for each process that is found under a used id, so that the process rejects the
 	// calls that were meant for an earlier one.
-	Fence int64 `cbor:"-"`
+	FenceOffset int64 `cbor:"-"`
 
 	// isListed is set while discovery lists the worker, and missingSince is
 	// when it was first missing.
 	isListed     bool
 	missingSince time.Time
 	// process is the state of the worker's process. A proved process has answered
-	// a poll of this owner, so it also rejects the calls of earlier owners.
+	// a poll of this owner with its own fence, so it also rejects the calls of earlier
+	// owners and those that were meant for an earlier process of its id.
 	process interpreter.State
 	// knownSince is when the process became known; zero if an earlier owner knew
 	// it.
@@ -357,7 +358,7 @@
 }
 
 // isProved reports whether the worker's process has answered a poll of this
-// owner.
+// owner with its own fence.
 func (w *Worker) isProved() bool { return w.process == "proved" }
 
 // describe returns what identifies the worker's process, for the log.
--- a/internal/planner/unproved_lease_test.go
+++ b/internal/planner/unproved_lease_test.go
@@ -14,7 +14,7 @@
 // answering: calls that were meant for the ended process may still renew the lease there,
 // since no call has told the process to reject them.
 func TestLeaseOnProcessFoundOnce(t *testing.T) {
-	const lease, lateCallLimit = 3 * time.Second, 15 * time.Second
+	const lease, lateCallLimit = 3 * time.Second, planner.LateCallLimit
 	for name, tt := range map[string]struct {
 		outcome planner.StartOutcome
 		after   time.Duration
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -59,7 +59,7 @@
 	p.isRecordStale = p.isRecordStale || w.isRecorded
 	delete(p.workers, w.ID)
 	p.forgotten[w.ID] = w
-	p.fences[w.ID] = fence{born: w.Born, number: w.Fence}
+	p.fences[w.ID] = fence{born: w.Born, offset: w.FenceOffset}
 	p.forgetUnknownRuns(w, nil)
 	p.sortedWorkers = slices.DeleteFunc(p.sortedWorkers, func(o *Worker) bool { return o == w })
 	p.updateContested(w)
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -43,7 +43,7 @@
 const fencesPerEpoch = 16
 
 // fence returns the fence of the owner's calls to a worker.
-func (o *owner) fence(known planner.Worker) int64 { return o.epoch*fencesPerEpoch + known.Fence }
+func (o *owner) fence(known planner.Worker) int64 { return o.epoch*fencesPerEpoch + known.FenceOffset }
 
 func (o *owner) isCurrent() bool { return o == o.world.currentOwner() }
 
@@ -98,7 +98,7 @@
 // noteFenced handles a call that was rejected because the worker has seen a higher fence.
 // If that is not one of the owner's own, the owner is removed.
 func (o *owner) noteFenced(known planner.Worker) {
-	if w, ok := o.planner.Worker(known.ID); ok && w.Fence == known.Fence {
+	if w, ok := o.planner.Worker(known.ID); ok && w.FenceOffset == known.FenceOffset {
 		o.remove()
 	}
 }
@@ -275,7 +275,7 @@
 			return
 		}
 		m.executePoll(w, o.fence(c.Worker), l, acknowledge)
-		o.answerPoll(m, s, planner.PollResult{Sent: sent, Fence: c.Fence, Acknowledged: acknowledge}, w.now.Add(wait))
+		o.answerPoll(m, s, planner.PollResult{Sent: sent, FenceOffset: c.FenceOffset, Acknowledged: acknowledge}, w.now.Add(wait))
 	})
 }
 
--- a/standins/replayer/replayer.go
+++ b/standins/replayer/replayer.go
@@ -261,7 +261,7 @@
 func (w *World) addOwner() {
 	w.epoch++
 	p, err := planner.New(planner.Options{
-		Epoch: w.epoch, MaxFence: fencesPerEpoch - 1, Horizon: horizon, ViolationLimit: w.pattern.ViolationLimit,
+		Epoch: w.epoch, MaxFenceOffset: fencesPerEpoch - 1, Horizon: horizon, ViolationLimit: w.pattern.ViolationLimit,
 		Retention: time.Hour, WallTime: func(t time.Time) time.Time { return t },
 		PredecessorLeaseEnd: w.now.Add(horizon + time.Duration(slowClock*float64(maxLease))), LongestLease: time.Duration(slowClock * float64(maxLease)),
 		OnDecision: func(d planner.Decision) {
