--- a/internal/conductor/orders.go
+++ b/internal/conductor/orders.go
@@ -62,7 +62,8 @@
 
 // WorkerCalls are the calls to a worker. Each is safe for concurrent use.
 // Errors are RefusedError if the worker did nothing, FencedError,
-// OtherProcessError, RestartedError, DisconnectedError, or any other error if the outcome is unknown.
+// OtherProcessError, RestartedError, DisconnectedError, or any other error if the
+// outcome is unknown.
 type WorkerCalls struct {
 	Start func(ctx context.Context, w planner.Worker, o StartOrder) error
 	Stop  func(ctx context.Context, w planner.Worker, o StopOrder) error
