--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -74,10 +74,13 @@
 	for _, w := range slices.Clone(p.sortedWorkers) {
 		switch {
 		case w.isUnverified && w.unstoredEnds(p.jobsReadAt) == 0 && proven.After(w.leaseEnd):
-			w.isOverdue = true
-			if !p.mayStartLate(proven, w) {
-				p.removeWorker(w, "leases_expired", "no answer before every lease expired")
+			switch {
+			case !p.mayStartLate(proven, w):
+				p.removeWorker(w, "leases_expired", fmt.Sprintf("no answer before every lease expired, %s ago", proven.Sub(w.leaseEnd)))
+			case !w.isOverdue:
+				p.reportWorker("worker_overdue", w, "every lease expired, a start that was meant for it may take effect on the next process")
 			}
+			w.isOverdue = true
 		case !w.isUnverified && w.areLeasesExpired(proven):
 			p.endLapsed(now, proven, w)
 		case w.isGone(now) && !w.isNeeded(p.jobsReadAt) && len(w.withdrawnStarts) == 0:
