Wait for late starts on a process whose entry has expired

What callers see: after a change of owner a task runs twice at once. A worker has started again under its id, its next process takes calls that were meant for the former one, and it is cut off before the new owner has reached it.

Cause: the new owner waited for late starts as long as the list showed the next process. Behind a cut the entry expires after three heartbeats, while the process runs on; the owner then took the worker for lost when the leases of the former owner had expired, and started its tasks again.

Evidence: the case "next process is listed no more" of TestPredecessorStartOnNextProcess failed before. That a process was listed under the id is kept until an answer tells which one is alive, so that it doesn't depend on the entry any more.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -75,7 +75,7 @@
 		switch {
 		case w.isUnverified && w.unstoredEnds(p.jobsReadAt) == 0 && proven.After(w.leaseEnd):
 			switch {
-			case !p.mayStartLate(proven, w):
+			case !w.mayStartLate(proven):
 				p.removeWorker(w, "leases_expired", fmt.Sprintf("no answer before every lease expired, %s ago", proven.Sub(w.leaseEnd)))
 			case !w.isOverdue:
 				p.reportWorker("worker_overdue", w, "every lease expired, a start that was meant for it may take effect on the next process")
--- a/internal/planner/predecessor_lease_test.go
+++ b/internal/planner/predecessor_lease_test.go
@@ -73,14 +73,18 @@
 	w, other := worker("a", 8), worker("b", 8)
 	for name, tt := range map[string]struct {
 		listed []planner.Worker
-		after  time.Duration
+		// expires is set if the entry of the worker expires while the leases last.
+		expires bool
+		after   time.Duration
 		// again is set if the task starts again.
 		again bool
 	}{
-		"next process is listed":                       {[]planner.Worker{successor("a", w), other}, time.Second, false},
-		"next process is listed, no start can arrive":  {[]planner.Worker{successor("a", w), other}, planner.LateCallLimit + time.Second, true},
-		"no process is listed":                         {[]planner.Worker{other}, time.Second, true},
-		"the process is listed that the owner may use": {[]planner.Worker{w, other}, time.Second, true},
+		"next process is listed":                            {[]planner.Worker{successor("a", w), other}, false, time.Second, false},
+		"next process is listed, no start can arrive":       {[]planner.Worker{successor("a", w), other}, false, planner.LateCallLimit + time.Second, true},
+		"next process is listed no more":                    {[]planner.Worker{successor("a", w), other}, true, time.Second, false},
+		"next process is listed no more, no start can come": {[]planner.Worker{successor("a", w), other}, true, planner.LateCallLimit + time.Second, true},
+		"no process is listed":                              {[]planner.Worker{other}, false, time.Second, true},
+		"the process is listed that the owner may use":      {[]planner.Worker{w, other}, false, time.Second, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDriver(t, 2, w, other)
@@ -91,6 +95,10 @@
 			d.list(tt.listed...)
 			d.p.Unanswered(d.now, "a")
 			d.poll("b")
+			if tt.expires {
+				d.advance(4 * time.Second)
+				d.list(other)
+			}
 			d.now = origin.Add(13*time.Second + tt.after)
 			d.poll("b")
 			d.Assert(len(d.startTasks()) > 0, quicktest.Equals, tt.again)
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -104,15 +104,10 @@
 }
 
 // mayStartLate reports whether a start that an earlier owner has sent to the worker may still
-// take effect: the list shows another process with its id, which has not answered yet and
-// accepts the calls that were meant for an ended one.
-func (p *Planner) mayStartLate(proven time.Time, w *Worker) bool {
-	if proven.After(w.leaseEnd.Add(LateCallLimit)) {
-		return false
-	}
-	return slices.ContainsFunc(p.discovered, func(n Worker) bool {
-		return n.ID == w.ID && IsOtherProcess(n.Born, w.Born) && !p.endedProcesses[n.processID()]
-	})
+// take effect: the list has shown another process with its id, which has not answered yet and
+// accepts the calls that were meant for an ended one. It may live on when its entry expires.
+func (w *Worker) mayStartLate(proven time.Time) bool {
+	return w.relisted != nil && !proven.After(w.leaseEnd.Add(LateCallLimit))
 }
 
 // OtherProcessAnswered records that a call for the worker was answered by a
