Tell a successor which processes take calls for an earlier one

What callers see: after a change of owner a task runs twice at once.

Cause: the stored list named the next process like any other. That it had not answered a poll with its own fence, and so accepts late calls, was known to the owner alone.

The stored entry tells it now, and a successor waits for late starts there as it does for a process that it finds itself. TestPredecessorStartOnUnprovedProcess failed before.

--- a/internal/planner/fence.go
+++ b/internal/planner/fence.go
@@ -21,6 +21,23 @@
 	forgottenAt time.Time
 }
 
+// EarlierCalls tells what calls that were meant for an earlier process of a worker's id may
+// do on the present one. A successor can't tell it from the worker's answers if the worker
+// is silent.
+type EarlierCalls struct {
+	// MayArrive is set until the process rejects them.
+	MayArrive bool `cbor:"may_arrive,omitempty"`
+}
+
+// earlierCalls returns what a successor has to know of the worker.
+func (w *Worker) earlierCalls() EarlierCalls { return EarlierCalls{MayArrive: w.acceptsEarlierCalls()} }
+
+// acceptsEarlierCalls reports whether calls that were meant for an earlier process of the
+// worker's id may still take effect.
+func (w *Worker) acceptsEarlierCalls() bool {
+	return (w.FenceOffset > 0 || w.EarlierCalls.MayArrive) && !w.isProved()
+}
+
 // setFence sets the fence of a worker that becomes known. It is higher than that of an
 // earlier process with its id, to which calls may be under way.
 func (p *Planner) setFence(now time.Time, w *Worker) {
--- a/internal/planner/predecessor_lease_test.go
+++ b/internal/planner/predecessor_lease_test.go
@@ -108,3 +108,45 @@
 		})
 	}
 }
+
+// TestPredecessorStartOnUnprovedProcess guards against a second run of a task whose start an
+// earlier owner sent to an ended process: it takes effect on the next one, which that owner
+// has found and stored, but which was cut off before it rejected such starts.
+func TestPredecessorStartOnUnprovedProcess(t *testing.T) {
+	w, other := worker("a", 8), worker("b", 8)
+	for name, tt := range map[string]struct {
+		isProved bool
+		after    time.Duration
+		// again is set if the task starts again.
+		again bool
+	}{
+		"not proved":                       {false, time.Second, false},
+		"not proved, no start can arrive":  {false, planner.LateCallLimit + time.Second, true},
+		"proved, so that it rejects calls": {true, time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := newDriver(t, 1, w, other).registerWorkers()
+			first.p.SetEvacuatedDomains([]string{other.Domain})
+			first.add(job("1", step(1, 1)))
+			first.Assert(first.p.Plan(first.now, first.proven()), quicktest.HasLen, 1)
+			first.advance(time.Millisecond)
+			first.answer(w, first.now, w.Born+1)
+			if tt.isProved {
+				first.advance(time.Millisecond)
+				first.answer(w, first.now, w.Born+1)
+			}
+			d := newDriver(t, 2, other)
+			for _, known := range first.p.Recorded(first.now) {
+				d.p.AddUnverifiedWorker(known)
+			}
+			d.add(job("1", step(1, 1)))
+			d.list(other)
+			d.p.Unanswered(d.now, "a")
+			d.poll("b")
+			d.Assert(d.p.Unverified(), quicktest.DeepEquals, []string{"a"})
+			d.now = origin.Add(13*time.Second + tt.after)
+			d.poll("b")
+			d.Assert(len(d.startTasks()) > 0, quicktest.Equals, tt.again)
+		})
+	}
+}
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -91,7 +91,7 @@
 	w := r.worker
 	isStopped := r.state == "settling"
 	mayArrive := !r.isListed && (w.relisted != nil || r.wasSentToEnded && !r.isAnswered() && !isStopped)
-	mayBeRenewed := w.FenceOffset > 0 && !w.isProved() && !isStopped
+	mayBeRenewed := w.acceptsEarlierCalls() && !isStopped
 	switch {
 	case mayArrive || mayBeRenewed:
 		return w.leaseEnd.Add(LateCallLimit)
@@ -104,10 +104,11 @@
 }
 
 // mayStartLate reports whether a start that an earlier owner has sent to the worker may still
-// take effect: the list has shown another process with its id, which has not answered yet and
-// accepts the calls that were meant for an ended one. It may live on when its entry expires.
+// take effect: the worker, or another process with its id that the list has shown, has not
+// answered yet and accepts the calls that were meant for an ended one. The other process may
+// live on when its entry expires.
 func (w *Worker) mayStartLate(proven time.Time) bool {
-	return w.relisted != nil && !proven.After(w.leaseEnd.Add(LateCallLimit))
+	return (w.relisted != nil || w.acceptsEarlierCalls()) && !proven.After(w.leaseEnd.Add(LateCallLimit))
 }
 
 // OtherProcessAnswered records that a call for the worker was answered by a
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -246,6 +246,9 @@
 	// EntryCreated is the store's revision at which the worker's entry in the
 	// list of workers was created, for the log.
 	EntryCreated uint64 `cbor:"-"`
+	// EarlierCalls is what the stored list tells of calls that were meant for an earlier
+	// process of the id.
+	EarlierCalls EarlierCalls `cbor:"earlier_calls,omitzero"`
 	// Draining is set when the worker is shutting down; Remaining is the least
 	// time for which it continues to run.
 	Draining  bool          `cbor:"-"`
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -176,7 +176,9 @@
 	if p.hasUnknownWorkers {
 		return false
 	}
-	return p.isRecordStale || slices.ContainsFunc(p.sortedWorkers, func(w *Worker) bool { return w.isRecorded != w.mustBeStored(now, p.jobsReadAt) })
+	return p.isRecordStale || slices.ContainsFunc(p.sortedWorkers, func(w *Worker) bool {
+		return w.isRecorded != w.mustBeStored(now, p.jobsReadAt) || w.isRecorded && w.EarlierCalls != w.earlierCalls()
+	})
 }
 
 // Recorded returns the workers to store: those that a successor has to ask, and those
@@ -194,7 +196,7 @@
 			w.isRecorded = false
 			continue
 		}
-		list = append(list, Worker{ID: w.ID, Born: w.Born, Address: w.Address, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity})
+		list = append(list, Worker{ID: w.ID, Born: w.Born, Address: w.Address, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, EarlierCalls: w.earlierCalls()})
 	}
 	slices.SortFunc(list, func(a, b Worker) int { return compareStrings(a.ID, b.ID) })
 	return list
@@ -206,12 +208,15 @@
 		w := p.workers[n.ID]
 		return w == nil || IsOtherProcess(w.Born, n.Born)
 	})
-	stored := map[string]int64{}
+	stored := map[string]Worker{}
 	for _, n := range list {
-		stored[n.ID] = n.Born
+		stored[n.ID] = n
 	}
 	for _, w := range p.sortedWorkers {
-		born, ok := stored[w.ID]
-		w.isRecorded = ok && born == w.Born
+		n, ok := stored[w.ID]
+		w.isRecorded = ok && n.Born == w.Born
+		if w.isRecorded {
+			w.EarlierCalls = n.EarlierCalls
+		}
 	}
 }
