Count the lease of a late call on after a change of owner

What callers see: a task runs twice at once after a change of owner.

The stored entry of the process tells, until the owner's own leases last as long, that it may hold such a lease.

--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -72,10 +72,11 @@
 	}
 	now := c.options.Now()
 	limits := c.options.Limits
+	ownerLease := longestLease(min(leaseHorizon, horizon+limits.MaxLease))
 	p, err := planner.New(planner.Options{
 		Epoch: lowestFence(c.epoch), MaxFenceOffset: fencesPerEpoch - 1, Horizon: horizon, ViolationLimit: limits.ViolationLimit,
 		Retention: limits.StateRetention, WallTime: c.options.WallTime, HasRoom: c.options.HasRoom,
-		PredecessorLeaseEnd: now.Add(longestLease(min(leaseHorizon, horizon+limits.MaxLease))), LongestLease: longestLease(limits.MaxLease),
+		PredecessorLeaseEnd: now.Add(ownerLease), OwnerLease: ownerLease, LongestLease: longestLease(limits.MaxLease),
 		OnDecision: c.logDecision,
 	})
 	if err != nil {
--- a/internal/planner/fence.go
+++ b/internal/planner/fence.go
@@ -27,10 +27,15 @@
 type EarlierCalls struct {
 	// MayArrive is set until the process rejects them.
 	MayArrive bool `cbor:"may_arrive,omitempty"`
+	// MayHoldLease is set while a lease that one of them has granted may outlast those of
+	// the owner.
+	MayHoldLease bool `cbor:"may_hold_lease,omitempty"`
 }
 
 // earlierCalls returns what a successor has to know of the worker.
-func (w *Worker) earlierCalls() EarlierCalls { return EarlierCalls{MayArrive: w.acceptsEarlierCalls()} }
+func (p *Planner) earlierCalls(now time.Time, w *Worker) EarlierCalls {
+	return EarlierCalls{MayArrive: w.acceptsEarlierCalls(), MayHoldLease: w.lateLeaseEnd.After(now.Add(p.options.OwnerLease))}
+}
 
 // acceptsEarlierCalls reports whether calls that were meant for an earlier process of the
 // worker's id may still take effect.
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -118,6 +118,9 @@
 	}
 	isFenced := result.FenceOffset >= w.FenceOffset && !result.Sent.Before(w.unusedUntil)
 	isFirst := isFenced && !w.isProved()
+	if isFirst && w.acceptsEarlierCalls() {
+		w.lateLeaseEnd = now.Add(p.options.LongestLease)
+	}
 	if isFenced {
 		p.proveAlive(w, result.Sent)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -70,6 +70,9 @@
 	// PredecessorLeaseEnd is when the last call and the last lease of the
 	// predecessor have expired on every worker.
 	PredecessorLeaseEnd time.Time
+	// OwnerLease is the longest time from now for which an owner's own leases may last. A
+	// successor counts it from its load.
+	OwnerLease time.Duration
 	// LongestLease is the longest time for which a process keeps a lease from the arrival
 	// of a call that was meant for an earlier process.
 	LongestLease time.Duration
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -330,6 +330,9 @@
 	// leaseEnd is when the last lease that this or, if it may have used the worker, an
 	// earlier owner has granted to the worker has certainly expired.
 	leaseEnd time.Time
+	// lateLeaseEnd is when a lease that a call meant for an earlier process of the id has
+	// granted has certainly expired; zero if no such call was possible.
+	lateLeaseEnd time.Time
 	// polledAt is when the last answer to a poll was applied.
 	polledAt time.Time
 	// listedAt is when the last answer to a poll was received, which may be
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -13,6 +13,10 @@
 // tasks.
 func (p *Planner) AddUnverifiedWorker(w Worker) {
 	w.isRecorded, w.isUnverified, w.leaseEnd = true, true, p.options.PredecessorLeaseEnd
+	if w.EarlierCalls.MayHoldLease {
+		w.lateLeaseEnd = w.leaseEnd.Add(p.options.LongestLease - p.options.OwnerLease)
+		w.leaseEnd = w.lateLeaseEnd
+	}
 	p.addWorker(time.Time{}, &w)
 	p.unverified[w.ID] = true
 	p.hadPredecessor = true
@@ -177,7 +181,7 @@
 		return false
 	}
 	return p.isRecordStale || slices.ContainsFunc(p.sortedWorkers, func(w *Worker) bool {
-		return w.isRecorded != w.mustBeStored(now, p.jobsReadAt) || w.isRecorded && w.EarlierCalls != w.earlierCalls()
+		return w.isRecorded != w.mustBeStored(now, p.jobsReadAt) || w.isRecorded && w.EarlierCalls != p.earlierCalls(now, w)
 	})
 }
 
@@ -196,7 +200,7 @@
 			w.isRecorded = false
 			continue
 		}
-		list = append(list, Worker{ID: w.ID, Born: w.Born, Address: w.Address, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, EarlierCalls: w.earlierCalls()})
+		list = append(list, Worker{ID: w.ID, Born: w.Born, Address: w.Address, Service: w.Service, Domain: w.Domain, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, EarlierCalls: p.earlierCalls(now, w)})
 	}
 	slices.SortFunc(list, func(a, b Worker) int { return compareStrings(a.ID, b.ID) })
 	return list
