--- a/standins/soaker/held.go
+++ b/standins/soaker/held.go
@@ -41,9 +41,50 @@
 	}
 }
 
+// The times of a late hold, after which calls take effect when a new owner has dropped a
+// worker that hasn't answered for somewhat over 8 s, and of the cut, which outlasts it.
+const (
+	minLateHold = 9 * time.Second
+	maxLateHold = 11 * time.Second
+	minLateCut  = 14 * time.Second
+	maxLateCut  = 16 * time.Second
+	// unlistDelay is how long after its cut the entry of a worker expires.
+	unlistDelay = 3 * time.Second
+)
+
+// injectHeldTakeovers kills owners, in rounds, just after workers have started again under
+// their ids. These are cut off, also from the store, before the successor has reached
+// them, and take the calls that were held for the ended processes.
+func (j *injector) injectHeldTakeovers() {
+	for time.Since(j.startedAt) < j.options.Duration {
+		time.Sleep(j.randomDuration(2*time.Second, 3*time.Second))
+		var restarted []*platformer.Worker
+		for _, w := range j.platform.Workers {
+			if j.rng.IntN(2) == 0 {
+				restarted = append(restarted, w)
+				j.restartHeldFor(w, j.randomDuration(minLateHold, maxLateHold))
+			}
+		}
+		time.Sleep(j.randomDuration(400*time.Millisecond, time.Second))
+		if owner := j.owner(); owner != nil {
+			j.restartAfter(owner, syscall.SIGKILL, j.randomDuration(0, 2*time.Second), nil)
+		}
+		for _, w := range restarted {
+			j.cutOff(w, j.randomDuration(minLateCut, maxLateCut))
+			j.endLater(unlistDelay, func() { w.Unlist(minLateCut - unlistDelay) })
+		}
+		time.Sleep(maxLateCut)
+	}
+}
+
 // restartHeld restarts a worker under its id and holds the calls to the ended process.
 func (j *injector) restartHeld(w *platformer.Worker) {
-	released, length := make(chan struct{}), j.randomDuration(minHold, maxHold)
+	j.restartHeldFor(w, j.randomDuration(minHold, maxHold))
+}
+
+// restartHeldFor is like restartHeld, with the time for which the calls are held.
+func (j *injector) restartHeldFor(w *platformer.Worker, length time.Duration) {
+	released := make(chan struct{})
 	r := platformer.Restart{Downtime: j.randomDuration(50*time.Millisecond, 600*time.Millisecond), KeepsID: true, Released: released}
 	j.recordFault("calls to the present process of %s are held for %s", w.Name(), length)
 	j.runRestarts(w, []workerRestart{{Restart: r}})
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -61,6 +61,9 @@
 	// HeldCalls says that the only faults are those in which calls to the former process
 	// of a worker reach the next one, which is cut off.
 	HeldCalls bool
+	// HeldTakeovers says that the only faults are those in which such calls were sent by
+	// an owner that has ended, and reach a process that its successor can't reach.
+	HeldTakeovers bool
 }
 
 // Report is the result of a soak.
@@ -188,6 +191,8 @@
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 9))}).injectCuts)
 	case o.HeldCalls:
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 100))}).injectHeldCalls)
+	case o.HeldTakeovers:
+		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 101))}).injectHeldTakeovers)
 	default:
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 1))}).injectInstanceFaults)
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 3))}).injectWorkerFaults)
--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -43,6 +43,10 @@
 // workers take effect on the next ones.
 var heldSeeds = map[string]uint64{"short run": 41001, "short run again": 41002}
 
+// heldTakeoverSeeds holds the seeds of the short run in which a successor can't reach the
+// processes that take calls of an ended owner.
+var heldTakeoverSeeds = map[string]uint64{"short run": 43000}
+
 // buildDaemon builds tarragond and returns its path.
 func buildDaemon(c *quicktest.C, dir string) string {
 	binary := filepath.Join(dir, "tarragond")
@@ -151,3 +155,25 @@
 		})
 	}
 }
+
+// TestCallsOfEndedOwnerRunNoTaskTwice guards against tasks that run twice after calls of an
+// ended owner took effect on the next processes of workers, which its successor can't reach
+// and the list no longer shows (issue 43).
+func TestCallsOfEndedOwnerRunNoTaskTwice(t *testing.T) {
+	c := quicktest.New(t)
+	dir := t.TempDir()
+	binary := buildDaemon(c, dir)
+	for name, seed := range heldTakeoverSeeds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			sub := filepath.Join(dir, fmt.Sprint(seed))
+			c.Assert(os.Mkdir(sub, 0o700), quicktest.IsNil)
+			r, err := soaker.Run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 6, Clients: 4, Duration: time.Second, HeldTakeovers: true})
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
+			c.Assert(r.Accepted > 0, quicktest.IsTrue)
+			c.Assert(r.Restarts > 0, quicktest.IsTrue)
+		})
+	}
+}
