--- a/internal/planner/predecessor_lease_test.go
+++ b/internal/planner/predecessor_lease_test.go
@@ -150,3 +150,30 @@
 		})
 	}
 }
+
+// TestPredecessorRunOnUnprovedProcess guards against a second run of a task that the next
+// process of an unverified worker has listed in part of its first answer, before it rejects
+// the calls that were meant for the former one: these may still renew the lease.
+func TestPredecessorRunOnUnprovedProcess(t *testing.T) {
+	w, other := worker("a", 8), worker("b", 8)
+	d := newDriver(t, 2, w, other)
+	for _, known := range d.workers {
+		d.p.AddUnverifiedWorker(known)
+	}
+	d.add(job("1", step(1, 1)))
+	d.list(d.workers...)
+	d.p.SetRecorded(d.p.Recorded(d.now))
+	d.poll("b")
+	d.advance(time.Millisecond)
+	d.p.PollAnswered(d.now, "a", planner.PollResult{
+		Sent: d.now, ProcessStart: w.Born + 1, IsPartial: true,
+		Running: []planner.RunStatus{{Run: planner.RunID{TaskID: planner.TaskID{Job: "1"}, Attempt: 1}, Percent: 1}},
+	})
+	d.p.Unanswered(d.now, "a")
+	d.now = origin.Add(14 * time.Second)
+	d.poll("b")
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	d.advance(planner.LateCallLimit)
+	d.poll("b")
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
+}
