--- a/internal/planner/predecessor_lease_test.go
+++ b/internal/planner/predecessor_lease_test.go
@@ -131,9 +131,12 @@
 			first.Assert(first.p.Plan(first.now, first.proven()), quicktest.HasLen, 1)
 			first.advance(time.Millisecond)
 			first.answer(w, first.now, w.Born+1)
+			first.p.SetRecorded(first.p.Recorded(first.now))
+			first.Assert(first.p.NeedsRecord(first.now), quicktest.IsFalse)
 			if tt.isProved {
 				first.advance(time.Millisecond)
 				first.answer(w, first.now, w.Born+1)
+				first.Assert(first.p.NeedsRecord(first.now), quicktest.IsTrue)
 			}
 			d := newDriver(t, 2, other)
 			for _, known := range first.p.Recorded(first.now) {
