--- a/standins/cmd/soak/main.go
+++ b/standins/cmd/soak/main.go
@@ -28,7 +28,7 @@
 	unstored := app.Flag("unstored-ends", "Only kill owners before they have stored the ends of runs, beside workers that drain, are silent or are missing.").Bool()
 	cuts := app.Flag("cuts", "Only kill owners while no worker can be reached until its successor has dropped them.").Bool()
 	heldCalls := app.Flag("held-calls", "Only restart workers under their ids and cut them off while calls to their former processes take effect.").Bool()
-	heldTakeovers := app.Flag("held-takeovers", "Only kill owners after workers have restarted under their ids, and cut these off while calls to their former processes take effect.").Bool()
+	heldTakeovers := app.Flag("held-takeovers", "Only kill or stop owners after workers have restarted under their ids, and cut these off while calls to their former processes take effect.").Bool()
 	verbose := app.Flag("verbose", "Print the injected faults of each seed.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
--- a/standins/soaker/held.go
+++ b/standins/soaker/held.go
@@ -52,8 +52,8 @@
 	unlistDelay = 3 * time.Second
 )
 
-// injectHeldTakeovers kills owners, in rounds, just after workers have started again under
-// their ids. These are cut off, also from the store, before the successor has reached
+// injectHeldTakeovers kills or stops owners, in rounds, just after workers have started again
+// under their ids. These are cut off, also from the store, before the successor has reached
 // them, and take the calls that were held for the ended processes.
 func (j *injector) injectHeldTakeovers() {
 	for time.Since(j.startedAt) < j.options.Duration {
@@ -67,7 +67,11 @@
 		}
 		time.Sleep(j.randomDuration(400*time.Millisecond, time.Second))
 		if owner := j.owner(); owner != nil {
-			j.restartAfter(owner, syscall.SIGKILL, j.randomDuration(0, 2*time.Second), nil)
+			signal := syscall.SIGKILL
+			if j.rng.IntN(2) == 0 {
+				signal = syscall.SIGTERM
+			}
+			j.restartAfter(owner, signal, j.randomDuration(0, 2*time.Second), nil)
 		}
 		for _, w := range restarted {
 			j.cutOff(w, j.randomDuration(minLateCut, maxLateCut))
--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -45,7 +45,7 @@
 
 // heldTakeoverSeeds holds the seeds of the short run in which a successor can't reach the
 // processes that take calls of an ended owner.
-var heldTakeoverSeeds = map[string]uint64{"short run": 43010, "short run again": 43006}
+var heldTakeoverSeeds = map[string]uint64{"short run": 43600, "short run again": 43606}
 
 // buildDaemon builds tarragond and returns its path.
 func buildDaemon(c *quicktest.C, dir string) string {
