Keep a heartbeat of the stand-in from overwriting a newer entry

Cause: an entry was encoded under the mutex and written after it, so that the first heartbeat could overwrite the entry that Restart wrote meanwhile.

--- a/standins/platformer/worker.go
+++ b/standins/platformer/worker.go
@@ -50,8 +50,9 @@
 	address, entryAddress string
 	// stopped is closed when the platform stops.
 	stopped chan struct{}
-	// restart is held while the process is killed and replaced.
-	restart sync.Mutex
+	// restart is held while the process is killed and replaced, and writing while an entry
+	// is encoded and written, so that no entry overwrites a newer one.
+	restart, writing sync.Mutex
 
 	mu sync.Mutex
 	// process is the current process, or the last one while the worker is down.
@@ -212,6 +213,8 @@
 
 // writeEntry writes the entry of the process under a new lease.
 func (w *Worker) writeEntry(p *process) error {
+	w.writing.Lock()
+	defer w.writing.Unlock()
 	w.mu.Lock()
 	if time.Now().Before(w.unlistedUntil) {
 		w.mu.Unlock()
