--- a/standins/soaker/held.go
+++ b/standins/soaker/held.go
@@ -23,13 +23,7 @@
 	for time.Since(j.startedAt) < j.options.Duration {
 		// Clients submit long-running jobs.
 		time.Sleep(j.randomDuration(2*time.Second, 3*time.Second))
-		var restarted []*platformer.Worker
-		for _, w := range j.platform.Workers {
-			if j.rng.IntN(2) == 0 {
-				restarted = append(restarted, w)
-				j.restartHeld(w)
-			}
-		}
+		restarted := j.restartSomeHeld(minHold, maxHold)
 		time.Sleep(j.randomDuration(time.Second, 3*time.Second))
 		if owner := j.owner(); owner != nil && j.rng.IntN(4) == 0 {
 			j.restartAfter(owner, syscall.SIGKILL, j.randomDuration(0, 2*time.Second), nil)
@@ -58,13 +52,7 @@
 func (j *injector) injectHeldTakeovers() {
 	for time.Since(j.startedAt) < j.options.Duration {
 		time.Sleep(j.randomDuration(2*time.Second, 3*time.Second))
-		var restarted []*platformer.Worker
-		for _, w := range j.platform.Workers {
-			if j.rng.IntN(2) == 0 {
-				restarted = append(restarted, w)
-				j.restartHeldFor(w, j.randomDuration(minLateHold, maxLateHold))
-			}
-		}
+		restarted := j.restartSomeHeld(minLateHold, maxLateHold)
 		time.Sleep(j.randomDuration(400*time.Millisecond, time.Second))
 		if owner := j.owner(); owner != nil {
 			signal := syscall.SIGKILL
@@ -81,13 +69,21 @@
 	}
 }
 
-// restartHeld restarts a worker under its id and holds the calls to the ended process.
-func (j *injector) restartHeld(w *platformer.Worker) {
-	j.restartHeldFor(w, j.randomDuration(minHold, maxHold))
+// restartSomeHeld restarts half of the workers under their ids, each with a length between
+// the two for which calls to its ended process are held, and returns them.
+func (j *injector) restartSomeHeld(minLength, maxLength time.Duration) []*platformer.Worker {
+	var restarted []*platformer.Worker
+	for _, w := range j.platform.Workers {
+		if j.rng.IntN(2) == 0 {
+			restarted = append(restarted, w)
+			j.restartHeld(w, j.randomDuration(minLength, maxLength))
+		}
+	}
+	return restarted
 }
 
-// restartHeldFor is like restartHeld, with the time for which the calls are held.
-func (j *injector) restartHeldFor(w *platformer.Worker, length time.Duration) {
+// restartHeld restarts a worker under its id and holds the calls to the ended process.
+func (j *injector) restartHeld(w *platformer.Worker, length time.Duration) {
 	released := make(chan struct{})
 	r := platformer.Restart{Downtime: j.randomDuration(50*time.Millisecond, 600*time.Millisecond), KeepsID: true, Released: released}
 	j.recordFault("calls to the present process of %s are held for %s", w.Name(), length)
--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -55,6 +55,33 @@
 	return binary
 }
 
+// runSoaks runs a soak for each seed, all at the same time, on three instances and six
+// workers, and checks that no guarantee is violated.
+func runSoaks(t *testing.T, seeds map[string]uint64, o soaker.Options, checks ...func(*quicktest.C, soaker.Report)) {
+	t.Helper()
+	c := quicktest.New(t)
+	dir := t.TempDir()
+	o.Binary, o.Instances, o.Workers = buildDaemon(c, dir), 3, 6
+	for name, seed := range seeds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			o := o
+			o.Directory = filepath.Join(dir, fmt.Sprint(seed))
+			c.Assert(os.Mkdir(o.Directory, 0o700), quicktest.IsNil)
+			r, err := soaker.Run(seed, o)
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
+			c.Assert(r.Accepted > 0, quicktest.IsTrue)
+			for _, check := range checks {
+				check(c, r)
+			}
+		})
+	}
+}
+
+func checkRestarts(c *quicktest.C, r soaker.Report) { c.Assert(r.Restarts > 0, quicktest.IsTrue) }
+
 // TestConfigurationIsInForce checks that each version of the configuration is in force
 // in time while open connections go silent or are reset.
 func TestConfigurationIsInForce(t *testing.T) {
@@ -98,82 +125,24 @@
 // TestUnstoredEndsRunNoTaskTwice guards against tasks that run again after the end of
 // an owner that had read the ends of their runs and not stored them (issue 36).
 func TestUnstoredEndsRunNoTaskTwice(t *testing.T) {
-	c := quicktest.New(t)
-	dir := t.TempDir()
-	binary := buildDaemon(c, dir)
-	for name, seed := range unstoredSeeds {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			c := quicktest.New(t)
-			sub := filepath.Join(dir, fmt.Sprint(seed))
-			c.Assert(os.Mkdir(sub, 0o700), quicktest.IsNil)
-			r, err := soaker.Run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 6, Clients: 4, Duration: 8 * time.Second, UnstoredEnds: true})
-			c.Assert(err, quicktest.IsNil)
-			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
-			c.Assert(r.Accepted > 0, quicktest.IsTrue)
-		})
-	}
+	runSoaks(t, unstoredSeeds, soaker.Options{Clients: 4, Duration: 8 * time.Second, UnstoredEnds: true})
 }
 
 // TestCutWorkersAreUsedAgain guards against workers that are cut off during a change of
 // owner and that the successor never uses (issue 38).
 func TestCutWorkersAreUsedAgain(t *testing.T) {
-	c := quicktest.New(t)
-	dir := t.TempDir()
-	binary := buildDaemon(c, dir)
-	for name, seed := range cutSeeds {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			c := quicktest.New(t)
-			sub := filepath.Join(dir, fmt.Sprint(seed))
-			c.Assert(os.Mkdir(sub, 0o700), quicktest.IsNil)
-			r, err := soaker.Run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 6, Clients: 3, Duration: time.Second, Cuts: true})
-			c.Assert(err, quicktest.IsNil)
-			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
-			c.Assert(r.Accepted > 0, quicktest.IsTrue)
-		})
-	}
+	runSoaks(t, cutSeeds, soaker.Options{Clients: 3, Duration: time.Second, Cuts: true})
 }
 
 // TestCallsToFormerProcessRunNoTaskTwice guards against tasks that run twice after calls to the former
 // processes of workers took effect on the next ones, which are cut off (issue 41).
 func TestCallsToFormerProcessRunNoTaskTwice(t *testing.T) {
-	c := quicktest.New(t)
-	dir := t.TempDir()
-	binary := buildDaemon(c, dir)
-	for name, seed := range heldSeeds {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			c := quicktest.New(t)
-			sub := filepath.Join(dir, fmt.Sprint(seed))
-			c.Assert(os.Mkdir(sub, 0o700), quicktest.IsNil)
-			r, err := soaker.Run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 6, Clients: 3, Duration: time.Second, HeldCalls: true})
-			c.Assert(err, quicktest.IsNil)
-			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
-			c.Assert(r.Accepted > 0, quicktest.IsTrue)
-			c.Assert(r.Restarts > 0, quicktest.IsTrue)
-		})
-	}
+	runSoaks(t, heldSeeds, soaker.Options{Clients: 3, Duration: time.Second, HeldCalls: true}, checkRestarts)
 }
 
 // TestCallsOfEndedOwnerRunNoTaskTwice guards against tasks that run twice after calls of an
 // ended owner took effect on the next processes of workers, which its successor can't reach
 // and the list no longer shows (issue 43).
 func TestCallsOfEndedOwnerRunNoTaskTwice(t *testing.T) {
-	c := quicktest.New(t)
-	dir := t.TempDir()
-	binary := buildDaemon(c, dir)
-	for name, seed := range heldTakeoverSeeds {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			c := quicktest.New(t)
-			sub := filepath.Join(dir, fmt.Sprint(seed))
-			c.Assert(os.Mkdir(sub, 0o700), quicktest.IsNil)
-			r, err := soaker.Run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 6, Clients: 4, Duration: time.Second, HeldTakeovers: true})
-			c.Assert(err, quicktest.IsNil)
-			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
-			c.Assert(r.Accepted > 0, quicktest.IsTrue)
-			c.Assert(r.Restarts > 0, quicktest.IsTrue)
-		})
-	}
+	runSoaks(t, heldTakeoverSeeds, soaker.Options{Clients: 4, Duration: time.Second, HeldTakeovers: true}, checkRestarts)
 }
