--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -103,6 +103,9 @@
 	Interval time.Duration `cbor:"interval,omitempty"`
 	// Received is the wall-clock time at which the job was received.
 	Received time.Time `cbor:"received"`
+	// Organisation is the name of the organisation on whose behalf the job was
+	// submitted; empty if there is none.
+	Organisation string `cbor:"organisation,omitempty"`
 	// IsPart is set in a shard that has only some of the job's tasks, those in
 	// Arrived.
 	IsPart bool `cbor:"is_part,omitempty"`
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -50,6 +50,19 @@
 type Config struct {
 	// Queues maps the names of queues to their definitions.
 	Queues map[string]Queue
+	// Organisations maps the names of organisations to their definitions; empty if the
+	// deployment has none.
+	Organisations map[string]Organisation
+}
+
+// Organisation is a customer whose jobs share the workers with those of others.
+type Organisation struct {
+	// Weight is the organisation's share of scarce capacity relative to those of the
+	// others, and the number of jobs a second within that share.
+	Weight float64
+	// Cap limits what all runs of the organisation need together, on the workers of all
+	// shards. A zero amount is not limited.
+	Cap Resources
 }
 
 // Options configures a Planner.
