Keep the runs of an organisation within its cap over all shards

The configuration may give an organisation a cap on what its runs need together, and each shard has its own owner. The cap is divided among the shards in one record of the store for each organisation; an owner starts tasks within the part of its shard, takes more when tasks wait for it, and gives back what others need. Runs on silent workers and those that an earlier owner may have count as used.

--- /dev/null
+++ b/internal/allotter/allotter.go
@@ -0,0 +1,189 @@
+// Package allotter divides the cap of an organisation among the shards of a
+// deployment, so that each owner can start tasks without asking the others. It does
+// no I/O.
+//
+// The division stands in one record of the store for each organisation. An owner
+// changes only the part of its own shard, in a transaction that expects the
+// revision of the record it has decided from. So no two owners take the same free
+// amount, and what a shard holds is its own until it gives it back, also while the
+// owner is cut off or the shard has none.
+package allotter
+
+import (
+	"maps"
+
+	"github.com/pkg/errors"
+
+	"tarragonhead.example/tarragonhead/internal/marshaler"
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+const (
+	// reserveShare is the part of a cap that a shard takes beyond its present need,
+	// so that not every start needs a write.
+	reserveShare = 1.0 / 16
+	// wantedStep is the change of an unmet need, as a share of the cap, from which it
+	// is written again.
+	wantedStep = 0.25
+)
+
+// Record is what the store holds on the cap of one organisation, by the names of
+// shards.
+type Record struct {
+	// Parts holds what the runs of each shard may need together.
+	Parts map[string]planner.Resources `cbor:"parts"`
+	// Wanted holds what each shard could use beyond its part.
+	Wanted map[string]planner.Resources `cbor:"wanted,omitempty"`
+}
+
+// Encode returns the stored form of a record.
+func (r Record) Encode() ([]byte, error) {
+	data, err := marshaler.Marshal(r)
+	return data, errors.Wrap(err, "encode the division of a cap")
+}
+
+// Decode decodes the stored form of a record.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	err := marshaler.Unmarshal(data, &r)
+	return r, errors.Wrap(err, "decode the division of a cap")
+}
+
+// Decision is what an owner does about the part of its shard.
+type Decision struct {
+	// Record is the record to store if HasChanged is set.
+	Record     Record
+	HasChanged bool
+	// Part is what the runs of the shard may need together from now on. It is at most
+	// the stored part, so it holds before the new record is stored.
+	Part planner.Resources
+	// IsOverAllotted is set while the shards hold more than the cap together, because
+	// it was lowered. Nothing may start meanwhile: what the others hold may be in use.
+	IsOverAllotted bool
+}
+
+// Decide returns the decision for a shard, for a cap of limit and the demand of the
+// shard. A zero amount of limit is not limited.
+func Decide(r Record, shard string, limit planner.Resources, demand planner.CapDemand) Decision {
+	have, wanted := r.Parts[shard], r.Wanted[shard]
+	part, lack, usable := have, planner.Resources{}, have
+	isOver := false
+	for _, f := range fields {
+		d := division{
+			limit: f.of(&limit), have: f.of(&have), used: f.of(&demand.Used), blocked: f.of(&demand.Blocked),
+			others: sumOfOthers(r.Parts, shard, f), othersWanted: sumOfOthers(r.Wanted, shard, f),
+		}
+		if d.limit == 0 {
+			continue
+		}
+		isOver = isOver || d.isOver()
+		f.set(&part, d.part())
+		f.set(&usable, min(d.have, d.usable()))
+		newLack, oldLack := max(0, d.need()-d.part()), f.of(&wanted)
+		if (newLack > 0) == (oldLack > 0) && abs(newLack-oldLack) < int64(wantedStep*float64(d.limit)) {
+			newLack = oldLack
+		}
+		f.set(&lack, newLack)
+	}
+	result := Decision{Record: r, Part: usable, IsOverAllotted: isOver}
+	if part != have || lack != wanted {
+		result.HasChanged = true
+		result.Record = Record{Parts: withEntry(r.Parts, shard, part), Wanted: withEntry(r.Wanted, shard, lack)}
+	}
+	return result
+}
+
+// division is the decision on one kind of resource.
+type division struct {
+	limit int64
+	// have is the part of the shard, and others the sum of the other parts.
+	have, others int64
+	// used is what the runs of the shard need, and blocked what its tasks need that wait
+	// only because of the cap. othersWanted is what the other shards could use beyond
+	// their parts.
+	used, blocked, othersWanted int64
+}
+
+// isOver reports whether the shards hold more than the cap together.
+func (d division) isOver() bool { return d.have+d.others > d.limit }
+
+// need returns what the shard could use now. A task that is larger than the cap needs
+// all of it.
+func (d division) need() int64 { return min(d.used+d.blocked, max(d.limit, d.used)) }
+
+// fair returns the share of the cap in proportion to the needs of the shards.
+func (d division) fair() int64 {
+	need := float64(d.need())
+	return int64(float64(d.limit) * need / (need + float64(d.others+d.othersWanted)))
+}
+
+// isContended reports whether the shards need more than the cap together.
+func (d division) isContended() bool {
+	return d.othersWanted > 0 && d.need()+d.others+d.othersWanted > d.limit
+}
+
+// part returns what the shard should hold. It never falls below what its runs use, and
+// only grows within what no other shard holds.
+func (d division) part() int64 {
+	switch {
+	case d.isOver():
+		return min(d.have, d.used)
+	case d.isContended() && d.have > d.fair():
+		return min(d.have, max(d.used, d.fair()))
+	case d.need() > d.have:
+		target := d.need() + int64(reserveShare*float64(d.limit))
+		if d.isContended() {
+			target = d.fair()
+		}
+		return max(d.have, min(target, d.limit-d.others))
+	case d.othersWanted > 0:
+		return d.have - min(d.have-d.need(), d.othersWanted)
+	}
+	return d.have
+}
+
+// usable returns what the runs of the shard may need together. While it holds more
+// than its fair share, because its runs use that much, no run is replaced by another.
+func (d division) usable() int64 {
+	if d.isContended() && d.have > d.fair() {
+		return d.fair()
+	}
+	return d.part()
+}
+
+// field accesses one kind of resource.
+type field struct {
+	of  func(*planner.Resources) int64
+	set func(*planner.Resources, int64)
+}
+
+var fields = [...]field{
+	{func(r *planner.Resources) int64 { return r.CPU }, func(r *planner.Resources, n int64) { r.CPU = n }},
+	{func(r *planner.Resources) int64 { return r.Memory }, func(r *planner.Resources, n int64) { r.Memory = n }},
+	{func(r *planner.Resources) int64 { return r.GPU }, func(r *planner.Resources, n int64) { r.GPU = n }},
+}
+
+func sumOfOthers(byShard map[string]planner.Resources, shard string, f field) int64 {
+	var sum int64
+	for name, r := range byShard {
+		if name != shard {
+			sum += f.of(&r)
+		}
+	}
+	return sum
+}
+
+// withEntry returns a copy of m in which shard has the given amounts.
+func withEntry(m map[string]planner.Resources, shard string, r planner.Resources) map[string]planner.Resources {
+	m = maps.Clone(m)
+	if m == nil {
+		m = map[string]planner.Resources{}
+	}
+	m[shard] = r
+	if r == (planner.Resources{}) {
+		delete(m, shard)
+	}
+	return m
+}
+
+func abs(n int64) int64 { return max(n, -n) }
--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -123,6 +123,10 @@
 				c.revisions[e.Key] = conflict.Revision(e.Key)
 			}
 		}
+		if operation == capsOperation {
+			// The owners of other shards write the same records.
+			return
+		}
 		c.options.Log.Info().Str("what", operation).Msg("conductor: an earlier commit was applied without an answer")
 	default:
 		c.metrics.commits.WithLabelValues("unanswered").Inc()
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -167,8 +167,10 @@
 	metrics metrics
 	// isOwner and ownerAddress are copies for use by other goroutines. isCandidate is
 	// set while this daemon owns, loads or tries to acquire the shard.
-	isOwner      atomic.Bool
-	isCandidate  atomic.Bool
+	isOwner     atomic.Bool
+	isCandidate atomic.Bool
+	// hasCaps is set while the configuration has organisations with caps.
+	hasCaps      atomic.Bool
 	ownerAddress atomic.Pointer[netip.AddrPort]
 
 	// The fields below belong to the control goroutine.
@@ -217,6 +219,8 @@
 	// isAnnouncing is set while an announcement is being stored.
 	lastAnnouncementAt time.Time
 	isAnnouncing       bool
+	// caps holds what is known of the caps of organisations.
+	caps capState
 	// lastHandoverAt is when tasks to hand over were last searched for.
 	lastHandoverAt time.Time
 	// isConfirming is set while a read of the head is unanswered.
@@ -243,6 +247,7 @@
 	isOwner   prometheus.Gauge
 	panics    prometheus.Counter
 	jobs      *prometheus.GaugeVec
+	caps      *prometheus.GaugeVec
 }
 
 // New returns a conductor; call Run to start it.
@@ -264,6 +269,7 @@
 			panics:    factory.NewCounter(prometheus.CounterOpts{Name: "tarragonhead_shard_panics_total", Help: "Panics after which the shard was given up."}),
 			isOwner:   factory.NewGauge(prometheus.GaugeOpts{Name: "tarragonhead_shard_owner", Help: "1 while this daemon owns the shard."}),
 			jobs:      factory.NewGaugeVec(prometheus.GaugeOpts{Name: "tarragonhead_planned", Help: "What the owner has planned, by kind."}, []string{"kind"}),
+			caps:      factory.NewGaugeVec(prometheus.GaugeOpts{Name: "tarragonhead_organisation_cap", Help: "What an organisation with a cap uses, waits for and holds in the shard, and its cap, by resource."}, []string{"organisation", "resource", "kind"}),
 		},
 		revisions: map[string]uint64{}, unusableJobs: map[string]bool{}, sessions: map[string]*session{}, workers: map[string]planner.Worker{},
 		cancelReplies: map[string][]func(bool, error){},
@@ -351,6 +357,7 @@
 		c.renewLease(ctx, now)
 		c.recordWorkers(ctx, now)
 		c.plan(ctx, now)
+		c.divideCaps(ctx, now)
 		c.commit(ctx, now)
 		c.handOverTasks(ctx, now)
 		c.announceRoom(ctx, now)
--- a/internal/conductor/inbox.go
+++ b/internal/conductor/inbox.go
@@ -66,6 +66,7 @@
 	b.config, b.evacuatedDomains, b.workers, b.discovery = nil, nil, nil, nil
 	b.mu.Unlock()
 	if config != nil {
+		c.noteLoweredCaps(c.config.Organisations, config.Organisations)
 		c.config, c.hasConfig = *config, true
 		if c.planner != nil {
 			c.planner.SetConfig(*config)
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -44,6 +44,9 @@
 	jobs     []storeclient.Entry
 	progress map[string]storeclient.Entry
 	workers  storeclient.Entry
+	caps     []storeclient.Entry
+	// capsReadAt is when the read of caps began.
+	capsReadAt time.Time
 }
 
 // readShard reads the records of the shard from the store.
@@ -61,7 +64,11 @@
 	if err != nil && !errors.As(err, &missing) {
 		return records, err
 	}
-	records.jobs, _, err = c.options.Store.Range(ctx, c.keys.jobs())
+	if records.jobs, _, err = c.options.Store.Range(ctx, c.keys.jobs()); err != nil || !c.hasCaps.Load() {
+		return records, err
+	}
+	records.capsReadAt = c.options.Now()
+	records.caps, _, err = c.options.Store.Range(ctx, capsPrefix)
 	return records, err
 }
 
@@ -102,6 +109,7 @@
 		}
 	}
 	c.planner = p
+	c.loadCaps(records)
 	c.outbox = c.newOutbox()
 	for id, e := range records.progress {
 		c.revisions[c.keys.progress(id)] = e.Revision
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -53,6 +53,9 @@
 	case now.Before(t.retryAt):
 		return fmt.Sprintf("starts again in %s after %d failures", t.retryAt.Sub(now), len(t.failures))
 	}
+	if reason := p.explainCap(s); reason != "" {
+		return reason
+	}
 	withRoom, suitable := 0, 0
 	list, limit := p.candidates(now, s), p.harmLimitFor(now, t)
 	for _, w := range list {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -24,6 +24,11 @@
 	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.GPU - o.GPU}
 }
 
+// Least returns the lesser of each amount of r and o.
+func (r Resources) Least(o Resources) Resources {
+	return Resources{min(r.CPU, o.CPU), min(r.Memory, o.Memory), min(r.GPU, o.GPU)}
+}
+
 // Fits reports whether o fits into r.
 func (r Resources) Fits(o Resources) bool {
 	return o.CPU <= r.CPU && o.Memory <= r.Memory && o.GPU <= r.GPU
--- /dev/null
+++ b/internal/planner/organisation.go
@@ -0,0 +1,216 @@
+package planner
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Organisation is a customer whose jobs share the workers with those of others.
+type Organisation struct {
+	// Weight is the organisation's share of scarce capacity relative to those of the
+	// others, and the number of jobs a second within that share.
+	Weight float64
+	// Cap limits what all runs of the organisation need together, on the workers of all
+	// shards. A zero amount is not limited.
+	Cap Resources
+}
+
+// Part is the part of an organisation's cap that a shard holds.
+type Part struct {
+	// Amount is what the runs of the shard may need together. Amounts that the cap
+	// doesn't limit mean nothing.
+	Amount Resources
+	// IsFrozen is set while nothing may start.
+	IsFrozen bool
+}
+
+// CapDemand is what a shard makes of its part of a cap.
+type CapDemand struct {
+	// Used is what the runs of the organisation need, and Blocked what its tasks need that
+	// wait only because of the cap.
+	Used, Blocked Resources
+}
+
+// capLedger counts what the organisations with a cap have running in the shard.
+type capLedger struct {
+	// organisations holds the definitions in force, and the last ones of organisations
+	// that the configuration no longer has while they have jobs.
+	organisations map[string]Organisation
+	parts         map[string]Part
+	// used and blocked are those of the last plan, by organisation.
+	used, blocked map[string]Resources
+	// inherited holds the parts that the shard held when this owner loaded it, and adopted
+	// what the runs of earlier owners need that were found since.
+	inherited, adopted map[string]Resources
+}
+
+func newCapLedger() capLedger {
+	return capLedger{
+		organisations: map[string]Organisation{}, parts: map[string]Part{}, used: map[string]Resources{}, blocked: map[string]Resources{},
+		inherited: map[string]Resources{}, adopted: map[string]Resources{},
+	}
+}
+
+// setOrganisations applies the organisations of a new configuration.
+func (p *Planner) setOrganisations(defined map[string]Organisation) {
+	l := &p.caps
+	if len(defined) == 0 && len(l.organisations) == 0 {
+		return
+	}
+	known := l.organisations
+	l.organisations = maps.Clone(defined)
+	if l.organisations == nil {
+		l.organisations = map[string]Organisation{}
+	}
+	for _, j := range p.activeJobs {
+		if _, ok := defined[j.Organisation]; !ok && known[j.Organisation] != (Organisation{}) {
+			l.organisations[j.Organisation] = known[j.Organisation]
+		}
+	}
+}
+
+// InheritPart records the part of a cap that the shard held when this owner loaded it.
+// As long as an earlier owner may have runs that are not known, as much counts as used.
+func (p *Planner) InheritPart(organisation string, amount Resources) {
+	p.caps.inherited[organisation] = amount
+}
+
+// SetPart sets the part of an organisation's cap that the shard holds.
+func (p *Planner) SetPart(organisation string, part Part) { p.caps.parts[organisation] = part }
+
+// Cap returns the cap of an organisation; zero amounts are not limited.
+func (p *Planner) Cap(organisation string) Resources { return p.caps.organisations[organisation].Cap }
+
+// CapDemands returns the demand, as of the last plan, of each organisation with a cap that
+// has runs, or tasks that wait because of the cap.
+func (p *Planner) CapDemands() map[string]CapDemand {
+	list := map[string]CapDemand{}
+	for name, o := range p.caps.organisations {
+		used, blocked := p.caps.used[name].plus(p.unknownUse(name)), p.caps.blocked[name]
+		if o.Cap != (Resources{}) && (used != (Resources{}) || blocked != (Resources{})) {
+			list[name] = CapDemand{Used: used, Blocked: blocked}
+		}
+	}
+	return list
+}
+
+// countCaps counts what the organisations with a cap have running. Runs that are being
+// stopped, or whose workers don't answer, count until they have ended, and so do starts
+// that may still take effect on the next process of a worker.
+func (p *Planner) countCaps() {
+	l := &p.caps
+	if len(l.organisations) == 0 {
+		return
+	}
+	clear(l.used)
+	clear(l.blocked)
+	for _, w := range p.sortedWorkers {
+		for _, r := range w.runsInOrder {
+			l.addUse(r.task.step)
+		}
+		for i := range w.withdrawnStarts {
+			if s := &w.withdrawnStarts[i]; !s.isConfirmed {
+				if t := p.findTask(s.run.TaskID); t != nil {
+					l.addUse(t.step)
+				}
+			}
+		}
+	}
+}
+
+func (l *capLedger) addUse(s *step) {
+	if name := s.occurrence.job.Organisation; name != "" {
+		l.used[name] = l.used[name].plus(s.Need)
+	}
+}
+
+// noteAdopted records that a run of an earlier owner was found.
+func (l *capLedger) noteAdopted(s *step) {
+	if name := s.occurrence.job.Organisation; name != "" {
+		l.adopted[name] = l.adopted[name].plus(s.Need)
+	}
+}
+
+// unknownUse returns what runs of earlier owners that were not found yet may need at
+// most: those owners kept to the part that was stored.
+func (p *Planner) unknownUse(organisation string) Resources {
+	if len(p.unverified) == 0 && !p.hasUnknownWorkers && len(p.unknownRuns) == 0 {
+		return Resources{}
+	}
+	left := p.caps.inherited[organisation].minus(p.caps.adopted[organisation])
+	return Resources{max(0, left.CPU), max(0, left.Memory), max(0, left.GPU)}
+}
+
+// isWithinCap reports whether count tasks of a step may start under the cap of their
+// organisation.
+func (p *Planner) isWithinCap(s *step, count int) bool {
+	name := s.occurrence.job.Organisation
+	o := p.caps.organisations[name]
+	if o.Cap == (Resources{}) {
+		return true
+	}
+	part := p.caps.parts[name]
+	if part.IsFrozen {
+		return false
+	}
+	used := p.caps.used[name].plus(p.unknownUse(name))
+	need := Resources{s.Need.CPU * int64(count), s.Need.Memory * int64(count), s.Need.GPU * int64(count)}
+	fits := func(limit, held, used, need int64) bool {
+		// A task that is larger than the cap runs alone.
+		return limit == 0 || need == 0 || used+need <= held || used == 0 && held >= limit
+	}
+	return fits(o.Cap.CPU, part.Amount.CPU, used.CPU, need.CPU) && fits(o.Cap.Memory, part.Amount.Memory, used.Memory, need.Memory) &&
+		fits(o.Cap.GPU, part.Amount.GPU, used.GPU, need.GPU)
+}
+
+// isBlockedByCap reports whether count tasks of a step have to wait because of the cap of
+// their organisation, and counts their need if so. Waits for a cap don't count as waits
+// for a place, which would have the tasks handed over or started in spite of their harm.
+func (p *Planner) isBlockedByCap(s *step, tasks ...*task) bool {
+	if p.isWithinCap(s, len(tasks)) {
+		return false
+	}
+	name := s.occurrence.job.Organisation
+	for _, t := range tasks {
+		p.caps.blocked[name] = p.caps.blocked[name].plus(s.Need)
+		t.readyAt, t.soughtAt = time.Time{}, time.Time{}
+	}
+	return true
+}
+
+// OrganisationUsage describes an organisation with a cap in one shard, for metrics.
+type OrganisationUsage struct {
+	Name string
+	CapDemand
+	// Part is what the shard holds of Cap.
+	Part, Cap Resources
+}
+
+// OrganisationUsages returns the usage, as of the last plan, of each organisation with a
+// cap, sorted by name.
+func (p *Planner) OrganisationUsages() []OrganisationUsage {
+	var list []OrganisationUsage
+	demands := p.CapDemands()
+	for _, name := range slices.Sorted(maps.Keys(p.caps.organisations)) {
+		if limit := p.Cap(name); limit != (Resources{}) {
+			list = append(list, OrganisationUsage{name, demands[name], p.caps.parts[name].Amount, limit})
+		}
+	}
+	return list
+}
+
+// explainCap returns why the cap of its organisation keeps a task from starting, or "".
+func (p *Planner) explainCap(s *step) string {
+	if p.isWithinCap(s, 1) {
+		return ""
+	}
+	name := s.occurrence.job.Organisation
+	limit, part, used, unknown := p.Cap(name), p.caps.parts[name], p.caps.used[name], p.unknownUse(name)
+	if part.IsFrozen {
+		return fmt.Sprintf("waits for the cap of organisation %s: the shards hold more than the cap of %d millicores, %d MB, or it was lowered just now", name, limit.CPU, limit.Memory)
+	}
+	return fmt.Sprintf("waits for the cap of organisation %s: its runs here need %d millicores, %d MB, and those that an earlier owner may have up to %d, %d; this shard holds %d, %d of the cap of %d, %d",
+		name, used.CPU, used.Memory, unknown.CPU, unknown.Memory, part.Amount.CPU, part.Amount.Memory, limit.CPU, limit.Memory)
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -58,6 +58,7 @@
 		p.checkRuns(now, w)
 	}
 	p.resendStops(now)
+	p.countCaps()
 	if now.Sub(proven) < p.options.Horizon {
 		p.startWaiting(now)
 	}
@@ -384,6 +385,9 @@
 		if now.Before(t.retryAt) || !p.isSafeToStart(now, t) {
 			continue
 		}
+		if p.isBlockedByCap(s, t) {
+			continue
+		}
 		if t.readyAt.IsZero() {
 			t.readyAt = now
 		}
@@ -452,6 +456,7 @@
 		}
 	}
 	w.addRun(r)
+	p.caps.addUse(t.step)
 	t.runs = append(t.runs, r)
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
 	harm, _ := p.interferenceCost(now, w, t.step, r.pace, p.harmLimitFor(now, t))
@@ -472,7 +477,7 @@
 		// One commit stores what is missing of all members.
 		areSafe = p.isSafeToStart(now, t) && areSafe
 	}
-	if !areSafe {
+	if !areSafe || p.isBlockedByCap(s, s.tasks...) {
 		return
 	}
 	attempt := 0
@@ -501,7 +506,7 @@
 		}
 		for _, r := range runsOf(w) {
 			t := r.task
-			if !t.step.Speculative || len(t.runs) > 1 || t.done || t.step.occurrence.job.state.isFinal() || now.Before(t.retryAt) || !p.mayBeCopied(now, r) {
+			if !t.step.Speculative || len(t.runs) > 1 || t.done || t.step.occurrence.job.state.isFinal() || now.Before(t.retryAt) || !p.mayBeCopied(now, r) || !p.isWithinCap(t.step, 1) {
 				continue
 			}
 			if c := p.chooseWorker(now, t, p.candidates(now, t.step)); c != nil {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -55,16 +55,6 @@
 	Organisations map[string]Organisation
 }
 
-// Organisation is a customer whose jobs share the workers with those of others.
-type Organisation struct {
-	// Weight is the organisation's share of scarce capacity relative to those of the
-	// others, and the number of jobs a second within that share.
-	Weight float64
-	// Cap limits what all runs of the organisation need together, on the workers of all
-	// shards. A zero amount is not limited.
-	Cap Resources
-}
-
 // Options configures a Planner.
 type Options struct {
 	// Epoch is the number of this ownership; each new owner of the shard has a
@@ -164,6 +154,7 @@
 	unknownRuns  map[RunID]unknownRun
 	interference *tailModels
 	headroom     headroom
+	caps         capLedger
 	// disconnections holds when workers with runs disconnected lately.
 	disconnections []disconnection
 	// movedOutAt is when a task on a draining worker was last stopped in order to be
@@ -216,7 +207,7 @@
 	}
 	return &Planner{
 		options: o, chart: c, processChart: processes, endedProcesses: map[processID]bool{}, fences: map[string]fence{}, jobs: map[string]*job{}, workers: map[string]*Worker{}, forgotten: map[string]*Worker{}, evacuatedDomains: map[string]bool{},
-		unverified: map[string]bool{}, unknownRuns: map[RunID]unknownRun{}, interference: newTailModels(),
+		unverified: map[string]bool{}, unknownRuns: map[RunID]unknownRun{}, interference: newTailModels(), caps: newCapLedger(),
 		startLimit:     math.MaxInt,
 		candidateCache: map[candidateKey][]*Worker{}, unplaceable: map[placeKey]Resources{}, busyServices: map[string]bool{},
 	}, nil
@@ -248,6 +239,7 @@
 // longer defines keeps its last definition for the jobs accepted under it.
 func (p *Planner) SetConfig(c Config) {
 	p.config = c
+	p.setOrganisations(c.Organisations)
 	for _, j := range p.activeJobs {
 		if q, ok := c.Queues[j.Queue.Name]; ok {
 			j.Queue, j.cachedObjective = q, 0
