Let operators ask on the platform what a submission waits for

The planner could explain a job, but nothing on the platform asked it. Any instance answers /explain/ID on its control address by asking the owner of the job's shard, and tarragonctl explain submission ID prints it. Builds and vets; not exercised by a test yet.

--- a/cmd/tarragonctl/explain.go
+++ b/cmd/tarragonctl/explain.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"maps"
+	"net/url"
 	"slices"
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	"tarragonhead.example/tarragonhead/internal/controller"
 	"tarragonhead.example/tarragonhead/internal/declarer"
@@ -25,6 +28,26 @@
 		command.Flag("json", "Print JSON.").BoolVar(&asJSON)
 		command.Action(func(*kingpin.ParseContext) error { return t.explain(kind, id, asJSON) })
 	}
+	var id string
+	submission := group.Command("submission", "Explain what the tasks of a submission on the users' platform wait for. Example: tarragonctl explain submission 5c0e7a21d94b36f8")
+	submission.Arg("id", "Id of the submission, 16 hexadecimal digits.").Required().StringVar(&id)
+	submission.Action(func(*kingpin.ParseContext) error { return t.explainSubmission(id) })
+}
+
+// explainSubmission prints the explanation of any instance, which asks the owner of the
+// submission's shard.
+func (t *tool) explainSubmission(id string) error {
+	status, body, err := fasthttp.GetTimeout(nil, fmt.Sprintf("http://%s/explain/%s", t.daemon, url.PathEscape(id)), t.timeout)
+	switch {
+	case err != nil:
+		return &unreachableError{errors.Wrap(err, t.daemon)}
+	case status == fasthttp.StatusNotFound:
+		return &refusedError{string(body)}
+	case status != fasthttp.StatusOK:
+		return &unreachableError{errors.Errorf("%s answered with status %d: %s", t.daemon, status, body)}
+	}
+	_, err = t.out.Write(body)
+	return err
 }
 
 func (t *tool) explain(kind, id string, asJSON bool) error {
--- a/internal/conductor/question.go
+++ b/internal/conductor/question.go
@@ -19,6 +19,8 @@
 		r.Answer, err = c.Cancel(ctx, q.Job)
 	case AskPending:
 		r.Pending, err = c.Pending(ctx)
+	case AskExplain:
+		r.Explanation, err = ask(ctx, c, func(reply func(string, error)) { reply(c.planner.Explain(c.options.Now(), q.Job), nil) })
 	case AskAlive:
 		_, err = ask(ctx, c, func(reply func(bool, error)) { reply(true, nil) })
 	default:
@@ -35,6 +37,8 @@
 	AskState   QuestionKind = "state"
 	AskCancel  QuestionKind = "cancel"
 	AskPending QuestionKind = "pending"
+	// AskExplain asks what the unfinished tasks of a job wait for.
+	AskExplain QuestionKind = "explain"
 	// AskAlive asks whether the daemon still considers itself the owner.
 	AskAlive QuestionKind = "alive"
 )
@@ -53,6 +57,8 @@
 	Answer Answer `cbor:"answer"`
 	// Pending is the number of jobs without a started task, by queue.
 	Pending map[string]int `cbor:"pending,omitempty"`
+	// Explanation describes a job, one line for each unfinished task.
+	Explanation string `cbor:"explanation,omitempty"`
 }
 
 // QuestionError reports a question of an unknown kind.
--- a/internal/receiver/question.go
+++ b/internal/receiver/question.go
@@ -144,6 +144,18 @@
 	return err
 }
 
+// Explain returns what the unfinished tasks of a job wait for, one line for each.
+func (r *Receiver) Explain(ctx context.Context, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	shard, err := r.shardOf(ctx, id)
+	if err != nil {
+		return "", err
+	}
+	reply, err := r.askOwner(ctx, conductor.Question{Kind: conductor.AskExplain, Shard: shard, Job: id})
+	return reply.Explanation, err
+}
+
 // Pending returns how many accepted jobs of a queue have no started task.
 func (r *Receiver) Pending(ctx context.Context, queue string) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
