Divide scarce capacity among organisations by weight

Cause: an organisation that submits more than the shard can run took all of it, since steps of one rank are ordered by priority and remaining work only.

Change: internal/apportioner divides capacity by weighted max-min fairness and meters the jobs of each organisation by their acceptance times. Among steps of the same rank, the planner first starts what is within its organisation's rate and share. In a busy service, best-effort tasks beyond it get the harm limit of late jobs and are throttled first. Long-running tasks beyond it that have never run wait up to 3 s for one within its share. Explain names the reason, and tarragonhead_organisation_jobs_total counts the jobs. Without organisations in the configuration nothing changes. BenchmarkBacklog gets a variant with organisations.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -479,3 +479,8 @@
 	}
 	e.Str("detail", d.Detail).Msg("planner: decision")
 }
+
+// countJob counts a job of an organisation that is new to the shard.
+func (c *Conductor) countJob(organisation string, isWithin bool) {
+	c.metrics.organisationJobs.WithLabelValues(organisation, map[bool]string{true: "within", false: "beyond"}[isWithin]).Inc()
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -91,6 +91,8 @@
 type Options struct {
 	// Shard names the shard in the store's keys.
 	Shard string
+	// Shards is the number of shards of the deployment, 1 if zero.
+	Shards int
 	// Self is the name of this daemon, and Address is where peers send it
 	// questions.
 	Self    string
@@ -238,6 +240,9 @@
 	commits *prometheus.CounterVec
 	// decisions counts the planner's decisions.
 	decisions *prometheus.CounterVec
+	// organisationJobs counts the jobs of organisations by whether they were within
+	// their organisation's rate and share.
+	organisationJobs *prometheus.CounterVec
 	// handovers counts handovers of tasks to other shards.
 	handovers *prometheus.CounterVec
 	isOwner   prometheus.Gauge
@@ -256,14 +261,15 @@
 		options: o, chart: chart, role: chart.Start(), keys: keys{o.Shard},
 		callbacks: make(chan func(), callbackBuffer), inbox: newInbox(), ended: make(chan struct{}),
 		metrics: metrics{
-			orders:    factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_orders_total", Help: "Orders to workers by kind and outcome."}, []string{"kind", "outcome"}),
-			latency:   factory.NewHistogramVec(prometheus.HistogramOpts{Name: "tarragonhead_order_seconds", Help: "Time until a worker answered an order.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}, []string{"kind"}),
-			commits:   factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_commits_total", Help: "Commits of progress by outcome."}, []string{"outcome"}),
-			decisions: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_decisions_total", Help: "Decisions of the planner by event, such as start or worker_lost."}, []string{"event"}),
-			handovers: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_handovers_total", Help: "Handovers of tasks to other shards by outcome."}, []string{"outcome"}),
-			panics:    factory.NewCounter(prometheus.CounterOpts{Name: "tarragonhead_shard_panics_total", Help: "Panics after which the shard was given up."}),
-			isOwner:   factory.NewGauge(prometheus.GaugeOpts{Name: "tarragonhead_shard_owner", Help: "1 while this daemon owns the shard."}),
-			jobs:      factory.NewGaugeVec(prometheus.GaugeOpts{Name: "tarragonhead_planned", Help: "What the owner has planned, by kind."}, []string{"kind"}),
+			orders:           factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_orders_total", Help: "Orders to workers by kind and outcome."}, []string{"kind", "outcome"}),
+			latency:          factory.NewHistogramVec(prometheus.HistogramOpts{Name: "tarragonhead_order_seconds", Help: "Time until a worker answered an order.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}, []string{"kind"}),
+			commits:          factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_commits_total", Help: "Commits of progress by outcome."}, []string{"outcome"}),
+			decisions:        factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_decisions_total", Help: "Decisions of the planner by event, such as start or worker_lost."}, []string{"event"}),
+			organisationJobs: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_organisation_jobs_total", Help: "Accepted jobs of organisations by whether they were within their organisation's rate and share."}, []string{"organisation", "share"}),
+			handovers:        factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_handovers_total", Help: "Handovers of tasks to other shards by outcome."}, []string{"outcome"}),
+			panics:           factory.NewCounter(prometheus.CounterOpts{Name: "tarragonhead_shard_panics_total", Help: "Panics after which the shard was given up."}),
+			isOwner:          factory.NewGauge(prometheus.GaugeOpts{Name: "tarragonhead_shard_owner", Help: "1 while this daemon owns the shard."}),
+			jobs:             factory.NewGaugeVec(prometheus.GaugeOpts{Name: "tarragonhead_planned", Help: "What the owner has planned, by kind."}, []string{"kind"}),
 		},
 		revisions: map[string]uint64{}, unusableJobs: map[string]bool{}, sessions: map[string]*session{}, workers: map[string]planner.Worker{},
 		cancelReplies: map[string][]func(bool, error){},
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -13,12 +13,21 @@
 // their target while 300 jobs of 16 tasks wait. It guards against slow
 // planning: in this situation a plan once took a second, and the owner lost its
 // lease.
-func BenchmarkBacklog(b *testing.B) {
+func BenchmarkBacklog(b *testing.B) { benchmarkBacklog(b, 0) }
+
+// BenchmarkBacklogOfOrganisations is BenchmarkBacklog with 1,000 organisations, of which
+// 100 have work.
+func BenchmarkBacklogOfOrganisations(b *testing.B) { benchmarkBacklog(b, 1000) }
+
+func benchmarkBacklog(b *testing.B, organisationCount int) {
 	p, err := planner.New(planner.Options{Epoch: 1, Horizon: time.Hour, ViolationLimit: time.Hour, WallTime: func(t time.Time) time.Time { return t }})
 	if err != nil {
 		b.Fatal(err)
 	}
 	now := origin
+	if organisationCount > 0 {
+		p.SetConfig(equalWeights(organisationCount))
+	}
 	var workers []planner.Worker
 	for i := range 66 {
 		w := worker(fmt.Sprintf("w%02d", i), 64)
@@ -41,7 +50,7 @@
 		s := step(16, 7)
 		s.BestEffort, s.Image = true, fmt.Sprint("filling", i%9)
 		j := job(fmt.Sprint(i), s)
-		j.Received = now
+		j.Received, j.Organisation = now, fmt.Sprintf("o%02d", i%100)
 		p.AddJob(now, j, planner.Progress{})
 	}
 	for b.Loop() {
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -28,7 +28,7 @@
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
 				if !t.done {
-					fmt.Fprintf(&b, "%s: %s\n", t.id, p.explainTask(now, t))
+					fmt.Fprintf(&b, "%s: %s%s\n", t.id, p.explainTask(now, t), p.explainShare(now, t))
 				}
 			}
 		}
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -108,13 +108,18 @@
 
 // admitLongRunning reports whether a long-running task may start without using
 // up the headroom, and deducts its CPU need from the free CPU if so. A task
-// that has waited headroomWait and may have run before is always admitted.
+// that has waited headroomWait and may have run before is always admitted. A task
+// beyond its organisation's share waits behind the others.
 func (p *Planner) admitLongRunning(now time.Time, t *task) bool {
 	h := &p.headroom
 	if t.mayHaveRun() && now.Sub(t.readyAt) > headroomWait {
 		return true
 	}
+	if p.waitsBehind(now, t) {
+		return false
+	}
 	if float64(h.free-t.step.Need.CPU) < h.required() {
+		p.holdBack(now, t)
 		return false
 	}
 	h.free -= t.step.Need.CPU
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -281,17 +281,10 @@
 // startWaiting starts waiting tasks, the most valuable work first.
 func (p *Planner) startWaiting(now time.Time) {
 	p.startsLeft = p.startLimit
-	for _, s := range p.orderSteps(now) {
-		if p.startsLeft <= 0 {
-			return
-		}
-		if s.Gang {
-			p.startGang(now, s)
-			continue
-		}
-		p.startStep(now, s)
+	p.updateShares(now)
+	if p.startSteps(now, p.orderSteps(now)) {
+		p.startSpeculativeCopies(now)
 	}
-	p.startSpeculativeCopies(now)
 }
 
 // orderSteps returns the open steps with waiting tasks in the order in which
@@ -300,7 +293,8 @@
 // can still meet their objective, are late, or are no longer worth anything.
 // Steps of the same rank are ordered by the operators' priority, and then by
 // the least remaining work, because that finishes the most jobs with the same
-// capacity.
+// capacity. Among steps of the same rank, startSteps puts the work of organisations
+// that is beyond their rates and shares behind the other.
 func (p *Planner) orderSteps(now time.Time) []*step {
 	type ranked struct {
 		step     *step
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -94,6 +94,12 @@
 	// HasRoom reports whether another shard has room for a long-running task; nil if
 	// there is only one shard.
 	HasRoom func(need Resources) bool
+	// Shards is the number of shards of the deployment, 1 if zero. Each gets a random
+	// part of the jobs.
+	Shards int
+	// OnJobMetered, if not nil, receives the organisation of each job that is new to the
+	// shard, and whether the job is within the organisation's rate and share.
+	OnJobMetered func(organisation string, isWithin bool)
 	// OnDecision, if not nil, receives each decision.
 	OnDecision func(Decision)
 }
@@ -164,6 +170,7 @@
 	unknownRuns  map[RunID]unknownRun
 	interference *tailModels
 	headroom     headroom
+	fairness     fairness
 	// disconnections holds when workers with runs disconnected lately.
 	disconnections []disconnection
 	// movedOutAt is when a task on a draining worker was last stopped in order to be
@@ -247,6 +254,7 @@
 // SetConfig applies a new configuration. A queue that the configuration no
 // longer defines keeps its last definition for the jobs accepted under it.
 func (p *Planner) SetConfig(c Config) {
+	p.setOrganisations(c.Organisations)
 	p.config = c
 	for _, j := range p.activeJobs {
 		if q, ok := c.Queues[j.Queue.Name]; ok {
@@ -295,6 +303,7 @@
 	j.visibleState = j.state
 	p.jobs[d.ID] = j
 	p.allJobs = append(p.allJobs, j)
+	p.fairness.unmetered = append(p.fairness.unmetered, j)
 	if j.state.isFinal() {
 		j.finalAt = now
 		return
@@ -493,29 +502,3 @@
 // Unverified returns the ids of the workers of an earlier owner that have not answered
 // this owner, sorted.
 func (p *Planner) Unverified() []string { return slices.Sorted(maps.Keys(p.unverified)) }
-
-// Usage holds the numbers of unfinished jobs, waiting tasks, runs, workers, sick
-// workers, and ends whose effect is not in the store, for metrics.
-type Usage struct{ Jobs, Waiting, Runs, Workers, Sick, UnstoredEnds int }
-
-// Usage returns the current counts.
-func (p *Planner) Usage(now time.Time) Usage {
-	u := Usage{Jobs: len(p.activeJobs), Workers: len(p.workers)}
-	for _, w := range p.sortedWorkers {
-		u.Runs += len(w.runs)
-		u.UnstoredEnds += w.unstoredEnds(p.jobsReadAt)
-		if w.isSick(now) {
-			u.Sick++
-		}
-	}
-	for _, j := range p.activeJobs {
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.isOpen {
-					u.Waiting += len(s.waiting)
-				}
-			}
-		}
-	}
-	return u
-}
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -77,6 +77,7 @@
 // soonest. It does nothing if the task already has a reserved worker, has not
 // waited long enough, or fits on no candidate.
 func (p *Planner) reserveWorker(now time.Time, t *task, candidates []*Worker) {
+	p.holdBack(now, t)
 	// When the fleet is full, a reservation would take the worker from short
 	// work.
 	if now.Sub(t.readyAt) < reserveAfter || p.headroom.free < reserveFreeFactor*t.step.Need.CPU {
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -67,8 +67,9 @@
 	// best-effort tasks earn.
 	harmLimit        = 0.15
 	relaxedHarmLimit = 0.35
-	// lateHarmLimit replaces harmLimit for a task of a late job if its service
-	// is busy: such a job earns at most a seventh of the full value.
+	// lateHarmLimit replaces harmLimit for a task of a late job if its service is busy:
+	// such a job earns at most a seventh of the full value. So it does for work beyond
+	// its organisation's rate or share.
 	lateHarmLimit = 0.04
 	// lateWaitLimit is the longest wait of a task during which lateHarmLimit
 	// applies.
@@ -318,7 +319,7 @@
 	switch waited, sought := now.Sub(t.readyAt), now.Sub(t.soughtAt); {
 	case waited > busyIgnoreHarmAfter, waited > ignoreHarmAfter && !isBusy:
 		return math.Inf(1)
-	case sought < lateWaitLimit && p.rank(now, t.step) != rankInTime && isBusy:
+	case sought < lateWaitLimit && isBusy && (p.rank(now, t.step) != rankInTime || p.isBeyond(now, t.step)):
 		return lateHarmLimit
 	case sought > relaxHarmAfter:
 		return relaxedHarmLimit
@@ -394,10 +395,10 @@
 	if over > time.Duration(prolongedViolationShare*float64(p.options.ViolationLimit)) {
 		threshold = prolongedMinThrottleRise
 	}
-	// Tasks of late jobs are throttled first because they earn little.
+	// Tasks of late jobs, which earn little, and those beyond a share are throttled first.
 	weight := func(r *run) float64 {
 		rise := v.rise(r.task.step, r.expectedCores())
-		if p.rank(now, r.task.step) != rankInTime {
+		if p.rank(now, r.task.step) != rankInTime || p.isBeyondInBusyService(now, r.task.step) {
 			rise *= lateWeight
 		}
 		return rise
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -42,6 +42,7 @@
 	hasStarted bool
 	// finalAt is when the job reached a final state.
 	finalAt time.Time
+	fairnessState
 }
 
 func (j *job) markChanged() { j.version++ }
