--- a/internal/planner/organisation.go
+++ b/internal/planner/organisation.go
@@ -44,6 +44,8 @@
 	// inherited holds the parts that the shard held when this owner loaded it, and adopted
 	// what the runs of earlier owners need that were found since.
 	inherited, adopted map[string]Resources
+	// plan numbers the plans.
+	plan uint64
 }
 
 func newCapLedger() capLedger {
@@ -53,8 +55,8 @@
 	}
 }
 
-// setOrganisations applies the organisations of a new configuration.
-func (p *Planner) setOrganisations(defined map[string]Organisation) {
+// setCaps applies the caps of a new configuration.
+func (p *Planner) setCaps(defined map[string]Organisation) {
 	l := &p.caps
 	if len(defined) == 0 && len(l.organisations) == 0 {
 		return
@@ -104,6 +106,7 @@
 	if len(l.organisations) == 0 {
 		return
 	}
+	l.plan++
 	clear(l.used)
 	clear(l.blocked)
 	for _, w := range p.sortedWorkers {
@@ -174,6 +177,10 @@
 	}
 	name := s.occurrence.job.Organisation
 	for _, t := range tasks {
+		if t.blockedIn == p.caps.plan {
+			continue
+		}
+		t.blockedIn = p.caps.plan
 		p.caps.blocked[name] = p.caps.blocked[name].plus(s.Need)
 		t.readyAt, t.soughtAt = time.Time{}, time.Time{}
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -42,6 +42,7 @@
 	hasStarted bool
 	// finalAt is when the job reached a final state.
 	finalAt time.Time
+	fairnessState
 }
 
 func (j *job) markChanged() { j.version++ }
@@ -142,6 +143,9 @@
 	// avoidedWorkers holds the ids of the workers on which the task failed,
 	// stalled, was slow or was refused.
 	avoidedWorkers []string
+	// blockedIn is the number of the last plan in which the cap of its organisation kept
+	// the task from starting.
+	blockedIn uint64
 	// retryAt is the earliest time at which the task may start after a failure.
 	retryAt time.Time
 	// readyAt is when the task was first seen waiting in an open step. soughtAt is
