--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -138,6 +138,9 @@
 func (p *Planner) placementCost(now time.Time, t *task, w *Worker, pace int, limit float64) (float64, bool) {
 	s := t.step
 	cost := w.load() + float64(s.Need.CPU)/float64(max(1, w.Capacity.CPU))
+	if s.LatencyTarget > 0 && !p.options.DisablePacking {
+		cost = p.packingCost(w)
+	}
 	if s.PreferredRack != "" && w.Rack != s.PreferredRack {
 		cost += remotePenalty
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -90,6 +90,10 @@
 	// OnJobMetered, if not nil, receives the organisation of each job that is new to the
 	// shard, and whether the job is within the organisation's rate and share.
 	OnJobMetered func(organisation string, isWithin bool)
+	// DisablePacking spreads long-running tasks with a latency target over all workers, and
+	// DisableLastTasksFirst treats the last tasks of a step like the others, so that the
+	// decisions can be compared.
+	DisablePacking, DisableLastTasksFirst bool
 	// OnDecision, if not nil, receives each decision.
 	OnDecision func(Decision)
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -34,14 +34,21 @@
 var origin = time.Unix(1_000_000, 0)
 
 func newDriver(t *testing.T, epoch int64, workers ...planner.Worker) *driver {
+	return newDriverWith(t, epoch, func(*planner.Options) {}, workers...)
+}
+
+// newDriverWith returns a driver whose planner has changed options.
+func newDriverWith(t *testing.T, epoch int64, change func(*planner.Options), workers ...planner.Worker) *driver {
 	c := quicktest.New(t)
 	decisionCounts, hasRoom := map[string]int{}, new(bool)
-	p, err := planner.New(planner.Options{
+	o := planner.Options{
 		OnDecision: func(d planner.Decision) { decisionCounts[d.Event]++ },
 		HasRoom:    func(planner.Resources) bool { return *hasRoom },
 		Epoch:      epoch, MaxFenceOffset: 15, Horizon: 7 * time.Second, ViolationLimit: 4 * time.Second, Retention: time.Minute,
 		PredecessorLeaseEnd: origin.Add(13 * time.Second), WallTime: func(t time.Time) time.Time { return t },
-	})
+	}
+	change(&o)
+	p, err := planner.New(o)
 	c.Assert(err, quicktest.IsNil)
 	return &driver{c, p, origin, map[string][]planner.RunStatus{}, workers, map[string][]planner.RunEnd{}, 0, decisionCounts, hasRoom}
 }
