Send keys in the soak and replace one while it runs

Cause: the stand-in platform had no organisations, so that nothing checked from outside when a withdrawn key stops, a new one starts, and what unknown keys get.

Change: the stand-in's configuration holds organisations if its options have them.

Tests changed: TestConfigurationIsInForce has a third seed, with keys. TestChecker has two more cases.

--- a/standins/cmd/soak/main.go
+++ b/standins/cmd/soak/main.go
@@ -29,6 +29,7 @@
 	cuts := app.Flag("cuts", "Only kill owners while no worker can be reached until its successor has dropped them.").Bool()
 	heldCalls := app.Flag("held-calls", "Only restart workers under their ids and cut them off while calls to their former processes take effect.").Bool()
 	heldTakeovers := app.Flag("held-takeovers", "Only kill or stop owners after workers have restarted under their ids, and cut these off while calls to their former processes take effect.").Bool()
+	keys := app.Flag("keys", "Require keys of clients, replace one with each version of the configuration, and check which keys are accepted; also with the other flags.").Bool()
 	verbose := app.Flag("verbose", "Print the injected faults of each seed.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -53,11 +54,14 @@
 			if *configs {
 				run = soaker.RunConfigs
 			}
-			r, err := run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: *instances, Workers: *workers, Clients: *clients, Duration: *length, UnstoredEnds: *unstored, Cuts: *cuts, HeldCalls: *heldCalls, HeldTakeovers: *heldTakeovers})
+			r, err := run(seed, soaker.Options{Binary: binary, Directory: sub, Instances: *instances, Workers: *workers, Clients: *clients, Duration: *length, UnstoredEnds: *unstored, Cuts: *cuts, HeldCalls: *heldCalls, HeldTakeovers: *heldTakeovers, Keys: *keys})
 			app.FatalIfError(err, "seed %d", seed)
 			mu.Lock()
 			defer mu.Unlock()
 			fmt.Printf("seed %d: %d jobs, %d accepted, %d starts, %d workers restarted, %d runs killed, %d checks of the configuration, %d faults injected, %d guarantees violated\n", seed, r.Jobs, r.Accepted, r.Starts, r.Restarts, r.Kills, r.Checks, len(r.InjectedFaults), len(r.Violations))
+			if *keys {
+				fmt.Printf("  %d calls with an unknown key rejected\n", r.UnknownKeys)
+			}
 			for _, v := range r.Violations {
 				fmt.Println("  violated:", v)
 			}
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -75,6 +75,15 @@
 	TransactionSilence, OrderSilence time.Duration
 	// MaxLease is the longest lease of a run, 3 s if zero.
 	MaxLease time.Duration
+	// Organisations, if not nil, returns the organisations that a version of the
+	// configuration holds. Clients then need a key.
+	Organisations func(version int) []Organisation
+}
+
+// Organisation is an organisation in the configuration.
+type Organisation struct {
+	Name string   `json:"name"`
+	Keys []string `json:"keys"`
 }
 
 // Lost is the delay of a call to a worker that never takes effect.
@@ -191,12 +200,16 @@
 	for _, prefix := range added {
 		routes = append(routes, route("queue "+prefix, prefix))
 	}
-	config, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"version":  version,
 		"routes":   routes,
 		"services": []map[string]any{{"name": service, "healthPath": "/healthz", "enforcesCapacity": false}},
 		"limits":   map[string]int{"maxBodyBytes": 262144},
-	})
+	}
+	if p.options.Organisations != nil {
+		fields["tenants"] = p.options.Organisations(version)
+	}
+	config, err := json.Marshal(fields)
 	if err != nil {
 		return errors.Wrap(err, "encode configuration")
 	}
@@ -333,11 +346,11 @@
 // and returns the status and the body of the response. Without a response the
 // status is 0 and the text is the error.
 func (i *Instance) Call(method, id, body string, timeout time.Duration) (status int, text string) {
-	return i.CallPath(method, Prefix+id, body, timeout)
+	return i.CallWithKey(method, Prefix+id, "", body, timeout)
 }
 
-// CallPath is like Call, for any path.
-func (i *Instance) CallPath(method, path, body string, timeout time.Duration) (status int, text string) {
+// CallWithKey is like Call, for any path and with a key unless that is empty.
+func (i *Instance) CallWithKey(method, path, key, body string, timeout time.Duration) (status int, text string) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -346,6 +359,9 @@
 	request.Header.SetHost(Host)
 	request.Header.SetMethod(method)
 	request.Header.SetContentType("application/json")
+	if key != "" {
+		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+key)
+	}
 	request.SetBodyString(body)
 	if err := i.client.DoTimeout(request, response, timeout); err != nil {
 		return 0, err.Error()
--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -78,6 +78,8 @@
 	failedRuns, failedBefore map[string]map[string]bool
 	violations               []string
 	starts, kills            int
+	// unknownKeys counts the rejected calls with a key that no configuration held.
+	unknownKeys int
 }
 
 func newChecker() *checker {
--- a/standins/soaker/checker_test.go
+++ b/standins/soaker/checker_test.go
@@ -29,6 +29,8 @@
 			c.checkState(j, 200, "done")
 			c.checkFinalState()
 		}, ""},
+		"unknown key accepted":      {func(c *checker, _ *job) { c.checkUnknownKey("edge-1", "GET", 503, `{"error":"shard has no owner"}`) }, "key"},
+		"unknown key not looked at": {func(c *checker, _ *job) { c.checkUnknownKey("edge-1", "GET", 503, `{"error":"no configuration yet"}`) }, ""},
 		"two runs at once": {func(c *checker, _ *job) {
 			c.observe(event("v", "a.0.0.0", 1, "start"))
 			c.observe(event("w", "a.0.0.0", 2, "start"))
--- a/standins/soaker/client.go
+++ b/standins/soaker/client.go
@@ -63,6 +63,9 @@
 			c.cancel(j)
 		}
 		c.poll(c.jobs[c.rng.IntN(len(c.jobs))])
+		if c.soak.options.Keys {
+			c.callWithUnknownKey()
+		}
 	}
 }
 
@@ -120,7 +123,7 @@
 		case status == fasthttp.StatusOK:
 			c.soak.checker.update(j, func(j *job) { j.accepted = true })
 			return
-		case status != fasthttp.StatusServiceUnavailable && status != fasthttp.StatusTooManyRequests:
+		case status != fasthttp.StatusServiceUnavailable && status != fasthttp.StatusTooManyRequests && status != fasthttp.StatusUnauthorized:
 			mayBeAccepted = true
 		}
 		c.soak.checker.update(j, func(j *job) { j.refused = !mayBeAccepted })
@@ -174,7 +177,7 @@
 // is none, and the state of the job in it.
 func (c *client) call(method, id, body string) (int, string) {
 	s := c.soak
-	status, text := s.currentProcess(s.instances[c.rng.IntN(len(s.instances))]).Call(method, id, body, callTimeout)
+	status, text := s.currentProcess(s.instances[c.rng.IntN(len(s.instances))]).CallWithKey(method, platformer.Prefix+id, s.clientKey(c.index), body, callTimeout)
 	var answer struct {
 		State string `json:"state"`
 	}
--- a/standins/soaker/configs.go
+++ b/standins/soaker/configs.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"tarragonhead.example/tarragonhead/standins/platformer"
 )
 
 const (
@@ -34,8 +36,11 @@
 	// isReported is set by instance once a violation of the present version is.
 	isReported map[string]bool
 	violations []string
-	// checks counts the checks that the guarantee covered.
-	checks int
+	// checks counts the checks that the guarantee covered, and unknownKeys the rejected
+	// calls with a key that no configuration held.
+	checks, unknownKeys int
+	// hasKeys is set if clients need keys.
+	hasKeys bool
 }
 
 // addedPrefix returns the prefix of the paths that only one version serves.
@@ -67,12 +72,20 @@
 
 // check checks which routes an instance serves.
 func (c *configChecker) check(i *instance) {
+	if c.hasKeys {
+		c.checkUnknownKey(i)
+	}
 	version := c.requiredVersion(i.name)
 	if version == 0 {
 		return
 	}
-	added, _ := i.process.CallPath(fasthttp.MethodGet, addedPrefix(version), "", callTimeout)
-	dropped, _ := i.process.CallPath(fasthttp.MethodGet, addedPrefix(version-1), "", callTimeout)
+	key := ""
+	if c.hasKeys {
+		key = steadyKey
+		c.checkReplacedKeys(i, version)
+	}
+	added, _ := i.process.CallWithKey(fasthttp.MethodGet, addedPrefix(version), key, "", callTimeout)
+	dropped, _ := i.process.CallWithKey(fasthttp.MethodGet, addedPrefix(version-1), key, "", callTimeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checks++
@@ -92,10 +105,10 @@
 		return Report{}, err
 	}
 	defer s.stop()
-	checker := &configChecker{disturbedAt: map[string]time.Time{}, isReported: map[string]bool{}}
+	checker := &configChecker{disturbedAt: map[string]time.Time{}, isReported: map[string]bool{}, hasKeys: o.Keys}
 	for _, i := range s.instances {
 		for end := time.Now().Add(acceptanceTimeout); ; time.Sleep(acceptancePollInterval) {
-			if status, _ := i.process.Call(fasthttp.MethodGet, "", "", callTimeout); status == fasthttp.StatusOK {
+			if status, _ := i.process.CallWithKey(fasthttp.MethodGet, platformer.Prefix, s.clientKey(0), "", callTimeout); status == fasthttp.StatusOK {
 				break
 			}
 			if time.Now().After(end) {
@@ -124,7 +137,7 @@
 	time.Sleep(quietTime)
 	close(stop)
 	checks.Wait()
-	return Report{Seed: seed, Violations: checker.violations, InjectedFaults: s.injected, Checks: checker.checks}, nil
+	return Report{Seed: seed, Violations: checker.violations, InjectedFaults: s.injected, Checks: checker.checks, UnknownKeys: checker.unknownKeys}, nil
 }
 
 // changeRoutes writes configurations at random moments.
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -64,6 +64,9 @@
 	// HeldTakeovers says that the only faults are those in which such calls were sent by
 	// an owner that has ended, and reach a process that its successor can't reach.
 	HeldTakeovers bool
+	// Keys says that clients need keys, that each version of the configuration replaces
+	// one, and that calls with unknown keys are checked.
+	Keys bool
 }
 
 // Report is the result of a soak.
@@ -81,6 +84,8 @@
 	Restarts int
 	// Checks is the number of checks of the configuration in force.
 	Checks int
+	// UnknownKeys is the number of rejected calls with a key that no configuration held.
+	UnknownKeys int
 	// Starts is the number of runs that workers started, and Kills the number of
 	// those that ended with their process.
 	Starts, Kills int
@@ -140,6 +145,9 @@
 		TransactionDelay: s.transactionDelay,
 		OrderDelay:       func(string) time.Duration { return s.delay(&s.shares.lateOrders) },
 	}
+	if o.Keys {
+		p.Organisations = organisations
+	}
 	if o.UnstoredEnds {
 		p.TransactionSilence, p.MaxLease = transactionSilence, unstoredMaxLease
 	}
@@ -199,12 +207,15 @@
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 4))}).injectRestarts)
 		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 5))}).injectTakeovers)
 	}
+	if o.Keys {
+		injectors.Go((&injector{s, rand.New(rand.NewPCG(seed, 102))}).replaceKeys)
+	}
 	injectors.Wait()
 	close(stopClients)
 	clientsDone.Wait()
 	s.activeFaults.Wait()
 	s.awaitCompletion(clients)
-	r := Report{Seed: seed, Violations: s.checker.violations, InjectedFaults: s.injected, Restarts: s.restarts, Jobs: len(s.checker.jobs), Starts: s.checker.starts, Kills: s.checker.kills}
+	r := Report{Seed: seed, Violations: s.checker.violations, InjectedFaults: s.injected, Restarts: s.restarts, Jobs: len(s.checker.jobs), Starts: s.checker.starts, Kills: s.checker.kills, UnknownKeys: s.checker.unknownKeys}
 	r.Accepted = s.checker.acceptedCount()
 	return r, nil
 }
--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -29,8 +29,10 @@
 
 // configSeeds holds the seeds of the short run of changes of the configuration. With
 // seed 3 an instance served by an older configuration, once its connections to the
-// store had gone silent.
-var configSeeds = map[string]uint64{"short run": 1, "silent connections": 3}
+// store had gone silent. Clients need keys in the run of replacedKeys.
+var configSeeds = map[string]uint64{"short run": 1, "silent connections": 3, replacedKeys: 5}
+
+const replacedKeys = "replaced keys"
 
 // unstoredSeeds holds the seeds of the short run in which owners end before they have
 // stored the ends of runs.
@@ -83,7 +85,8 @@
 func checkRestarts(c *quicktest.C, r soaker.Report) { c.Assert(r.Restarts > 0, quicktest.IsTrue) }
 
 // TestConfigurationIsInForce checks that each version of the configuration is in force
-// in time while open connections go silent or are reset.
+// in time while open connections go silent or are reset, and guards against keys that work
+// after they were withdrawn or that no configuration held.
 func TestConfigurationIsInForce(t *testing.T) {
 	c := quicktest.New(t)
 	dir := t.TempDir()
@@ -93,10 +96,11 @@
 			c := quicktest.New(t)
 			sub := filepath.Join(dir, fmt.Sprint(seed))
 			c.Assert(os.Mkdir(sub, 0o700), quicktest.IsNil)
-			r, err := soaker.RunConfigs(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 3, Duration: 8 * time.Second})
+			r, err := soaker.RunConfigs(seed, soaker.Options{Binary: binary, Directory: sub, Instances: 3, Workers: 3, Duration: 8 * time.Second, Keys: name == replacedKeys})
 			c.Assert(err, quicktest.IsNil)
 			c.Assert(r.Violations, quicktest.HasLen, 0, quicktest.Commentf("%q", r.InjectedFaults))
 			c.Assert(r.Checks > 0, quicktest.IsTrue)
+			c.Assert(r.UnknownKeys > 0, quicktest.Equals, name == replacedKeys)
 		})
 	}
 }
