--- a/internal/authorizer/authorizer_test.go
+++ b/internal/authorizer/authorizer_test.go
@@ -116,8 +116,7 @@
 	organisations := make([]Organisation, 1000)
 	for n := range 10_000 {
 		o := &organisations[n%1000]
-		o.Name = fmt.Sprint("organisation-", n%1000)
-		o.Keys = append(o.Keys, fmt.Sprintf("%032x", n))
+		o.Name, o.Keys = fmt.Sprint("organisation-", n%1000), append(o.Keys, fmt.Sprintf("%032x", n))
 	}
 	return New(routes, organisations, true)
 }
