--- a/standins/cmd/soak/main.go
+++ b/standins/cmd/soak/main.go
@@ -60,7 +60,7 @@
 			defer mu.Unlock()
 			fmt.Printf("seed %d: %d jobs, %d accepted, %d starts, %d workers restarted, %d runs killed, %d checks of the configuration, %d faults injected, %d guarantees violated\n", seed, r.Jobs, r.Accepted, r.Starts, r.Restarts, r.Kills, r.Checks, len(r.InjectedFaults), len(r.Violations))
 			if *keys {
-				fmt.Printf("  %d calls with an unknown key rejected\n", r.UnknownKeys)
+				fmt.Printf("  %d calls with an unknown key rejected, %d tasks of the organisation with a cap at most\n", r.UnknownKeys, r.MostCapped)
 			}
 			for _, v := range r.Violations {
 				fmt.Println("  violated:", v)
--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -80,10 +80,18 @@
 	Organisations func(version int) []Organisation
 }
 
+// Cap is what the runs of an organisation may need together; zero for no limit.
+type Cap struct {
+	// CPU is in millicores.
+	CPU int64 `json:"cpu"`
+}
+
 // Organisation is an organisation in the configuration.
 type Organisation struct {
-	Name string   `json:"name"`
-	Keys []string `json:"keys"`
+	Name   string   `json:"name"`
+	Keys   []string `json:"keys"`
+	Weight float64  `json:"weight"`
+	Cap    Cap      `json:"cap"`
 }
 
 // Lost is the delay of a call to a worker that never takes effect.
--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -19,6 +19,8 @@
 	// previous step is done.
 	taskCounts    []int
 	isLongRunning bool
+	// isCapped is set if the job belongs to the organisation with a cap.
+	isCapped bool
 	// times is the number of scheduled occurrences of the steps, 0 for a job that starts
 	// immediately. Occurrence k is due at first plus k times interval.
 	times    int
@@ -80,6 +82,8 @@
 	starts, kills            int
 	// unknownKeys counts the rejected calls with a key that no configuration held.
 	unknownKeys int
+	// mostCapped is the largest number of tasks of the organisation with a cap that ran.
+	mostCapped int
 }
 
 func newChecker() *checker {
@@ -206,6 +210,9 @@
 		c.fail("unrequested: %s is started, but no client submitted its job", e.Task)
 		return
 	}
+	if j.isCapped {
+		c.checkCap(e.Task)
+	}
 	if j.refused {
 		c.fail("refused: %s is started, but every submission of its job was refused", e.Task)
 	}
--- a/standins/soaker/client.go
+++ b/standins/soaker/client.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// taskCPU is what a task needs, in millicores.
+	taskCPU = 500
 	// taskDuration is how long each task runs.
 	taskDuration = 400 * time.Millisecond
 	// callTimeout is how long a client waits for a response.
@@ -74,6 +76,10 @@
 func (c *client) newJob() *job {
 	c.jobCount++
 	j := &job{taskCounts: []int{1 + c.rng.IntN(4)}, isLongRunning: c.rng.Float64() < longRunningShare}
+	if j.isCapped = c.soak.isCapped(c.index); j.isCapped {
+		// Long-running tasks would keep the cap used up until they are cancelled.
+		j.isLongRunning = false
+	}
 	if j.isLongRunning {
 		j.id = fmt.Sprintf("%s%04x%08x", platformer.LongRunningPrefix, c.index, c.jobCount)
 		return j
@@ -94,7 +100,7 @@
 func encodeJob(j *job) string {
 	var steps []map[string]any
 	for n, count := range j.taskCounts {
-		s := map[string]any{"count": count, "cpu": 500, "memMb": 100, "estimateMs": taskDuration.Milliseconds(), "longRunning": j.isLongRunning}
+		s := map[string]any{"count": count, "cpu": taskCPU, "memMb": 100, "estimateMs": taskDuration.Milliseconds(), "longRunning": j.isLongRunning}
 		if n > 0 {
 			s["after"] = []int{n - 1}
 		}
--- a/standins/soaker/keys.go
+++ b/standins/soaker/keys.go
@@ -18,6 +18,10 @@
 	// minKeyLife is the least time between two versions that replace a key, so that few
 	// instances are more than one version behind.
 	minKeyLife = 2 * time.Second
+	// cappedTasks is how many tasks the organisation with the steady key may have running.
+	// capOverage is the share by which its runs may exceed that, besides one task.
+	cappedTasks = 6
+	capOverage  = 0.1
 )
 
 // replacedKey returns the key that the given version of the configuration and the one
@@ -25,14 +29,33 @@
 func replacedKey(version int) string { return fmt.Sprintf("replaced-%d", version) }
 
 // organisations returns the organisations of a version of the configuration. One holds the
-// steady key. The other holds two keys, of which the next version holds one.
+// steady key and has a cap. The other holds two keys, of which the next version holds one.
 func organisations(version int) []platformer.Organisation {
 	return []platformer.Organisation{
-		{Name: "steady", Keys: []string{steadyKey}},
-		{Name: "replacing", Keys: []string{replacedKey(version), replacedKey(version + 1)}},
+		{Name: "steady", Keys: []string{steadyKey}, Weight: 10, Cap: platformer.Cap{CPU: cappedTasks * taskCPU}},
+		{Name: "replacing", Keys: []string{replacedKey(version), replacedKey(version + 1)}, Weight: 10},
 	}
 }
 
+// isCapped reports whether the jobs of the client with the given index belong to the
+// organisation with the cap.
+func (s *soak) isCapped(index int) bool { return s.options.Keys && index%2 == 0 }
+
+// checkCap checks that the start of a task keeps its organisation within its cap. The
+// caller holds c.mu.
+func (c *checker) checkCap(task string) {
+	count := 0
+	for t, runs := range c.running {
+		if j := c.jobs[t[:strings.IndexByte(t, '.')]]; j != nil && j.isCapped {
+			count += len(runs)
+		}
+	}
+	if float64(count-1) > cappedTasks*(1+capOverage) {
+		c.fail("cap: %d tasks of the organisation run with %s, %d may", count, task, cappedTasks)
+	}
+	c.mostCapped = max(c.mostCapped, count)
+}
+
 // clientKey returns the key that the client with the given index uses now; empty if
 // clients need none. Half of the clients use a key that is replaced.
 func (s *soak) clientKey(index int) string {
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -86,6 +86,8 @@
 	Checks int
 	// UnknownKeys is the number of rejected calls with a key that no configuration held.
 	UnknownKeys int
+	// MostCapped is the largest number of tasks of the organisation with a cap that ran.
+	MostCapped int
 	// Starts is the number of runs that workers started, and Kills the number of
 	// those that ended with their process.
 	Starts, Kills int
@@ -215,7 +217,7 @@
 	clientsDone.Wait()
 	s.activeFaults.Wait()
 	s.awaitCompletion(clients)
-	r := Report{Seed: seed, Violations: s.checker.violations, InjectedFaults: s.injected, Restarts: s.restarts, Jobs: len(s.checker.jobs), Starts: s.checker.starts, Kills: s.checker.kills, UnknownKeys: s.checker.unknownKeys}
+	r := Report{Seed: seed, Violations: s.checker.violations, InjectedFaults: s.injected, Restarts: s.restarts, Jobs: len(s.checker.jobs), Starts: s.checker.starts, Kills: s.checker.kills, UnknownKeys: s.checker.unknownKeys, MostCapped: s.checker.mostCapped}
 	r.Accepted = s.checker.acceptedCount()
 	return r, nil
 }
--- a/standins/soaker/soaker_test.go
+++ b/standins/soaker/soaker_test.go
@@ -126,6 +126,16 @@
 	}
 }
 
+// TestCapUnderFaults guards against an organisation that exceeds its cap while owners end,
+// workers restart and are cut off and the store fails, and against calls that are accepted
+// with an unknown key.
+func TestCapUnderFaults(t *testing.T) {
+	runSoaks(t, map[string]uint64{"owners end, workers restart": 46001}, soaker.Options{Clients: 12, Duration: 6 * time.Second, Keys: true}, func(c *quicktest.C, r soaker.Report) {
+		c.Assert(r.UnknownKeys > 0, quicktest.IsTrue)
+		c.Assert(r.MostCapped > 1, quicktest.IsTrue)
+	})
+}
+
 // TestUnstoredEndsRunNoTaskTwice guards against tasks that run again after the end of
 // an owner that had read the ends of their runs and not stored them (issue 36).
 func TestUnstoredEndsRunNoTaskTwice(t *testing.T) {
