--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -75,6 +75,9 @@
 	TransactionSilence, OrderSilence time.Duration
 	// MaxLease is the longest lease of a run, 3 s if zero.
 	MaxLease time.Duration
+	// MaxDescriptors, if not zero, is the number of descriptors that an instance may
+	// open, and MemoryMB the memory that its settings name, 284 if zero.
+	MaxDescriptors, MemoryMB int
 }
 
 // Lost is the delay of a call to a worker that never takes effect.
@@ -130,11 +133,13 @@
 // Instance is a tarragond process on the platform.
 type Instance struct {
 	// Front is the address that clients call.
-	Front   string
-	name    string
-	control string
-	command *exec.Cmd
-	done    chan struct{}
+	Front string
+	// Readiness is the address of the readiness checks.
+	Readiness string
+	name      string
+	control   string
+	command   *exec.Cmd
+	done      chan struct{}
 	// startedAt is when the process was started.
 	startedAt time.Time
 	// client keeps connections open until the process closes them, and repeats no
@@ -269,7 +274,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := &Instance{Front: addresses[0], name: name, control: addresses[2], done: make(chan struct{})}
+	i := &Instance{Front: addresses[0], Readiness: addresses[1], name: name, control: addresses[2], done: make(chan struct{})}
 	i.client = &fasthttp.Client{
 		MaxIdleConnDuration: idleTimeout, MaxIdemponentCallAttempts: 1,
 		Dial: func(address string) (net.Conn, error) {
@@ -294,7 +299,7 @@
 listen.readiness=%s
 listen.control=%s
 seeds=%s
-limits.memoryMb=284
+limits.memoryMb=%d
 limits.cpuShare=0.4
 limits.cores=1
 bounds.graceS=2
@@ -310,11 +315,17 @@
 platform.writesPerS=400
 platform.readsPerS=2000
 platform.minTtlMs=500
-`, name, domain, addresses[0], addresses[1], addresses[2], strings.Join(seeds, ","), p.options.MaxLease.Milliseconds(), store)
+`, name, domain, addresses[0], addresses[1], addresses[2], strings.Join(seeds, ","), cmp.Or(p.options.MemoryMB, 284), p.options.MaxLease.Milliseconds(), store)
+	if p.options.MaxDescriptors > 0 {
+		text += fmt.Sprintf("limits.maxFds=%d\n", p.options.MaxDescriptors)
+	}
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "write settings file")
 	}
 	i.command = exec.Command(p.options.Binary, "platform")
+	if p.options.MaxDescriptors > 0 {
+		i.command = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" platform`, p.options.MaxDescriptors), p.options.Binary)
+	}
 	i.command.Env = append(os.Environ(), "TARRAGONHEAD_SETTINGS="+settings)
 	i.command.Stdout, i.command.Stderr = p.options.Output, p.options.Output
 	if err := i.command.Start(); err != nil {
@@ -356,6 +367,9 @@
 // Dials returns the number of connections that calls have opened.
 func (i *Instance) Dials() int64 { return i.dials.Load() }
 
+// PID returns the id of the instance's process.
+func (i *Instance) PID() int { return i.command.Process.Pid }
+
 // Signal sends a signal to the instance's process.
 func (i *Instance) Signal(s syscall.Signal) error { return i.command.Process.Signal(s) }
 
--- a/standins/platformer/platformer_test.go
+++ b/standins/platformer/platformer_test.go
@@ -26,7 +26,8 @@
 	log string
 }
 
-// binary is tarragond, built once for all tests.
+// binary is tarragond, built once for all tests unless TARRAGOND_BINARY names another one,
+// such as that of an earlier version for a benchmark.
 var binary string
 
 func TestMain(m *testing.M) {
@@ -34,6 +35,9 @@
 }
 
 func run(m *testing.M) int {
+	if binary = os.Getenv("TARRAGOND_BINARY"); binary != "" {
+		return m.Run()
+	}
 	dir, err := os.MkdirTemp("", "platformer")
 	if err != nil {
 		panic(err)
