Bound what clients may take of a process

Cause: the HTTP library reserved the announced size of a body, up to 1 MiB, before it arrived; nothing bounded bodies together, the decoding of submissions, the times of clients or the open connections; a connection without a descriptor ended the server, and with it the process; and decoding errors repeated the body in the response and each waiting log line.

Change: internal/limiter bounds the open connections of each server, from the descriptors and the memory of the machine, and closes the connection that has sent no complete request for longest. Bodies are read as they arrive, against one budget for the process, and refused with 503, Retry-After and a closed connection, or with 413 before they are read. Headers, bodies, idle connections and unread responses have time limits, the first and the third from the configuration. Submissions have bounds for nesting and steps, and their steps count against the budget before they are decoded; so do the steps in a peer's record, whose arrays, maps and nesting are bounded. A header of 16,384 bytes, as the configuration allows, is accepted: it was refused with 431, over 4,096 bytes.

The buffer for headers is 17 KiB instead of 4 KiB on each connection.

--- /dev/null
+++ b/internal/limiter/server.go
@@ -0,0 +1,254 @@
+package limiter
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+)
+
+// refusedHeader marks a request whose header shows that it is refused, between the hook of
+// the HTTP library for headers and the handler. Its value is the limit. A client that sends
+// it is refused.
+const refusedHeader = "Tarragonhead-Refused"
+
+// Server applies the limits to one server of a process.
+type Server struct {
+	limiter     *Limiter
+	connections *Connections
+	refusals    *prometheus.CounterVec
+	// maxBodyBytes returns the limit for a body. patience returns how long the client of
+	// a request waits for its response.
+	maxBodyBytes func() int
+	patience     func(*fasthttp.RequestHeader) time.Duration
+}
+
+// ServerOptions configures a server.
+type ServerOptions struct {
+	Name string
+	// Share is the part of the process's connections that the server may have.
+	Share float64
+	// MaxBodyBytes returns the limit for a body; if nil, it is that of the limits.
+	MaxBodyBytes func() int
+	// Patience returns how long the client of a request waits for its response, if that
+	// is longer than the limit for a body; nil if clients can't tell.
+	Patience func(*fasthttp.RequestHeader) time.Duration
+}
+
+// Server returns the limits of one server.
+func (l *Limiter) Server(o ServerOptions) *Server {
+	s := &Server{
+		limiter: l, connections: NewConnections(max(1, int(o.Share*float64(l.maxConnections)))),
+		refusals: l.refusals.MustCurryWith(prometheus.Labels{"server": o.Name}), maxBodyBytes: o.MaxBodyBytes, patience: o.Patience,
+	}
+	if s.maxBodyBytes == nil {
+		s.maxBodyBytes = func() int { return l.Limits().MaxBodyBytes }
+	}
+	return s
+}
+
+// RefuseShape counts a body that was refused for its nesting or its elements.
+func (s *Server) RefuseShape() { s.refuse(limitShape) }
+
+// RefuseMemory counts a request for which the budget had no room.
+func (s *Server) RefuseMemory() { s.refuse(limitMemory) }
+
+func (s *Server) refuse(limit string) { s.refusals.WithLabelValues(limit).Inc() }
+
+// Attach applies the limits to the requests that h serves, whose handler is set.
+// Connections are limited only if they come from Listener.
+func (s *Server) Attach(h *fasthttp.Server) {
+	limits := s.limiter.Limits()
+	// The library would otherwise reserve the announced size of a body before any of it
+	// arrives.
+	h.StreamRequestBody = true
+	h.DisablePreParseMultipartForm = true
+	h.MaxRequestBodySize = bufferBytes
+	h.WriteBufferSize = writeBufferBytes
+	h.ReadBufferSize = limits.MaxHeaderBytes + headerSlack
+	h.ReadTimeout, h.IdleTimeout, h.WriteTimeout = managedTimeout, managedTimeout, limits.WriteTimeout
+	h.Handler = s.handle(h.Handler)
+	h.HeaderReceived = s.checkHeader
+	h.ErrorHandler = s.handleError
+	h.ConnState = func(c net.Conn, state fasthttp.ConnState) {
+		if limited, ok := c.(*conn); ok {
+			limited.setPhase(state)
+		}
+	}
+}
+
+// checkHeader returns the time for the body of a request. It marks the request if it is
+// refused for its header, so that none of the body is read.
+func (s *Server) checkHeader(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	var c fasthttp.RequestConfig
+	length, most := h.ContentLength(), s.limiter.Limits().MaxHeaders
+	switch {
+	// The length is compared first, since counting costs more.
+	case len(h.RawHeaders()) > most*minFieldBytes && h.Len() > most:
+		s.mark(h, limitHeaders)
+	case length > s.maxBodyBytes():
+		s.mark(h, limitBodyBytes)
+	case length > 0, length == -1:
+		c.ReadTimeout = s.limiter.Limits().BodyTimeout
+		if s.patience != nil {
+			c.ReadTimeout = max(c.ReadTimeout, min(s.patience(h), maxPatience))
+		}
+	}
+	return c
+}
+
+func (s *Server) mark(h *fasthttp.RequestHeader, limit string) {
+	h.SetContentLength(0)
+	h.Set(refusedHeader, limit)
+}
+
+// handle returns a handler that reads the body of a request before it calls inner.
+func (s *Server) handle(inner fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		c, _ := ctx.Conn().(*conn)
+		if limit := ctx.Request.Header.Peek(refusedHeader); limit != nil {
+			s.respond(ctx, c, string(limit))
+			return
+		}
+		b := body{server: s}
+		defer b.release()
+		if limit := b.read(ctx.RequestBodyStream(), c); limit != "" {
+			s.respond(ctx, c, limit)
+			return
+		}
+		if b.buffer != nil {
+			ctx.Request.SetBodyRaw(b.bytes)
+		}
+		if c != nil {
+			s.connections.Begin(c.entry)
+			defer s.connections.End(c.entry)
+		}
+		inner(ctx)
+	}
+}
+
+// respond refuses a request that exceeds a limit and closes its connection.
+func (s *Server) respond(ctx *fasthttp.RequestCtx, c *conn, limit string) {
+	if limit != limitBodyTime || c == nil {
+		// The connection counts the times that are exceeded.
+		s.refuse(limit)
+	}
+	if c != nil {
+		c.mustLinger.Store(true)
+	}
+	status, message := fasthttp.StatusBadRequest, "malformed body"
+	switch limit {
+	case limitHeaders:
+		status, message = fasthttp.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("over %d headers", s.limiter.Limits().MaxHeaders)
+		// The parsed header would otherwise be kept for later connections.
+		ctx.Request.Header = fasthttp.RequestHeader{}
+	case limitBodyBytes:
+		status, message = fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("body over %d bytes", s.maxBodyBytes())
+	case limitBodyTime:
+		status, message = fasthttp.StatusRequestTimeout, "the body did not arrive in time"
+	case limitMemory:
+		status, message = fasthttp.StatusServiceUnavailable, "too many bytes of requests in progress"
+		ctx.Response.Header.Set("Retry-After", "1")
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString(`{"error":"` + message + `"}`)
+	ctx.SetConnectionClose()
+}
+
+// handleError responds to a request that could not be read.
+func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &small):
+		s.refuse(limitHeaderBytes)
+		ctx.Error("Too big request header", fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case isTimeout(err):
+		ctx.Error("Request timeout", fasthttp.StatusRequestTimeout)
+	default:
+		ctx.Error("Error when parsing request", fasthttp.StatusBadRequest)
+	}
+	// The header may be large, and would otherwise be kept for later connections.
+	ctx.Request.Header = fasthttp.RequestHeader{}
+}
+
+// body is the body of one request and what it holds of the budget.
+type body struct {
+	server *Server
+	// buffer is nil if the request has no body; bytes then is nil too.
+	buffer *[]byte
+	bytes  []byte
+	taken  int64
+}
+
+// limitMalformed is no limit: the body ended early or is not encoded as announced.
+const limitMalformed = "malformed"
+
+// read reads the body from a stream and takes its memory from the budget as it arrives. It
+// returns the limit that the body exceeds, or "".
+func (b *body) read(stream io.Reader, c *conn) string {
+	if stream == nil {
+		return ""
+	}
+	limits, most := b.server.limiter.Limits(), b.server.maxBodyBytes()
+	var until time.Time
+	if c != nil {
+		until = c.readBy
+	}
+	b.buffer = b.server.limiter.buffers.Get().(*[]byte)
+	b.bytes = (*b.buffer)[:0]
+	for isComplete := false; !isComplete; {
+		if len(b.bytes) == cap(b.bytes) && !b.grow(most) {
+			return limitMemory
+		}
+		n, err := stream.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes = b.bytes[:len(b.bytes)+n]
+		isComplete = errors.Is(err, io.EOF)
+		switch {
+		case len(b.bytes) > most:
+			return limitBodyBytes
+		case isTimeout(err):
+			return limitBodyTime
+		case err != nil && !isComplete:
+			return limitMalformed
+		case c != nil && !until.IsZero():
+			c.readBy = until.Add(time.Duration(len(b.bytes)) * time.Second / time.Duration(limits.MinBodyRate))
+		}
+	}
+	if !b.take(workFactor * int64(len(b.bytes))) {
+		return limitMemory
+	}
+	return ""
+}
+
+// grow doubles the buffer, up to one byte more than a body may have, which shows that it is
+// too long. It reports whether the budget has room.
+func (b *body) grow(most int) bool {
+	size := max(min(2*cap(b.bytes), most+1), len(b.bytes)+1)
+	if !b.take(growthFactor * int64(size-cap(b.bytes))) {
+		return false
+	}
+	b.bytes = append(make([]byte, 0, size), b.bytes...)
+	return true
+}
+
+func (b *body) take(n int64) bool {
+	if !b.server.limiter.budget.Take(n) {
+		return false
+	}
+	b.taken += n
+	return true
+}
+
+func (b *body) release() {
+	if b.taken > 0 {
+		b.server.limiter.budget.Return(b.taken)
+	}
+	if b.buffer != nil {
+		b.server.limiter.buffers.Put(b.buffer)
+	}
+}
--- a/internal/marshaler/marshaler.go
+++ b/internal/marshaler/marshaler.go
@@ -18,6 +18,30 @@
 	return m
 }
 
+// The limits of UnmarshalRequest. A job has at most as many steps as tasks, and no message
+// is nested more deeply than a job.
+const (
+	maxRequestElements = 10000
+	maxRequestPairs    = 1000
+	maxRequestNesting  = 16
+)
+
+// requestMode bounds the memory that a request may take when it is decoded.
+var requestMode = newRequestMode()
+
+func newRequestMode() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: maxRequestElements, MaxMapPairs: maxRequestPairs, MaxNestedLevels: maxRequestNesting}.DecMode()
+	if err != nil {
+		// The options are constant.
+		panic(err)
+	}
+	return m
+}
+
+// UnmarshalRequest decodes a message that may come from another program than a daemon. It
+// fails for arrays, maps and nesting that no request of a daemon has.
+func UnmarshalRequest(data []byte, v any) error { return requestMode.Unmarshal(data, v) }
+
 // Marshal returns the encoding of v. It fails if v has a time outside of the years 0 to
 // 9999.
 func Marshal(v any) ([]byte, error) { return mode.Marshal(v) }
--- a/standins/platformer/limits_test.go
+++ b/standins/platformer/limits_test.go
@@ -1,6 +1,7 @@
 package platformer_test
 
 import (
+	"bufio"
 	"bytes"
 	"compress/gzip"
 	"fmt"
@@ -226,3 +227,42 @@
 	c.Check(descriptors <= limitedDescriptors, quicktest.IsTrue, quicktest.Commentf("%d descriptors", descriptors))
 	c.Check(isServed, quicktest.IsTrue, quicktest.Commentf("%d %s", status, body))
 }
+
+// TestClientsAtLimits guards against a client that keeps to all limits of the configuration
+// and is refused.
+func TestClientsAtLimits(t *testing.T) {
+	s := newTestPlatformWith(t, platformer.Options{TaskDuration: 100 * time.Millisecond, MaxDescriptors: limitedDescriptors, MemoryMB: limitedMemoryMB})
+	i := s.startInstance("edge-1")
+	field := "X-Header: " + strings.Repeat("x", 16384-len("Host: \r\nContent-Length: 10000\r\nX-Header: \r\n\r\n")-len(platformer.Host)) + "\r\n"
+	header := func(n int, body, field string) string {
+		return request("POST", platformer.Prefix+jobID(n), field+withLength(len(body)))
+	}
+	largest := `{"phases":[{"count":1,"cpu":500,"memMb":100,"estimateMs":300}],"spec":"` + strings.Repeat("x", crowdBodyBytes-73) + `"}`
+	steps := `{"spec":"x","phases":[{"count":1}` + strings.Repeat(`,{"count":1}`, 9999) + `]}`
+	for name, parts := range map[string][]string{
+		"largest header":        {header(1, twoSteps, field) + twoSteps},
+		"largest body":          {header(2, largest, "") + largest},
+		"most steps":            {header(3, steps, "") + steps},
+		"slow":                  {header(4, twoSteps, "")[:20], header(4, twoSteps, "")[20:], twoSteps[:20], twoSteps[20:]},
+		"chunked":               {request("POST", platformer.Prefix+jobID(5), "Transfer-Encoding: chunked\r\n\r\n") + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(twoSteps), twoSteps)},
+		"idle before and after": {"", header(6, twoSteps, "") + twoSteps, "", header(6, twoSteps, "") + twoSteps},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			conn, err := net.Dial("tcp4", i.Front)
+			c.Assert(err, quicktest.IsNil)
+			defer func() { _ = conn.Close() }()
+			for n, part := range parts {
+				if n > 0 {
+					time.Sleep(2 * time.Second)
+				}
+				_, err := io.WriteString(conn, part)
+				c.Assert(err, quicktest.IsNil)
+			}
+			var response fasthttp.Response
+			_ = conn.SetReadDeadline(time.Now().Add(answerTime))
+			c.Assert(response.Read(bufio.NewReader(conn)), quicktest.IsNil)
+			c.Assert(response.StatusCode(), quicktest.Equals, fasthttp.StatusOK, quicktest.Commentf("%s", response.Body()))
+		})
+	}
+}
