--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -24,6 +24,10 @@
 	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.GPU - o.GPU}
 }
 
+func (r Resources) times(n int) Resources {
+	return Resources{r.CPU * int64(n), r.Memory * int64(n), r.GPU * int64(n)}
+}
+
 // Least returns the lesser of each amount of r and o.
 func (r Resources) Least(o Resources) Resources {
 	return Resources{min(r.CPU, o.CPU), min(r.Memory, o.Memory), min(r.GPU, o.GPU)}
--- a/internal/planner/organisation.go
+++ b/internal/planner/organisation.go
@@ -31,6 +31,9 @@
 	// Used is what the runs of the organisation need, and Blocked what its tasks need that
 	// wait only because of the cap.
 	Used, Blocked Resources
+	// Smallest is, by kind of resource, the least that one of the blocked tasks, or a gang,
+	// needs.
+	Smallest Resources
 }
 
 // capLedger counts what the organisations with a cap have running in the shard.
@@ -40,7 +43,7 @@
 	organisations map[string]Organisation
 	parts         map[string]Part
 	// used and blocked are those of the last plan, by organisation.
-	used, blocked map[string]Resources
+	used, blocked, smallest map[string]Resources
 	// inherited holds the parts that the shard held when this owner loaded it, and adopted
 	// what the runs of earlier owners need that were found since.
 	inherited, adopted map[string]Resources
@@ -50,7 +53,7 @@
 
 func newCapLedger() capLedger {
 	return capLedger{
-		organisations: map[string]Organisation{}, parts: map[string]Part{}, used: map[string]Resources{}, blocked: map[string]Resources{},
+		organisations: map[string]Organisation{}, parts: map[string]Part{}, used: map[string]Resources{}, blocked: map[string]Resources{}, smallest: map[string]Resources{},
 		inherited: map[string]Resources{}, adopted: map[string]Resources{},
 	}
 }
@@ -92,7 +95,7 @@
 	for name, o := range p.caps.organisations {
 		used, blocked := p.caps.used[name].plus(p.unknownUse(name)), p.caps.blocked[name]
 		if o.Cap != (Resources{}) && (used != (Resources{}) || blocked != (Resources{})) {
-			list[name] = CapDemand{Used: used, Blocked: blocked}
+			list[name] = CapDemand{Used: used, Blocked: blocked, Smallest: p.caps.smallest[name]}
 		}
 	}
 	return list
@@ -109,6 +112,7 @@
 	l.plan++
 	clear(l.used)
 	clear(l.blocked)
+	clear(l.smallest)
 	for _, w := range p.sortedWorkers {
 		for _, r := range w.runsInOrder {
 			l.addUse(r.task.step)
@@ -159,7 +163,7 @@
 		return false
 	}
 	used := p.caps.used[name].plus(p.unknownUse(name))
-	need := Resources{s.Need.CPU * int64(count), s.Need.Memory * int64(count), s.Need.GPU * int64(count)}
+	need := s.Need.times(count)
 	fits := func(limit, held, used, need int64) bool {
 		// A task that is larger than the cap runs alone.
 		return limit == 0 || need == 0 || used+need <= held || used == 0 && held >= limit
@@ -176,6 +180,11 @@
 		return false
 	}
 	name := s.occurrence.job.Organisation
+	need := s.Need.times(len(tasks))
+	if least, ok := p.caps.smallest[name]; ok {
+		need = need.Least(least)
+	}
+	p.caps.smallest[name] = need
 	for _, t := range tasks {
 		if t.blockedIn == p.caps.plan {
 			continue
