Divide a cap by max-min fairness, with a turn for tasks above a share

A share in proportion to the needs is always less than a need, so a shard with one task never started it beside one with a long queue, and shards whose tasks are larger than their shares held parts that none of them could use. Small needs are met in full now. A shard that runs nothing and whose share is too small for its smallest task waits in a queue in the record, and the others leave it room when it is first.

A need is written again when it grows by a quarter of itself instead of the cap, and whenever the part is written. Runs beyond the stored part are stored, so that other shards start nothing in addition.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -11,9 +11,11 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 
+	"tarragonhead.example/tarragonhead/internal/apportioner"
 	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/planner"
 )
@@ -22,7 +24,7 @@
 	// reserveShare is the part of a cap that a shard takes beyond its present need,
 	// so that not every start needs a write.
 	reserveShare = 1.0 / 16
-	// wantedStep is the change of an unmet need, as a share of the cap, from which it
+	// wantedStep is the decrease of an unmet need, as a share of the cap, from which it
 	// is written again.
 	wantedStep = 0.25
 )
@@ -34,6 +36,15 @@
 	Parts map[string]planner.Resources `cbor:"parts"`
 	// Wanted holds what each shard could use beyond its part.
 	Wanted map[string]planner.Resources `cbor:"wanted,omitempty"`
+	// Queue holds, in order of arrival, the shards that have nothing running and whose
+	// share has no room for their smallest task. The others leave the need of the first.
+	Queue []Turn `cbor:"queue,omitempty"`
+}
+
+// Turn is an element of the queue of a record.
+type Turn struct {
+	Shard string            `cbor:"shard"`
+	Need  planner.Resources `cbor:"need"`
 }
 
 // Encode returns the stored form of a record.
@@ -66,33 +77,108 @@
 // shard. A zero amount of limit is not limited.
 func Decide(r Record, shard string, limit planner.Resources, demand planner.CapDemand) Decision {
 	have, wanted := r.Parts[shard], r.Wanted[shard]
-	part, lack, usable := have, planner.Resources{}, have
-	isOver := false
-	for _, f := range fields {
+	part, lack, usable := have, wanted, have
+	isOver, isShort := false, false
+	isWaiting := demand.Used == (planner.Resources{}) && demand.Blocked != (planner.Resources{})
+	queue := r.Queue
+	if !isWaiting {
+		queue = without(queue, shard)
+	}
+	all := make([]division, len(fields))
+	for i, f := range fields {
 		d := division{
 			limit: f.of(&limit), have: f.of(&have), used: f.of(&demand.Used), blocked: f.of(&demand.Blocked),
 			others: sumOfOthers(r.Parts, shard, f), othersWanted: sumOfOthers(r.Wanted, shard, f),
 		}
 		if d.limit == 0 {
+			f.set(&lack, 0)
 			continue
 		}
+		d.task = min(f.of(&demand.Smallest), d.limit)
+		if d.isContended() {
+			d.fair = fairShare(r, queue, shard, d, f)
+		}
 		isOver = isOver || d.isOver()
-		f.set(&part, d.part())
-		f.set(&usable, min(d.have, d.usable()))
-		newLack, oldLack := max(0, d.need()-d.part()), f.of(&wanted)
-		if (newLack > 0) == (oldLack > 0) && abs(newLack-oldLack) < int64(wantedStep*float64(d.limit)) {
-			newLack = oldLack
+		isShort = isShort || isWaiting && d.part() < d.task
+		all[i] = d
+	}
+	if isShort && !slices.ContainsFunc(queue, func(t Turn) bool { return t.Shard == shard }) {
+		queue = append(slices.Clone(queue), Turn{shard, demand.Smallest})
+	}
+	for i, f := range fields {
+		d := all[i]
+		if d.limit == 0 {
+			continue
 		}
-		f.set(&lack, newLack)
+		newPart, newUsable := d.part(), d.usable()
+		if isShort && queue[0].Shard != shard {
+			// Another shard may have use for it meanwhile.
+			newPart, newUsable = 0, 0
+		}
+		f.set(&part, newPart)
+		f.set(&usable, min(d.have, newUsable))
+		f.set(&lack, max(0, d.need()-newPart))
+	}
+	if part == have && isCloseTo(lack, wanted, limit) {
+		lack = wanted
 	}
 	result := Decision{Record: r, Part: usable, IsOverAllotted: isOver}
-	if part != have || lack != wanted {
+	if part != have || lack != wanted || !slices.Equal(queue, r.Queue) {
 		result.HasChanged = true
-		result.Record = Record{Parts: withEntry(r.Parts, shard, part), Wanted: withEntry(r.Wanted, shard, lack)}
+		result.Record = Record{Parts: withEntry(r.Parts, shard, part), Wanted: withEntry(r.Wanted, shard, lack), Queue: queue}
 	}
 	return result
 }
 
+// isCloseTo reports whether an unmet need need not be written again. One that has grown
+// from a small one must be, or the other shards would give back little at a time.
+func isCloseTo(lack, written, limit planner.Resources) bool {
+	for _, f := range fields {
+		n, w := f.of(&lack), f.of(&written)
+		if (n > 0) != (w > 0) || n > w+w/4 || w-n >= max(1, int64(wantedStep*float64(f.of(&limit)))) {
+			return false
+		}
+	}
+	return true
+}
+
+// without returns a queue without a shard.
+func without(queue []Turn, shard string) []Turn {
+	return slices.DeleteFunc(slices.Clone(queue), func(t Turn) bool { return t.Shard == shard })
+}
+
+// fairShare returns the share of a shard in a contended cap: by max-min fairness, after the
+// need of the shard that is first in the queue.
+func fairShare(r Record, queue []Turn, shard string, d division, f field) int64 {
+	claims := []apportioner.Claim{{Name: shard, Weight: 1, Wanted: float64(d.need())}}
+	for name, part := range r.Parts {
+		if wanted := r.Wanted[name]; name != shard {
+			claims = append(claims, apportioner.Claim{Name: name, Weight: 1, Wanted: float64(f.of(&part) + f.of(&wanted))})
+		}
+	}
+	for name, wanted := range r.Wanted {
+		if _, ok := r.Parts[name]; !ok && name != shard {
+			claims = append(claims, apportioner.Claim{Name: name, Weight: 1, Wanted: float64(f.of(&wanted))})
+		}
+	}
+	shares := apportioner.Split(float64(d.limit), claims)
+	if len(queue) > 0 {
+		first := queue[0]
+		need := float64(min(f.of(&first.Need), d.limit))
+		switch {
+		case first.Shard == shard:
+			shares[shard] = max(shares[shard], need)
+		case shares[first.Shard] < need:
+			claims = slices.DeleteFunc(claims, func(c apportioner.Claim) bool { return c.Name == first.Shard })
+			shares = apportioner.Split(float64(d.limit)-need, claims)
+		}
+	}
+	return int64(shares[shard] + roundingError)
+}
+
+// roundingError is by how much a share of whole units may be computed as less.
+const roundingError = 1e-3
+
 // division is the decision on one kind of resource.
 type division struct {
 	limit int64
@@ -102,6 +188,10 @@
 	// only because of the cap. othersWanted is what the other shards could use beyond
 	// their parts.
 	used, blocked, othersWanted int64
+	// task is what the smallest of the waiting tasks needs, at most limit.
+	task int64
+	// fair is the share of the shard while the cap is contended.
+	fair int64
 }
 
 // isOver reports whether the shards hold more than the cap together.
@@ -111,29 +201,24 @@
 // all of it.
 func (d division) need() int64 { return min(d.used+d.blocked, max(d.limit, d.used)) }
 
-// fair returns the share of the cap in proportion to the needs of the shards.
-func (d division) fair() int64 {
-	need := float64(d.need())
-	return int64(float64(d.limit) * need / (need + float64(d.others+d.othersWanted)))
-}
-
 // isContended reports whether the shards need more than the cap together.
 func (d division) isContended() bool {
 	return d.othersWanted > 0 && d.need()+d.others+d.othersWanted > d.limit
 }
 
 // part returns what the shard should hold. It never falls below what its runs use, and
-// only grows within what no other shard holds.
+// only grows within what no other shard holds. Runs for which no part is stored, because
+// they began before there was a cap or under an owner of an earlier version, count too.
 func (d division) part() int64 {
 	switch {
-	case d.isOver():
-		return min(d.have, d.used)
-	case d.isContended() && d.have > d.fair():
-		return min(d.have, max(d.used, d.fair()))
+	case d.isOver() || d.used > max(d.have, d.limit-d.others):
+		return d.used
+	case d.isContended() && d.have > d.fair:
+		return min(d.have, max(d.used, d.fair))
 	case d.need() > d.have:
 		target := d.need() + int64(reserveShare*float64(d.limit))
 		if d.isContended() {
-			target = d.fair()
+			target = max(d.used, d.fair)
 		}
 		return max(d.have, min(target, d.limit-d.others))
 	case d.othersWanted > 0:
@@ -145,8 +230,8 @@
 // usable returns what the runs of the shard may need together. While it holds more
 // than its fair share, because its runs use that much, no run is replaced by another.
 func (d division) usable() int64 {
-	if d.isContended() && d.have > d.fair() {
-		return d.fair()
+	if d.isContended() && d.have > d.fair {
+		return d.fair
 	}
 	return d.part()
 }
@@ -185,5 +270,3 @@
 	}
 	return m
 }
-
-func abs(n int64) int64 { return max(n, -n) }
