Add failing tests of parts of caps

More organisations than fit into a transaction, an organisation that the configuration no longer has, a cap that is introduced after the shard was loaded, an unknown run long after a takeover, and a run that is found twice.

--- /dev/null
+++ b/internal/conductor/caps_review_test.go
@@ -0,0 +1,85 @@
+package conductor_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"tarragonhead.example/tarragonhead/internal/allotter"
+	"tarragonhead.example/tarragonhead/internal/conductor"
+	"tarragonhead.example/tarragonhead/internal/planner"
+)
+
+// TestPartsOfManyOrganisationsMove guards against a shard that gives back the parts of only
+// as many organisations as fit into one transaction between two reads.
+func TestPartsOfManyOrganisationsMove(t *testing.T) {
+	const count = 100
+	s := newCappedShards(t, 20)
+	all := map[string]planner.Organisation{}
+	record, err := allotter.Record{Parts: map[string]planner.Resources{"0": {CPU: 1000}}}.Encode()
+	s.Assert(err, quicktest.IsNil)
+	for i := range count {
+		name := fmt.Sprintf("o%02d", i)
+		all[name] = planner.Organisation{Cap: planner.Resources{CPU: 1000}}
+		s.keeper.Put("th/cap/"+name, record)
+	}
+	for _, c := range s.owners {
+		c.SetConfig(planner.Config{Organisations: all})
+	}
+	for name := range all {
+		j := planner.Job{
+			ID: "job-" + name, Queue: planner.Queue{Name: "queue", Service: "service", Attempts: 2, Stretch: 2}, Received: time.Now(), Organisation: name,
+			Steps: []planner.Step{{Count: 1, Need: planner.Resources{CPU: 100, Memory: 1}, Estimate: time.Minute}},
+		}
+		value, err := planner.Encode(j)
+		s.Assert(err, quicktest.IsNil)
+		s.keeper.Put(conductor.JobKey("1", j.ID), value)
+	}
+	s.eventually("all run", 3*time.Second, func() bool { return s.running()[1] == count })
+}
+
+// TestCapOfRemovedOrganisation guards against jobs that wait for ever because the
+// configuration no longer has their organisation, whose last cap holds on.
+func TestCapOfRemovedOrganisation(t *testing.T) {
+	s := newCappedShards(t, 20)
+	s.submitTo("0", "job0", 20)
+	s.holds("one shard uses all", 20, func(n [2]int) bool { return n[0] == 20 })
+	s.submitTo("1", "job1", 4)
+	s.holds("the other waits", 20, func([2]int) bool { return s.waiting(1, "job1") })
+	for _, c := range s.owners {
+		c.SetConfig(planner.Config{})
+	}
+	s.endRuns(0, 10)
+	s.holds("what has ended goes to the other", 20, func(n [2]int) bool { return n[1] == 4 })
+}
+
+// waiting reports whether the owner of a shard knows a job of which nothing has started.
+func (s *cappedShards) waiting(shard int, job string) bool {
+	return state(s.owners[shard], job) == planner.Queued
+}
+
+// TestCapIntroducedAfterLoad guards against an owner that gives a part back which the runs of
+// its predecessor use, because its configuration had no cap when it loaded the shard.
+func TestCapIntroducedAfterLoad(t *testing.T) {
+	s := newCappedShards(t, 20)
+	s.submitTo("0", "job0", 20)
+	s.holds("one shard uses all", 20, func(n [2]int) bool { return n[0] == 20 })
+	s.shards[0].pool.mu.Lock()
+	s.shards[0].pool.intercept = func(string) error { return errCutOff }
+	s.shards[0].pool.mu.Unlock()
+	s.stops[0]()
+	s.start(t, 0, 3)
+	s.eventually("owned without a cap", testTimeout, func() bool { return s.owners[0].IsOwner() && state(s.owners[0], "job0") != "" })
+	s.eventually("loaded", testTimeout, func() bool { return s.waiting(0, "job0") })
+	s.setCap(20)
+	s.submitTo("1", "job1", 20)
+	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		n := s.running()
+		s.Assert(n[0]+n[1] <= 20, quicktest.IsTrue, quicktest.Commentf("%v", n))
+	}
+}
+
+var errCutOff = errors.New("cut off")
--- a/internal/planner/organisation_test.go
+++ b/internal/planner/organisation_test.go
@@ -122,3 +122,51 @@
 	d.poll("b")
 	d.Assert(d.startTasks(), quicktest.HasLen, 3)
 }
+
+// TestUnknownRunAfterTakeover guards against an owner that counts the part of its
+// predecessor as used again, long after all runs of the predecessor were found, because a
+// worker lists a run of a job that the shard doesn't have.
+func TestUnknownRunAfterTakeover(t *testing.T) {
+	d := newDriver(t, 2, worker("a", 60), worker("b", 60))
+	d.p.AddUnverifiedWorker(d.workers[0])
+	d.p.InheritPart("o", planner.Resources{CPU: 8000})
+	d.registerWorkers()
+	d.p.JobsRead(d.now)
+	capped := d.capped(100, step(4, 2))
+	d.startTasks()
+	d.advance(time.Minute)
+	d.p.JobsRead(d.now)
+	d.poll("a")
+	d.startTasks()
+	d.running["a"] = []planner.RunStatus{{Run: planner.RunID{TaskID: planner.TaskID{Job: "expired"}, Attempt: 1}, Percent: 5}}
+	d.poll("a")
+	d.p.AddJob(d.now, capped, planner.Progress{})
+	d.p.SetPart("o", part(8))
+	d.Assert(d.startTasks(), quicktest.HasLen, 4)
+}
+
+// TestRunFoundTwice guards against a run of an earlier owner that counts twice among those
+// that were found, so that another one, which isn't known yet, doesn't count as used.
+func TestRunFoundTwice(t *testing.T) {
+	d := newDriver(t, 2, worker("a", 60), worker("b", 60))
+	d.p.AddUnverifiedWorker(d.workers[0])
+	d.registerWorkers()
+	d.p.AddUnverifiedWorker(worker("gone", 60))
+	d.p.InheritPart("o", planner.Resources{CPU: 4000})
+	d.p.AddJob(d.now, d.capped(100, step(2, 2)), planner.Progress{})
+	d.p.SetPart("o", part(4))
+	d.p.JobsRead(d.now)
+	found := planner.RunStatus{Run: planner.RunID{TaskID: planner.TaskID{Job: "capped"}, Attempt: 1}, Percent: 5}
+	for range 2 {
+		d.running["a"] = []planner.RunStatus{found}
+		d.poll("a")
+		d.startTasks()
+		d.Assert(d.p.CapDemands()["o"].Used.CPU, quicktest.Equals, int64(4000))
+		d.running["a"] = nil
+		d.advance(time.Second)
+		d.poll("a")
+		d.startTasks()
+		// The run that has ended counts no more, but the other one may still be there.
+		d.Assert(d.p.CapDemands()["o"].Used.CPU, quicktest.Equals, int64(2000))
+	}
+}
