Count and move parts of caps that were left out

Changes beyond one transaction are stored in the next ones, by turns. An organisation that the configuration no longer has keeps its last cap, and its parts still move. The part of a predecessor counts also if the cap is introduced after the load, and no longer once all of the predecessor's runs were found; each of these counts once.

--- a/internal/conductor/caps.go
+++ b/internal/conductor/caps.go
@@ -53,6 +53,11 @@
 	// hasNews is set while a read, a write or a configuration has not been considered for
 	// the organisations without demand.
 	hasNews bool
+	// isInherited has the organisations whose part at the load is known to the planner.
+	isInherited map[string]bool
+	// next is the organisation whose change is the first to be stored, since those before
+	// it in the order of names have had their turn.
+	next string
 }
 
 // capDivision is the division of the cap of one organisation.
@@ -95,13 +100,21 @@
 	c.caps.hasNews = true
 }
 
-// loadCaps applies the divisions that a new owner has read. Its predecessor may have used
-// all of the part that is stored for the shard.
+// loadCaps applies the divisions that a new owner has read.
 func (c *Conductor) loadCaps(records shardRecords) {
-	c.caps = capState{divisions: map[string]*capDivision{}, loweredAt: c.caps.loweredAt, lastReadAt: records.capsReadAt}
+	c.caps = capState{divisions: map[string]*capDivision{}, loweredAt: c.caps.loweredAt, lastReadAt: records.capsReadAt, isInherited: map[string]bool{}}
 	c.applyCaps(records.caps, records.capsReadAt)
-	for name, o := range c.config.Organisations {
-		if d := c.caps.divisions[capKey(name)]; d != nil && o.Cap != (planner.Resources{}) {
+}
+
+// inheritParts tells the planner which parts the shard held at the load. A cap may be
+// introduced later, and the divisions are not read at the load if there was none.
+func (c *Conductor) inheritParts(organisations []string) {
+	for _, name := range organisations {
+		if c.caps.isInherited[name] {
+			continue
+		}
+		c.caps.isInherited[name] = true
+		if d := c.caps.divisions[capKey(name)]; d != nil {
 			c.planner.InheritPart(name, d.record.Parts[c.options.Shard])
 		}
 	}
@@ -136,12 +149,16 @@
 // divideCaps reads what the other shards hold and want of the caps of organisations, tells
 // the planner what this shard may use, and stores what it takes or gives back.
 func (c *Conductor) divideCaps(ctx context.Context, now time.Time) {
-	if !c.hasCaps.Load() || now.Before(c.caps.nextDecisionAt) {
+	if now.Before(c.caps.nextDecisionAt) {
 		return
 	}
 	c.caps.nextDecisionAt = now.Add(capsInterval)
+	organisations := c.planner.CappedOrganisations()
+	if len(organisations) == 0 {
+		return
+	}
 	c.readCaps(ctx, now)
-	c.decideCaps(ctx)
+	c.decideCaps(ctx, organisations)
 	if now.Sub(c.caps.lastMetrics) > capMetricsInterval {
 		c.caps.lastMetrics = now
 		c.setCapMetrics()
@@ -183,18 +200,22 @@
 }
 
 // decideCaps tells the planner what this shard may use of each cap, and stores the changes
-// that follow from the demand.
-func (c *Conductor) decideCaps(ctx context.Context) {
-	demands := c.planner.CapDemands()
+// that follow from the demand. Nothing is decided before the divisions were read.
+func (c *Conductor) decideCaps(ctx context.Context, organisations []string) {
+	if c.caps.readAt.IsZero() {
+		return
+	}
 	hasNews := c.caps.hasNews
 	c.caps.hasNews = false
+	if hasNews {
+		c.inheritParts(organisations)
+	}
+	demands := c.planner.CapDemands()
 	var writes []capWrite
-	for _, name := range slices.Sorted(maps.Keys(c.config.Organisations)) {
-		limit := c.planner.Cap(name)
-		if limit == (planner.Resources{}) {
-			continue
-		}
-		key := capKey(name)
+	first, _ := slices.BinarySearch(organisations, c.caps.next)
+	c.caps.next = ""
+	for _, name := range slices.Concat(organisations[first:], organisations[:first]) {
+		limit, key := c.planner.Cap(name), capKey(name)
 		d, demand := c.caps.divisions[key], demands[name]
 		if demand == (planner.CapDemand{}) && (d == nil || !hasNews && !d.isUncertain) {
 			continue
@@ -213,14 +234,18 @@
 			part.Amount = part.Amount.Least(d.unanswered)
 		}
 		c.planner.SetPart(name, part)
-		if (decision.HasChanged || d.isUncertain) && len(writes) < capsPerTransaction {
+		switch {
+		case !decision.HasChanged && !d.isUncertain:
+		case len(writes) < capsPerTransaction:
 			writes = append(writes, capWrite{organisation: name, key: key, record: decision.Record, before: *d})
+		case c.caps.next == "":
+			c.caps.next, c.caps.hasNews = name, true
 		}
 	}
 	switch {
 	case len(writes) == 0:
 	case c.caps.isWriting:
-		c.caps.hasNews = true
+		c.caps.next, c.caps.hasNews = writes[0].organisation, true
 	default:
 		c.storeCaps(ctx, writes)
 	}
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -238,7 +238,7 @@
 	r := &run{id: id, task: t, worker: w, state: p.chart.Start(), startedAt: now, decidedAt: now, isListed: true, progressAt: now, pace: 100, targetPace: 100}
 	p.transition(r, "confirm")
 	w.addRun(r)
-	p.caps.noteAdopted(t.step)
+	p.noteAdopted(r)
 	p.Leased(w.ID, p.options.PredecessorLeaseEnd)
 	t.attempt = max(t.attempt, id.Attempt)
 	isUnneeded := t.done || t.isElsewhere || j.state.isFinal() || (len(t.runs) > 0 && !t.step.Speculative)
--- a/internal/planner/organisation.go
+++ b/internal/planner/organisation.go
@@ -39,14 +39,17 @@
 // capLedger counts what the organisations with a cap have running in the shard.
 type capLedger struct {
 	// organisations holds the definitions in force, and the last ones of organisations
-	// that the configuration no longer has while they have jobs.
+	// with a cap that the configuration no longer has: they may have jobs, here or in
+	// another shard that needs what this one holds.
 	organisations map[string]Organisation
 	parts         map[string]Part
 	// used and blocked are those of the last plan, by organisation.
 	used, blocked, smallest map[string]Resources
 	// inherited holds the parts that the shard held when this owner loaded it, and adopted
-	// what the runs of earlier owners need that were found since.
+	// what the runs of earlier owners need that were found since. Both are empty once all
+	// of these runs were found. found holds the runs in adopted.
 	inherited, adopted map[string]Resources
+	found              map[RunID]bool
 	// plan numbers the plans.
 	plan uint64
 }
@@ -54,7 +57,7 @@
 func newCapLedger() capLedger {
 	return capLedger{
 		organisations: map[string]Organisation{}, parts: map[string]Part{}, used: map[string]Resources{}, blocked: map[string]Resources{}, smallest: map[string]Resources{},
-		inherited: map[string]Resources{}, adopted: map[string]Resources{},
+		inherited: map[string]Resources{}, adopted: map[string]Resources{}, found: map[RunID]bool{},
 	}
 }
 
@@ -69,9 +72,9 @@
 	if l.organisations == nil {
 		l.organisations = map[string]Organisation{}
 	}
-	for _, j := range p.activeJobs {
-		if _, ok := defined[j.Organisation]; !ok && known[j.Organisation] != (Organisation{}) {
-			l.organisations[j.Organisation] = known[j.Organisation]
+	for name, o := range known {
+		if _, ok := defined[name]; !ok && o.Cap != (Resources{}) {
+			l.organisations[name] = o
 		}
 	}
 }
@@ -79,7 +82,14 @@
 // InheritPart records the part of a cap that the shard held when this owner loaded it.
 // As long as an earlier owner may have runs that are not known, as much counts as used.
 func (p *Planner) InheritPart(organisation string, amount Resources) {
-	p.caps.inherited[organisation] = amount
+	if p.mayHaveUnknownRuns() {
+		p.caps.inherited[organisation] = amount
+	}
+}
+
+// mayHaveUnknownRuns reports whether an earlier owner may have runs that are not known.
+func (p *Planner) mayHaveUnknownRuns() bool {
+	return len(p.unverified) > 0 || p.hasUnknownWorkers || len(p.unknownRuns) > 0
 }
 
 // SetPart sets the part of an organisation's cap that the shard holds.
@@ -88,6 +98,18 @@
 // Cap returns the cap of an organisation; zero amounts are not limited.
 func (p *Planner) Cap(organisation string) Resources { return p.caps.organisations[organisation].Cap }
 
+// CappedOrganisations returns the sorted names of the organisations with a cap.
+func (p *Planner) CappedOrganisations() []string {
+	var list []string
+	for name, o := range p.caps.organisations {
+		if o.Cap != (Resources{}) {
+			list = append(list, name)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // CapDemands returns the demand, as of the last plan, of each organisation with a cap that
 // has runs, or tasks that wait because of the cap.
 func (p *Planner) CapDemands() map[string]CapDemand {
@@ -106,6 +128,12 @@
 // that may still take effect on the next process of a worker.
 func (p *Planner) countCaps() {
 	l := &p.caps
+	if !p.mayHaveUnknownRuns() {
+		// A worker may list an unknown run later, which the predecessor's part doesn't limit.
+		clear(l.inherited)
+		clear(l.adopted)
+		clear(l.found)
+	}
 	if len(l.organisations) == 0 {
 		return
 	}
@@ -133,17 +161,22 @@
 	}
 }
 
-// noteAdopted records that a run of an earlier owner was found.
-func (l *capLedger) noteAdopted(s *step) {
-	if name := s.occurrence.job.Organisation; name != "" {
-		l.adopted[name] = l.adopted[name].plus(s.Need)
+// noteAdopted records that a run of an earlier owner was found. It may end and be found
+// again, and runs of this owner may be found that were taken for ended.
+func (p *Planner) noteAdopted(r *run) {
+	l, s := &p.caps, r.task.step
+	name := s.occurrence.job.Organisation
+	if name == "" || l.found[r.id] || r.id.Attempt > p.attemptBase(r.task) || !p.mayHaveUnknownRuns() {
+		return
 	}
+	l.found[r.id] = true
+	l.adopted[name] = l.adopted[name].plus(s.Need)
 }
 
 // unknownUse returns what runs of earlier owners that were not found yet may need at
 // most: those owners kept to the part that was stored.
 func (p *Planner) unknownUse(organisation string) Resources {
-	if len(p.unverified) == 0 && !p.hasUnknownWorkers && len(p.unknownRuns) == 0 {
+	if !p.mayHaveUnknownRuns() {
 		return Resources{}
 	}
 	left := p.caps.inherited[organisation].minus(p.caps.adopted[organisation])
@@ -209,10 +242,8 @@
 func (p *Planner) OrganisationUsages() []OrganisationUsage {
 	var list []OrganisationUsage
 	demands := p.CapDemands()
-	for _, name := range slices.Sorted(maps.Keys(p.caps.organisations)) {
-		if limit := p.Cap(name); limit != (Resources{}) {
-			list = append(list, OrganisationUsage{name, demands[name], p.caps.parts[name].Amount, limit})
-		}
+	for _, name := range p.CappedOrganisations() {
+		list = append(list, OrganisationUsage{name, demands[name], p.caps.parts[name].Amount, p.Cap(name)})
 	}
 	return list
 }
