--- a/internal/conductor/caps_review_test.go
+++ b/internal/conductor/caps_review_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"tarragonhead.example/tarragonhead/internal/allotter"
 	"tarragonhead.example/tarragonhead/internal/conductor"
@@ -83,3 +84,28 @@
 }
 
 var errCutOff = errors.New("cut off")
+
+// TestCapMetricsOfFormerOwner guards against parts that a former owner still shows, so that
+// the parts of a cap seem to add up to more than the cap.
+func TestCapMetricsOfFormerOwner(t *testing.T) {
+	s := newCappedShards(t, 20)
+	registry := prometheus.NewRegistry()
+	s.stops[0]()
+	s.shards[0].change = func(o *conductor.Options) { o.Registry = registry }
+	s.start(t, 0, 3)
+	s.setCap(20)
+	s.submitTo("0", "job0", 20)
+	hasCaps := func() bool {
+		families, err := registry.Gather()
+		s.Assert(err, quicktest.IsNil)
+		for _, f := range families {
+			if f.GetName() == "tarragonhead_organisation_cap" {
+				return true
+			}
+		}
+		return false
+	}
+	s.eventually("shown", testTimeout, hasCaps)
+	s.stops[0]()
+	s.Assert(hasCaps(), quicktest.IsFalse)
+}
