--- a/internal/conductor/caps.go
+++ b/internal/conductor/caps.go
@@ -76,7 +76,8 @@
 // capKey returns the key of the division of an organisation's cap.
 func capKey(organisation string) string {
 	if len(organisation) > maxCapNameBytes {
-		return capsPrefix + organisation[:maxCapNameBytes] + "-" + strconv.FormatUint(xxhash.Sum64String(organisation), 16)
+		start := strings.ToValidUTF8(organisation[:maxCapNameBytes], "")
+		return capsPrefix + start + "-" + strconv.FormatUint(xxhash.Sum64String(organisation), 16)
 	}
 	return capsPrefix + organisation
 }
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -406,6 +406,7 @@
 	c.isCommitting, c.isRecordingWorkers, c.isAnnouncing = false, false, false
 	c.expired = nil
 	c.caps = capState{loweredAt: c.caps.loweredAt}
+	c.metrics.caps.Reset()
 	if c.stopFollowing != nil {
 		c.stopFollowing()
 		c.stopFollowing = nil
