--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -11,11 +11,11 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/pkg/errors"
 
-	"tarragonhead.example/tarragonhead/internal/apportioner"
 	"tarragonhead.example/tarragonhead/internal/marshaler"
 	"tarragonhead.example/tarragonhead/internal/planner"
 )
@@ -150,34 +150,57 @@
 // fairShare returns the share of a shard in a contended cap: by max-min fairness, after the
 // need of the shard that is first in the queue.
 func fairShare(r Record, queue []Turn, shard string, d division, f field) int64 {
-	claims := []apportioner.Claim{{Name: shard, Weight: 1, Wanted: float64(d.need())}}
-	for name, part := range r.Parts {
-		if wanted := r.Wanted[name]; name != shard {
-			claims = append(claims, apportioner.Claim{Name: name, Weight: 1, Wanted: float64(f.of(&part) + f.of(&wanted))})
+	var first Turn
+	if len(queue) > 0 {
+		first = queue[0]
+	}
+	firstDemand := int64(0)
+	others := make([]int64, 0, 2*len(r.Parts)+len(r.Wanted))
+	add := func(name string, demand int64) {
+		switch name {
+		case shard:
+		case first.Shard:
+			firstDemand = demand
+		default:
+			others = append(others, demand)
 		}
 	}
+	for name, part := range r.Parts {
+		wanted := r.Wanted[name]
+		add(name, f.of(&part)+f.of(&wanted))
+	}
 	for name, wanted := range r.Wanted {
-		if _, ok := r.Parts[name]; !ok && name != shard {
-			claims = append(claims, apportioner.Claim{Name: name, Weight: 1, Wanted: float64(f.of(&wanted))})
+		if _, ok := r.Parts[name]; !ok {
+			add(name, f.of(&wanted))
 		}
 	}
-	shares := apportioner.Split(float64(d.limit), claims)
-	if len(queue) > 0 {
-		first := queue[0]
-		need := float64(min(f.of(&first.Need), d.limit))
-		switch {
-		case first.Shard == shard:
-			shares[shard] = max(shares[shard], need)
-		case shares[first.Shard] < need:
-			claims = slices.DeleteFunc(claims, func(c apportioner.Claim) bool { return c.Name == first.Shard })
-			shares = apportioner.Split(float64(d.limit)-need, claims)
-		}
+	others = append(others, d.need())
+	turn := min(f.of(&first.Need), d.limit)
+	switch {
+	case first.Shard == shard:
+		return max(turn, min(d.need(), level(d.limit, others)))
+	case first.Shard == "":
+		return min(d.need(), level(d.limit, others))
+	}
+	all := level(d.limit, append(slices.Clone(others), firstDemand))
+	if min(firstDemand, all) < turn {
+		all = level(d.limit-turn, others)
 	}
-	return int64(shares[shard] + roundingError)
+	return min(d.need(), all)
 }
 
-// roundingError is by how much a share of whole units may be computed as less.
-const roundingError = 1e-3
+// level returns the amount up to which all demands can be met from limit.
+func level(limit int64, demands []int64) int64 {
+	slices.Sort(demands)
+	for i, n := range demands {
+		share := limit / int64(len(demands)-i)
+		if n > share {
+			return share
+		}
+		limit -= n
+	}
+	return math.MaxInt64
+}
 
 // division is the decision on one kind of resource.
 type division struct {
