Bring three replays back to the moments that they test

Half of the workers instead of a third now restart beside failing tasks, a further pattern has six restarts instead of four and comes to the lost end, and the workers of speculative tasks restart four times instead of five.

--- a/standins/replayer/replayer_test.go
+++ b/standins/replayer/replayer_test.go
@@ -72,7 +72,8 @@
 		restart(8*time.Second, 400*time.Millisecond, 6), takeover(9*time.Second), takeover(10200*time.Millisecond), takeover(11500*time.Millisecond)),
 	"series of restarts under the same id and new owners": replayer.Cellarlog(scale).With(
 		restartSameID(8*time.Second, 400*time.Millisecond, 6), takeover(9*time.Second), takeover(10200*time.Millisecond), takeover(11500*time.Millisecond)),
-	"quick restarts of failing tasks": failing(replayer.Cellarlog(scale)).With(restart(5*time.Second, 500*time.Millisecond, 4), restartSameID(14*time.Second, 500*time.Millisecond, 4)),
+	"quick restarts of failing tasks":      failing(replayer.Cellarlog(scale)).With(replayer.Fault{Kind: "restart", At: 5 * time.Second, For: 500 * time.Millisecond, Share: 0.5, Factor: 4}, restartSameID(14*time.Second, 500*time.Millisecond, 4)),
+	"many quick restarts of failing tasks": failing(replayer.Cellarlog(scale)).With(restart(5*time.Second, 500*time.Millisecond, 6), restartSameID(14*time.Second, 500*time.Millisecond, 6)),
 	"quick restarts of failing tasks, new owners": failing(replayer.Cellarlog(scale)).With(
 		restart(5*time.Second, 500*time.Millisecond, 4), takeover(6200*time.Millisecond), restartSameID(14*time.Second, 500*time.Millisecond, 4), takeover(15200*time.Millisecond)),
 	"quick restarts of failing tasks, outages and new owners": failing(replayer.Cellarlog(scale)).With(
@@ -88,7 +89,7 @@
 		restart(9*time.Second, time.Second, 1), takeover(9500*time.Millisecond), restartSameID(14*time.Second, time.Second, 1), takeover(15200*time.Millisecond)),
 	"quick restarts of speculative tasks": speculative(replayer.Cellarlog(scale)).With(restart(5*time.Second, 1200*time.Millisecond, 3), restartSameID(14*time.Second, 1200*time.Millisecond, 3)),
 	"quick restarts of speculative tasks beside silent workers": speculative(replayer.Cellarlog(scale)).With(
-		silence(5*time.Second), silence(9*time.Second), silence(13*time.Second), restart(6*time.Second, 700*time.Millisecond, 5), restartSameID(7*time.Second, 700*time.Millisecond, 5)),
+		silence(5*time.Second), silence(9*time.Second), silence(13*time.Second), restart(6*time.Second, 700*time.Millisecond, 4), restartSameID(7*time.Second, 700*time.Millisecond, 4)),
 	"quick restarts of speculative tasks while a new owner takes over": speculative(replayer.Cellarlog(scale)).With(
 		restart(9*time.Second, time.Second, 2), takeover(9500*time.Millisecond), restartSameID(14*time.Second, time.Second, 2), takeover(15200*time.Millisecond)),
 }
@@ -160,7 +161,8 @@
 	"restarts under the same id while polls are late":             {replayer.PollAtNextProcess},
 	"restarts under the same id and silence while polls are late": {replayer.PollAtNextProcess},
 	"quick restarts during an outage":                             {replayer.EndLost},
-	"quick restarts of failing tasks":                             {replayer.EndLost, replayer.FailureLost},
+	"quick restarts of failing tasks":                             {replayer.FailureLost},
+	"many quick restarts of failing tasks":                        {replayer.EndLost},
 	"quick restarts of tasks with checkpoints":                    {replayer.CheckpointLeft, replayer.Resumed},
 	"quick restarts of gangs":                                     {replayer.GangBroken, replayer.CheckpointLeft, replayer.Resumed},
 	"quick restarts of speculative tasks beside silent workers":   {replayer.CopyLost, replayer.Copied},
