--- a/internal/conductor/caps.go
+++ b/internal/conductor/caps.go
@@ -272,26 +272,12 @@
 		d.unanswered, d.isUncertain = least, true
 	}
 	c.caps.isWriting = true
-	c.transactCaps(ctx, t, writes)
-}
-
-func (c *Conductor) transactCaps(ctx context.Context, t storeclient.Transaction, writes []capWrite) {
-	epoch := c.epoch
-	c.background.Go(func() {
-		sent := c.options.Now()
-		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
-		defer cancel()
-		revision, err := c.options.Store.Transact(bounded, t)
-		c.post(ctx, func() {
-			if c.role != "owning" || c.epoch != epoch {
-				return
-			}
-			c.caps.isWriting = false
-			c.applyCommitResult(t, sent, revision, err, capsOperation)
-			if c.role == "owning" {
-				c.finishCapWrite(writes, revision, err)
-			}
-		})
+	c.transact(ctx, t, capsOperation, func(revision uint64, err error) {
+		c.caps.isWriting = false
+		// The transaction may have shown that the ownership is lost.
+		if c.role == "owning" {
+			c.finishCapWrite(writes, revision, err)
+		}
 	})
 }
 
--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -50,7 +50,7 @@
 		}
 	}
 	c.isCommitting = true
-	c.transact(ctx, t, "progress", func(err error) {
+	c.transact(ctx, t, "progress", func(_ uint64, err error) {
 		c.isCommitting = false
 		c.nextCommitAt = c.options.Now().Add(commitInterval)
 		if err != nil {
@@ -76,10 +76,10 @@
 }
 
 // transact executes t, which must expect the shard's head, in the background
-// and calls done on the control goroutine. operation names t in the log. If
+// and calls done with its revision on the control goroutine. operation names t in the log. If
 // another expectation fails because an earlier transaction of this owner was
 // applied without an answer, only the known revisions are updated.
-func (c *Conductor) transact(ctx context.Context, t storeclient.Transaction, operation string, done func(error)) {
+func (c *Conductor) transact(ctx context.Context, t storeclient.Transaction, operation string, done func(revision uint64, err error)) {
 	epoch := c.epoch
 	c.background.Go(func() {
 		sent := c.options.Now()
@@ -91,7 +91,7 @@
 				return
 			}
 			c.applyCommitResult(t, sent, revision, err, operation)
-			done(err)
+			done(revision, err)
 		})
 	})
 }
@@ -157,7 +157,7 @@
 	c.transact(ctx, storeclient.Transaction{
 		Expect: []storeclient.Expectation{{Key: c.keys.head(), Revision: c.headRevision}, {Key: key, Revision: c.revisions[key]}},
 		Writes: []storeclient.Write{{Key: key, Value: value}},
-	}, "workers", func(err error) {
+	}, "workers", func(_ uint64, err error) {
 		c.isRecordingWorkers = false
 		if err != nil {
 			c.nextCommitAt = c.options.Now().Add(storeRetryDelay)
@@ -206,7 +206,7 @@
 				t.Remove = append(t.Remove, IndexKey(j.ID))
 			}
 		}
-		c.transact(ctx, t, "expiry", func(err error) { c.finishRemoval(batch, err) })
+		c.transact(ctx, t, "expiry", func(_ uint64, err error) { c.finishRemoval(batch, err) })
 	}
 }
 
@@ -248,5 +248,5 @@
 	c.transact(ctx, storeclient.Transaction{
 		Expect: []storeclient.Expectation{{Key: c.keys.head(), Revision: c.headRevision}},
 		Writes: []storeclient.Write{{Key: c.keys.room(), Value: value}},
-	}, "room", func(error) { c.isAnnouncing = false })
+	}, "room", func(uint64, error) { c.isAnnouncing = false })
 }
