Limit the clients of the daemon's own interface

Cause: the traffic and the control listener of tarragond bounded neither connections nor the memory of requests, and no time for reading a response. A lack of descriptors ended the process.

Change: both listeners use internal/limiter, which gets an adapter for net/http, hooks for the form of refusals, and budgets by server. Each listener has its own budget and part of the connections. Eight validated settings (--client-...), with defaults that keep bodies of 4 MiB, headers of 16 KiB and the times for requests as they were; the time for a client to read a response (1 minute) is new. tarragond_client_limit_refusals_total counts what each limit refused. A refusal on the control address is a Twirp error that says that nothing was run; one on the traffic address is a result of the router.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -114,8 +114,12 @@
 	// MaxConnections bounds the open connections of all servers together.
 	MaxConnections int
 	Budget         *Budget
-	Limits         Limits
-	Registry       prometheus.Registerer
+	// OtherBudgets are those of servers with a budget of their own.
+	OtherBudgets []*Budget
+	Limits       Limits
+	Registry     prometheus.Registerer
+	// Namespace begins the names of the metrics; empty stands for tarragonhead.
+	Namespace string
 }
 
 // Limiter holds the limits of a process. It is safe for concurrent use.
@@ -131,15 +135,24 @@
 // New returns a limiter and registers its metrics.
 func New(o Options) *Limiter {
 	factory := promauto.With(o.Registry)
+	if o.Namespace == "" {
+		o.Namespace = "tarragonhead"
+	}
 	l := &Limiter{
 		maxConnections: o.MaxConnections, budget: o.Budget,
-		refusals: factory.NewCounterVec(prometheus.CounterOpts{Name: "tarragonhead_client_limit_refusals_total", Help: "Requests and connections of clients that were refused or closed, by server and limit."}, []string{"server", "limit"}),
+		refusals: factory.NewCounterVec(prometheus.CounterOpts{Namespace: o.Namespace, Name: "client_limit_refusals_total", Help: "Requests and connections of clients that were refused or closed, by server and limit."}, []string{"server", "limit"}),
 	}
 	l.buffers.New = func() any {
 		b := make([]byte, 0, bufferBytes)
 		return &b
 	}
-	factory.NewGaugeFunc(prometheus.GaugeOpts{Name: "tarragonhead_client_budget_bytes", Help: "Bytes of requests that are admitted now."}, func() float64 { return float64(o.Budget.Used()) })
+	factory.NewGaugeFunc(prometheus.GaugeOpts{Namespace: o.Namespace, Name: "client_budget_bytes", Help: "Bytes of requests that are admitted now."}, func() float64 {
+		used := o.Budget.Used()
+		for _, b := range o.OtherBudgets {
+			used += b.Used()
+		}
+		return float64(used)
+	})
 	l.SetLimits(o.Limits)
 	return l
 }
--- a/internal/limiter/listener.go
+++ b/internal/limiter/listener.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"fmt"
 	"net"
 	"time"
 
@@ -12,15 +13,28 @@
 // process had no descriptor or memory for one.
 const acceptRetryDelay = 10 * time.Millisecond
 
-// noRoomResponse answers a connection when all others wait for responses.
-const noRoomResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// noRoomHeader begins the answer to a connection when all others wait for responses.
+const noRoomHeader = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n"
 
-// Listener returns a listener whose connections are limited.
-func (s *Server) Listener(inner net.Listener) net.Listener { return &listener{inner, s} }
+// noRoomResponse returns the answer to a connection when all others wait for responses.
+func noRoomResponse(body string) []byte {
+	header := noRoomHeader
+	if body != "" {
+		header += "Content-Type: application/json\r\n"
+	}
+	return fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", header, len(body), body)
+}
+
+// Listener returns a listener for a server of fasthttp whose connections are limited.
+func (s *Server) Listener(inner net.Listener) net.Listener {
+	return &listener{inner, s, func(c net.Conn, e *Entry) net.Conn { return &conn{Conn: c, server: s, entry: e} }}
+}
 
 type listener struct {
 	net.Listener
 	server *Server
+	// wrap returns the connection that the HTTP library gets.
+	wrap func(net.Conn, *Entry) net.Conn
 }
 
 // Accept returns the next connection. A lack of descriptors closes a connection instead of
@@ -39,19 +53,17 @@
 		case err != nil:
 			return nil, err
 		}
-		c := &conn{Conn: inner, server: l.server}
-		var hasClosed bool
-		c.entry, hasClosed = l.server.connections.Add(func() { _ = inner.Close() })
-		if hasClosed || c.entry == nil {
+		entry, hasClosed := l.server.connections.Add(func() { _ = inner.Close() })
+		if hasClosed || entry == nil {
 			l.server.refuse(limitConnections)
 		}
-		if c.entry == nil {
+		if entry == nil {
 			_ = inner.SetWriteDeadline(time.Now().Add(acceptRetryDelay))
-			_, _ = inner.Write([]byte(noRoomResponse))
+			_, _ = inner.Write(l.server.noRoomResponse)
 			_ = inner.Close()
 			continue
 		}
-		return c, nil
+		return l.wrap(inner, entry), nil
 	}
 }
 
--- a/internal/limiter/server.go
+++ b/internal/limiter/server.go
@@ -19,12 +19,19 @@
 // Server applies the limits to one server of a process.
 type Server struct {
 	limiter     *Limiter
+	budget      *Budget
 	connections *Connections
 	refusals    *prometheus.CounterVec
 	// maxBodyBytes returns the limit for a body. patience returns how long the client of
 	// a request waits for its response.
 	maxBodyBytes func() int
 	patience     func(*fasthttp.RequestHeader) time.Duration
+	// workFactor is how many times the size of a body its handling needs.
+	workFactor     int64
+	writeRefusal   func(ctx *fasthttp.RequestCtx, status int, message string)
+	writeReadError func(ctx *fasthttp.RequestCtx, err error)
+	// noRoomResponse is a whole response.
+	noRoomResponse []byte
 }
 
 // ServerOptions configures a server.
@@ -32,18 +39,44 @@
 	Name string
 	// Share is the part of the process's connections that the server may have.
 	Share float64
+	// Budget bounds the bytes of requests; if nil, it is that of the limiter.
+	Budget *Budget
 	// MaxBodyBytes returns the limit for a body; if nil, it is that of the limits.
 	MaxBodyBytes func() int
 	// Patience returns how long the client of a request waits for its response, if that
 	// is longer than the limit for a body; nil if clients can't tell.
 	Patience func(*fasthttp.RequestHeader) time.Duration
+	// WorkFactor is how many times the size of a body its handling needs, besides the body;
+	// 0 stands for that of a body which is decoded and stored.
+	WorkFactor int64
+	// WriteRefusal sets the status and the body of the response to a refused request, and
+	// WriteReadError those to a request that could not be read. If nil, the responses are
+	// objects with the field error, and short texts.
+	WriteRefusal   func(ctx *fasthttp.RequestCtx, status int, message string)
+	WriteReadError func(ctx *fasthttp.RequestCtx, err error)
+	// NoRoomBody is the JSON body of the response to a connection for which there is no
+	// room; it may be empty.
+	NoRoomBody string
 }
 
 // Server returns the limits of one server.
 func (l *Limiter) Server(o ServerOptions) *Server {
 	s := &Server{
-		limiter: l, connections: NewConnections(max(1, int(o.Share*float64(l.maxConnections)))),
+		limiter: l, budget: o.Budget, connections: NewConnections(max(1, int(o.Share*float64(l.maxConnections)))),
 		refusals: l.refusals.MustCurryWith(prometheus.Labels{"server": o.Name}), maxBodyBytes: o.MaxBodyBytes, patience: o.Patience,
+		workFactor: o.WorkFactor, writeRefusal: o.WriteRefusal, writeReadError: o.WriteReadError, noRoomResponse: noRoomResponse(o.NoRoomBody),
+	}
+	if s.budget == nil {
+		s.budget = l.budget
+	}
+	if s.workFactor == 0 {
+		s.workFactor = workFactor
+	}
+	if s.writeRefusal == nil {
+		s.writeRefusal = writeRefusal
+	}
+	if s.writeReadError == nil {
+		s.writeReadError = writeReadError
 	}
 	if s.maxBodyBytes == nil {
 		s.maxBodyBytes = func() int { return l.Limits().MaxBodyBytes }
@@ -140,40 +173,62 @@
 	if c != nil {
 		c.mustLinger.Store(true)
 	}
-	status, message := fasthttp.StatusBadRequest, "malformed body"
-	switch limit {
-	case limitHeaders:
-		status, message = fasthttp.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("over %d headers", s.limiter.Limits().MaxHeaders)
+	status, message := s.refusal(limit)
+	s.writeRefusal(ctx, status, message)
+	if limit == limitHeaders {
 		// The parsed header would otherwise be kept for later connections.
 		ctx.Request.Header = fasthttp.RequestHeader{}
+	}
+	if limit == limitMemory {
+		ctx.Response.Header.Set("Retry-After", "1")
+	}
+	ctx.SetConnectionClose()
+}
+
+// refusal returns the status and the message of the response to a request that exceeds a
+// limit.
+func (s *Server) refusal(limit string) (status int, message string) {
+	switch limit {
+	case limitHeaders:
+		return fasthttp.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("over %d headers", s.limiter.Limits().MaxHeaders)
 	case limitBodyBytes:
-		status, message = fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("body over %d bytes", s.maxBodyBytes())
+		return fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("body over %d bytes", s.maxBodyBytes())
 	case limitBodyTime:
-		status, message = fasthttp.StatusRequestTimeout, "the body did not arrive in time"
+		return fasthttp.StatusRequestTimeout, "the body did not arrive in time"
 	case limitMemory:
-		status, message = fasthttp.StatusServiceUnavailable, "too many bytes of requests in progress"
-		ctx.Response.Header.Set("Retry-After", "1")
+		return fasthttp.StatusServiceUnavailable, "too many bytes of requests in progress"
+	default:
+		return fasthttp.StatusBadRequest, "malformed body"
 	}
+}
+
+func writeRefusal(ctx *fasthttp.RequestCtx, status int, message string) {
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("application/json")
 	ctx.SetBodyString(`{"error":"` + message + `"}`)
-	ctx.SetConnectionClose()
 }
 
 // handleError responds to a request that could not be read.
 func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) {
+		s.refuse(limitHeaderBytes)
+	}
+	s.writeReadError(ctx, err)
+	// The header may be large, and would otherwise be kept for later connections.
+	ctx.Request.Header = fasthttp.RequestHeader{}
+}
+
+func writeReadError(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &small):
-		s.refuse(limitHeaderBytes)
 		ctx.Error("Too big request header", fasthttp.StatusRequestHeaderFieldsTooLarge)
 	case isTimeout(err):
 		ctx.Error("Request timeout", fasthttp.StatusRequestTimeout)
 	default:
 		ctx.Error("Error when parsing request", fasthttp.StatusBadRequest)
 	}
-	// The header may be large, and would otherwise be kept for later connections.
-	ctx.Request.Header = fasthttp.RequestHeader{}
 }
 
 // body is the body of one request and what it holds of the budget.
@@ -219,7 +274,7 @@
 			c.readBy = until.Add(time.Duration(len(b.bytes)) * time.Second / time.Duration(limits.MinBodyRate))
 		}
 	}
-	if !b.take(workFactor * int64(len(b.bytes))) {
+	if !b.take(b.server.workFactor * int64(len(b.bytes))) {
 		return limitMemory
 	}
 	return ""
@@ -237,7 +292,7 @@
 }
 
 func (b *body) take(n int64) bool {
-	if !b.server.limiter.budget.Take(n) {
+	if !b.server.budget.Take(n) {
 		return false
 	}
 	b.taken += n
@@ -246,7 +301,7 @@
 
 func (b *body) release() {
 	if b.taken > 0 {
-		b.server.limiter.budget.Return(b.taken)
+		b.server.budget.Return(b.taken)
 	}
 	if b.buffer != nil {
 		b.server.limiter.buffers.Put(b.buffer)
--- a/internal/router/result.go
+++ b/internal/router/result.go
@@ -30,6 +30,12 @@
 	AdmissionLeaving = "leaving"
 )
 
+const (
+	bodyTooLarge = "body: larger than the limit"
+	// refusedRetryMS is the delay after which a refused client may repeat a request.
+	refusedRetryMS = 1000
+)
+
 // Result is the JSON body of a response that the router makes itself instead of
 // forwarding the response of a target.
 type Result struct {
@@ -83,10 +89,37 @@
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	switch {
 	case err == fasthttp.ErrBodyTooLarge:
-		r.status, r.Reason = fasthttp.StatusRequestEntityTooLarge, "body: larger than the limit"
+		r.status, r.Reason = fasthttp.StatusRequestEntityTooLarge, bodyTooLarge
 	case errorsAs(err, &smallBuffer):
 		r.status, r.Reason = fasthttp.StatusRequestHeaderFieldsTooLarge, "headers: larger than the limit"
 	}
+	writeUnrouted(ctx, r)
+}
+
+// WriteRefusal responds to a request that was refused for a limit before it was routed.
+func WriteRefusal(ctx *fasthttp.RequestCtx, status int, message string) {
+	r := Result{Result: BadRequest, Reason: message, status: status}
+	switch status {
+	case fasthttp.StatusServiceUnavailable:
+		r.Result, r.RetryAfterMS = NotRun, refusedRetryMS
+	case fasthttp.StatusRequestEntityTooLarge:
+		r.Reason = bodyTooLarge
+	}
+	writeUnrouted(ctx, r)
+}
+
+// NoRoomBody returns the body of the response to a connection that is refused because all
+// others wait for responses.
+func NoRoomBody() string {
+	body, err := json.Marshal(Result{Result: NotRun, Reason: "all connections wait for responses", RetryAfterMS: refusedRetryMS})
+	if err != nil {
+		return ""
+	}
+	return string(body)
+}
+
+// writeUnrouted writes the result of a request that was not routed.
+func writeUnrouted(ctx *fasthttp.RequestCtx, r Result) {
 	if id := ctx.Request.Header.Peek(RequestIDHeader); isID(id) {
 		r.RequestID = string(id)
 	} else {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,6 +27,7 @@
 	"tarragonhead.example/tarragonhead/internal/controller"
 	"tarragonhead.example/tarragonhead/internal/dispatcher"
 	"tarragonhead.example/tarragonhead/internal/gossiper"
+	"tarragonhead.example/tarragonhead/internal/limiter"
 	"tarragonhead.example/tarragonhead/internal/messenger"
 	"tarragonhead.example/tarragonhead/internal/router"
 	"tarragonhead.example/tarragonhead/internal/scheduler"
@@ -37,8 +38,8 @@
 // peerTimeout bounds a call to another daemon.
 const peerTimeout = 2 * time.Second
 
-// maxBodyBytes is the largest request body that a caller may send.
-const maxBodyBytes = 4 << 20
+// peerIdleTimeout is how long an unused connection to another daemon is kept.
+const peerIdleTimeout = time.Minute
 
 // Server is one daemon.
 type Server struct {
@@ -54,6 +55,10 @@
 	tracer     *tracer.Tracer
 	dial       func(addr string) messenger.Peer
 	registry   *prometheus.Registry
+	limiter    *limiter.Limiter
+	// trafficLimits and controlLimits are the limits of the two listeners.
+	trafficLimits, controlLimits *limiter.Server
+
 	violations *prometheus.CounterVec
 	// stopping is set at the first stop signal. The readiness check then fails.
 	stopping atomic.Bool
@@ -103,11 +108,12 @@
 		violations: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{Name: "tarragond_invariant_violations_total", Help: "Violations of an invariant of the design, by its number."},
 			[]string{"invariant"}),
 	}
+	d.attachLimits(s.limits, registry)
 	if d.tracer, err = tracer.New(tracer.Options{File: s.TraceFile, Ratio: s.traceRatio, Service: "tarragond " + s.ID}); err != nil {
 		return nil, err
 	}
 	// Messages between daemons are small. Compression would add headers.
-	peers := &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	peers := &http.Client{Timeout: peerTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: peerIdleTimeout}}
 	d.dial = func(addr string) messenger.Peer { return messenger.NewPeerProtobufClient("http://"+addr, peers) }
 	promauto.With(registry).NewGaugeFunc(prometheus.GaugeOpts{Name: "tarragond_ready", Help: "1 if /readyz answers that the daemon is ready, else 0."}, func() float64 {
 		if d.notReadyReason() == "" {
@@ -203,11 +209,11 @@
 		return err
 	}
 	defer traffic.Close()
-	controlServer := &http.Server{Handler: d.controlHandler(), ReadHeaderTimeout: 5 * time.Second}
+	controlServer := d.newControlServer()
 	trafficServer := d.trafficServer()
 	serveErrors := make(chan error, 2)
-	go func() { serveErrors <- controlServer.Serve(control) }()
-	go func() { serveErrors <- trafficServer.Serve(traffic) }()
+	go func() { serveErrors <- controlServer.Serve(d.controlLimits.HTTPListener(control)) }()
+	go func() { serveErrors <- trafficServer.Serve(d.trafficLimits.Listener(traffic)) }()
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var components sync.WaitGroup
@@ -248,15 +254,13 @@
 	return errors.Wrap(err, "drain traffic connections")
 }
 
-// maxHeaderBytes is the largest request header that a caller may send.
-const maxHeaderBytes = 16 << 10
-
 func (d *Server) trafficServer() *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler: d.router.Handle, ErrorHandler: router.HandleError, MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes,
-		ReadTimeout: time.Minute, IdleTimeout: 2 * time.Minute, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
+	s := &fasthttp.Server{
+		Handler: d.router.Handle, CloseOnShutdown: true,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: discardLogger{},
 	}
+	d.trafficLimits.Attach(s)
+	return s
 }
 
 // discardLogger discards fasthttp's own log messages, which report broken
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -42,7 +42,17 @@
 		"unknown level":             {func(s *Settings) { s.LogLevel = "loud" }, []string{"--log-level: got \"loud\", want one of debug, info, warn, error"}},
 		"invalid duration":          {func(s *Settings) { s.DrainTimeout = "30" }, []string{"--drain-timeout: got \"30\", want a duration from 0s to 10m"}},
 		"drain too long":            {func(s *Settings) { s.DrainTimeout = "11m" }, []string{"--drain-timeout"}},
-		"several at once":           {func(s *Settings) { *s = Settings{Store: "x", DrainTimeout: "x"} }, []string{"--id", "--domain", "--traffic", "--control", "--store", "--drain-timeout"}},
+		"clients: connections":      {func(s *Settings) { s.Clients.Connections = "7" }, []string{"--client-connections: got \"7\", want a whole number from 8 to 1048576"}},
+		"clients: budget":           {func(s *Settings) { s.Clients.Budget = "1" }, []string{"--client-budget-bytes: got \"1\", want a whole number from 16777216"}},
+		"clients: budget for body":  {func(s *Settings) { s.Clients.Budget, s.Clients.BodyBytes = "16777216", "4194305" }, []string{"--client-budget-bytes", "four times --client-body-bytes"}},
+		"clients: sizes":            {func(s *Settings) { s.Clients.BodyBytes, s.Clients.HeaderBytes = "0", "x" }, []string{"--client-body-bytes: got \"0\"", "--client-header-bytes: got \"x\""}},
+		"clients: times": {
+			func(s *Settings) {
+				s.Clients.HeaderTimeout, s.Clients.BodyTime, s.Clients.IdleTimeout, s.Clients.WriteTime = "0s", "11m", "30", "-1s"
+			},
+			[]string{"--client-header-timeout: got \"0s\"", "--client-body-timeout: got \"11m\"", "--client-idle-timeout: got \"30\"", "--client-write-timeout: got \"-1s\""},
+		},
+		"several at once": {func(s *Settings) { *s = Settings{Store: "x", DrainTimeout: "x"} }, []string{"--id", "--domain", "--traffic", "--control", "--store", "--drain-timeout"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -42,6 +42,8 @@
 	TraceRatio string
 	// PanicOnViolation makes a violated invariant panic, for tests.
 	PanicOnViolation bool
+	// Clients are the limits for clients of both listeners.
+	Clients ClientLimits
 }
 
 // addressRange describes the addresses that are accepted.
@@ -73,6 +75,7 @@
 	app.Flag("trace-file", "File that receives spans as JSON lines; no tracing without it.").StringVar(&s.TraceFile)
 	app.Flag("trace-ratio", "Share of requests without a trace context that is sampled, 0 to 1.").Default("0").StringVar(&s.TraceRatio)
 	app.Flag("panic-on-violation", "Panic when an invariant is violated; for tests.").BoolVar(&s.PanicOnViolation)
+	s.Clients.register(app)
 }
 
 // SettingError reports a setting that is not accepted.
@@ -141,6 +144,7 @@
 	stopDelay               time.Duration
 	traceRatio              float64
 	drainTimeout            time.Duration
+	limits                  parsedLimits
 }
 
 // add records a setting that is not accepted.
@@ -190,6 +194,7 @@
 		}
 	}
 	c.parseRequestSettings(e)
+	c.limits = s.Clients.parse(e)
 	c.checkConflicts(e)
 	return c, e.errorOrNil()
 }
