Count a late control body once and test the times of net/http

Cause: net/http may read more of a refused body, which times out again, so that body_time was counted twice in TestHTTPRefusals/body_not_in_time, in some runs. A body refused for its announced size was left without a read deadline. The times of the control listener had no test.

Change: timeouts after a refusal are not counted, the deadline is set before the size is compared, and TestHTTPTimes covers the idle, header and write times.

--- a/internal/limiter/http.go
+++ b/internal/limiter/http.go
@@ -23,8 +23,9 @@
 	isClosed atomic.Bool
 }
 
-// isServed is the phase in which a handler runs. The library then reads only to notice
-// that the client has gone, and ends these reads by a deadline.
+// isServed is the phase in which a handler runs or after a refusal. The library then reads
+// only to notice that the client has gone or to discard a body, and ends these reads by a
+// deadline.
 const isServed = phase(len(limitsByPhase))
 
 func (c *httpConn) setPhase(p phase) { c.waitsFor.Store(int32(p)) }
@@ -102,6 +103,10 @@
 		if limit != limitBodyTime || out.conn == nil {
 			s.refuse(limit)
 		}
+		if out.conn != nil {
+			// The library may read more of the refused body, which may time out again.
+			out.conn.setPhase(isServed)
+		}
 		status, message := s.refusal(limit)
 		w.Header().Set("Connection", "close")
 		if limit == limitMemory {
@@ -125,9 +130,6 @@
 // readHTTP replaces the body of a request by one that is read. It returns the limit that
 // the body exceeds, or "".
 func (s *Server) readHTTP(out *responseWriter, r *http.Request, b *body) string {
-	if r.ContentLength > int64(s.maxBodyBytes()) {
-		return limitBodyBytes
-	}
 	if r.ContentLength == 0 {
 		return ""
 	}
@@ -136,6 +138,9 @@
 	}
 	controller := http.NewResponseController(out.ResponseWriter)
 	_ = controller.SetReadDeadline(time.Now().Add(s.limiter.Limits().BodyTimeout))
+	if r.ContentLength > int64(s.maxBodyBytes()) {
+		return limitBodyBytes
+	}
 	if limit := b.read(r.Body, nil); limit != "" {
 		return limit
 	}
--- a/internal/limiter/http_test.go
+++ b/internal/limiter/http_test.go
@@ -75,3 +75,36 @@
 		})
 	}
 }
+
+// TestHTTPTimes guards against a client of a server of net/http that keeps a connection by
+// sending no header or reading no response, and against a time that is not counted.
+func TestHTTPTimes(t *testing.T) {
+	for name, tt := range map[string]struct{ request, limit string }{
+		"idle":        {"", limitIdleTime},
+		"header":      {"GET / HTTP/1.1\r\n", limitHeaderTime},
+		"not reading": {"GET / HTTP/1.1\r\nHost: x\r\n\r\n", limitWriteTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			l := New(Options{MaxConnections: 2, Budget: NewBudget(1 << 20), Registry: prometheus.NewRegistry(), Limits: Limits{
+				MaxBodyBytes: 1000, MaxHeaderBytes: 1000, BodyTimeout: time.Minute, WriteTimeout: 200 * time.Millisecond, MinBodyRate: 1,
+			}})
+			s := l.Server(ServerOptions{Name: "test", Share: 1})
+			// The response is larger than what the system buffers.
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 32<<20)) }), ReadHeaderTimeout: 200 * time.Millisecond}
+			s.AttachHTTP(server, func(w http.ResponseWriter, status int, message string) { http.Error(w, message, status) })
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, quicktest.IsNil)
+			go func() { _ = server.Serve(s.HTTPListener(listener)) }()
+			defer server.Close()
+			client, err := net.Dial("tcp", listener.Addr().String())
+			c.Assert(err, quicktest.IsNil)
+			defer client.Close()
+			_, err = io.WriteString(client, tt.request)
+			c.Assert(err, quicktest.IsNil)
+			for begun := time.Now(); testutil.ToFloat64(s.refusals.WithLabelValues(tt.limit)) == 0 || s.connections.Len() > 0; time.Sleep(time.Millisecond) {
+				c.Assert(time.Since(begun) < 10*time.Second, quicktest.IsTrue)
+			}
+		})
+	}
+}
