Let the read of the list of workers take longer at a first start

300 instances that start together read the list of 3,000 workers until the number of shards is known. A read may take 6 s now; other calls keep 1.5 s.

--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -36,6 +36,10 @@
 	retryDelay = 300 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 1500 * time.Millisecond
+	// listTimeout bounds a read of the list of workers. With callTimeout, 300 instances
+	// that read the list of 3,000 workers at the same time on links of 10 Mbit/s never
+	// got an answer in time, and refused three fifths of all requests.
+	listTimeout = 6 * time.Second
 )
 
 // countKey holds the number of shards and of workers, as in 7/490. It is written once,
@@ -184,7 +188,7 @@
 }
 
 func (s *Sharder) listedWorkers(ctx context.Context) (int, error) {
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	return s.countWorkers(bounded)
 }
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -70,6 +70,26 @@
 	}
 }
 
+// TestShardsWithSlowList guards against a large deployment that accepts no job because a
+// read of the list of workers takes longer than other calls to the store.
+func TestShardsWithSlowList(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	workers := func(ctx context.Context) (int, error) {
+		select {
+		case <-time.After(2 * time.Second):
+			return 320, nil
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	n, err := sharder.New(keeper.New(time.Now).Store(), sharder.Instance{}, workers, func(error) {}).Split(ctx)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(n.Shards, quicktest.Equals, 2)
+}
+
 // TestStoredCount guards against a stored count that is invalid.
 func TestStoredCount(t *testing.T) {
 	for name, tt := range map[string]struct {
