Test a lowered cap while a shard is cut off from the store

The other shard starts nothing until the one that was cut off has given back what the lower cap doesn't leave.

--- a/internal/conductor/caps_test.go
+++ b/internal/conductor/caps_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -169,3 +170,64 @@
 	isCut.Delete("cut")
 	s.holds("all is used again", 20, func(n [2]int) bool { return n[0]+n[1] == 20 })
 }
+
+// cutStore returns a store whose calls get no answer while isCut is set.
+func cutStore(p storeclient.PrefixStore, isCut *atomic.Bool) storeclient.PrefixStore {
+	lost := func(op string) error { return &storeclient.UnavailableError{Op: op, Err: errors.New("cut off")} }
+	get, list, transact, keepAlive := p.Get, p.Range, p.Transact, p.KeepAlive
+	p.Get = func(ctx context.Context, key string) (storeclient.Entry, error) {
+		if isCut.Load() {
+			return storeclient.Entry{}, lost("get")
+		}
+		return get(ctx, key)
+	}
+	p.Range = func(ctx context.Context, prefix string) ([]storeclient.Entry, uint64, error) {
+		if isCut.Load() {
+			return nil, 0, lost("range")
+		}
+		return list(ctx, prefix)
+	}
+	p.Transact = func(ctx context.Context, t storeclient.Transaction) (uint64, error) {
+		if isCut.Load() {
+			return 0, lost("transact")
+		}
+		return transact(ctx, t)
+	}
+	p.KeepAlive = func(ctx context.Context, id storeclient.LeaseID) error {
+		if isCut.Load() {
+			return lost("keep")
+		}
+		return keepAlive(ctx, id)
+	}
+	return p
+}
+
+// TestCapLoweredWhileCutOff guards against starts in other shards that exceed a lowered cap
+// together with the runs of a shard whose owner is cut off from the store, and that hasn't
+// read the lower cap. That owner goes on with the part that it holds.
+func TestCapLoweredWhileCutOff(t *testing.T) {
+	var isCut atomic.Bool
+	s := &cappedShards{testCluster: newTestCluster(t, time.Minute)}
+	for i := range s.shards {
+		s.shards[i] = testShard{name: fmt.Sprint(i), cpu: 64000, pool: newPool(time.Minute), place: func(planner.Resources, int, bool) (string, int) { return "0", 0 }}
+		if i == 0 {
+			s.shards[i].change = func(o *conductor.Options) { o.Store = cutStore(o.Store, &isCut) }
+		}
+		s.start(t, i, uint16(i+1))
+	}
+	s.setCap(20)
+	s.eventually("owned", testTimeout, func() bool { return s.owners[0].IsOwner() && s.owners[1].IsOwner() })
+	s.submitTo("0", "job0", 16)
+	s.holds("running", 20, func(n [2]int) bool { return n[0] == 16 })
+	isCut.Store(true)
+	low := planner.Config{Organisations: map[string]planner.Organisation{"o": {Cap: planner.Resources{CPU: 10_000}}}}
+	s.owners[1].SetConfig(low)
+	s.submitTo("1", "job1", 30)
+	s.endRuns(0, 8)
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		s.Assert(s.running(), quicktest.Equals, [2]int{8, 0})
+	}
+	isCut.Store(false)
+	s.owners[0].SetConfig(low)
+	s.holds("what is left is used", 10, func(n [2]int) bool { return n == [2]int{8, 2} })
+}
