--- a/internal/sharder/instance.go
+++ b/internal/sharder/instance.go
@@ -15,8 +15,8 @@
 	// coresPerWorker and linkPerWorker are what an owner needs for each worker of its
 	// shards at the worst load: cores, and bytes a second in each direction. Over 5 s on
 	// days with faults, owners of up to 80 workers took at most 0.0032 cores for each,
-	// and those of 176 at most 0.0015. The rest is for the seconds after a change of
-	// owner, and for the clients that an owner serves besides.
+	// and those of 176 at most 0.0015. The rest is a margin that was not
+	// measured; with it 490 workers make three shards, which served most in trials.
 	coresPerWorker = 0.0045
 	linkPerWorker  = 10_000
 	// instancesPrefix begins the keys of the instances' records. Only the first
