Announce the rooms of several workers to other shards

A shard announced only the room of its largest worker, and other shards could hand over one or a few urgent tasks between two announcements (0.7 s). A shard now announces up to 24 rooms, less what its own waiting tasks need, and each of the other shards has a part of them for itself.

--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -20,6 +20,10 @@
 	// maxShardsPerJob limits the shards that have tasks of one job, so that a
 	// cancellation fits into one transaction of the store.
 	maxShardsPerJob = 16
+	// maxRooms limits the rooms that a shard announces, and so the tasks that other
+	// shards hand over to it despite its headroom until the next announcement. With the
+	// room of one worker, tasks of a shard without room waited for up to 26 s.
+	maxRooms = 24
 )
 
 // Arrival describes a task that another shard handed over to this one.
@@ -61,6 +65,10 @@
 	// the short tasks there have ended. It is zero if the waiting tasks of the
 	// shard need more than Free.
 	Largest Resources `cbor:"largest"`
+	// Rooms holds what long-running tasks can get on the workers with the most CPU
+	// left for them, as in Largest, less what the waiting tasks of the shard need. It is
+	// sorted by CPU, the most first. Shards of earlier versions announce none.
+	Rooms []Resources `cbor:"rooms,omitempty"`
 	// Workers is the number of workers that may get tasks.
 	Workers int `cbor:"workers"`
 }
@@ -70,30 +78,65 @@
 	var usable []*Worker
 	var r Room
 	for _, w := range p.sortedWorkers {
-		if p.isUsable(now, w) {
-			usable = append(usable, w)
-			r.Free += w.freeCPU()
-			if room := w.roomForLongRunning(); !w.isReserved(now) && room.CPU > r.Largest.CPU {
+		if !p.isUsable(now, w) {
+			continue
+		}
+		usable = append(usable, w)
+		r.Free += w.freeCPU()
+		if room := w.roomForLongRunning(); !w.isReserved(now) && room.CPU > 0 {
+			r.Rooms = append(r.Rooms, room)
+			if room.CPU > r.Largest.CPU {
 				r.Largest = room
 			}
 		}
 	}
 	p.updateHeadroom(now, usable)
 	r.Workers = len(usable)
-	claimed := p.claimedCPU(r.Largest)
+	var claimed int64
+	claims := p.claims(r.Largest)
+	for _, need := range claims {
+		claimed += need.CPU
+		takeRoom(r.Rooms, need)
+	}
 	r.Spare = r.Free - int64(max(0, p.headroom.required())) - claimed
 	if claimed > r.Free {
-		r.Largest = Resources{}
+		r.Largest, r.Rooms = Resources{}, nil
 	}
+	slices.SortFunc(r.Rooms, func(a, b Resources) int { return cmp.Compare(b.CPU, a.CPU) })
+	r.Rooms = r.Rooms[:min(len(r.Rooms), maxRooms)]
 	return r
 }
 
-// claimedCPU returns the CPU need, in millicores, of the waiting long-running tasks that
-// fit into largest and are admitted despite the headroom. A new owner that holds
-// them back until all workers have answered would otherwise announce their room,
-// and get tasks from all other shards that it has to hand over one after the other.
-func (p *Planner) claimedCPU(largest Resources) int64 {
-	var sum int64
+// takeRoom deducts a need from the room with the least CPU into which it fits, so that
+// large rooms are left for large tasks, and reports whether there is one.
+func takeRoom(rooms []Resources, need Resources) bool {
+	best := -1
+	for i, room := range rooms {
+		if room.Fits(need) && (best < 0 || room.CPU < rooms[best].CPU) {
+			best = i
+		}
+	}
+	if best >= 0 {
+		rooms[best] = rooms[best].minus(need)
+	}
+	return best >= 0
+}
+
+// Take deducts up to count tasks from the rooms and returns how many fit.
+func (r *Room) Take(need Resources, count int) int {
+	taken := 0
+	for taken < count && takeRoom(r.Rooms, need) {
+		taken++
+	}
+	return taken
+}
+
+// claims returns the needs of the waiting long-running tasks that fit into largest and
+// are admitted despite the headroom. A new owner that holds them back until all workers
+// have answered would otherwise announce their room, and get tasks from all other shards
+// that it has to hand over one after the other.
+func (p *Planner) claims(largest Resources) []Resources {
+	var list []Resources
 	for _, j := range p.activeJobs {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
@@ -102,13 +145,13 @@
 				}
 				for _, t := range s.waiting {
 					if !t.done && len(t.runs) == 0 && t.mayHaveRun() {
-						sum += s.Need.CPU
+						list = append(list, s.reserved())
 					}
 				}
 			}
 		}
 	}
-	return sum
+	return list
 }
 
 // Unplaced is a group of identical long-running tasks that fit on no worker of
--- a/internal/planner/handover_test.go
+++ b/internal/planner/handover_test.go
@@ -243,6 +243,8 @@
 	d.Assert(r.Free, quicktest.Equals, int64(40_000))
 	d.Assert(r.Spare <= 4000, quicktest.IsTrue, quicktest.Commentf("%d", r.Spare))
 	d.Assert(r.Largest.CPU, quicktest.Equals, int64(40_000))
+	d.Assert(r.Rooms, quicktest.HasLen, 1)
+	d.Assert(r.Rooms[0].CPU, quicktest.Equals, int64(4000), quicktest.Commentf("less the need of the tasks that wait"))
 
 	d.add(longRunningJob("2", 1, 9))
 	d.Assert(d.p.Room(d.now).Largest.CPU, quicktest.Equals, int64(0), quicktest.Commentf("the tasks of the shard need all of it"))
--- a/internal/sharder/chooser.go
+++ b/internal/sharder/chooser.go
@@ -2,30 +2,64 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"tarragonhead.example/tarragonhead/internal/planner"
 )
 
+// maxUrgent bounds how many urgent tasks are counted into the rooms of a shard.
+const maxUrgent = 64
+
 // Chooser chooses the shard of a new job. It is safe for concurrent use.
 type Chooser struct {
 	mu sync.Mutex
 	// rooms has the free capacity that each shard announced last, less the
 	// capacity that this chooser has assigned to the shard since then.
 	rooms []planner.Room
+	// parts holds, by shard and by the shard that hands over, which of the announced
+	// Rooms urgent tasks of the latter may use. Owners learn of what others take late,
+	// so each has rooms of its own.
+	parts [][]planner.Room
 }
 
 // NewChooser returns a chooser for count shards whose free capacity is still
 // unknown.
-func NewChooser(count int) *Chooser { return &Chooser{rooms: make([]planner.Room, count)} }
+func NewChooser(count int) *Chooser {
+	return &Chooser{rooms: make([]planner.Room, count), parts: make([][]planner.Room, count)}
+}
 
 // SetRoom sets the free capacity that a shard has announced.
 func (c *Chooser) SetRoom(shard int, r planner.Room) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if shard >= 0 && shard < len(c.rooms) {
-		c.rooms[shard] = r
+	if shard < 0 || shard >= len(c.rooms) {
+		return
+	}
+	c.rooms[shard] = r
+	parts := make([]planner.Room, len(c.rooms))
+	others := max(1, len(c.rooms)-1)
+	for n := range parts {
+		// The shards that may hand over are numbered without the one that takes.
+		number := n
+		if n > shard {
+			number--
+		}
+		for i := number; i < len(r.Rooms) && n != shard; i += others {
+			parts[n].Rooms = append(parts[n].Rooms, r.Rooms[i])
+		}
 	}
+	c.parts[shard] = parts
+}
+
+// urgentFit returns how many urgent tasks of shard from fit into the rooms that shard to
+// has for them.
+func (c *Chooser) urgentFit(from, to int, need planner.Resources) int64 {
+	if c.parts[to] == nil {
+		return 0
+	}
+	rooms := planner.Room{Rooms: slices.Clone(c.parts[to][from].Rooms)}
+	return int64(rooms.Take(need, maxUrgent))
 }
 
 // Demand is the CPU that a job reserves, in millicores.
@@ -100,8 +134,8 @@
 
 // Place returns a shard for long-running tasks that can't be placed in shard
 // from, and how many of the count tasks that shard may get; 0 if no other shard
-// has room. Urgent tasks may also use the headroom for short work, up to the
-// room on one worker. The shard is drawn with a probability in proportion to its
+// has room. Urgent tasks may also use the headroom for short work, up to the room on
+// one worker, or up to the part of the announced rooms that from may use. The shard is drawn with a probability in proportion to its
 // room. Owners learn of free capacity late, so if all owners chose the shard with
 // the most room, that shard would get all their tasks.
 func (c *Chooser) Place(from int, need planner.Resources, count int, isUrgent bool) (shard, tasks int) {
@@ -111,12 +145,17 @@
 	fits := make([]int64, len(c.rooms))
 	var total int64
 	for n, r := range c.rooms {
-		if n == from || !r.Largest.Fits(need) {
+		if n == from {
 			continue
 		}
-		fits[n] = max(0, r.Spare/unit)
+		if r.Largest.Fits(need) {
+			fits[n] = max(0, r.Spare/unit)
+			if isUrgent {
+				fits[n] = max(fits[n], r.Largest.CPU/unit)
+			}
+		}
 		if isUrgent {
-			fits[n] = max(fits[n], r.Largest.CPU/unit)
+			fits[n] = max(fits[n], c.urgentFit(from, n, need))
 		}
 		total += fits[n]
 	}
@@ -136,6 +175,9 @@
 		// free capacity.
 		r.Largest = planner.Resources{}
 	}
+	if parts := c.parts[shard]; parts != nil {
+		parts[from].Take(need, tasks)
+	}
 	return shard, tasks
 }
 
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -193,6 +193,7 @@
 		"no worker fits":              {[]planner.Room{{}, {Spare: 20, Largest: large}, {Spare: 30}}, false, [2]int{1, 2}},
 		"none":                        {[]planner.Room{{Spare: 99, Largest: large}, {Spare: 6, Largest: large}}, false, [2]int{0, 0}},
 		"kept for short work, urgent": {[]planner.Room{{Spare: 99, Largest: large}, {Spare: -6, Largest: large}}, true, [2]int{1, 1}},
+		"urgent, every other room":    {[]planner.Room{{}, {Spare: -6, Largest: large, Rooms: []planner.Resources{large, large, large, large, large}}, {}}, true, [2]int{1, 3}},
 		"urgent, too large":           {[]planner.Room{{}, {Spare: 20, Largest: planner.Resources{CPU: 6}}}, true, [2]int{0, 0}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -211,6 +212,29 @@
 	}
 }
 
+// TestUrgentTasksUseAllRooms guards against urgent tasks of which only one at a time is
+// handed over between two announcements, and against two shards that hand tasks over to
+// the same room.
+func TestUrgentTasksUseAllRooms(t *testing.T) {
+	c := quicktest.New(t)
+	need := planner.Resources{CPU: 7}
+	room := planner.Room{Spare: -500, Largest: planner.Resources{CPU: 10}}
+	for range 8 {
+		room.Rooms = append(room.Rooms, planner.Resources{CPU: 10})
+	}
+	total := 0
+	for from := range 2 {
+		h := sharder.NewChooser(3)
+		h.SetRoom(2, room)
+		for range 20 {
+			shard, tasks := h.Place(from, need, 1, true)
+			c.Assert(tasks == 0 || shard == 2, quicktest.IsTrue)
+			total += tasks
+		}
+	}
+	c.Assert(total, quicktest.Equals, 8)
+}
+
 // TestPlaceSpreads guards against owners that all hand tasks over to the same
 // shard until they learn that it is full.
 func TestPlaceSpreads(t *testing.T) {
