Hand tasks of several jobs over in one transaction

A handover took a transaction and at least 100 ms for each step of a job, and a record of the other shard that can't be decoded kept all tasks of a shard from being handed over, since the longest wait came first each time. Up to seven jobs now share a transaction, their records are read at the same time, and a record that can't be used only delays its own job.

--- a/internal/conductor/handover.go
+++ b/internal/conductor/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,48 +23,77 @@
 
 func (k keys) cancelled(id string) string { return k.jobs() + id + cancelledSuffix }
 
+// maxHandovers is the number of handovers that fit into one transaction, which has the
+// shard's head and two expectations and two writes for each.
+const maxHandovers = (storeclient.MaxTransactionEntries - 1) / 4
+
 // handOverTasks hands long-running tasks that can't be placed in this shard
-// over to a shard with free capacity. It counts as a commit because it changes
-// the progress of a job.
+// over to shards with free capacity. It counts as a commit because it changes
+// the progress of jobs.
 func (c *Conductor) handOverTasks(ctx context.Context, now time.Time) {
 	if c.options.Place == nil || c.isCommitting || now.Sub(c.lastHandoverAt) < handoverInterval || !c.isOwnershipConfirmed(now) {
 		return
 	}
 	c.lastHandoverAt = now
+	var list []planner.Handover
+	jobs := map[string]bool{}
 	for _, h := range c.planner.Unplaced(now) {
+		if len(list) == maxHandovers {
+			break
+		}
+		if jobs[h.Job] {
+			// Both would write the progress of the job.
+			continue
+		}
 		to, count := c.options.Place(h.Need, h.Count, h.IsUrgent)
 		if count == 0 {
 			continue
 		}
-		handover, ok := c.planner.HandOver(now, h, count, to)
-		if !ok {
-			continue
+		if handover, ok := c.planner.HandOver(now, h, count, to); ok {
+			list, jobs[h.Job] = append(list, handover), true
 		}
-		c.storeHandover(ctx, handover)
-		return
+	}
+	if len(list) > 0 {
+		c.storeHandovers(ctx, list)
 	}
 }
 
-// storeHandover stores a handover in the background. No progress is committed
-// meanwhile, so only the handover itself can change the revisions that it
-// expects.
-func (c *Conductor) storeHandover(ctx context.Context, h planner.Handover) {
-	progress, err := planner.Encode(h.Change.Progress)
-	if err != nil {
-		c.options.Log.Error().Err(err).Str("job", h.Job.ID).Msg("conductor: progress not encoded")
-		c.planner.HandoverFailed(h)
-		return
+// pendingHandover is a handover with its part of a transaction.
+type pendingHandover struct {
+	planner.Handover
+	// expect and writes are those of the job's progress in this shard and of its record
+	// in the other one.
+	expect [2]storeclient.Expectation
+	writes [2]storeclient.Write
+	// err is why the handover is not in the transaction, or nil.
+	err error
+}
+
+// storeHandovers stores handovers of different jobs in the background, in one
+// transaction. One whose records can't be read or encoded is left out. No progress is
+// committed meanwhile, so only the handovers themselves can change the revisions that
+// they expect.
+func (c *Conductor) storeHandovers(ctx context.Context, handovers []planner.Handover) {
+	list := make([]pendingHandover, len(handovers))
+	for i, h := range handovers {
+		value, err := planner.Encode(h.Change.Progress)
+		key := c.keys.progress(h.Job.ID)
+		list[i] = pendingHandover{Handover: h, err: err}
+		list[i].expect[0] = storeclient.Expectation{Key: key, Revision: c.revisions[key]}
+		list[i].writes[0] = storeclient.Write{Key: key, Value: value}
 	}
 	c.isCommitting = true
-	epoch, key := c.epoch, c.keys.progress(h.Job.ID)
-	change := storeclient.Transaction{
-		Expect: []storeclient.Expectation{{Key: c.keys.head(), Revision: c.headRevision}, {Key: key, Revision: c.revisions[key]}},
-		Writes: []storeclient.Write{{Key: key, Value: progress}},
-	}
+	epoch, head := c.epoch, storeclient.Expectation{Key: c.keys.head(), Revision: c.headRevision}
 	c.background.Go(func() {
-		t, err := c.addPeerRecord(ctx, change, h)
-		if err != nil {
-			c.post(ctx, func() { c.finishHandover(epoch, h, t, c.options.Now(), 0, err) })
+		c.readPeerRecords(ctx, list)
+		t := storeclient.Transaction{Expect: []storeclient.Expectation{head}}
+		for i := range list {
+			if h := &list[i]; h.err == nil {
+				t.Expect, t.Writes = append(t.Expect, h.expect[:]...), append(t.Writes, h.writes[:]...)
+			}
+		}
+		if len(t.Writes) == 0 {
+			c.post(ctx, func() { c.finishHandovers(epoch, list, t, c.options.Now(), 0, list[0].err) })
 			return
 		}
 		// isUnknown is set once an attempt has had no answer.
@@ -81,15 +111,25 @@
 				// attempt was applied.
 				continue
 			}
-			c.post(ctx, func() { c.finishHandover(epoch, h, t, sent, revision, err) })
+			c.post(ctx, func() { c.finishHandovers(epoch, list, t, sent, revision, err) })
 			return
 		}
 	})
 }
 
-// addPeerRecord adds a write of the other shard's record of the job to the
-// transaction of a handover.
-func (c *Conductor) addPeerRecord(ctx context.Context, t storeclient.Transaction, h planner.Handover) (storeclient.Transaction, error) {
+// readPeerRecords reads the other shards' records of the jobs that are handed over, all at
+// the same time, and adds the writes that change them.
+func (c *Conductor) readPeerRecords(ctx context.Context, list []pendingHandover) {
+	var reads sync.WaitGroup
+	for i := range list {
+		if list[i].err == nil {
+			reads.Go(func() { list[i].err = c.readPeerRecord(ctx, &list[i]) })
+		}
+	}
+	reads.Wait()
+}
+
+func (c *Conductor) readPeerRecord(ctx context.Context, h *pendingHandover) error {
 	key := JobKey(h.To, h.Job.ID)
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -99,26 +139,23 @@
 	switch {
 	case errors.As(err, &missing):
 	case err != nil:
-		return t, err
+		return err
 	default:
 		known, err := planner.Decode[planner.Job](entry.Value)
 		if err != nil {
-			return t, err
+			return err
 		}
 		known.Arrived = append(known.Arrived, record.Arrived...)
 		record = known
 	}
 	value, err := planner.Encode(record)
-	if err != nil {
-		return t, err
-	}
-	t.Expect = append(t.Expect, storeclient.Expectation{Key: key, Revision: entry.Revision})
-	t.Writes = append(t.Writes, storeclient.Write{Key: key, Value: value})
-	return t, nil
+	h.expect[1] = storeclient.Expectation{Key: key, Revision: entry.Revision}
+	h.writes[1] = storeclient.Write{Key: key, Value: value}
+	return err
 }
 
-// finishHandover applies the outcome of a handover.
-func (c *Conductor) finishHandover(epoch int64, h planner.Handover, t storeclient.Transaction, sent time.Time, revision uint64, err error) {
+// finishHandovers applies the outcome of a transaction of handovers.
+func (c *Conductor) finishHandovers(epoch int64, list []pendingHandover, t storeclient.Transaction, sent time.Time, revision uint64, err error) {
 	if c.role != "owning" || c.epoch != epoch {
 		return
 	}
@@ -129,15 +166,21 @@
 		return
 	}
 	var conflict *storeclient.ExpectationError
-	isStored := err == nil || errors.As(err, &conflict) && hasArrived(conflict, h)
-	c.metrics.handovers.WithLabelValues(map[bool]string{true: "done", false: "not_done"}[isStored]).Inc()
-	c.options.Log.Info().Str("job", h.Job.ID).Str("shard", c.options.Shard).Str("to", h.To).Int("tasks", len(h.Job.Arrived)).
-		Int64("epoch", c.epoch).Bool("stored", isStored).AnErr("cause", err).Msg("conductor: tasks handed over")
-	if isStored {
-		c.planner.HandedOver(h)
-		return
+	for _, h := range list {
+		cause := err
+		if h.err != nil {
+			cause = h.err
+		}
+		isStored := cause == nil || h.err == nil && errors.As(err, &conflict) && hasArrived(conflict, h.Handover)
+		c.metrics.handovers.WithLabelValues(map[bool]string{true: "done", false: "not_done"}[isStored]).Inc()
+		c.options.Log.Info().Str("job", h.Job.ID).Str("shard", c.options.Shard).Str("to", h.To).Int("tasks", len(h.Job.Arrived)).
+			Int64("epoch", c.epoch).Bool("stored", isStored).AnErr("cause", cause).Msg("conductor: tasks handed over")
+		if isStored {
+			c.planner.HandedOver(h.Handover)
+		} else {
+			c.planner.HandoverFailed(h.Handover)
+		}
 	}
-	c.planner.HandoverFailed(h)
 }
 
 // hasArrived reports whether the other shard's record contains the tasks of a
--- a/internal/conductor/handover_test.go
+++ b/internal/conductor/handover_test.go
@@ -143,6 +143,27 @@
 	}
 }
 
+// TestUnusablePeerRecord guards against a record of another shard that can't be decoded
+// and keeps the tasks of all other jobs from being handed over.
+func TestUnusablePeerRecord(t *testing.T) {
+	s := newTwoShards(t)
+	s.eventually("owned", testTimeout, func() bool { return s.owners[0].IsOwner() && s.owners[1].IsOwner() })
+	s.keeper.Put(conductor.JobKey("1", "job0"), []byte("unusable"))
+	for i := range 6 {
+		s.submitLongRunning(fmt.Sprint("job", i), 2)
+	}
+	s.eventually("all other tasks run", testTimeout, func() bool {
+		sum := 0
+		for i := range 6 {
+			onFull, onFree := s.runsOf(fmt.Sprint("job", i))
+			sum += onFull + onFree
+		}
+		return sum >= 10
+	})
+	_, onFree := s.runsOf("job0")
+	s.Assert(onFree, quicktest.Equals, 0)
+}
+
 // TestCancelHandedOver guards against tasks that keep running in another shard
 // after their job was cancelled.
 func TestCancelHandedOver(t *testing.T) {
