--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -29,6 +29,9 @@
 	Prefix  = "/jobs/"
 	service = "service"
 	domain  = "domain"
+
+	// operatorPrefix begins the operator's keys in the store.
+	operatorPrefix = "op/"
 )
 
 // Attempts is the number of failed runs of a task after which it isn't started again.
@@ -145,6 +148,8 @@
 	started []*Instance
 	// addressesByName holds the addresses that instances were given, by name.
 	addressesByName map[string][3]string
+	// configCalls and configBytes count what ConfigTraffic returns.
+	configCalls, configBytes atomic.Int64
 }
 
 // Instance is a tarragond process on the platform.
@@ -173,7 +178,7 @@
 	o.MaxLease = cmp.Or(o.MaxLease, defaultMaxLease)
 	p := &Platform{options: o, instanceHost: newInstanceHost(), Keeper: keeper.New(time.Now), stopped: make(chan struct{}), addressesByName: map[string][3]string{}}
 	var err error
-	if p.storeAddress, err = p.listen(func(ctx *fasthttp.RequestCtx) { serveStore(p.Keeper, o, ctx) }); err != nil {
+	if p.storeAddress, err = p.listen(p.serveStore); err != nil {
 		return nil, err
 	}
 	for n := range o.Workers {
@@ -226,10 +231,16 @@
 	if err != nil {
 		return errors.Wrap(err, "encode configuration")
 	}
-	p.Keeper.Put("op/config", config)
+	p.Keeper.Put(operatorPrefix+"config", config)
 	return nil
 }
 
+// ConfigTraffic returns how many reads and watches of the operator's keys the store has
+// answered, and the bytes in the bodies of the responses.
+func (p *Platform) ConfigTraffic() (calls, bytes int64) {
+	return p.configCalls.Load(), p.configBytes.Load()
+}
+
 // listen starts a server on a free loopback address and returns the address.
 func (p *Platform) listen(h fasthttp.RequestHandler) (string, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/standins/platformer/store.go
+++ b/standins/platformer/store.go
@@ -48,6 +48,15 @@
 	Remove []string `json:"remove"`
 }
 
+// serveStore serves the HTTP interface of the store and counts the configuration's traffic.
+func (p *Platform) serveStore(ctx *fasthttp.RequestCtx) {
+	serveStore(p.Keeper, p.options, ctx)
+	if strings.HasPrefix(string(ctx.QueryArgs().Peek("prefix")), operatorPrefix) {
+		p.configCalls.Add(1)
+		p.configBytes.Add(int64(len(ctx.Response.Body())))
+	}
+}
+
 // serveStore serves the HTTP interface of the store.
 func serveStore(k *keeper.Keeper, o Options, ctx *fasthttp.RequestCtx) {
 	s := k.Store()
