Check a large configuration for changes instead of reading it

Each instance read all of op/config every 0.9 s, 7 Mbit/s with 10,000 keys. The answer confirms the copy as of the time when the check was sent, as a read does. Status 410 or an earlier revision is followed by a read at once, an unanswered check by a read in the next interval. Smaller records are read as before.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -1,11 +1,13 @@
 // Package follower keeps a local copy of the entries under a prefix of the
 // store. It watches the prefix, and also reads all of it from time to time. A
 // watch alone is not enough: it may stop delivering changes, and it may miss
-// changes when the store drops its history.
+// changes when the store drops its history. While an entry is large, the reads are
+// replaced by checks for changes, which the store answers without waiting.
 package follower
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -25,6 +27,9 @@
 	// tombstoneTTL is how long a removal is remembered, so that an older read
 	// which arrives later does not restore the entry.
 	tombstoneTTL = time.Minute
+	// maxUnusableChecks bounds the number of reads between two checks whose answers
+	// can't be used, which doubles up to 63.
+	maxUnusableChecks = 6
 )
 
 // Options are the dependencies of a follower.
@@ -37,15 +42,18 @@
 	// Interval is how often the whole prefix is read. Zero means only when the
 	// watch needs it.
 	Interval time.Duration
+	// CheckBytes is the size of a value above which the periodic reads of the prefix
+	// are replaced by checks for changes. Zero means that they never are.
+	CheckBytes int
 	// Now is a clock that also advances while the process is suspended.
 	Now func() time.Time
 	// Changed is called with new changes, in the order of their revisions for
 	// each key, from one goroutine at a time. It must not block for long.
 	Changed func([]storeclient.Event)
-	// Confirmed is called after each read of the whole prefix with the time at
-	// which the read began. It may be nil.
+	// Confirmed is called after each read of the whole prefix, and each check for
+	// changes, with the time at which the call began. It may be nil.
 	Confirmed func(time.Time)
-	// Current is called after each answered read or watch, after its changes, with the
+	// Current is called after each answered read, check or watch, after its changes, with the
 	// time at which the call began. The reported changes include everything that was
 	// stored before. It may be nil.
 	Current func(time.Time)
@@ -69,6 +77,33 @@
 	// watchRevision is the revision after which the next watch starts; zero if
 	// the prefix must be read first.
 	watchRevision uint64
+	// checkRevision is the revision after which the next check starts: that of the last
+	// read of the prefix or of a later check. Watches don't advance it, so that a check
+	// also finds a change that a watch has missed.
+	checkRevision uint64
+	// large has the keys of the entries above CheckBytes.
+	large map[string]bool
+
+	// The fields below belong to the goroutine that confirms the copy.
+
+	// readsLeft is the number of the next intervals that read the prefix instead of
+	// checking it.
+	readsLeft int
+	// unusableChecks counts the last checks in a row whose answers could not be used.
+	unusableChecks int
+}
+
+// RevisionError reports the answer to a check for changes that contradicts the revision
+// after which the check asked.
+type RevisionError struct {
+	Prefix string
+	// After is the revision of the check, and Revision that of the answer or of an event
+	// in it.
+	After, Revision uint64
+}
+
+func (e *RevisionError) Error() string {
+	return fmt.Sprintf("store: check of %s after revision %d answered with revision %d", e.Prefix, e.After, e.Revision)
 }
 
 // tombstone is a removal that is still remembered.
@@ -79,7 +114,7 @@
 
 // New returns a follower; call Run to start it.
 func New(o Options) *Follower {
-	return &Follower{options: o, revisions: map[string]uint64{}, removed: map[string]tombstone{}}
+	return &Follower{options: o, revisions: map[string]uint64{}, removed: map[string]tombstone{}, large: map[string]bool{}}
 }
 
 // Run follows the prefix until ctx ends.
@@ -96,13 +131,73 @@
 
 func (f *Follower) readPeriodically(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := f.readPrefix(ctx); err != nil {
+		if err := f.confirm(ctx); err != nil {
 			f.reportFailure(err)
 		}
 		waiter.Wait(ctx, f.options.Interval)
 	}
 }
 
+// confirm brings the copy up to date: with a check for changes if an entry is large, and
+// otherwise with a read of the prefix. After an error the next interval reads the prefix. An
+// answer that can't be used is followed by a read immediately; if that happens again and
+// again, checks become rare, so that an interval has hardly more than one call.
+func (f *Follower) confirm(ctx context.Context) error {
+	f.mu.Lock()
+	after, isLarge := f.checkRevision, len(f.large) > 0
+	f.mu.Unlock()
+	if !isLarge || f.readsLeft > 0 {
+		f.readsLeft = max(0, f.readsLeft-1)
+		return f.readPrefix(ctx)
+	}
+	err := f.checkOnce(ctx, after)
+	var compacted *storeclient.CompactedError
+	var conflict *RevisionError
+	isConflict := errors.As(err, &conflict)
+	switch {
+	case err == nil:
+		f.unusableChecks = 0
+		return nil
+	case !isConflict && !errors.As(err, &compacted):
+		f.readsLeft = 1
+		return err
+	case isConflict:
+		f.reportFailure(err)
+	}
+	f.readsLeft = 1<<f.unusableChecks - 1
+	f.unusableChecks = min(f.unusableChecks+1, maxUnusableChecks)
+	return f.readPrefix(ctx)
+}
+
+// checkOnce reads the changes after a revision up to which the copy is complete. The copy
+// is then as current as after a read of the prefix that began at the same time.
+func (f *Follower) checkOnce(ctx context.Context, after uint64) error {
+	began := f.options.Now()
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	events, next, err := f.options.Store.Changes(ctx, f.options.Prefix, after)
+	if err != nil {
+		return err
+	}
+	if next < after {
+		return &RevisionError{f.options.Prefix, after, next}
+	}
+	for _, e := range events {
+		if e.Revision <= after {
+			return &RevisionError{f.options.Prefix, after, e.Revision}
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.checkRevision = max(f.checkRevision, next)
+	f.applyEvents(events, began)
+	f.forgetRemovals(began)
+	if f.options.Confirmed != nil {
+		f.options.Confirmed(began)
+	}
+	return nil
+}
+
 func (f *Follower) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
@@ -138,6 +233,14 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.watchRevision = max(f.watchRevision, next)
+	f.applyEvents(events, began)
+	return nil
+}
+
+// applyEvents applies the events in the answer to a call and reports the changes. The
+// caller holds f.mu.
+func (f *Follower) applyEvents(events []storeclient.Event, began time.Time) {
 	var changes []storeclient.Event
 	for _, e := range events {
 		if f.isNewer(e, f.readRevision) {
@@ -145,9 +248,7 @@
 			changes = append(changes, e)
 		}
 	}
-	f.watchRevision = max(f.watchRevision, next)
 	f.reportChanges(changes, began)
-	return nil
 }
 
 // readPrefix reads the whole prefix and reports how it differs from the copy.
@@ -184,14 +285,12 @@
 		}
 	}
 	f.readRevision = max(f.readRevision, revision)
+	// A store that went back to earlier revisions is checked after these.
+	f.checkRevision = revision
 	if f.watchRevision == 0 {
 		f.watchRevision = revision
 	}
-	for key, t := range f.removed {
-		if began.Sub(t.removedAt) > tombstoneTTL {
-			delete(f.removed, key)
-		}
-	}
+	f.forgetRemovals(began)
 	f.reportChanges(changes, began)
 	if f.options.Confirmed != nil {
 		f.options.Confirmed(began)
@@ -199,6 +298,15 @@
 	return nil
 }
 
+// forgetRemovals drops the tombstones that have expired. The caller holds f.mu.
+func (f *Follower) forgetRemovals(now time.Time) {
+	for key, t := range f.removed {
+		if now.Sub(t.removedAt) > tombstoneTTL {
+			delete(f.removed, key)
+		}
+	}
+}
+
 // isNewer reports whether an event is newer than the copy. An entry that the copy
 // doesn't have is obsolete up to the floor. An entry of the copy is compared by its own
 // revision alone, since a read may lack a change that is older than its revision.
@@ -216,10 +324,16 @@
 func (f *Follower) apply(e storeclient.Event) {
 	if e.Removed {
 		delete(f.revisions, e.Key)
+		delete(f.large, e.Key)
 		f.removed[e.Key] = tombstone{e.Revision, f.options.Now()}
 		return
 	}
 	f.revisions[e.Key] = e.Revision
+	if f.options.CheckBytes > 0 && len(e.Value) > f.options.CheckBytes {
+		f.large[e.Key] = true
+	} else {
+		delete(f.large, e.Key)
+	}
 }
 
 // reportChanges reports the changes that the answer to a call brought.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -56,14 +56,14 @@
 // Store returns the operations of the store.
 func (k *Keeper) Store() storeclient.PrefixStore {
 	return storeclient.PrefixStore{
-		Get: k.get, Range: k.readRange, Watch: k.watch, Transact: k.transact,
+		Get: k.get, Range: k.readRange, Watch: k.watch, Changes: k.readChanges, Transact: k.transact,
 		Grant: k.grant, KeepAlive: k.keepAlive, Revoke: k.revoke,
 	}
 }
 
 // SetFault sets the function that returns the fault of each call; nil for no
-// faults. The operations op are get, range, watch, transact, grant, keep_alive
-// and revoke.
+// faults. The operations op are get, range, watch, changes, transact, grant,
+// keep_alive and revoke.
 func (k *Keeper) SetFault(f func(op, key string) Fault) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -182,12 +182,20 @@
 }
 
 func (k *Keeper) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]storeclient.Event, uint64, error) {
+	return k.waitForChanges(ctx, "watch", prefix, after, wait)
+}
+
+func (k *Keeper) readChanges(ctx context.Context, prefix string, after uint64) ([]storeclient.Event, uint64, error) {
+	return k.waitForChanges(ctx, "changes", prefix, after, 0)
+}
+
+func (k *Keeper) waitForChanges(ctx context.Context, op, prefix string, after uint64, wait time.Duration) ([]storeclient.Event, uint64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for isFirst := true; ; isFirst = false {
 		k.mu.Lock()
 		if isFirst {
-			if f := k.beginCall("watch", prefix); f.Before != nil {
+			if f := k.beginCall(op, prefix); f.Before != nil {
 				k.mu.Unlock()
 				return nil, 0, f.Before
 			}
@@ -209,7 +217,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, &storeclient.UnavailableError{Op: "watch", Key: prefix, Err: ctx.Err()}
+			return nil, 0, &storeclient.UnavailableError{Op: op, Key: prefix, Err: ctx.Err()}
 		case <-timer.C:
 			return nil, revision, nil
 		case <-changed:
--- a/internal/storeclient/prefix.go
+++ b/internal/storeclient/prefix.go
@@ -94,6 +94,10 @@
 	// Watch waits up to wait for changes under a prefix after a revision. It
 	// returns the changes and the revision to pass to the next Watch.
 	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
+	// Changes returns the changes under a prefix after a revision without waiting for
+	// any, and the revision up to which the list is complete. It may be repeated while
+	// it isn't answered, like a Range.
+	Changes func(ctx context.Context, prefix string, after uint64) ([]Event, uint64, error)
 	// Transact executes a transaction and returns its revision.
 	Transact func(ctx context.Context, t Transaction) (uint64, error)
 	// Grant creates a lease that expires when it is not kept alive for ttl.
