Test a key that is withdrawn while an instance is cut off

The instance isn't ready while it is cut off, and from the first readiness after the link is restored the key is unknown there, also after a restart, before or after the restoration. The version in force never goes back in a process, nor does a new one begin with an earlier one.

--- a/standins/platformer/config_test.go
+++ b/standins/platformer/config_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -9,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tarragonhead.example/tarragonhead/standins/platformer"
+	"tarragonhead.example/tarragonhead/standins/soaker"
 )
 
 const (
@@ -89,3 +93,115 @@
 	s.Assert(s.statusWith(i, keyOf(tenantKeyVersion)), quicktest.Equals, fasthttp.StatusOK)
 	s.Assert(s.statusWith(i, keyOf(1)), quicktest.Equals, fasthttp.StatusUnauthorized)
 }
+
+// cutInstance is an instance whose link to the store can be cut, and what it has shown.
+type cutInstance struct {
+	*testPlatform
+	*platformer.Instance
+	// version is the highest version of the configuration that was in force.
+	version int
+}
+
+// isAllowed reports whether the instance takes the key for known, and checks that the
+// version in force hasn't gone back, except to none in a new process.
+func (i *cutInstance) isAllowed(key string) bool {
+	_, text, err := fasthttp.GetTimeout(nil, "http://"+i.Control()+"/metrics", callTimeout)
+	if err == nil {
+		_, rest, _ := strings.Cut(string(text), "\ntarragonhead_config_version ")
+		version := 0
+		_, err = fmt.Sscanf(rest, "%d", &version)
+		i.Assert(err, quicktest.IsNil)
+		i.Assert(version == 0 || version >= i.version, quicktest.IsTrue, quicktest.Commentf("version %d after %d", version, i.version))
+		i.version = max(i.version, version)
+	}
+	status, body := i.CallWithKey("GET", platformer.Prefix, key, "", callTimeout)
+	return status != 0 && status != fasthttp.StatusUnauthorized && !strings.Contains(body, "no configuration yet")
+}
+
+// isReady reports whether the instance answers readiness checks with success.
+func (i *cutInstance) isReady() bool {
+	status, _, err := fasthttp.GetTimeout(nil, "http://"+i.Readiness, callTimeout)
+	return err == nil && status == fasthttp.StatusOK
+}
+
+// restart kills the process and starts another one.
+func (i *cutInstance) restart() {
+	i.Assert(i.Signal(syscall.SIGKILL), quicktest.IsNil)
+	<-i.Ended()
+	next, err := i.Start("edge-1")
+	i.Assert(err, quicktest.IsNil)
+	i.Instance = next
+}
+
+// TestKeyWithdrawnWhileCut guards against a key that was withdrawn while an instance was
+// cut off from the store, and works there after the link is restored or after a restart,
+// and against an instance that counts as ready while it is cut off.
+func TestKeyWithdrawnWhileCut(t *testing.T) {
+	for name, tt := range map[string]struct {
+		organisations int
+		// refuses says that the cut link also resets connections.
+		refuses bool
+		// dropsHistory says that the store can't tell the changes during the cut.
+		dropsHistory bool
+		// restarts says that the instance also restarts while it is cut off.
+		restarts bool
+	}{
+		"small":                  {1, false, false, false},
+		"large":                  {manyOrganisations, false, false, false},
+		"large, history dropped": {manyOrganisations, true, true, false},
+		"large, restart in cut":  {manyOrganisations, true, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var link *soaker.Proxy
+			s := newTestPlatformWith(t, platformer.Options{
+				TaskDuration: time.Second, Organisations: organisations(tt.organisations),
+				ProxyAddress: func(name, address string) (_ string, err error) {
+					if name != "edge-1" {
+						return address, nil
+					}
+					if link == nil {
+						link, err = soaker.NewProxy(address)
+						if err != nil {
+							return "", err
+						}
+						t.Cleanup(link.Close)
+					}
+					return link.Address(), nil
+				},
+			})
+			i := &cutInstance{testPlatform: s, Instance: s.startInstanceWith("edge-1", keyOf(1))}
+			other := s.startInstanceWith("edge-2", keyOf(1))
+			s.Assert(i.isAllowed(keyOf(1)), quicktest.IsTrue)
+			s.eventually("ready", i.isReady)
+
+			restore := link.Impair(soaker.Impairment{DropToServer: true, DropFromServer: true, Refuse: tt.refuses})
+			if tt.refuses {
+				link.Reset(1, rand.New(rand.NewPCG(1, 1)))
+			}
+			s.replaceKey(other)
+			if tt.dropsHistory {
+				s.Keeper.Compact()
+			}
+			s.eventually("not ready", func() bool { return !i.isReady() })
+			s.Assert(i.isAllowed(keyOf(1)), quicktest.IsTrue)
+			if tt.restarts {
+				i.restart()
+				time.Sleep(time.Second)
+				s.Assert(i.isAllowed(keyOf(1)), quicktest.IsFalse)
+			}
+			restore()
+			s.eventually("ready again", i.isReady)
+			replaced := func() {
+				s.eventually("new key works", func() bool {
+					s.Assert(i.isAllowed(keyOf(1)), quicktest.IsFalse)
+					return s.statusWith(i.Instance, keyOf(tenantKeyVersion)) == fasthttp.StatusOK
+				})
+				s.Assert(s.statusWith(i.Instance, keyOf(1)), quicktest.Equals, fasthttp.StatusUnauthorized)
+			}
+			replaced()
+			i.restart()
+			replaced()
+			s.Assert(i.version, quicktest.Equals, tenantKeyVersion)
+		})
+	}
+}
