Keep a place for a best-effort task that is being moved

A task that stands still beside a long-running task over its target is stopped once another worker has a place for it. Until the stop was confirmed, any other task could take that place, and the stopped one queued again.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -283,6 +283,7 @@
 func (p *Planner) startWaiting(now time.Time) {
 	p.startsLeft = p.startLimit
 	p.updateShares(now)
+	p.startMoves(now)
 	if p.startSteps(now, p.orderSteps(now)) {
 		p.startSpeculativeCopies(now)
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -311,6 +311,9 @@
 	// hasUnknownRuns is set when the worker lists runs of unknown jobs. The
 	// resource use of these runs is not known, so nothing starts on the worker.
 	hasUnknownRuns bool
+	// expected holds the tasks that are being moved to the worker. free is less their
+	// needs.
+	expected []*task
 	// bestEffortCPU is the CPU need of the best-effort tasks, in millicores.
 	bestEffortCPU int64
 	// needsPacing is set when the runs or their tail latencies have changed
