Keep a gang that needs more than its cap from starting

Cause: isWithinCap let anything start while nothing else of the organisation ran, so that a gang was started whole however much its tasks need together.

Change: such a gang doesn't start; a single task above the cap still runs alone. The gang counts neither as blocked nor as the smallest waiting need, so that no shard gives up its part for it. explainCap says that the gang waits until the cap is raised, and looks at the need of a whole gang, not of one task.

--- a/internal/planner/organisation.go
+++ b/internal/planner/organisation.go
@@ -29,7 +29,7 @@
 // CapDemand is what a shard makes of its part of a cap.
 type CapDemand struct {
 	// Used is what the runs of the organisation need, and Blocked what its tasks need that
-	// wait only because of the cap.
+	// wait only because of the cap, without gangs that need more than the whole cap.
 	Used, Blocked Resources
 	// Smallest is, by kind of resource, the least that one of the blocked tasks, or a gang,
 	// needs.
@@ -183,6 +183,14 @@
 	return Resources{max(0, left.CPU), max(0, left.Memory), max(0, left.GPU)}
 }
 
+// isGangAbove reports whether a step is a gang whose tasks together need more than a cap.
+// Such a gang can't start under it. Zero amounts of the cap are not limited.
+func (s *Step) isGangAbove(limit Resources) bool {
+	need := s.Need.times(s.Count)
+	isAbove := func(limit, need int64) bool { return limit > 0 && need > limit }
+	return s.Gang && s.Count > 1 && (isAbove(limit.CPU, need.CPU) || isAbove(limit.Memory, need.Memory) || isAbove(limit.GPU, need.GPU))
+}
+
 // isWithinCap reports whether count tasks of a step may start under the cap of their
 // organisation.
 func (p *Planner) isWithinCap(s *step, count int) bool {
@@ -192,38 +200,44 @@
 		return true
 	}
 	part := p.caps.parts[name]
-	if part.IsFrozen {
+	if part.IsFrozen || s.isGangAbove(o.Cap) {
 		return false
 	}
 	used := p.caps.used[name].plus(p.unknownUse(name))
 	need := s.Need.times(count)
 	fits := func(limit, held, used, need int64) bool {
-		// A task that is larger than the cap runs alone.
+		// A task that is larger than the cap runs alone; a gang that is doesn't run.
 		return limit == 0 || need == 0 || used+need <= held || used == 0 && held >= limit
 	}
 	return fits(o.Cap.CPU, part.Amount.CPU, used.CPU, need.CPU) && fits(o.Cap.Memory, part.Amount.Memory, used.Memory, need.Memory) &&
 		fits(o.Cap.GPU, part.Amount.GPU, used.GPU, need.GPU)
 }
 
-// isBlockedByCap reports whether count tasks of a step have to wait because of the cap of
-// their organisation, and counts their need if so. Waits for a cap don't count as waits
+// isBlockedByCap reports whether tasks of a step have to wait because of the cap of their
+// organisation, and counts their need if so, unless no part of the cap would let them
+// start: other shards would give up theirs in vain. Waits for a cap don't count as waits
 // for a place, which would have the tasks handed over or started in spite of their harm.
 func (p *Planner) isBlockedByCap(s *step, tasks ...*task) bool {
 	if p.isWithinCap(s, len(tasks)) {
 		return false
 	}
 	name := s.occurrence.job.Organisation
-	need := s.Need.times(len(tasks))
-	if least, ok := p.caps.smallest[name]; ok {
-		need = need.Least(least)
+	isHopeless := s.isGangAbove(p.Cap(name))
+	if !isHopeless {
+		need := s.Need.times(len(tasks))
+		if least, ok := p.caps.smallest[name]; ok {
+			need = need.Least(least)
+		}
+		p.caps.smallest[name] = need
 	}
-	p.caps.smallest[name] = need
 	for _, t := range tasks {
 		if t.blockedIn == p.caps.plan {
 			continue
 		}
 		t.blockedIn = p.caps.plan
-		p.caps.blocked[name] = p.caps.blocked[name].plus(s.Need)
+		if !isHopeless {
+			p.caps.blocked[name] = p.caps.blocked[name].plus(s.Need)
+		}
 		t.readyAt, t.soughtAt = time.Time{}, time.Time{}
 	}
 	return true
@@ -248,13 +262,22 @@
 	return list
 }
 
-// explainCap returns why the cap of its organisation keeps a task from starting, or "".
+// explainCap returns why the cap of its organisation keeps a task, or the gang that it
+// belongs to, from starting, or "".
 func (p *Planner) explainCap(s *step) string {
-	if p.isWithinCap(s, 1) {
+	count := 1
+	if s.Gang {
+		count = len(s.tasks)
+	}
+	if p.isWithinCap(s, count) {
 		return ""
 	}
 	name := s.occurrence.job.Organisation
 	limit, part, used, unknown := p.Cap(name), p.caps.parts[name], p.caps.used[name], p.unknownUse(name)
+	if s.isGangAbove(limit) {
+		need := s.Need.times(count)
+		return fmt.Sprintf("can't start under the cap of organisation %s: the %d tasks of the gang need %d millicores, %d MB together, and the cap is %d, %d; it waits until the cap is raised", name, count, need.CPU, need.Memory, limit.CPU, limit.Memory)
+	}
 	if part.IsFrozen {
 		return fmt.Sprintf("waits for the cap of organisation %s: the shards hold more than the cap of %d millicores, %d MB, or it was lowered just now", name, limit.CPU, limit.Memory)
 	}
--- a/internal/planner/organisation_test.go
+++ b/internal/planner/organisation_test.go
@@ -23,10 +23,12 @@
 }
 
 // TestCap guards against starts beyond the part of a cap that the shard holds, against a
-// demand that isn't told, and against a task larger than the cap that never runs.
+// demand that isn't told, against a task larger than the cap that never runs, against a
+// gang larger than the cap that does, and against a demand for such a gang, for which other
+// shards would give up parts that nothing can use.
 func TestCap(t *testing.T) {
-	gang := step(4, 2)
-	gang.Gang = true
+	gang, largeGang, gangOfOne := step(4, 2), step(2, 3), step(1, 6)
+	gang.Gang, largeGang.Gang, gangOfOne.Gang = true, true, true
 	bestEffort := step(9, 2)
 	bestEffort.BestEffort = true
 	longRunning := step(9, 2)
@@ -48,6 +50,9 @@
 		"gang beyond the part": {gang, 100, part(7), 0, 0, 8},
 		"gang within the part": {gang, 100, part(8), 4, 8, 0},
 		"task above the cap":   {step(2, 6), 4, part(4), 1, 6, 6},
+		"gang above the cap":   {largeGang, 4, part(4), 0, 0, 0},
+		"gang equal to a cap":  {largeGang, 6, part(6), 2, 6, 0},
+		"gang of one above it": {gangOfOne, 4, part(4), 1, 6, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDriver(t, 1, worker("a", 60)).registerWorkers()
@@ -170,3 +175,20 @@
 		d.Assert(d.p.CapDemands()["o"].Used.CPU, quicktest.Equals, int64(2000))
 	}
 }
+
+// TestGangAboveCapStartsOnceRaised guards against an accepted gang that its cap keeps from
+// starting for ever, or of which nothing tells why: it waits until the cap is raised.
+func TestGangAboveCapStartsOnceRaised(t *testing.T) {
+	gang := step(2, 3)
+	gang.Gang = true
+	for _, p := range []planner.Part{{}, part(4), {IsFrozen: true}} {
+		d := newDriver(t, 1, worker("a", 60)).registerWorkers()
+		d.add(d.capped(4, gang))
+		d.p.SetPart("o", p)
+		d.Assert(d.startTasks(), quicktest.HasLen, 0)
+		d.Assert(d.p.Explain(d.now, "capped"), quicktest.Contains, "can't start under the cap of organisation o: the 2 tasks of the gang need 6000 millicores")
+		d.capped(8)
+		d.p.SetPart("o", part(8))
+		d.Assert(d.startTasks(), quicktest.HasLen, 2)
+	}
+}
