Count GPUs in the dominant share and show them in the explanation of a cap

Cause: the part of a pool that an organisation uses was that of processors or memory only, so an organisation could take all GPUs of a service before the others had any. The explanation of a wait for a cap left GPUs out, also if they were what is short.

Change: GPUs count where the workers of the service have any. Where none has, a task that waits for one doesn't count as a claim to all of them, which would put the others beyond their shares. explainCap names GPUs beside millicores and MB.

TestWantedGPUsOfNoWorker fails if GPUs count without such workers (a trial).

--- a/internal/planner/fairness.go
+++ b/internal/planner/fairness.go
@@ -56,7 +56,8 @@
 }
 
 // pool is the capacity of one service in this shard. Parts of it are fractions of the
-// capacity, of processors or memory, whichever is larger.
+// capacity, of processors, memory or GPUs, whichever is largest. GPUs count only while the
+// service has any.
 type pool struct {
 	service string
 	// capacity is that of the workers on which tasks may start.
@@ -92,7 +93,11 @@
 
 // part returns an amount as a part of the pool.
 func (l *pool) part(r Resources) float64 {
-	return max(float64(r.CPU)/float64(max(1, l.capacity.CPU)), float64(r.Memory)/float64(max(1, l.capacity.Memory)))
+	part := max(float64(r.CPU)/float64(max(1, l.capacity.CPU)), float64(r.Memory)/float64(max(1, l.capacity.Memory)))
+	if l.capacity.GPU > 0 {
+		part = max(part, float64(r.GPU)/float64(l.capacity.GPU))
+	}
+	return part
 }
 
 // limit returns the part of the pool that the organisation may use before its work comes
@@ -116,6 +121,9 @@
 		return math.MaxInt
 	}
 	count := min(tasksIn(limit*float64(h.pool.capacity.CPU)-float64(h.used.CPU), need.CPU), tasksIn(limit*float64(h.pool.capacity.Memory)-float64(h.used.Memory), need.Memory))
+	if h.pool.capacity.GPU > 0 {
+		count = min(count, tasksIn(limit*float64(h.pool.capacity.GPU)-float64(h.used.GPU), need.GPU))
+	}
 	if h.used == (Resources{}) {
 		return max(1, count)
 	}
--- a/internal/planner/fairness_test.go
+++ b/internal/planner/fairness_test.go
@@ -33,6 +33,8 @@
 	longRunning, bestEffort := step(2, 1), step(2, 1)
 	longRunning.LongRunning, bestEffort.BestEffort = true, true
 	bestEffort.Need.Memory = 5000 // The memory of the worker suffices for 20 tasks.
+	withGPU := step(2, 1)
+	withGPU.Need.CPU, withGPU.Need.GPU = 100, 1 // Its GPUs do, too.
 	for name, tt := range map[string]struct {
 		step, large     planner.Step
 		jobs, largeJobs int
@@ -43,6 +45,7 @@
 		"twenty organisations at once":           {step(2, 1), step(2, 1), 10, 0, 2, 0},
 		"twenty at once, long-running":           {longRunning, longRunning, 10, 0, 1, 0},
 		"twenty at once, best-effort":            {bestEffort, bestEffort, 10, 0, 1, 0},
+		"twenty at once, with GPUs":              {withGPU, withGPU, 10, 0, 1, 0},
 		"one large and many small on one shard":  {step(2, 1), step(2, 1), 2, 100, 1, 20},
 		"one large with little work, many small": {step(2, 1), step(2, 1), 10, 5, 1, 10},
 		"one large with a wide job, many small":  {step(2, 1), step(200, 1), 10, 1, 1, 20},
@@ -50,7 +53,9 @@
 		c := equalWeights(20)
 		c.Organisations["large"] = planner.Organisation{Weight: 20}
 		for want, c := range map[[2]int]planner.Config{{tt.want, tt.wantLarge}: c, {}: {}} {
-			d := newDriver(t, 1, worker("a", 40)).registerWorkers()
+			w := worker("a", 40)
+			w.Capacity.GPU = 20
+			d := newDriver(t, 1, w).registerWorkers()
 			d.p.SetConfig(c)
 			for i := range tt.largeJobs {
 				d.addFor("large", fmt.Sprint("large-", i), tt.large)
@@ -72,6 +77,25 @@
 	}
 }
 
+// TestWantedGPUsOfNoWorker guards against an organisation that counts as beyond its share
+// because another one waits for a GPU that no worker of the service has.
+func TestWantedGPUsOfNoWorker(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 40)).registerWorkers()
+	d.p.SetConfig(equalWeights(2))
+	d.addFor("o00", "running", step(30, 1))
+	d.Assert(d.startTasks(), quicktest.HasLen, 30)
+	withGPU, labelled := step(1, 1), step(1, 5)
+	withGPU.Need.GPU, labelled.RequiredLabel = 1, "none"
+	d.addFor("o01", "gpu", withGPU)
+	d.addFor("o00", "waiting", labelled)
+	for range 20 {
+		d.advance(time.Second)
+		d.poll("a")
+		d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	}
+	d.Assert(d.p.Explain(d.now, "waiting"), quicktest.Not(quicktest.Contains), "other work comes first")
+}
+
 // replayFlood replays 20 s in which organisation o0 submits ten times its usual load and
 // o1 its usual one, each usual one half of the 16 processors. It returns the starts of
 // both, the total wait of o1's tasks, and all starts.
--- a/internal/planner/organisation.go
+++ b/internal/planner/organisation.go
@@ -276,11 +276,18 @@
 	limit, part, used, unknown := p.Cap(name), p.caps.parts[name], p.caps.used[name], p.unknownUse(name)
 	if s.isGangAbove(limit) {
 		need := s.Need.times(count)
-		return fmt.Sprintf("can't start under the cap of organisation %s: the %d tasks of the gang need %d millicores, %d MB together, and the cap is %d, %d; it waits until the cap is raised", name, count, need.CPU, need.Memory, limit.CPU, limit.Memory)
+		return fmt.Sprintf("can't start under the cap of organisation %s: the %d tasks of the gang need %s together, and the cap is %s; it waits until the cap is raised", name, count, need.withUnits(), limit.numbers())
 	}
 	if part.IsFrozen {
-		return fmt.Sprintf("waits for the cap of organisation %s: the shards hold more than the cap of %d millicores, %d MB, or it was lowered just now", name, limit.CPU, limit.Memory)
+		return fmt.Sprintf("waits for the cap of organisation %s: the shards hold more than the cap of %s, or it was lowered just now", name, limit.withUnits())
 	}
-	return fmt.Sprintf("waits for the cap of organisation %s: its runs here need %d millicores, %d MB, and those that an earlier owner may have up to %d, %d; this shard holds %d, %d of the cap of %d, %d",
-		name, used.CPU, used.Memory, unknown.CPU, unknown.Memory, part.Amount.CPU, part.Amount.Memory, limit.CPU, limit.Memory)
+	return fmt.Sprintf("waits for the cap of organisation %s: its runs here need %s, and those that an earlier owner may have up to %s; this shard holds %s of the cap of %s",
+		name, used.withUnits(), unknown.numbers(), part.Amount.numbers(), limit.numbers())
 }
+
+// withUnits describes an amount. numbers gives the same amounts in the same order.
+func (r Resources) withUnits() string {
+	return fmt.Sprintf("%d millicores, %d MB, %d GPUs", r.CPU, r.Memory, r.GPU)
+}
+
+func (r Resources) numbers() string { return fmt.Sprintf("%d, %d, %d", r.CPU, r.Memory, r.GPU) }
--- a/internal/planner/organisation_test.go
+++ b/internal/planner/organisation_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 // TestCap guards against starts beyond the part of a cap that the shard holds, against a
 // demand that isn't told, against a task larger than the cap that never runs, against a
 // gang larger than the cap that does, and against a demand for such a gang, for which other
-// shards would give up parts that nothing can use.
+// shards would give up parts that nothing can use, and against waits that aren't explained.
 func TestCap(t *testing.T) {
 	gang, largeGang, gangOfOne := step(4, 2), step(2, 3), step(1, 6)
 	gang.Gang, largeGang.Gang, gangOfOne.Gang = true, true, true
@@ -64,6 +65,8 @@
 				d.poll("a")
 				d.Assert(d.startTasks(), quicktest.HasLen, 0)
 			}
+			// It names each resource, since any may be the one that is short.
+			d.Assert(strings.Contains(d.p.Explain(d.now, "capped"), " MB, 0 GPUs"), quicktest.Equals, tt.wantStarts < tt.step.Count)
 			demand := d.p.CapDemands()["o"]
 			d.Assert([2]int64{demand.Used.CPU, demand.Blocked.CPU}, quicktest.Equals, [2]int64{tt.wantUsed * 1000, tt.wantBlocks * 1000})
 		})
@@ -186,7 +189,7 @@
 		d.add(d.capped(4, gang))
 		d.p.SetPart("o", p)
 		d.Assert(d.startTasks(), quicktest.HasLen, 0)
-		d.Assert(d.p.Explain(d.now, "capped"), quicktest.Contains, "can't start under the cap of organisation o: the 2 tasks of the gang need 6000 millicores")
+		d.Assert(d.p.Explain(d.now, "capped"), quicktest.Contains, "can't start under the cap of organisation o: the 2 tasks of the gang need 6000 millicores, 200 MB, 0 GPUs together, and the cap is 4000, 0, 0;")
 		d.capped(8)
 		d.p.SetPart("o", part(8))
 		d.Assert(d.startTasks(), quicktest.HasLen, 2)
