Reject submissions with a gang that needs more than its organisation's cap

Cause: a job with such a gang was accepted although it can't run under the cap.

A job that was accepted before, under a higher cap, is still answered as accepted, which takes one read of the store for a rejected gang only. If that read fails, the outcome is undecided. A peer that stores a job for another instance doesn't check it again.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -184,6 +184,20 @@
 	return nil
 }
 
+// CheckCap returns a JobError if a gang of the job can't start under the cap of the job's
+// organisation. Zero amounts of the cap are not limited. The job must have passed Check.
+func (j *Job) CheckCap(limit Resources) error {
+	for i := range j.Steps {
+		if s := &j.Steps[i]; s.isGangAbove(limit) {
+			return &JobError{
+				fmt.Sprintf("steps[%d]", i),
+				fmt.Sprintf("must not be a gang whose %d tasks need %s together, more than the cap of organisation %s of %s", s.Count, s.Need.times(s.Count).withUnits(), j.Organisation, limit.numbers()),
+			}
+		}
+	}
+	return nil
+}
+
 // taskCount returns the number of tasks of one occurrence.
 func (j *Job) taskCount() int {
 	count := 0
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -139,11 +139,12 @@
 
 func (e *UnknownJobError) Error() string { return "no job " + e.Job }
 
-// Submit stores a job; the job is accepted if the error is nil. Errors are
-// JobError, RefusedError, CancelledError and UndecidedError.
-func (r *Receiver) Submit(ctx context.Context, j planner.Job) error {
+// Submit stores a job; the job is accepted if the error is nil. limit is the cap of the
+// job's organisation, zero if it has none. Errors are JobError, RefusedError,
+// CancelledError and UndecidedError.
+func (r *Receiver) Submit(ctx context.Context, j planner.Job, limit planner.Resources) error {
 	began := r.options.Now()
-	err := r.submit(ctx, j)
+	err := r.submit(ctx, j, limit)
 	took := r.options.Now().Sub(began)
 	r.latency.WithLabelValues("submit").Observe(took.Seconds())
 	outcome := "accepted"
@@ -183,10 +184,13 @@
 	return since != 0 && r.options.Now().Sub(time.Unix(0, since)) > storeDownAfter
 }
 
-func (r *Receiver) submit(ctx context.Context, j planner.Job) error {
+func (r *Receiver) submit(ctx context.Context, j planner.Job, limit planner.Resources) error {
 	if err := j.Check(); err != nil {
 		return err
 	}
+	if err := j.CheckCap(limit); err != nil {
+		return r.rejectUnlessAccepted(ctx, j.ID, err)
+	}
 	if r.IsStoreDown() {
 		return r.relay(ctx, j, &RefusedError{"the store does not answer", retryAfter})
 	}
@@ -202,6 +206,20 @@
 	return err
 }
 
+// rejectUnlessAccepted returns cause, or nil if the job was accepted before, when the cap
+// of its organisation was higher. If that can't be read, it returns an UndecidedError.
+func (r *Receiver) rejectUnlessAccepted(ctx context.Context, id string, cause error) error {
+	_, err := r.readShard(ctx, id)
+	var unknown *UnknownJobError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &unknown):
+		return cause
+	}
+	return &UndecidedError{err}
+}
+
 // Store writes a job to the store, for a client or for a peer that doesn't
 // reach the store. Errors are RefusedError, CancelledError and UndecidedError.
 func (r *Receiver) Store(ctx context.Context, j planner.Job) error {
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -100,7 +100,7 @@
 			if tt.relay != nil {
 				peers = []netip.AddrPort{peer}
 			}
-			err := newReceiver(k, time.Now, peers, tt.relay).Submit(context.Background(), testJob())
+			err := newReceiver(k, time.Now, peers, tt.relay).Submit(context.Background(), testJob(), planner.Resources{})
 			c.Assert(outcome(err), quicktest.Equals, tt.want)
 			k.SetFault(nil)
 			_, err = k.Store().Get(context.Background(), conductor.JobKey("0", testJob().ID))
@@ -114,10 +114,10 @@
 	c := quicktest.New(t)
 	k := keeper.New(time.Now)
 	r := newReceiver(k, time.Now, nil, nil)
-	c.Assert(r.Submit(context.Background(), testJob()), quicktest.IsNil)
+	c.Assert(r.Submit(context.Background(), testJob(), planner.Resources{}), quicktest.IsNil)
 	first, err := k.Store().Get(context.Background(), conductor.JobKey("0", testJob().ID))
 	c.Assert(err, quicktest.IsNil)
-	c.Assert(r.Submit(context.Background(), testJob()), quicktest.IsNil)
+	c.Assert(r.Submit(context.Background(), testJob(), planner.Resources{}), quicktest.IsNil)
 	second, err := k.Store().Get(context.Background(), conductor.JobKey("0", testJob().ID))
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(second.Revision, quicktest.Equals, first.Revision)
@@ -139,7 +139,7 @@
 			k := keeper.New(time.Now)
 			j := testJob()
 			j.Steps = steps
-			c.Assert(outcome(newReceiver(k, time.Now, nil, nil).Submit(context.Background(), j)), quicktest.Equals, "invalid")
+			c.Assert(outcome(newReceiver(k, time.Now, nil, nil).Submit(context.Background(), j, planner.Resources{})), quicktest.Equals, "invalid")
 			c.Assert(k.Calls("transact"), quicktest.Equals, 0)
 		})
 	}
@@ -155,10 +155,10 @@
 	r.RecordStoreAnswer(false)
 	c.Assert(r.IsStoreDown(), quicktest.IsFalse)
 	now = now.Add(time.Second)
-	c.Assert(outcome(r.Submit(context.Background(), testJob())), quicktest.Equals, "refused")
+	c.Assert(outcome(r.Submit(context.Background(), testJob(), planner.Resources{})), quicktest.Equals, "refused")
 	c.Assert(k.Calls("transact"), quicktest.Equals, 0)
 	r.RecordStoreAnswer(true)
-	c.Assert(outcome(r.Submit(context.Background(), testJob())), quicktest.Equals, "accepted")
+	c.Assert(outcome(r.Submit(context.Background(), testJob(), planner.Resources{})), quicktest.Equals, "accepted")
 }
 
 // TestUnknownJob guards against the answer that a job doesn't exist while it is
@@ -206,11 +206,11 @@
 		return &receiver.UnreachedError{Peer: peer}
 	})
 	for range 3 {
-		c.Assert(outcome(r.Submit(context.Background(), testJob())), quicktest.Equals, "refused")
+		c.Assert(outcome(r.Submit(context.Background(), testJob(), planner.Resources{})), quicktest.Equals, "refused")
 	}
 	c.Assert(calls, quicktest.Equals, 1)
 	now = now.Add(2 * time.Second)
-	c.Assert(outcome(r.Submit(context.Background(), testJob())), quicktest.Equals, "refused")
+	c.Assert(outcome(r.Submit(context.Background(), testJob(), planner.Resources{})), quicktest.Equals, "refused")
 	c.Assert(calls, quicktest.Equals, 2)
 }
 
@@ -241,3 +241,15 @@
 		})
 	}
 }
+
+// TestGangAboveCapWhileStoreIsAway guards against a job that is called invalid although it
+// may have been accepted under a higher cap.
+func TestGangAboveCapWhileStoreIsAway(t *testing.T) {
+	k, j := keeper.New(time.Now), testJob()
+	j.Steps[0] = planner.Step{Count: 2, Need: planner.Resources{CPU: 1000}, Gang: true}
+	k.SetFault(func(string, string) keeper.Fault { return keeper.Fault{Before: refusal} })
+	for limit, want := range map[int64]string{1000: "undecided", 2000: "refused"} {
+		err := newReceiver(k, time.Now, nil, nil).Submit(context.Background(), j, planner.Resources{CPU: limit})
+		quicktest.Assert(t, outcome(err), quicktest.Equals, want)
+	}
+}
--- a/internal/receiver/tombstones_test.go
+++ b/internal/receiver/tombstones_test.go
@@ -165,14 +165,14 @@
 				canceller = d.receiver(tt.shards)
 			}
 			d.hold(isAcceptance)
-			c.Assert(outcome(submitter.Submit(ctx, j)), quicktest.Equals, "undecided")
-			c.Assert(outcome(submitter.Submit(ctx, j)), quicktest.Equals, "undecided")
+			c.Assert(outcome(submitter.Submit(ctx, j, planner.Resources{})), quicktest.Equals, "undecided")
+			c.Assert(outcome(submitter.Submit(ctx, j, planner.Resources{})), quicktest.Equals, "undecided")
 			d.hold(func(storeclient.Transaction) bool { return false })
 			c.Assert(cancel(canceller, j.ID), quicktest.Equals, "unknown")
 			d.release()
 			for _, r := range []*receiver.Receiver{submitter, canceller, d.receiver(tt.shards)} {
 				c.Assert(stateOf(r, j.ID), quicktest.Equals, "unknown")
-				c.Assert(cancelOutcome(r.Submit(ctx, j)), quicktest.Equals, "cancelled")
+				c.Assert(cancelOutcome(r.Submit(ctx, j, planner.Resources{})), quicktest.Equals, "cancelled")
 				c.Assert(cancel(r, j.ID), quicktest.Equals, "unknown")
 			}
 			jobs, _, err := d.keeper.Store().Range(ctx, "th/")
@@ -183,9 +183,9 @@
 			// Other jobs, and later ones with this id, are not affected.
 			other := testJob()
 			other.ID = "00000000000000ab"
-			c.Assert(submitter.Submit(ctx, other), quicktest.IsNil)
+			c.Assert(submitter.Submit(ctx, other, planner.Resources{}), quicktest.IsNil)
 			d.sleep(retention + time.Second)
-			c.Assert(submitter.Submit(ctx, j), quicktest.IsNil)
+			c.Assert(submitter.Submit(ctx, j, planner.Resources{}), quicktest.IsNil)
 			c.Assert(stateOf(canceller, j.ID), quicktest.Equals, "queued")
 		})
 	}
@@ -210,7 +210,7 @@
 				return keeper.Fault{}
 			})
 			r := newReceiver(k, time.Now, []netip.AddrPort{peer}, func(context.Context, netip.AddrPort, planner.Job) error { return &receiver.CancelledError{} })
-			quicktest.Assert(t, cancelOutcome(r.Submit(context.Background(), testJob())), quicktest.Equals, tt.want)
+			quicktest.Assert(t, cancelOutcome(r.Submit(context.Background(), testJob(), planner.Resources{})), quicktest.Equals, tt.want)
 		})
 	}
 }
@@ -237,14 +237,14 @@
 			return keeper.Fault{After: noAnswer}
 		})
 		c.Assert(cancel(d.receiver(1), job), quicktest.Equals, "unknown")
-		c.Assert(cancelOutcome(d.receiver(1).Submit(ctx, testJob())), quicktest.Equals, "cancelled")
+		c.Assert(cancelOutcome(d.receiver(1).Submit(ctx, testJob(), planner.Resources{})), quicktest.Equals, "cancelled")
 	})
 	t.Run("write carried out after the acceptance", func(t *testing.T) {
 		c := quicktest.New(t)
 		d := newDeployment()
 		d.hold(isTombstone)
 		c.Assert(cancel(d.receiver(1), job), quicktest.Equals, "refused")
-		c.Assert(d.receiver(1).Submit(ctx, testJob()), quicktest.IsNil)
+		c.Assert(d.receiver(1).Submit(ctx, testJob(), planner.Resources{}), quicktest.IsNil)
 		d.release()
 		c.Assert(stateOf(d.receiver(1), job), quicktest.Equals, "queued")
 	})
@@ -295,7 +295,7 @@
 	for n := range 300 {
 		j := testJob()
 		j.ID = fmt.Sprintf("f%015x", n)
-		c.Assert(r.Submit(ctx, j), quicktest.IsNil)
+		c.Assert(r.Submit(ctx, j, planner.Resources{}), quicktest.IsNil)
 	}
 }
 
@@ -309,5 +309,5 @@
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(list, quicktest.HasLen, 1)
 	d.keeper.Put(list[0].Key, []byte("not a list"))
-	c.Assert(d.receiver(1).Submit(context.Background(), testJob()), quicktest.IsNil)
+	c.Assert(d.receiver(1).Submit(context.Background(), testJob(), planner.Resources{}), quicktest.IsNil)
 }
