--- a/standins/platformer/platformer.go
+++ b/standins/platformer/platformer.go
@@ -81,6 +81,8 @@
 	// MaxDescriptors, if not zero, is the number of descriptors that an instance may
 	// open, and MemoryMB the memory that its settings name, 284 if zero.
 	MaxDescriptors, MemoryMB int
+	// Settings are lines that are added to the settings files of the instances.
+	Settings []string
 }
 
 // Cap is what the runs of an organisation may need together; zero for no limit.
@@ -340,6 +342,9 @@
 	if p.options.MaxDescriptors > 0 {
 		text += fmt.Sprintf("limits.maxFds=%d\n", p.options.MaxDescriptors)
 	}
+	for _, line := range p.options.Settings {
+		text += line + "\n"
+	}
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "write settings file")
 	}
