--- a/standins/platformer/request_bench_test.go
+++ b/standins/platformer/request_bench_test.go
@@ -28,6 +28,17 @@
 	return time.Duration(user+system) * clockTick
 }
 
+// residentBytes returns the resident memory of the process of i.
+func residentBytes(i *platformer.Instance) int {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", i.PID()))
+	list := strings.Fields(string(text))
+	if len(list) < 2 {
+		return 0
+	}
+	pages, _ := strconv.Atoi(list[1])
+	return pages * os.Getpagesize()
+}
+
 // BenchmarkRequest measures the processor time of an instance for an ordinary request
 // through its front, which depends less on other load than the time until the response,
 // and its resident memory after that.
