Reduce the processor time of the client limits for each request

The HTTP library set three deadlines for each request, and read the clock twice for each; the connection read it again. A check for a timeout allocated a variable even without an error, a missing header cost an error of strconv, and each held body took a buffer of 8 KiB.

The library has no timeouts of its own now. A connection sets a deadline when a read or write happens, from a monotonic time. A body announced with up to 1 KiB gets a buffer of that size; what is taken from the budget is as before. The marker of a refused request is looked for only if its length is 0, and a value that a client sends in it no longer becomes a label of a metric. The time of a previous response no longer bounds what is written before a handler runs.

--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -9,11 +9,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-// managedTimeout marks the read deadlines that the HTTP library sets by its own fixed
-// timeouts. The connection replaces them by those of the limits in force, which may change
-// with the configuration.
-const managedTimeout = time.Hour
-
 // deadlineStep is how much later than asked for a deadline may be. A deadline is set anew
 // only when it has moved by more, because setting one for each request costs more than
 // the rest of the limits.
@@ -39,10 +34,12 @@
 	server *Server
 	entry  *Entry
 	phase  phase
-	// readBy and writeBy are when the next read and write must have ended; they are
-	// applied when the read or write happens. armedRead and armedWrite are the deadlines
-	// that were applied last.
-	readBy, writeBy, armedRead, armedWrite time.Time
+	// readBy and writeBy are when the reads of the phase and the writes of the response
+	// must have ended, counted from the start of the limiter, which needs half as much of
+	// the system's clock as the time of day. They are zero until the first of these reads
+	// and writes, since most requests arrive by one read. armedRead and armedWrite are the
+	// deadlines that were applied last.
+	readBy, writeBy, armedRead, armedWrite time.Duration
 	// mustLinger says that the client may still be sending a body that was refused.
 	// The connection then stays open for a short time after the response, since an
 	// immediate reset could keep the client from reading it.
@@ -54,52 +51,45 @@
 func (c *conn) setPhase(state fasthttp.ConnState) {
 	switch state {
 	case fasthttp.StateActive:
-		if c.phase == isNew {
-			// The library sets no deadline between the first byte and the header of a
-			// new connection.
-			c.readBy = time.Now().Add(c.server.limiter.Limits().HeaderTimeout)
-		}
-		c.phase = inHeader
+		// The library may write before the handler has run: a refusal, or that the client
+		// may go on. The time of the previous response doesn't count for that.
+		c.phase, c.readBy, c.writeBy = inHeader, 0, 0
 	case fasthttp.StateIdle:
-		c.phase = isIdle
+		c.phase, c.readBy = isIdle, 0
 	}
 }
 
-// SetReadDeadline sets the time until which the following reads must end.
+// SetReadDeadline sets the time until which the following reads must end. The library calls
+// it only for bodies, as it has no timeouts of its own.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	now := time.Now()
-	limits := c.server.limiter.Limits()
-	switch {
-	case t.Sub(now) < managedTimeout/2:
-		c.phase = inBody
-	case c.phase == inHeader:
-		t = now.Add(limits.HeaderTimeout)
-	default:
-		t = now.Add(limits.IdleTimeout)
-	}
-	c.readBy = t
+	c.phase, c.readBy = inBody, t.Sub(c.server.limiter.began)
 	return nil
 }
 
-// SetWriteDeadline sets the time until which the following writes must end.
-func (c *conn) SetWriteDeadline(t time.Time) error {
-	c.writeBy = t
-	return nil
-}
+// beginResponse gives the following writes the time for a response.
+func (c *conn) beginResponse() { c.writeBy = 0 }
 
 // armed returns the deadline to set so that an operation ends at the time by or up to
 // deadlineStep later, and whether it differs from the one that is set.
-func armed(by, current time.Time) (time.Time, bool) {
-	if !current.Before(by) && current.Sub(by) <= deadlineStep {
+func armed(by, current time.Duration) (time.Duration, bool) {
+	if current >= by && current-by <= deadlineStep {
 		return current, false
 	}
-	return by.Add(deadlineStep), true
+	return by + deadlineStep, true
 }
 
 // Read reads a part of a request.
 func (c *conn) Read(b []byte) (int, error) {
-	if t, isChanged := armed(c.readBy, c.armedRead); isChanged && !c.readBy.IsZero() {
-		if err := c.Conn.SetReadDeadline(t); err != nil {
+	if c.readBy == 0 {
+		limits := c.server.limiter.Limits()
+		timeout := limits.IdleTimeout
+		if c.phase == inHeader {
+			timeout = limits.HeaderTimeout
+		}
+		c.readBy = time.Since(c.server.limiter.began) + timeout
+	}
+	if t, isChanged := armed(c.readBy, c.armedRead); isChanged {
+		if err := c.Conn.SetReadDeadline(c.server.limiter.began.Add(t)); err != nil {
 			return 0, err
 		}
 		c.armedRead = t
@@ -113,8 +103,11 @@
 
 // Write writes a part of a response.
 func (c *conn) Write(b []byte) (int, error) {
-	if t, isChanged := armed(c.writeBy, c.armedWrite); isChanged && !c.writeBy.IsZero() {
-		if err := c.Conn.SetWriteDeadline(t); err != nil {
+	if c.writeBy == 0 {
+		c.writeBy = time.Since(c.server.limiter.began) + c.server.limiter.Limits().WriteTimeout
+	}
+	if t, isChanged := armed(c.writeBy, c.armedWrite); isChanged {
+		if err := c.Conn.SetWriteDeadline(c.server.limiter.began.Add(t)); err != nil {
 			return 0, err
 		}
 		c.armedWrite = t
@@ -155,6 +148,10 @@
 }
 
 func isTimeout(err error) bool {
+	if err == nil {
+		// The variable below is allocated.
+		return false
+	}
 	var network net.Error
-	return err != nil && errors.As(err, &network) && network.Timeout()
+	return errors.As(err, &network) && network.Timeout()
 }
--- a/internal/limiter/http.go
+++ b/internal/limiter/http.go
@@ -141,7 +141,7 @@
 	if r.ContentLength > int64(s.maxBodyBytes()) {
 		return limitBodyBytes
 	}
-	if limit := b.read(r.Body, nil); limit != "" {
+	if limit := b.read(r.Body, int(r.ContentLength), nil); limit != "" {
 		return limit
 	}
 	// The handler may take longer than the body; an expired deadline would cancel it.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -31,6 +31,9 @@
 	// bufferBytes is the first size of a buffer for a body. It holds what the HTTP library
 	// reads of a body before the handler runs, which is not taken from the budget.
 	bufferBytes = 8 << 10
+	// smallBufferBytes is the first size if a body is announced with at most this length,
+	// as most are. Many such bodies are held while their requests wait for the store.
+	smallBufferBytes = 1 << 10
 	// growthFactor covers a buffer of a body that is copied to a larger one, and
 	// workFactor what is made from a body while it is decoded, encoded and stored.
 	growthFactor = 2
@@ -81,8 +84,7 @@
 	HeaderTimeout, BodyTimeout, IdleTimeout time.Duration
 	// MinBodyRate is in bytes a second.
 	MinBodyRate int
-	// WriteTimeout is the time for a response, once the client doesn't read; it is fixed
-	// when a server starts.
+	// WriteTimeout is the time for a response, once the client doesn't read.
 	WriteTimeout time.Duration
 }
 
@@ -128,8 +130,11 @@
 	budget         *Budget
 	limits         atomic.Pointer[Limits]
 	refusals       *prometheus.CounterVec
-	// buffers holds buffers of bufferBytes for bodies.
-	buffers sync.Pool
+	// began is when the limiter was made; the times of connections count from it.
+	began time.Time
+	// buffers holds buffers of bufferBytes for bodies, and smallBuffers those of
+	// smallBufferBytes.
+	buffers, smallBuffers sync.Pool
 }
 
 // New returns a limiter and registers its metrics.
@@ -139,13 +144,11 @@
 		o.Namespace = "tarragonhead"
 	}
 	l := &Limiter{
-		maxConnections: o.MaxConnections, budget: o.Budget,
+		maxConnections: o.MaxConnections, budget: o.Budget, began: time.Now(),
 		refusals: factory.NewCounterVec(prometheus.CounterOpts{Namespace: o.Namespace, Name: "client_limit_refusals_total", Help: "Requests and connections of clients that were refused or closed, by server and limit."}, []string{"server", "limit"}),
 	}
-	l.buffers.New = func() any {
-		b := make([]byte, 0, bufferBytes)
-		return &b
-	}
+	l.buffers.New = func() any { return newBuffer(bufferBytes) }
+	l.smallBuffers.New = func() any { return newBuffer(smallBufferBytes) }
 	factory.NewGaugeFunc(prometheus.GaugeOpts{Namespace: o.Namespace, Name: "client_budget_bytes", Help: "Bytes of requests that are admitted now."}, func() float64 {
 		used := o.Budget.Used()
 		for _, b := range o.OtherBudgets {
@@ -157,6 +160,19 @@
 	return l
 }
 
+func newBuffer(size int) *[]byte {
+	b := make([]byte, 0, size)
+	return &b
+}
+
+// bufferPool returns the pool of the first buffer of a body with the announced length.
+func (l *Limiter) bufferPool(length int) *sync.Pool {
+	if length >= 0 && length <= smallBufferBytes {
+		return &l.smallBuffers
+	}
+	return &l.buffers
+}
+
 // Limits returns the limits in force.
 func (l *Limiter) Limits() *Limits { return l.limits.Load() }
 
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -122,26 +123,39 @@
 	slow := func(n int) io.Reader { return iotest.HalfReader(strings.NewReader(strings.Repeat("x", n))) }
 	for name, tt := range map[string]struct {
 		stream io.Reader
-		budget int64
-		limit  string
-		length int
+		// announced is the announced length, 0 if there is none.
+		announced int
+		budget    int64
+		limit     string
+		length    int
 	}{
-		"none":                   {nil, 0, "", 0},
-		"empty":                  {slow(0), 0, "", 0},
-		"small":                  {slow(1000), workFactor * 1000, "", 1000},
-		"no room for the work":   {slow(1000), workFactor*1000 - 1, limitMemory, 1000},
-		"largest":                {slow(most), 1 << 20, "", most},
-		"one byte over":          {slow(most + 1), 1 << 20, limitBodyBytes, most + 1},
-		"endless":                {endless{}, 1 << 20, limitBodyBytes, most + 1},
-		"no room for the buffer": {slow(most), 20 << 10, limitMemory, 16 << 10},
-		"ended early":            {io.MultiReader(slow(10), iotest.ErrReader(io.ErrUnexpectedEOF)), 1 << 20, limitMalformed, 10},
+		"none":                       {nil, 0, 0, "", 0},
+		"empty":                      {slow(0), 0, 0, "", 0},
+		"small":                      {slow(1000), 0, workFactor * 1000, "", 1000},
+		"small announced":            {slow(1000), 1000, workFactor * 1000, "", 1000},
+		"as long as a small buffer":  {slow(smallBufferBytes), smallBufferBytes, workFactor * smallBufferBytes, "", smallBufferBytes},
+		"longer than announced":      {slow(bufferBytes - 1), 10, workFactor * (bufferBytes - 1), "", bufferBytes - 1},
+		"no room for the work":       {slow(1000), 0, workFactor*1000 - 1, limitMemory, 1000},
+		"no room, small, announced":  {slow(1000), 1000, workFactor*1000 - 1, limitMemory, 1000},
+		"largest":                    {slow(most), 0, 1 << 20, "", most},
+		"one byte over":              {slow(most + 1), 0, 1 << 20, limitBodyBytes, most + 1},
+		"endless":                    {endless{}, 0, 1 << 20, limitBodyBytes, most + 1},
+		"endless announced":          {endless{}, 10, 1 << 20, limitBodyBytes, most + 1},
+		"no room for the buffer":     {slow(most), 0, 20 << 10, limitMemory, 16 << 10},
+		"no room, announced":         {slow(most), most, 20 << 10, limitMemory, 16 << 10},
+		"no room, wrongly announced": {slow(most), 10, 20 << 10, limitMemory, 16 << 10},
+		"ended early":                {io.MultiReader(slow(10), iotest.ErrReader(io.ErrUnexpectedEOF)), 0, 1 << 20, limitMalformed, 10},
 	} {
 		t.Run(name, func(t *testing.T) {
+			length := tt.announced
+			if length == 0 {
+				length = -1
+			}
 			c := quicktest.New(t)
 			budget := NewBudget(tt.budget)
 			l := New(Options{MaxConnections: 1, Budget: budget, Limits: Limits{MaxBodyBytes: most, MinBodyRate: 1}, Registry: prometheus.NewRegistry()})
 			b := body{server: l.Server(ServerOptions{Name: "test", Share: 1})}
-			c.Assert(b.read(tt.stream, nil), quicktest.Equals, tt.limit)
+			c.Assert(b.read(tt.stream, length, nil), quicktest.Equals, tt.limit)
 			c.Assert(b.bytes, quicktest.HasLen, tt.length)
 			b.release()
 			c.Assert(budget.Used(), quicktest.Equals, int64(0))
@@ -158,21 +172,57 @@
 // and against an idle client that gets only the time for a header.
 func TestDeadlines(t *testing.T) {
 	c := quicktest.New(t)
-	l := New(Options{MaxConnections: 1, Budget: NewBudget(0), Limits: Limits{HeaderTimeout: 4 * time.Second, IdleTimeout: 16 * time.Second}, Registry: prometheus.NewRegistry()})
-	limited := &conn{server: l.Server(ServerOptions{Name: "test", Share: 1})}
-	left := func() time.Duration { return time.Until(limited.readBy).Round(time.Second) }
-	byLibrary := func() { _ = limited.SetReadDeadline(time.Now().Add(managedTimeout)) }
-	byLibrary()
-	c.Assert(left(), quicktest.Equals, 16*time.Second)
+	l := New(Options{MaxConnections: 1, Budget: NewBudget(0), Limits: Limits{HeaderTimeout: 4 * time.Second, IdleTimeout: 16 * time.Second, WriteTimeout: 7 * time.Second}, Registry: prometheus.NewRegistry()})
+	recorded := &recordedConn{}
+	limited := &conn{Conn: recorded, server: l.Server(ServerOptions{Name: "test", Share: 1})}
+	// left returns the time that a read or a write has. What was set before is forgotten, as
+	// a deadline is kept if it is late by less than deadlineStep.
+	left := func(operation func([]byte) (int, error)) time.Duration {
+		limited.armedRead, limited.armedWrite, recorded.by = 0, 0, time.Time{}
+		_, err := operation(nil)
+		c.Assert(err, quicktest.IsNil)
+		return time.Until(recorded.by.Add(-deadlineStep)).Round(time.Second)
+	}
+	c.Assert(left(limited.Read), quicktest.Equals, 16*time.Second)
 	limited.setPhase(fasthttp.StateActive)
-	c.Assert(left(), quicktest.Equals, 4*time.Second)
+	c.Assert(left(limited.Read), quicktest.Equals, 4*time.Second)
+	// A client that sends its header byte by byte gets no more time.
+	limited.readBy -= 2 * time.Second
+	c.Assert(left(limited.Read), quicktest.Equals, 2*time.Second)
 	_ = limited.SetReadDeadline(time.Now().Add(9 * time.Second))
-	c.Assert(left(), quicktest.Equals, 9*time.Second)
+	c.Assert(left(limited.Read), quicktest.Equals, 9*time.Second)
+	c.Assert(left(limited.Write), quicktest.Equals, 7*time.Second)
+	// So does one that reads a long response slowly, until its next request is handled.
+	limited.writeBy -= 2 * time.Second
+	c.Assert(left(limited.Write), quicktest.Equals, 5*time.Second)
+	limited.beginResponse()
+	c.Assert(left(limited.Write), quicktest.Equals, 7*time.Second)
 	limited.setPhase(fasthttp.StateIdle)
-	l.SetLimits(Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 20 * time.Second})
-	byLibrary()
-	c.Assert(left(), quicktest.Equals, 20*time.Second)
+	l.SetLimits(Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 20 * time.Second, WriteTimeout: 5 * time.Second})
+	c.Assert(left(limited.Read), quicktest.Equals, 20*time.Second)
+	limited.setPhase(fasthttp.StateActive)
+	c.Assert(left(limited.Read), quicktest.Equals, 3*time.Second)
+	// The response to a malformed request after a long time gets the time for a response.
+	limited.writeBy = 1
 	limited.setPhase(fasthttp.StateActive)
-	byLibrary()
-	c.Assert(left(), quicktest.Equals, 3*time.Second)
+	c.Assert(left(limited.Write), quicktest.Equals, 5*time.Second)
+}
+
+// recordedConn is a connection that records the deadline that was set last.
+type recordedConn struct {
+	net.Conn
+	by time.Time
+}
+
+func (*recordedConn) Read([]byte) (int, error)  { return 0, nil }
+func (*recordedConn) Write([]byte) (int, error) { return 0, nil }
+
+func (r *recordedConn) SetReadDeadline(t time.Time) error {
+	r.by = t
+	return nil
+}
+
+func (r *recordedConn) SetWriteDeadline(t time.Time) error {
+	r.by = t
+	return nil
 }
--- a/internal/limiter/server.go
+++ b/internal/limiter/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,8 +13,8 @@
 )
 
 // refusedHeader marks a request whose header shows that it is refused, between the hook of
-// the HTTP library for headers and the handler. Its value is the limit. A client that sends
-// it is refused.
+// the HTTP library for headers and the handler. Its value is the limit. A marked request has
+// a length of 0, which is what the handler looks for first.
 const refusedHeader = "Tarragonhead-Refused"
 
 // Server applies the limits to one server of a process.
@@ -103,7 +104,10 @@
 	h.MaxRequestBodySize = bufferBytes
 	h.WriteBufferSize = writeBufferBytes
 	h.ReadBufferSize = limits.MaxHeaderBytes + headerSlack
-	h.ReadTimeout, h.IdleTimeout, h.WriteTimeout = managedTimeout, managedTimeout, limits.WriteTimeout
+	// The connections set the deadlines. The library's timeouts are fixed when a server
+	// starts, and each costs a system clock read for every request.
+	h.ReadTimeout, h.IdleTimeout, h.WriteTimeout = 0, 0, 0
+	h.LazyRequestTime = true
 	h.Handler = s.handle(h.Handler)
 	h.HeaderReceived = s.checkHeader
 	h.ErrorHandler = s.handleError
@@ -139,21 +143,43 @@
 	h.Set(refusedHeader, limit)
 }
 
+// marked returns the limit that a request was marked with, or "". Other values of the header
+// come from a client, and must not become values of a metric's label.
+func marked(h *fasthttp.RequestHeader) string {
+	value := h.Peek(refusedHeader)
+	switch {
+	case value == nil:
+		return ""
+	case string(value) == limitHeaders:
+		return limitHeaders
+	case string(value) == limitBodyBytes:
+		return limitBodyBytes
+	default:
+		return limitMalformed
+	}
+}
+
 // handle returns a handler that reads the body of a request before it calls inner.
 func (s *Server) handle(inner fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		c, _ := ctx.Conn().(*conn)
-		if limit := ctx.Request.Header.Peek(refusedHeader); limit != nil {
-			s.respond(ctx, c, string(limit))
-			return
+		if c != nil {
+			defer c.beginResponse()
 		}
-		b := body{server: s}
-		defer b.release()
-		if limit := b.read(ctx.RequestBodyStream(), c); limit != "" {
-			s.respond(ctx, c, limit)
-			return
+		length := ctx.Request.Header.ContentLength()
+		if length == 0 {
+			if limit := marked(&ctx.Request.Header); limit != "" {
+				s.respond(ctx, c, limit)
+				return
+			}
 		}
-		if b.buffer != nil {
+		b := body{server: s}
+		if stream := ctx.RequestBodyStream(); stream != nil {
+			defer b.release()
+			if limit := b.read(stream, length, c); limit != "" {
+				s.respond(ctx, c, limit)
+				return
+			}
 			ctx.Request.SetBodyRaw(b.bytes)
 		}
 		if c != nil {
@@ -234,8 +260,9 @@
 // body is the body of one request and what it holds of the budget.
 type body struct {
 	server *Server
-	// buffer is nil if the request has no body; bytes then is nil too.
+	// buffer is nil if the request has no body; bytes then is nil too. It belongs to pool.
 	buffer *[]byte
+	pool   *sync.Pool
 	bytes  []byte
 	taken  int64
 }
@@ -243,18 +270,20 @@
 // limitMalformed is no limit: the body ended early or is not encoded as announced.
 const limitMalformed = "malformed"
 
-// read reads the body from a stream and takes its memory from the budget as it arrives. It
-// returns the limit that the body exceeds, or "".
-func (b *body) read(stream io.Reader, c *conn) string {
-	if stream == nil {
+// read reads the body from a stream and takes its memory from the budget as it arrives. The
+// length is the announced one, negative if there is none. It returns the limit that the body
+// exceeds, or "".
+func (b *body) read(stream io.Reader, length int, c *conn) string {
+	if stream == nil || length == 0 {
 		return ""
 	}
 	limits, most := b.server.limiter.Limits(), b.server.maxBodyBytes()
-	var until time.Time
+	var until time.Duration
 	if c != nil {
 		until = c.readBy
 	}
-	b.buffer = b.server.limiter.buffers.Get().(*[]byte)
+	b.pool = b.server.limiter.bufferPool(length)
+	b.buffer = b.pool.Get().(*[]byte)
 	b.bytes = (*b.buffer)[:0]
 	for isComplete := false; !isComplete; {
 		if len(b.bytes) == cap(b.bytes) && !b.grow(most) {
@@ -262,16 +291,17 @@
 		}
 		n, err := stream.Read(b.bytes[len(b.bytes):cap(b.bytes)])
 		b.bytes = b.bytes[:len(b.bytes)+n]
-		isComplete = errors.Is(err, io.EOF)
+		isComplete = err == io.EOF || errors.Is(err, io.EOF)
 		switch {
 		case len(b.bytes) > most:
 			return limitBodyBytes
+		case isComplete:
 		case isTimeout(err):
 			return limitBodyTime
-		case err != nil && !isComplete:
+		case err != nil:
 			return limitMalformed
-		case c != nil && !until.IsZero():
-			c.readBy = until.Add(time.Duration(len(b.bytes)) * time.Second / time.Duration(limits.MinBodyRate))
+		case c != nil && until != 0:
+			c.readBy = until + time.Duration(len(b.bytes))*time.Second/time.Duration(limits.MinBodyRate)
 		}
 	}
 	if !b.take(b.server.workFactor * int64(len(b.bytes))) {
@@ -281,11 +311,14 @@
 }
 
 // grow doubles the buffer, up to one byte more than a body may have, which shows that it is
-// too long. It reports whether the budget has room.
+// too long. It reports whether the budget has room; the first bufferBytes aren't taken from it.
 func (b *body) grow(most int) bool {
-	size := max(min(2*cap(b.bytes), most+1), len(b.bytes)+1)
-	if !b.take(growthFactor * int64(size-cap(b.bytes))) {
-		return false
+	size := bufferBytes
+	if cap(b.bytes) >= bufferBytes {
+		size = max(min(2*cap(b.bytes), most+1), len(b.bytes)+1)
+		if !b.take(growthFactor * int64(size-cap(b.bytes))) {
+			return false
+		}
 	}
 	b.bytes = append(make([]byte, 0, size), b.bytes...)
 	return true
@@ -304,6 +337,6 @@
 		b.server.budget.Return(b.taken)
 	}
 	if b.buffer != nil {
-		b.server.limiter.buffers.Put(b.buffer)
+		b.pool.Put(b.buffer)
 	}
 }
--- a/internal/limiter/server_bench_test.go
+++ b/internal/limiter/server_bench_test.go
@@ -106,8 +106,5 @@
 			IdleTimeout: 16 * time.Second, MinBodyRate: 16 << 10, WriteTimeout: 10 * time.Second,
 		},
 	})
-	return l.Server(limiter.ServerOptions{Name: "front", Share: 1, Patience: func(h *fasthttp.RequestHeader) time.Duration {
-		h.Peek("Tarragonhead-Deadline-Ms")
-		return 0
-	}})
+	return l.Server(limiter.ServerOptions{Name: "front", Share: 1})
 }
--- a/internal/limiter/server_test.go
+++ b/internal/limiter/server_test.go
@@ -31,6 +31,7 @@
 		"many headers":        {post(strings.Repeat("a: b\r\n", 30)+"Content-Length: 4\r\n", ""), limitHeaders, 431, ""},
 		"long header":         {post("a: "+strings.Repeat("b", 4000), ""), limitHeaderBytes, 431, ""},
 		"no memory":           {post("Content-Length: 600\r\n", strings.Repeat("x", 600)), limitMemory, 503, "1"},
+		"marked by a client":  {post("Content-Length: 0\r\nTarragonhead-Refused: x\r\n", ""), limitMalformed, 400, ""},
 		"ended early":         {post("Transfer-Encoding: chunked\r\n", "x"), limitMalformed, 400, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
