Continue a watch whose answer can't be received after the last check

A watch asks for all changes since its last answer. After a cut in which a large configuration was stored several times, the answer is above the 4 MiB that a response may have, and the watch was repeated every 150 ms until the store dropped its history; no change came in by the watch meanwhile. After an error the watch now continues after the last read or check, up to which the copy is complete.

TestWatchAfterLargeHistory had 134 watches in 20 s before, at most 5 are allowed. The tests of the package passed once with the race detector, and 3 times before the condition on a first read was added.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -218,6 +218,14 @@
 			f.mu.Unlock()
 		default:
 			f.reportFailure(err)
+			// An answer with all changes since the last one may be too large to be
+			// received, and would be at each repetition. Those up to the last read or
+			// check are not needed.
+			f.mu.Lock()
+			if f.watchRevision > 0 {
+				f.watchRevision = max(f.watchRevision, f.checkRevision)
+			}
+			f.mu.Unlock()
 			waiter.Wait(ctx, retryDelay)
 		}
 	}
