Hold back a job whose record can't be used in a handover

A job whose record in the other shard can't be decoded comes first in each search, and takes the room that the shard has announced although nothing is handed over. Such a job is now left out of the transaction, and of the searches of the next 5 s.

TestUnusablePeerRecordTakesNoRoom failed in both rows before (nothing handed over within 10 s). It, TestUnusablePeerRecord and TestHandover passed once with the race detector; the rest of the package was not run.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -225,6 +225,9 @@
 	caps capState
 	// lastHandoverAt is when tasks to hand over were last searched for.
 	lastHandoverAt time.Time
+	// heldHandovers has, by job id, until when no tasks of a job are handed over because
+	// a record of it can't be used.
+	heldHandovers map[string]time.Time
 	// isConfirming is set while a read of the head is unanswered.
 	isConfirming     bool
 	config           planner.Config
@@ -278,7 +281,7 @@
 			caps:             factory.NewGaugeVec(prometheus.GaugeOpts{Name: "tarragonhead_organisation_cap", Help: "What an organisation with a cap uses, waits for and holds in the shard, and its cap, by resource."}, []string{"organisation", "resource", "kind"}),
 		},
 		revisions: map[string]uint64{}, unusableJobs: map[string]bool{}, sessions: map[string]*session{}, workers: map[string]planner.Worker{},
-		cancelReplies: map[string][]func(bool, error){},
+		cancelReplies: map[string][]func(bool, error){}, heldHandovers: map[string]time.Time{},
 	}, nil
 }
 
--- a/internal/conductor/handover.go
+++ b/internal/conductor/handover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +19,22 @@
 // over.
 const handoverInterval = 100 * time.Millisecond
 
+// unusableRecordDelay is how long the tasks of a job wait after a handover that failed
+// because a record of the job can't be used. The job has the longest wait each time, and
+// would take the room that another shard has announced from all other jobs.
+const unusableRecordDelay = 5 * time.Second
+
+// UnusableRecordError reports a record of a job that can't be decoded, encoded or stored.
+type UnusableRecordError struct {
+	Key string
+	Err error
+}
+
+func (e *UnusableRecordError) Error() string { return fmt.Sprintf("record %s: %v", e.Key, e.Err) }
+
+// Unwrap returns the cause.
+func (e *UnusableRecordError) Unwrap() error { return e.Err }
+
 // cancelledSuffix is appended to the key of a job in another shard to tell that
 // shard that the job is cancelled. Both shards have tasks of the job.
 const cancelledSuffix = "/cancelled"
@@ -35,6 +53,7 @@
 		return
 	}
 	c.lastHandoverAt = now
+	maps.DeleteFunc(c.heldHandovers, func(_ string, until time.Time) bool { return !now.Before(until) })
 	var list []planner.Handover
 	jobs := map[string]bool{}
 	for _, h := range c.planner.Unplaced(now) {
@@ -45,6 +64,9 @@
 			// Both would write the progress of the job.
 			continue
 		}
+		if _, isHeld := c.heldHandovers[h.Job]; isHeld {
+			continue
+		}
 		to, count := c.options.Place(h.Need, h.Count, h.IsUrgent)
 		if count == 0 {
 			continue
@@ -76,8 +98,8 @@
 func (c *Conductor) storeHandovers(ctx context.Context, handovers []planner.Handover) {
 	list := make([]pendingHandover, len(handovers))
 	for i, h := range handovers {
-		value, err := planner.Encode(h.Change.Progress)
 		key := c.keys.progress(h.Job.ID)
+		value, err := encodeStorable(key, h.Change.Progress)
 		list[i] = pendingHandover{Handover: h, err: err}
 		list[i].expect[0] = storeclient.Expectation{Key: key, Revision: c.revisions[key]}
 		list[i].writes[0] = storeclient.Write{Key: key, Value: value}
@@ -143,17 +165,30 @@
 	default:
 		known, err := planner.Decode[planner.Job](entry.Value)
 		if err != nil {
-			return err
+			return &UnusableRecordError{key, err}
 		}
 		known.Arrived = append(known.Arrived, record.Arrived...)
 		record = known
 	}
-	value, err := planner.Encode(record)
+	value, err := encodeStorable(key, record)
 	h.expect[1] = storeclient.Expectation{Key: key, Revision: entry.Revision}
 	h.writes[1] = storeclient.Write{Key: key, Value: value}
 	return err
 }
 
+// encodeStorable returns the stored form of the record at key. It fails if the store would
+// refuse the record, and with it the whole transaction.
+func encodeStorable[T planner.Job | planner.Progress](key string, record T) ([]byte, error) {
+	value, err := planner.Encode(record)
+	if err == nil && len(value) > storeclient.MaxValueBytes {
+		err = errors.Errorf("%d bytes, more than the store accepts", len(value))
+	}
+	if err != nil {
+		return nil, &UnusableRecordError{key, err}
+	}
+	return value, nil
+}
+
 // finishHandovers applies the outcome of a transaction of handovers.
 func (c *Conductor) finishHandovers(epoch int64, list []pendingHandover, t storeclient.Transaction, sent time.Time, revision uint64, err error) {
 	if c.role != "owning" || c.epoch != epoch {
@@ -180,6 +215,10 @@
 		} else {
 			c.planner.HandoverFailed(h.Handover)
 		}
+		var unusable *UnusableRecordError
+		if errors.As(h.err, &unusable) {
+			c.heldHandovers[h.Job.ID] = c.options.Now().Add(unusableRecordDelay)
+		}
 	}
 }
 
--- a/internal/conductor/handover_test.go
+++ b/internal/conductor/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,8 +27,13 @@
 }
 
 func newTwoShards(t *testing.T) *twoShards {
+	return newTwoShardsWith(t, func(_ planner.Resources, n int, _ bool) (string, int) { return "1", n })
+}
+
+// newTwoShardsWith returns two shards of which the full one chooses shards by place.
+func newTwoShardsWith(t *testing.T, place func(planner.Resources, int, bool) (string, int)) *twoShards {
 	s := &twoShards{testCluster: newTestCluster(t, time.Minute)}
-	s.full = testShard{name: "0", cpu: 1500, pool: s.pool, place: func(_ planner.Resources, n int, _ bool) (string, int) { return "1", n }}
+	s.full = testShard{name: "0", cpu: 1500, pool: s.pool, place: place}
 	s.free = testShard{name: "1", cpu: 64000, pool: newPool(time.Minute), place: func(planner.Resources, int, bool) (string, int) { return "0", 0 }}
 	for i, sh := range []testShard{s.full, s.free} {
 		c, stop := s.startDaemonOf(sh, uint16(i+1))
@@ -164,6 +170,57 @@
 	s.Assert(onFree, quicktest.Equals, 0)
 }
 
+// TestUnusablePeerRecordTakesNoRoom guards against a job that can't be handed over, since
+// the record of the other shard can't be decoded or would be too large, and that keeps the
+// tasks of other jobs waiting: it comes first each time, and takes the room that the other
+// shard has announced, or its transaction, which includes theirs, is refused.
+func TestUnusablePeerRecordTakesNoRoom(t *testing.T) {
+	full := planner.Job{ID: "job0", Organisation: strings.Repeat("x", storeclient.MaxValueBytes-300), IsPart: true}
+	large, err := planner.Encode(full)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, len(large) < storeclient.MaxValueBytes, quicktest.IsTrue, quicktest.Commentf("%d", len(large)))
+	for name, tt := range map[string]struct {
+		record []byte
+		// announced is how many tasks the other shard has room for in each announcement.
+		announced int
+	}{
+		"can't be decoded": {[]byte("unusable"), 2},
+		"too large":        {large, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const announceInterval = 700 * time.Millisecond
+			s := newTwoShardsWith(t, func() func(planner.Resources, int, bool) (string, int) {
+				left, announcedAt := 0, time.Time{}
+				return func(_ planner.Resources, n int, _ bool) (string, int) {
+					if time.Since(announcedAt) >= announceInterval {
+						left, announcedAt = tt.announced, time.Now()
+					}
+					n = min(n, left)
+					left -= n
+					return "1", n
+				}
+			}())
+			s.eventually("owned", testTimeout, func() bool { return s.owners[0].IsOwner() && s.owners[1].IsOwner() })
+			s.keeper.Put(conductor.JobKey("1", "job0"), tt.record)
+			s.submitLongRunning("job0", 20)
+			time.Sleep(200 * time.Millisecond)
+			for i := range 3 {
+				s.submitLongRunning(fmt.Sprint("job", i+1), 2)
+			}
+			s.eventually("all other tasks run", testTimeout, func() bool {
+				sum := 0
+				for i := range 3 {
+					onFull, onFree := s.runsOf(fmt.Sprint("job", i+1))
+					sum += onFull + onFree
+				}
+				return sum == 6
+			})
+			_, onFree := s.runsOf("job0")
+			s.Assert(onFree, quicktest.Equals, 0)
+		})
+	}
+}
+
 // TestCancelHandedOver guards against tasks that keep running in another shard
 // after their job was cancelled.
 func TestCancelHandedOver(t *testing.T) {
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -405,6 +405,7 @@
 	// Results of transactions under way are ignored from now on.
 	c.isCommitting, c.isRecordingWorkers, c.isAnnouncing = false, false, false
 	c.expired = nil
+	clear(c.heldHandovers)
 	c.caps = capState{loweredAt: c.caps.loweredAt}
 	c.metrics.caps.Reset()
 	if c.stopFollowing != nil {
