Take a transaction of handovers as applied by any arrival

After a lost answer, a handover counted as stored only if the record of its own job showed the arrival. If that record was removed or rewritten meanwhile, the handover counted as failed, although the same transaction had stored it, and its tasks were handed over or started again. An arrival of any job of the transaction now proves all of it.

TestStoredHandoverWithoutRecord failed before ("th/1/job/job0 handed over again"). It and the tests of handovers, of cancellation and expiry after one passed once with the race detector.

--- a/internal/conductor/handover.go
+++ b/internal/conductor/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -201,12 +202,16 @@
 		return
 	}
 	var conflict *storeclient.ExpectationError
+	// One arrival shows that an earlier attempt was applied, and so all of the transaction.
+	isApplied := err == nil || errors.As(err, &conflict) && slices.ContainsFunc(list, func(h pendingHandover) bool {
+		return h.err == nil && hasArrived(conflict, h.Handover)
+	})
 	for _, h := range list {
 		cause := err
 		if h.err != nil {
 			cause = h.err
 		}
-		isStored := cause == nil || h.err == nil && errors.As(err, &conflict) && hasArrived(conflict, h.Handover)
+		isStored := h.err == nil && isApplied
 		c.metrics.handovers.WithLabelValues(map[bool]string{true: "done", false: "not_done"}[isStored]).Inc()
 		c.options.Log.Info().Str("job", h.Job.ID).Str("shard", c.options.Shard).Str("to", h.To).Int("tasks", len(h.Job.Arrived)).
 			Int64("epoch", c.epoch).Bool("stored", isStored).AnErr("cause", cause).Msg("conductor: tasks handed over")
--- a/internal/conductor/handover_test.go
+++ b/internal/conductor/handover_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,11 +31,15 @@
 	return newTwoShardsWith(t, func(_ planner.Resources, n int, _ bool) (string, int) { return "1", n })
 }
 
-// newTwoShardsWith returns two shards of which the full one chooses shards by place.
-func newTwoShardsWith(t *testing.T, place func(planner.Resources, int, bool) (string, int)) *twoShards {
+// newTwoShardsWith returns two shards of which the full one chooses shards by place. The
+// changes are made before the owners start.
+func newTwoShardsWith(t *testing.T, place func(planner.Resources, int, bool) (string, int), changes ...func(*twoShards)) *twoShards {
 	s := &twoShards{testCluster: newTestCluster(t, time.Minute)}
 	s.full = testShard{name: "0", cpu: 1500, pool: s.pool, place: place}
 	s.free = testShard{name: "1", cpu: 64000, pool: newPool(time.Minute), place: func(planner.Resources, int, bool) (string, int) { return "0", 0 }}
+	for _, change := range changes {
+		change(s)
+	}
 	for i, sh := range []testShard{s.full, s.free} {
 		c, stop := s.startDaemonOf(sh, uint16(i+1))
 		s.owners[i], s.stops[i] = c, sync.OnceFunc(stop)
@@ -221,6 +226,45 @@
 	}
 }
 
+// TestStoredHandoverWithoutRecord guards against a handover that is stored but taken for
+// failed, since the other shard's record is gone when the transaction is repeated. The
+// arrival of another job of the same transaction shows that it was applied.
+func TestStoredHandoverWithoutRecord(t *testing.T) {
+	var mayPlace, isApplied atomic.Bool
+	var gone string
+	s := newTwoShardsWith(t, func(_ planner.Resources, n int, _ bool) (string, int) {
+		if !mayPlace.Load() {
+			return "1", 0
+		}
+		return "1", n
+	}, func(s *twoShards) {
+		s.full.change = func(o *conductor.Options) {
+			transact := o.Store.Transact
+			o.Store.Transact = func(ctx context.Context, t storeclient.Transaction) (uint64, error) {
+				revision, err := transact(ctx, t)
+				if err != nil || len(t.Writes) < 4 || t.Writes[1].Key[:len("th/1/")] != "th/1/" || isApplied.Load() {
+					return revision, err
+				}
+				gone = t.Writes[1].Key
+				s.keeper.Remove(gone)
+				isApplied.Store(true)
+				return 0, &storeclient.UnavailableError{Op: "transact", MayHaveApplied: true, Err: errors.New("lost")}
+			}
+		}
+	})
+	s.eventually("owned", testTimeout, func() bool { return s.owners[0].IsOwner() && s.owners[1].IsOwner() })
+	for i := range 3 {
+		s.submitLongRunning(fmt.Sprint("job", i), 2)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	mayPlace.Store(true)
+	s.eventually("handed over", testTimeout, isApplied.Load)
+	time.Sleep(2 * time.Second)
+	_, err := s.keeper.Store().Get(context.Background(), gone)
+	var missing *storeclient.NotFoundError
+	s.Assert(errors.As(err, &missing), quicktest.IsTrue, quicktest.Commentf("%s handed over again", gone))
+}
+
 // TestCancelHandedOver guards against tasks that keep running in another shard
 // after their job was cancelled.
 func TestCancelHandedOver(t *testing.T) {
