Give the first rooms of each shard to a different shard

The announced rooms were divided by the number of the shard that hands over, the same for each shard that takes. With fewer rooms than shards, the shards with the highest numbers got none anywhere, and the lowest got the largest room of each. The division now begins with the shard before the one that takes.

TestFewRoomsAreForDifferentShards failed before (shard 0 got 5 of the rooms of five shards with two each; two are its part).

--- a/internal/sharder/chooser.go
+++ b/internal/sharder/chooser.go
@@ -40,11 +40,9 @@
 	parts := make([]planner.Room, len(c.rooms))
 	others := max(1, len(c.rooms)-1)
 	for n := range parts {
-		// The shards that may hand over are numbered without the one that takes.
-		number := n
-		if n > shard {
-			number--
-		}
+		// The shards that may hand over are numbered from the one before the shard that
+		// takes, so that the first rooms of each are for another shard.
+		number := (shard - n - 1 + len(parts)) % len(parts)
 		for i := number; i < len(r.Rooms) && n != shard; i += others {
 			parts[n].Rooms = append(parts[n].Rooms, r.Rooms[i])
 		}
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -235,6 +235,26 @@
 	c.Assert(total, quicktest.Equals, 8)
 }
 
+// TestFewRoomsAreForDifferentShards guards against a shard that gets no room in any other one
+// while each announces fewer rooms than there are shards.
+func TestFewRoomsAreForDifferentShards(t *testing.T) {
+	c := quicktest.New(t)
+	const shards = 6
+	need := planner.Resources{CPU: 7}
+	for from := range shards {
+		h := sharder.NewChooser(shards)
+		for to := range shards {
+			h.SetRoom(to, planner.Room{Spare: -500, Rooms: []planner.Resources{{CPU: 10}, {CPU: 10}}})
+		}
+		total := 0
+		for range 20 {
+			_, tasks := h.Place(from, need, 1, true)
+			total += tasks
+		}
+		c.Assert(total, quicktest.Equals, 2, quicktest.Commentf("shard %d", from))
+	}
+}
+
 // TestPlaceSpreads guards against owners that all hand tasks over to the same
 // shard until they learn that it is full.
 func TestPlaceSpreads(t *testing.T) {
