Begin the checks of a large configuration after two reads

With checks, a change below the revision of the first read was never asked for again: the old configuration stayed in force, and each check confirmed it. Checks now begin after the revision of a read that another one, begun later, has followed. One more read of the record at the start, and after each check that can't be used.

TestLargeReadWithoutAChange failed before in both rows, and in the second without the condition on the beginning of the read. TestCheck now begins to count after the second read, and expects one more read instead of a check after the history was dropped; TestCheckCountsFromItsBeginning expects two reads before the first check. The tests of the package passed once with the race detector; TestLargeConfiguration (320 bytes in 10 calls), TestKeyWithdrawnWhileCut and TestSilentConnectionsDelayConfiguration too.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -77,10 +77,15 @@
 	// watchRevision is the revision after which the next watch starts; zero if
 	// the prefix must be read first.
 	watchRevision uint64
-	// checkRevision is the revision after which the next check starts: that of the last
-	// read of the prefix or of a later check. Watches don't advance it, so that a check
-	// also finds a change that a watch has missed.
+	// checkRevision is the revision after which the next check starts, up to which the copy
+	// is complete; zero if the prefix must be read first. Watches don't advance it, so that
+	// a check also finds a change that a watch has missed. Nor does a single read, which may
+	// lack a change that is older than its revision; the next read has it.
 	checkRevision uint64
+	// lastRevision is the revision of the last read or check, which was answered at
+	// lastAnswerAt. A read that begins later proves the copy complete up to it.
+	lastRevision uint64
+	lastAnswerAt time.Time
 	// large has the keys of the entries above CheckBytes.
 	large map[string]bool
 
@@ -138,15 +143,15 @@
 	}
 }
 
-// confirm brings the copy up to date: with a check for changes if an entry is large, and
-// otherwise with a read of the prefix. After an error the next interval reads the prefix. An
+// confirm brings the copy up to date: with a check for changes if an entry is large and two
+// reads have shown from where to check, and otherwise with a read of the prefix. After an error the next interval reads the prefix. An
 // answer that can't be used is followed by a read immediately; if that happens again and
 // again, checks become rare, so that an interval has hardly more than one call.
 func (f *Follower) confirm(ctx context.Context) error {
 	f.mu.Lock()
 	after, isLarge := f.checkRevision, len(f.large) > 0
 	f.mu.Unlock()
-	if !isLarge || f.readsLeft > 0 {
+	if !isLarge || f.readsLeft > 0 || after == 0 {
 		f.readsLeft = max(0, f.readsLeft-1)
 		return f.readPrefix(ctx)
 	}
@@ -164,6 +169,9 @@
 	case isConflict:
 		f.reportFailure(err)
 	}
+	f.mu.Lock()
+	f.checkRevision, f.lastRevision = 0, 0
+	f.mu.Unlock()
 	f.readsLeft = 1<<f.unusableChecks - 1
 	f.unusableChecks = min(f.unusableChecks+1, maxUnusableChecks)
 	return f.readPrefix(ctx)
@@ -190,6 +198,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.checkRevision = max(f.checkRevision, next)
+	f.lastRevision, f.lastAnswerAt = max(f.lastRevision, next), f.options.Now()
 	f.applyEvents(events, began)
 	f.forgetRemovals(began)
 	if f.options.Confirmed != nil {
@@ -293,8 +302,10 @@
 		}
 	}
 	f.readRevision = max(f.readRevision, revision)
-	// A store that went back to earlier revisions is checked after these.
-	f.checkRevision = revision
+	if !began.Before(f.lastAnswerAt) {
+		// A store that went back to earlier revisions is checked after these.
+		f.checkRevision, f.lastRevision, f.lastAnswerAt = f.lastRevision, revision, f.options.Now()
+	}
 	if f.watchRevision == 0 {
 		f.watchRevision = revision
 	}
