Hand no tasks over by an old announcement of room

The announcement of a shard whose owner has ended stays in the store, and with up to 24 rooms in it, other shards hand tasks over that wait there for the next owner, 6 s at least. An announcement received over 3 s ago now counts for no handover. New jobs are still placed by it.

TestOldRoomIsNotUsed failed before. The tests of the package passed once with the race detector.

--- a/internal/sharder/chooser.go
+++ b/internal/sharder/chooser.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"tarragonhead.example/tarragonhead/internal/planner"
 )
@@ -11,6 +12,12 @@
 // maxUrgent bounds how many urgent tasks are counted into the rooms of a shard.
 const maxUrgent = 64
 
+// maxRoomAge is how long ago an announcement may have been received for tasks to be handed
+// over to the shard. Owners announce every 0.7 s, and announcements are read every second;
+// each may take 0.4 s with a slow store. That of a shard whose owner has ended stays stored,
+// and tasks handed over to it would wait for its next owner.
+const maxRoomAge = 3 * time.Second
+
 // Chooser chooses the shard of a new job. It is safe for concurrent use.
 type Chooser struct {
 	mu sync.Mutex
@@ -21,12 +28,14 @@
 	// Rooms urgent tasks of the latter may use. Owners learn of what others take late,
 	// so each has rooms of its own.
 	parts [][]planner.Room
+	// announcedAt is when the last announcement of each shard was received.
+	announcedAt []time.Time
 }
 
 // NewChooser returns a chooser for count shards whose free capacity is still
 // unknown.
 func NewChooser(count int) *Chooser {
-	return &Chooser{rooms: make([]planner.Room, count), parts: make([][]planner.Room, count)}
+	return &Chooser{rooms: make([]planner.Room, count), parts: make([][]planner.Room, count), announcedAt: make([]time.Time, count)}
 }
 
 // SetRoom sets the free capacity that a shard has announced.
@@ -36,7 +45,7 @@
 	if shard < 0 || shard >= len(c.rooms) {
 		return
 	}
-	c.rooms[shard] = r
+	c.rooms[shard], c.announcedAt[shard] = r, time.Now()
 	parts := make([]planner.Room, len(c.rooms))
 	others := max(1, len(c.rooms)-1)
 	for n := range parts {
@@ -50,6 +59,9 @@
 	c.parts[shard] = parts
 }
 
+// isAnnounced reports whether the room of a shard was announced lately.
+func (c *Chooser) isAnnounced(shard int) bool { return time.Since(c.announcedAt[shard]) <= maxRoomAge }
+
 // urgentFit returns how many urgent tasks of shard from fit into the rooms that shard to
 // has for them.
 func (c *Chooser) urgentFit(from, to int, need planner.Resources) int64 {
@@ -143,7 +155,7 @@
 	fits := make([]int64, len(c.rooms))
 	var total int64
 	for n, r := range c.rooms {
-		if n == from {
+		if n == from || !c.isAnnounced(n) {
 			continue
 		}
 		if r.Largest.Fits(need) {
@@ -184,7 +196,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for n, r := range c.rooms {
-		if n != from && r.Largest.Fits(need) && r.Spare >= need.CPU {
+		if n != from && c.isAnnounced(n) && r.Largest.Fits(need) && r.Spare >= need.CPU {
 			return true
 		}
 	}
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -255,6 +256,35 @@
 	}
 }
 
+// TestOldRoomIsNotUsed guards against tasks that are handed over to a shard without an owner,
+// whose last announcement stays in the store.
+func TestOldRoomIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		need, large := planner.Resources{CPU: 7}, planner.Resources{CPU: 10}
+		h := sharder.NewChooser(3)
+		announce := func(shard int) {
+			h.SetRoom(shard, planner.Room{Spare: 100, Largest: large, Rooms: []planner.Resources{large, large}})
+		}
+		announce(1)
+		// An announcement may be this old with a slow store.
+		time.Sleep(2500 * time.Millisecond)
+		announce(2)
+		c.Assert(h.HasRoom(2, need), quicktest.IsTrue)
+		shard, tasks := h.Place(2, need, 1, false)
+		c.Assert([2]int{shard, tasks}, quicktest.Equals, [2]int{1, 1})
+		time.Sleep(time.Second)
+		for _, isUrgent := range []bool{false, true} {
+			_, tasks = h.Place(2, need, 1, isUrgent)
+			c.Assert(tasks, quicktest.Equals, 0)
+		}
+		c.Assert(h.HasRoom(2, need), quicktest.IsFalse)
+		announce(1)
+		_, tasks = h.Place(2, need, 1, true)
+		c.Assert(tasks, quicktest.Equals, 1)
+	})
+}
+
 // TestPlaceSpreads guards against owners that all hand tasks over to the same
 // shard until they learn that it is full.
 func TestPlaceSpreads(t *testing.T) {
