--- a/standins/emulator/emulator.go
+++ b/standins/emulator/emulator.go
@@ -1,6 +1,8 @@
 // Package emulator runs controllers, workers and the store in one process, so
 // that tests can use virtual time. Tests can interrupt the connections between
-// them.
+// them. A System runs the controllers of internal/controller. A Deployment runs
+// the owners of several shards of internal/conductor, and checks the caps of
+// organisations.
 package emulator
 
 import (
