--- a/standins/emulator/machine.go
+++ b/standins/emulator/machine.go
@@ -16,9 +16,6 @@
 const (
 	// stopTime is how long a run takes to stop.
 	stopTime = 100 * time.Millisecond
-	// pollWait is the longest time that a worker without ended runs waits before it answers
-	// a poll.
-	pollWait = 100 * time.Millisecond
 	// slowClock is the rate of the clock of every third worker.
 	slowClock = 0.98
 )
@@ -41,6 +38,8 @@
 	refusedUpTo map[planner.TaskID]int
 	// isCutOff is set while no call reaches the worker.
 	isCutOff bool
+	// changed is closed and replaced when a run ends.
+	changed chan struct{}
 }
 
 // execution is a run on a machine.
@@ -58,7 +57,7 @@
 			Service: "service", Domain: "domain", Rack: "rack", Capacity: d.options.Capacity,
 		},
 		deployment: d, shard: shard, startedAt: time.Now(), clockRate: 1,
-		runs: map[planner.RunID]*execution{}, refusedUpTo: map[planner.TaskID]int{},
+		runs: map[planner.RunID]*execution{}, refusedUpTo: map[planner.TaskID]int{}, changed: make(chan struct{}),
 	}
 	if number%3 == 0 {
 		m.clockRate = slowClock
@@ -95,6 +94,8 @@
 	m.ends = append(m.ends, planner.RunEnd{Number: m.endCount, Run: run, Kind: how})
 	e.job.done[run.Index] = e.job.done[run.Index] || how == planner.EndDone
 	m.deployment.ledger.ended(m, e.job, run, how)
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 // admit checks the fence of a call, and renews the lease unless deadline is zero.
@@ -207,10 +208,13 @@
 			return call(ctx, w, 0, func(m *machine) error { return m.admit(p.Fence, 0) })
 		},
 		Poll: func(ctx context.Context, w planner.Worker, p conductor.PollOrder) (conductor.PollAnswer, error) {
-			// A worker applies the order on arrival. A call that times out may still set a.
+			// A worker applies the order on arrival, and waits for a run to end if it has no
+			// ends to list. A call that times out may still set these variables.
 			var a conductor.PollAnswer
+			var changed chan struct{}
 			check := func(m *machine) (err error) {
 				a, err = m.answer(p)
+				changed = m.changed
 				return err
 			}
 			if err := call(ctx, w, 0, check); err != nil {
@@ -219,7 +223,12 @@
 			if p.Wait == 0 || len(a.Ended) > 0 {
 				return a, nil
 			}
-			time.Sleep(min(p.Wait, pollWait))
+			select {
+			case <-changed:
+			case <-time.After(p.Wait):
+			case <-ctx.Done():
+				return conductor.PollAnswer{}, errNoAnswer
+			}
 			// The answer shows the end of the wait, and doesn't renew the lease again.
 			p.Deadline = 0
 			if err := call(ctx, w, 0, check); err != nil {
