--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -144,9 +144,10 @@
 }
 
 // confirm brings the copy up to date: with a check for changes if an entry is large and two
-// reads have shown from where to check, and otherwise with a read of the prefix. After an error the next interval reads the prefix. An
-// answer that can't be used is followed by a read immediately; if that happens again and
-// again, checks become rare, so that an interval has hardly more than one call.
+// reads have shown from where to check, and otherwise with a read of the prefix. After an
+// error the next interval reads the prefix. An answer that can't be used is followed by a
+// read immediately; if that happens again and again, checks become rare, so that an
+// interval has hardly more than one call.
 func (f *Follower) confirm(ctx context.Context) error {
 	f.mu.Lock()
 	after, isLarge := f.checkRevision, len(f.large) > 0
--- a/internal/sharder/chooser.go
+++ b/internal/sharder/chooser.go
@@ -142,12 +142,12 @@
 	return best
 }
 
-// Place returns a shard for long-running tasks that can't be placed in shard
-// from, and how many of the count tasks that shard may get; 0 if no other shard
-// has room. Urgent tasks may also use the headroom for short work, up to the room on
-// one worker, or up to the part of the announced rooms that from may use. The shard is drawn with a probability in proportion to its
-// room. Owners learn of free capacity late, so if all owners chose the shard with
-// the most room, that shard would get all their tasks.
+// Place returns a shard for long-running tasks that can't be placed in shard from, and how
+// many of the count tasks that shard may get; 0 if no other shard has room. Urgent tasks may
+// also use the headroom for short work, up to the room on one worker, or up to the part of
+// the announced rooms that from may use. The shard is drawn with a probability in proportion
+// to its room. Owners learn of free capacity late, so if all owners chose the shard with the
+// most room, that shard would get all their tasks.
 func (c *Chooser) Place(from int, need planner.Resources, count int, isUrgent bool) (shard, tasks int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
