Hold a moved task back while an earlier owner may have it running

A new owner holds a job back until all workers of its predecessor have answered or their leases have expired, unless the step is speculative. The start of a moved best-effort task did not check that: the run that was stopped may be a late start of an attempt that the predecessor had replaced by another one on a worker that is still silent.

--- a/internal/planner/move.go
+++ b/internal/planner/move.go
@@ -68,6 +68,10 @@
 // waits like others.
 func (p *Planner) startMoved(now time.Time, t *task, to *Worker) {
 	s := t.step
+	if j := s.occurrence.job; j.mayHaveUnverifiedRuns && p.hasUnverifiedWorkers(j) && !s.Speculative {
+		// An earlier owner may have the task running on a worker that has not answered yet.
+		return
+	}
 	if p.startsLeft <= 0 || !s.isOpen || !slices.Contains(s.waiting, t) || now.Before(t.retryAt) || p.rank(now, s) != rankInTime ||
 		t.suspicion() != notSuspected || !p.isSafeToStart(now, t) || !p.isWithinCap(s, 1) {
 		return
--- a/internal/planner/move_test.go
+++ b/internal/planner/move_test.go
@@ -62,3 +62,50 @@
 		})
 	}
 }
+
+// TestMoveDuringTakeover guards against a new owner that starts a task which it moves while
+// an earlier owner may have it running on a worker that has not answered yet.
+func TestMoveDuringTakeover(t *testing.T) {
+	a, b := worker("a", 16), worker("b", 16)
+	d := newDriver(t, 2, a, b)
+	d.p.AddUnverifiedWorker(a)
+	d.registerWorkers()
+	d.p.AddUnverifiedWorker(worker("gone", 16))
+	batch := step(1, 10)
+	batch.BestEffort, batch.Image, batch.Checkpoints, batch.Need.Memory = true, "batch", true, 60_000
+	begun := job("begun", batch)
+	begun.Queue.Slack = time.Minute
+	d.add(job("serving", serving(1, "image")))
+	d.add(begun)
+	d.p.JobsRead(d.now)
+	run := planner.RunID{TaskID: planner.TaskID{Job: "begun"}, Attempt: 1}
+	d.running["a"] = []planner.RunStatus{{Run: planner.RunID{TaskID: planner.TaskID{Job: "serving"}, Attempt: 1}, Percent: 1}, {Run: run, Percent: 1}}
+	d.poll("b")
+	d.Assert(d.stopStarved(run), quicktest.IsTrue)
+	d.p.StopAnswered(d.now, run, "a")
+	d.endRun(planner.Command{Run: run, WorkerID: "a"}, planner.EndStopped)
+	d.Assert(d.startTasks(), quicktest.HasLen, 0)
+	// Every lease of the earlier owner has expired.
+	d.advance(20 * time.Second)
+	d.poll("a")
+	d.poll("b")
+	d.Assert(d.startTasks(), quicktest.HasLen, 1)
+}
+
+// stopStarved has the long-running tasks report that they are over their targets until the
+// planner stops a run, and reports whether it does so within 6 s.
+func (d *driver) stopStarved(run planner.RunID) bool {
+	for range 20 {
+		d.advance(300 * time.Millisecond)
+		d.report(1)
+		for _, w := range d.workers {
+			d.poll(w.ID)
+		}
+		for _, o := range d.p.Plan(d.now, d.proven()) {
+			if o.Kind == planner.StopRun && o.Run == run {
+				return true
+			}
+		}
+	}
+	return false
+}
