Keep no place for a moved task beyond its organisation's rate or share

A best-effort task that is moved starts before all others, also before the work of organisations within their rates and shares, which waits for the same place. Such a task now waits in the usual order after its stop.

--- a/internal/planner/move.go
+++ b/internal/planner/move.go
@@ -11,7 +11,8 @@
 
 // move is a best-effort task that was stopped where it made no progress, in order to
 // continue on a worker with a place for it. Other tasks would take the place before the
-// stop is confirmed. No place is kept for a task that can't be in time any more.
+// stop is confirmed. No place is kept for a task that can't be in time any more, nor for one
+// beyond its organisation's rate or share, since work within them comes first.
 type move struct {
 	task *task
 	to   *Worker
@@ -20,7 +21,7 @@
 
 // planMove keeps a place for a task whose run is being stopped, if it can be in time.
 func (p *Planner) planMove(now time.Time, t *task, to *Worker) {
-	if p.options.DisableMovePlaces || p.rank(now, t.step) != rankInTime {
+	if p.options.DisableMovePlaces || p.rank(now, t.step) != rankInTime || p.isBeyond(now, t.step) {
 		return
 	}
 	p.moves = append(p.moves, move{t, to, now})
@@ -72,7 +73,7 @@
 		// An earlier owner may have the task running on a worker that has not answered yet.
 		return
 	}
-	if p.startsLeft <= 0 || !s.isOpen || !slices.Contains(s.waiting, t) || now.Before(t.retryAt) || p.rank(now, s) != rankInTime ||
+	if p.startsLeft <= 0 || !s.isOpen || !slices.Contains(s.waiting, t) || now.Before(t.retryAt) || p.rank(now, s) != rankInTime || p.isBeyond(now, s) ||
 		t.suspicion() != notSuspected || !p.isSafeToStart(now, t) || !p.isWithinCap(s, 1) {
 		return
 	}
--- a/internal/planner/move_test.go
+++ b/internal/planner/move_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -109,3 +110,55 @@
 	}
 	return false
 }
+
+// TestMoveBeyondRate guards against a task beyond its organisation's rate that gets a place
+// before the work of an organisation within its rate, because it is being moved.
+func TestMoveBeyondRate(t *testing.T) {
+	for name, tt := range map[string]struct {
+		weight float64
+		want   []string
+	}{"beyond its rate": {0.01, []string{"later", ""}}, "within its rate": {100, []string{"", "begun"}}} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 1, worker("a", 16)).registerWorkers()
+			d.p.SetConfig(planner.Config{Organisations: map[string]planner.Organisation{"large": {Weight: tt.weight}, "small": {Weight: 100}}})
+			d.add(job("serving", serving(1, "image")))
+			d.startTasks()
+			d.report(-3)
+			unplaceable := step(1, 1)
+			unplaceable.RequiredLabel = "missing"
+			// Jobs of the same time are metered in the order of their ids.
+			for i := range 50 {
+				d.addFor("large", fmt.Sprintf("absent-%02d", i), unplaceable)
+			}
+			d.addBatch("large", "begun")
+			begun := d.startTasks()
+			d.Assert(begun, quicktest.HasLen, 1)
+			d.workers = append(d.workers, worker("b", 16))
+			d.registerWorkers()
+			d.Assert(d.stopStarved(begun[0].Run), quicktest.IsTrue)
+			d.addBatch("small", "later")
+			got := []string{d.firstStart()}
+			d.p.StopAnswered(d.now, begun[0].Run, "a")
+			d.endRun(begun[0], planner.EndStopped)
+			d.Assert(append(got, d.firstStart()), quicktest.DeepEquals, tt.want)
+		})
+	}
+}
+
+// addBatch adds a job of one best-effort task that fills most of a worker's memory.
+func (d *driver) addBatch(organisation, id string) {
+	batch := step(1, 10)
+	batch.BestEffort, batch.Image, batch.Checkpoints, batch.Need.Memory = true, "batch", true, 60_000
+	j := job(id, batch)
+	j.Organisation, j.Received, j.Queue.Slack = organisation, d.now, time.Minute
+	d.add(j)
+}
+
+// firstStart returns the job of the first task that starts, which must be on the worker b.
+func (d *driver) firstStart() string {
+	for _, o := range d.startTasks() {
+		d.Assert(o.WorkerID, quicktest.Equals, "b")
+		return o.Run.Job
+	}
+	return ""
+}
