Let long-running tasks take places that are kept for moved tasks

A place that was kept for a best-effort task, and the task once it had started there, could keep a waiting long-running task out of the only worker with memory for it, although long-running tasks come before all others.

--- a/internal/planner/move.go
+++ b/internal/planner/move.go
@@ -37,6 +37,18 @@
 	w.victims = nil
 }
 
+// roomFor returns what tasks of a step may reserve on the worker. Places that are kept for
+// best-effort tasks don't keep a long-running task waiting.
+func (w *Worker) roomFor(s *step) Resources {
+	room := w.free
+	if s.LongRunning {
+		for _, t := range w.expected {
+			room = room.plus(t.step.reserved())
+		}
+	}
+	return room
+}
+
 // expectedRise returns by how much the tasks that are being moved to the worker will raise
 // a level, which slope gives by image for ten cores.
 func (w *Worker) expectedRise(slope func(image string) float64) float64 {
--- a/internal/planner/move_test.go
+++ b/internal/planner/move_test.go
@@ -145,6 +145,33 @@
 	}
 }
 
+// TestLongRunningTakesKeptPlace guards against a long-running task that waits because the
+// only worker with room for it keeps a place for a best-effort task that is being moved.
+func TestLongRunningTakesKeptPlace(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 16)).registerWorkers()
+	d.add(job("serving", serving(1, "image")))
+	d.startTasks()
+	d.report(-3)
+	d.addBatch("", "begun")
+	begun := d.startTasks()
+	d.Assert(begun, quicktest.HasLen, 1)
+	d.workers = append(d.workers, worker("b", 16))
+	d.registerWorkers()
+	d.Assert(d.stopStarved(begun[0].Run), quicktest.IsTrue)
+	large := serving(1, "image")
+	large.Need.Memory = 60_000
+	d.add(job("large", large))
+	d.Assert(d.firstStart(), quicktest.Equals, "large")
+	d.p.StopAnswered(d.now, begun[0].Run, "a")
+	d.endRun(begun[0], planner.EndStopped)
+	// The place is gone, and its capacity is given back once: a small task still fits.
+	d.Assert(d.firstStart(), quicktest.Equals, "")
+	small := step(1, 1)
+	small.Need.Memory, small.RequiredLabel = 40_000, "rack-b"
+	d.add(job("small", small))
+	d.Assert(d.firstStart(), quicktest.Equals, "small")
+}
+
 // addBatch adds a job of one best-effort task that fills most of a worker's memory.
 func (d *driver) addBatch(organisation, id string) {
 	batch := step(1, 10)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -296,8 +296,9 @@
 	// isRecorded is set when the stored list of workers that a successor asks
 	// includes the worker.
 	isRecorded bool
-	// free is the capacity that is not reserved by runs. It is negative if the
-	// capacity has shrunk below what they reserve.
+	// free is the capacity that is not reserved by runs or for expected tasks. It is
+	// negative if the capacity has shrunk below what they reserve, or if a long-running
+	// task has taken the place of an expected one.
 	free Resources
 	runs map[RunID]*run
 	// runsInOrder holds the same runs in order of arrival, so that decisions do
