--- a/internal/planner/move_test.go
+++ b/internal/planner/move_test.go
@@ -189,3 +189,73 @@
 	}
 	return ""
 }
+
+// TestKeptPlaceIsReleased guards against a place whose capacity is not returned, or returned
+// twice, when the move can't be completed or the worker changes meanwhile.
+func TestKeptPlaceIsReleased(t *testing.T) {
+	stopped := func(d *driver, o planner.Command) {
+		d.p.StopAnswered(d.now, o.Run, "a")
+		d.endRun(o, planner.EndStopped)
+	}
+	for name, change := range map[string]func(d *driver, o planner.Command){
+		"the stop has no effect":        func(*driver, planner.Command) {},
+		"the job is cancelled":          func(d *driver, _ planner.Command) { d.p.Cancel(d.now, "begun") },
+		"the job is cancelled, stopped": func(d *driver, o planner.Command) { d.p.Cancel(d.now, "begun"); stopped(d, o) },
+		"the run is done":               func(d *driver, o planner.Command) { d.endRun(o, planner.EndDone) },
+		"the worker shrinks and grows": func(d *driver, _ planner.Command) {
+			d.resize(1, 16, 10_000)
+			d.startTasks()
+			d.resize(1, 16, 100_000)
+		},
+		"the worker has shrunk when the run ends": func(d *driver, o planner.Command) {
+			d.resize(1, 16, 10_000)
+			stopped(d, o)
+			d.Assert(d.startTasks(), quicktest.HasLen, 0)
+			d.p.Cancel(d.now, "begun")
+			d.resize(1, 16, 100_000)
+		},
+		"the worker is replaced under its id": func(d *driver, o planner.Command) {
+			next := d.workers[1]
+			next.Born++
+			d.answer(d.workers[1], d.now, next.Born)
+			d.workers[1] = next
+			d.registerWorkers()
+			d.p.Cancel(d.now, "begun")
+			stopped(d, o)
+		},
+		"the worker is draining when the run ends": func(d *driver, o planner.Command) {
+			d.workers[1].Draining, d.workers[1].Remaining = true, time.Minute
+			d.registerWorkers()
+			stopped(d, o)
+			d.startTasks()
+			d.p.Cancel(d.now, "begun")
+			d.workers[1].Draining = false
+			d.registerWorkers()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 1, worker("a", 16)).registerWorkers()
+			d.add(job("serving", serving(1, "image")))
+			d.startTasks()
+			d.report(-3)
+			d.addBatch("", "begun")
+			begun := d.startTasks()
+			d.Assert(begun, quicktest.HasLen, 1)
+			d.workers = append(d.workers, worker("b", 16))
+			d.registerWorkers()
+			d.Assert(d.stopStarved(begun[0].Run), quicktest.IsTrue)
+			change(d, begun[0])
+			d.startTasks()
+			d.advance(2500 * time.Millisecond)
+			for _, w := range d.workers {
+				d.poll(w.ID)
+			}
+			d.startTasks()
+			// Two tasks fill the worker, and a third one must not fit.
+			half := step(3, 1)
+			half.Need.Memory, half.RequiredLabel = 50_000, "rack-b"
+			d.add(job("half", half))
+			d.Assert(d.startTasks(), quicktest.HasLen, 2)
+		})
+	}
+}
