Ask for a part of a cap that suffices for one blocked task

A shard told as its smallest need the least processors and the least memory of any of its blocked tasks or gangs. With tasks that need mostly one or the other, its fair share of a contended cap could hold that and none of the tasks: it didn't queue for its turn, started nothing, and kept the part.

--- a/internal/planner/organisation.go
+++ b/internal/planner/organisation.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -31,8 +32,9 @@
 	// Used is what the runs of the organisation need, and Blocked what its tasks need that
 	// wait only because of the cap, without gangs that need more than the whole cap.
 	Used, Blocked Resources
-	// Smallest is, by kind of resource, the least that one of the blocked tasks, or a gang,
-	// needs.
+	// Smallest is what one of the blocked tasks, or a gang, needs: the one that needs the
+	// smallest part of the cap. A part with the least of each kind of resource that any of
+	// them needs might not suffice for one.
 	Smallest Resources
 }
 
@@ -225,10 +227,9 @@
 	isHopeless := s.isGangAbove(p.Cap(name))
 	if !isHopeless {
 		need := s.Need.times(len(tasks))
-		if least, ok := p.caps.smallest[name]; ok {
-			need = need.Least(least)
+		if least, ok := p.caps.smallest[name]; !ok || compareParts(need, least, p.Cap(name)) < 0 {
+			p.caps.smallest[name] = need
 		}
-		p.caps.smallest[name] = need
 	}
 	for _, t := range tasks {
 		if t.blockedIn == p.caps.plan {
@@ -243,6 +244,22 @@
 	return true
 }
 
+// compareParts compares the largest parts of a cap that two amounts take. Zero amounts of the
+// cap are not limited. Equal parts are ordered by the amounts, so that the smallest of several
+// tasks doesn't depend on their order.
+func compareParts(a, b, limit Resources) int {
+	part := func(r Resources) float64 {
+		largest := 0.0
+		for _, f := range [...][2]int64{{r.CPU, limit.CPU}, {r.Memory, limit.Memory}, {r.GPU, limit.GPU}} {
+			if f[1] > 0 {
+				largest = max(largest, float64(f[0])/float64(f[1]))
+			}
+		}
+		return largest
+	}
+	return cmp.Or(cmp.Compare(part(a), part(b)), cmp.Compare(a.CPU, b.CPU), cmp.Compare(a.Memory, b.Memory), cmp.Compare(a.GPU, b.GPU))
+}
+
 // OrganisationUsage describes an organisation with a cap in one shard, for metrics.
 type OrganisationUsage struct {
 	Name string
--- a/internal/planner/organisation_test.go
+++ b/internal/planner/organisation_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"tarragonhead.example/tarragonhead/internal/allotter"
 	"tarragonhead.example/tarragonhead/internal/planner"
 )
 
@@ -195,3 +196,30 @@
 		d.Assert(d.startTasks(), quicktest.HasLen, 2)
 	}
 }
+
+// TestSmallestBlockedTask guards against a shard that never starts anything of an organisation,
+// since its part suffices for the least processors and the least memory that its waiting tasks
+// need, but for none of them. Load: tasks that need mostly processors or mostly memory, while
+// another shard has work for the whole cap.
+func TestSmallestBlockedTask(t *testing.T) {
+	limit := planner.Resources{CPU: 10_000, Memory: 10_000}
+	wide, large := step(1, 8), step(1, 1)
+	wide.Need.Memory, large.Need.Memory = 500, 8_000
+	d := newDriver(t, 1, worker("a", 60)).registerWorkers()
+	d.p.SetConfig(planner.Config{Organisations: map[string]planner.Organisation{"o": {Cap: limit}}})
+	d.addFor("o", "wide", wide)
+	d.addFor("o", "large", large)
+	record := allotter.Record{Parts: map[string]planner.Resources{"other": limit}}
+	used, started := limit, 0
+	for range 8 {
+		started += len(d.startTasks())
+		own := allotter.Decide(record, "own", limit, d.p.CapDemands()["o"])
+		record = own.Record
+		d.p.SetPart("o", planner.Part{Amount: own.Part})
+		other := allotter.Decide(record, "other", limit, planner.CapDemand{Used: used, Blocked: limit, Smallest: planner.Resources{CPU: 100, Memory: 100}})
+		record = other.Record
+		// Its runs end as soon as they may not be replaced.
+		used = used.Least(other.Part)
+	}
+	d.Assert(started, quicktest.Equals, 1)
+}
