Raise the need of a queued shard's turn when its smallest task has gone

The queue of a cap record kept the need of the task that was the smallest when the shard entered it. If that task was cancelled before it started and the next one needs more, the turn never sufficed and nothing started while other shards used up the cap.

--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -102,8 +102,8 @@
 		isShort = isShort || isWaiting && d.part() < d.task
 		all[i] = d
 	}
-	if isShort && !slices.ContainsFunc(queue, func(t Turn) bool { return t.Shard == shard }) {
-		queue = append(slices.Clone(queue), Turn{shard, demand.Smallest})
+	if isShort {
+		queue = withTurn(queue, Turn{shard, demand.Smallest})
 	}
 	for i, f := range fields {
 		d := all[i]
@@ -147,6 +147,21 @@
 	return slices.DeleteFunc(slices.Clone(queue), func(t Turn) bool { return t.Shard == shard })
 }
 
+// withTurn returns a queue with a turn of a shard. The shard keeps its place if it has one,
+// and a need that suffices, so that a smaller task causes no write.
+func withTurn(queue []Turn, turn Turn) []Turn {
+	at := slices.IndexFunc(queue, func(t Turn) bool { return t.Shard == turn.Shard })
+	switch {
+	case at < 0:
+		return append(slices.Clone(queue), turn)
+	case queue[at].Need.Fits(turn.Need):
+		return queue
+	}
+	queue = slices.Clone(queue)
+	queue[at] = turn
+	return queue
+}
+
 // fairShare returns the share of a shard in a contended cap: by max-min fairness, after the
 // need of the shard that is first in the queue.
 func fairShare(r Record, queue []Turn, shard string, d division, f field) int64 {
