--- a/internal/planner/move.go
+++ b/internal/planner/move.go
@@ -11,7 +11,8 @@
 
 // move is a best-effort task that was stopped where it made no progress, in order to
 // continue on a worker with a place for it. Other tasks would take the place before the
-// stop is confirmed. No place is kept for a task that can't be in time any more.
+// stop is confirmed. No place is kept for a task that can't be in time any more, nor for one
+// beyond its organisation's rate or share, since work within them comes first.
 type move struct {
 	task *task
 	to   *Worker
@@ -20,7 +21,7 @@
 
 // planMove keeps a place for a task whose run is being stopped, if it can be in time.
 func (p *Planner) planMove(now time.Time, t *task, to *Worker) {
-	if p.options.DisableMovePlaces || p.rank(now, t.step) != rankInTime {
+	if p.options.DisableMovePlaces || p.rank(now, t.step) != rankInTime || p.isBeyond(now, t.step) {
 		return
 	}
 	p.moves = append(p.moves, move{t, to, now})
@@ -36,6 +37,18 @@
 	w.victims = nil
 }
 
+// roomFor returns what tasks of a step may reserve on the worker. Places that are kept for
+// best-effort tasks don't keep a long-running task waiting.
+func (w *Worker) roomFor(s *step) Resources {
+	room := w.free
+	if s.LongRunning {
+		for _, t := range w.expected {
+			room = room.plus(t.step.reserved())
+		}
+	}
+	return room
+}
+
 // expectedRise returns by how much the tasks that are being moved to the worker will raise
 // a level, which slope gives by image for ten cores.
 func (w *Worker) expectedRise(slope func(image string) float64) float64 {
@@ -68,7 +81,11 @@
 // waits like others.
 func (p *Planner) startMoved(now time.Time, t *task, to *Worker) {
 	s := t.step
-	if p.startsLeft <= 0 || !s.isOpen || !slices.Contains(s.waiting, t) || now.Before(t.retryAt) || p.rank(now, s) != rankInTime ||
+	if j := s.occurrence.job; j.mayHaveUnverifiedRuns && p.hasUnverifiedWorkers(j) && !s.Speculative {
+		// An earlier owner may have the task running on a worker that has not answered yet.
+		return
+	}
+	if p.startsLeft <= 0 || !s.isOpen || !slices.Contains(s.waiting, t) || now.Before(t.retryAt) || p.rank(now, s) != rankInTime || p.isBeyond(now, s) ||
 		t.suspicion() != notSuspected || !p.isSafeToStart(now, t) || !p.isWithinCap(s, 1) {
 		return
 	}
