--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -59,7 +59,7 @@
 	withRoom, suitable := 0, 0
 	list, limit := p.candidates(now, s), p.harmLimitFor(now, t)
 	for _, w := range list {
-		if w.roomFor(s).Fits(s.reserved()) {
+		if w.free.Fits(s.reserved()) {
 			withRoom++
 			_, ok := p.placementCost(now, t, w, 100, limit)
 			if !ok && p.mayStartSlowly(now, t) {
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -145,7 +145,6 @@
 			r.task.readyAt, r.task.soughtAt = now, now
 			if w := p.chooseWorker(now, r.task, p.candidates(now, r.task.step)); w != nil {
 				p.stop(now, r, fmt.Sprintf("at a pace of %d%% for %s, has a place on %s", r.targetPace, sincePaced, w.ID))
-				p.planMove(now, r.task, w)
 				return
 			}
 			r.paceAt = now
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -107,7 +107,7 @@
 	var best *Worker
 	var lowest float64
 	for _, w := range candidates {
-		if !w.roomFor(t.step).Fits(need) || !p.isWithinWorkerLimit(t, w) || w.isReservedAgainst(now, t) || !w.isSeparate(t) {
+		if !w.free.Fits(need) || !p.isWithinWorkerLimit(t, w) || w.isReservedAgainst(now, t) || !w.isSeparate(t) {
 			continue
 		}
 		cost, ok := p.placementCost(now, t, w, pace, limit)
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -216,7 +216,7 @@
 // run.
 func (p *Planner) hasRoomElsewhere(now time.Time, r *run) bool {
 	return slices.ContainsFunc(p.candidates(now, r.task.step), func(w *Worker) bool {
-		return w != r.worker && w.roomFor(r.task.step).Fits(r.task.step.reserved()) && !slices.Contains(r.task.avoidedWorkers, w.ID)
+		return w != r.worker && w.free.Fits(r.task.step.reserved()) && !slices.Contains(r.task.avoidedWorkers, w.ID)
 	})
 }
 
@@ -283,7 +283,6 @@
 func (p *Planner) startWaiting(now time.Time) {
 	p.startsLeft = p.startLimit
 	p.updateShares(now)
-	p.startMoves(now)
 	if p.startSteps(now, p.orderSteps(now)) {
 		p.startSpeculativeCopies(now)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -94,8 +94,6 @@
 	// DisableLastTasksFirst treats the last tasks of a step like the others, so that the
 	// decisions can be compared.
 	DisablePacking, DisableLastTasksFirst bool
-	// DisableMovePlaces keeps no places for best-effort tasks that are being moved.
-	DisableMovePlaces bool
 	// OnDecision, if not nil, receives each decision.
 	OnDecision func(Decision)
 }
@@ -153,8 +151,6 @@
 	// hadPredecessor is set when the shard had an earlier owner whose workers
 	// were added.
 	hadPredecessor bool
-	// moves holds the best-effort tasks that are being moved, in the order of their stops.
-	moves []move
 	// candidateCache holds the workers on which tasks may start, by service and
 	// label. Plan clears it.
 	candidateCache map[candidateKey][]*Worker
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -179,7 +179,6 @@
 		}
 		expected += slope * cores
 	}
-	expected += w.expectedRise(m.slope)
 	if now.Sub(v.tailAt) > maxTailAge {
 		return victim{v, m, base + expected, expected}
 	}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -296,9 +296,8 @@
 	// isRecorded is set when the stored list of workers that a successor asks
 	// includes the worker.
 	isRecorded bool
-	// free is the capacity that is not reserved by runs or for expected tasks. It is
-	// negative if the capacity has shrunk below what they reserve, or if a long-running
-	// task has taken the place of an expected one.
+	// free is the capacity that is not reserved by runs. It is negative if the
+	// capacity has shrunk below what they reserve.
 	free Resources
 	runs map[RunID]*run
 	// runsInOrder holds the same runs in order of arrival, so that decisions do
@@ -312,9 +311,6 @@
 	// hasUnknownRuns is set when the worker lists runs of unknown jobs. The
 	// resource use of these runs is not known, so nothing starts on the worker.
 	hasUnknownRuns bool
-	// expected holds the tasks that are being moved to the worker. free is less their
-	// needs.
-	expected []*task
 	// bestEffortCPU is the CPU need of the best-effort tasks, in millicores.
 	bestEffortCPU int64
 	// needsPacing is set when the runs or their tail latencies have changed
