Pause best-effort tasks beside any long-running task over its target

Best-effort tasks beside a long-running task that has been over its target for half of the allowed time are paused. That was only done if the predicted level was near the target.

TestPauseBesideLowTask failed before: none of four tasks was paused.

--- a/internal/planner/neighbours_test.go
+++ b/internal/planner/neighbours_test.go
@@ -104,3 +104,32 @@
 		})
 	}
 }
+
+// TestPauseBesideLowTask guards against best-effort tasks that go on at their full pace
+// beside a long-running task over its target, because the task's usual level is far below.
+func TestPauseBesideLowTask(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 40)).registerWorkers()
+	d.add(job("serving", serving(1, "image")))
+	batch := step(4, 2)
+	batch.BestEffort, batch.Image = true, "batch"
+	j := job("batch", batch)
+	j.Queue.Slack = time.Minute
+	d.add(j)
+	d.Assert(d.startTasks(), quicktest.HasLen, 5)
+	for range 20 {
+		d.advance(400 * time.Millisecond)
+		d.report(-3)
+		d.p.Plan(d.now, d.proven())
+	}
+	paused := map[planner.RunID]bool{}
+	for range 8 {
+		d.advance(400 * time.Millisecond)
+		d.report(0)
+		for _, o := range d.p.Plan(d.now, d.proven()) {
+			if o.Kind == planner.PaceRun && o.Percent == 0 {
+				paused[o.Run] = true
+			}
+		}
+	}
+	d.Assert(paused, quicktest.HasLen, 4)
+}
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -33,7 +33,9 @@
 	}
 	slices.SortFunc(bestEffort, func(a, b *run) int { return compareRuns(a.id, b.id) })
 	for _, v := range p.interference.victimsOf(now, w) {
-		if now.Sub(v.run.tailAt) <= maxTailAge && v.level > throttleLevel {
+		// A task whose usual level is low is expected to return to it, and may stay over its
+		// target meanwhile.
+		if now.Sub(v.run.tailAt) <= maxTailAge && (v.level > throttleLevel || v.run.violation(now) > p.pauseAllAfter()) {
 			p.throttleFor(now, v, bestEffort)
 		}
 	}
@@ -44,10 +46,11 @@
 // of v is at most throttleGoalLevel. If v has violated its target for more than
 // pauseAllAfter, throttleFor pauses every best-effort task beside v.
 func (p *Planner) throttleFor(now time.Time, v victim, bestEffort []*run) {
-	var over, violating time.Duration
+	var over time.Duration
 	if !v.run.overTargetSince.IsZero() {
-		over, violating = now.Sub(v.run.overTargetSince), now.Sub(v.run.violatingSince)
+		over = now.Sub(v.run.overTargetSince)
 	}
+	violating := v.run.violation(now)
 	if violating > p.pauseAllAfter() {
 		for _, f := range bestEffort {
 			p.setPace(now, f, 0, fmt.Sprintf("%s over its target for %s", v.run.id, violating))
--- a/internal/planner/tail.go
+++ b/internal/planner/tail.go
@@ -26,3 +26,12 @@
 		}
 	}
 }
+
+// violation returns for how long a long-running task has been over its target, with what
+// came shortly before; zero if it is not.
+func (r *run) violation(now time.Time) time.Duration {
+	if r.overTargetSince.IsZero() {
+		return 0
+	}
+	return now.Sub(r.violatingSince)
+}
