Show that a late start runs a task twice on a runner that is back under its id

Tried: half of the starts carried out 2 to 12 s late for 5.5 s, two of 15 runners silent for 0.3 s at a time and back under their ids, six times.

--- a/review/probe/bed.go
+++ b/review/probe/bed.go
@@ -35,6 +35,9 @@
 	record            *os.File
 	began             time.Time
 
+	// proxy is nil if the runners are reached directly.
+	proxy *proxy
+
 	mu      sync.Mutex
 	fronts  []*front
 	runners map[string]*hosted
@@ -50,9 +53,11 @@
 // hosted is a place at which runners live one after the other.
 type hosted struct {
 	place, addr, zone, rack, kind string
-	lives                         int
-	id                            string
-	command                       *exec.Cmd
+	// entry is the address that the runners report: that of a proxy, or their own.
+	entry   string
+	lives   int
+	id      string
+	command *exec.Cmd
 }
 
 // usedAddrs has the addresses that freeAddr has returned.
@@ -241,6 +246,10 @@
 // addRunner adds a place for runners.
 func (b *bed) addRunner(place, zone, rack, kind string) *hosted {
 	h := &hosted{place: place, addr: freeAddr(), zone: zone, rack: rack, kind: kind}
+	h.entry = h.addr
+	if b.proxy != nil {
+		h.entry = b.proxy.listen(h)
+	}
 	b.runners[place] = h
 	return h
 }
@@ -249,8 +258,18 @@
 func (b *bed) startRunner(h *hosted) error {
 	h.lives++
 	h.id = fmt.Sprintf("i-%s-%d", h.place, h.lives)
+	return b.startLife(h)
+}
+
+// restartRunner starts the next life of a runner under the id that it had.
+func (b *bed) restartRunner(h *hosted) error {
+	h.lives++
+	return b.startLife(h)
+}
+
+func (b *bed) startLife(h *hosted) error {
 	h.command = exec.Command(b.self, "runner", "-id", h.id, "-service", service, "-zone", h.zone, "-rack", h.rack, "-kind", h.kind,
-		"-addr", h.addr, "-platform", b.platformAddr, "-record", b.record.Name())
+		"-addr", h.addr, "-entry", h.entry, "-name", fmt.Sprintf("%s, life %d", h.id, h.lives), "-platform", b.platformAddr, "-record", b.record.Name())
 	h.command.Stderr = os.Stderr
 	return h.command.Start()
 }
--- a/review/probe/cases.go
+++ b/review/probe/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -145,53 +146,11 @@
 	if !b.submit(0, watch+"00000000000000d1", body, 5) {
 		return notRun, "the submission was not accepted"
 	}
-	b.fill(hasTrouble, 90*time.Second)
+	b.fill(hasTrouble, 98*time.Second)
 	time.Sleep(2 * time.Second)
 	return b.judgeAcks()
 }
 
-// crashes: the two runners of a kind crash by turns and come back. A submission whose task
-// lasts and needs that kind has to go on, since none of its runs has failed.
-func crashes(b *bed, hasTrouble bool) (outcome, string) {
-	const id, rounds = "00000000000000c1", 14
-	path := watch + id
-	body := `{"spec":"{\"lasts\":true}","phases":[{"count":1,"cpu":1000,"memMb":500,"estimateMs":500,"longRunning":true,"requiredLabel":"b"}]}`
-	if !b.submit(0, path, body, 5) {
-		return notRun, "the submission was not accepted"
-	}
-	time.Sleep(3 * time.Second)
-	if !b.hasStarted(id) {
-		return notRun, "the task didn't start"
-	}
-	for n := range rounds {
-		h := b.runners[[]string{"13", "14"}[n%2]]
-		if hasTrouble {
-			b.note("trouble: runner %s crashes", h.id)
-			kill(h.command)
-			time.Sleep(500 * time.Millisecond)
-			if err := b.startRunner(h); err != nil {
-				return notRun, err.Error()
-			}
-			time.Sleep(1500 * time.Millisecond)
-			continue
-		}
-		time.Sleep(2 * time.Second)
-	}
-	// Runners are sound from here on.
-	time.Sleep(15 * time.Second)
-	status, state := b.state(1, path)
-	ends := len(b.recorded("run "+id+".", "ended failed"))
-	started := len(b.recorded("run "+id+".", "started"))
-	text := fmt.Sprintf("state %q (status %d) after %d starts, %d ends \"failed\"", state, status, started, ends)
-	switch {
-	case state == "failed" && ends == 0:
-		return broken, text
-	case status != 200:
-		return notRun, text
-	}
-	return held, text
-}
-
 // slowBurst: large submissions come at once while the store is slow.
 func slowBurst(b *bed, hasTrouble bool) (outcome, string) {
 	const large, steps, slow = 18, 3600, 240 * time.Millisecond
@@ -265,3 +224,96 @@
 	time.Sleep(60 * time.Second)
 	return b.judgeLost(0)
 }
+
+// late: half of the starts are carried out late for a while, and runners crash and are back
+// under the ids that they had. No task may run twice.
+func late(b *bed, hasTrouble bool) (outcome, string) {
+	const jobs, width = 40, 8
+	var all sync.WaitGroup
+	if hasTrouble {
+		b.proxy.setShare(0.5)
+	}
+	began := time.Now()
+	for n := range jobs {
+		body := fmt.Sprintf(`{"spec":"{\"workMs\":6000}","phases":[{"count":%d,"cpu":1000,"memMb":200,"estimateMs":6000}]}`, width)
+		all.Go(func() { b.submit(n, fmt.Sprintf("%s%016x", batch, 0xf100+n), body, 5) })
+		time.Sleep(120 * time.Millisecond)
+	}
+	all.Wait()
+	time.Sleep(time.Until(began.Add(5500 * time.Millisecond)))
+	if hasTrouble {
+		b.proxy.setShare(0)
+	}
+	for n := range 6 {
+		for _, place := range []string{fmt.Sprintf("%02d", 2*n), fmt.Sprintf("%02d", 2*n+1)} {
+			h := b.runners[place]
+			if !hasTrouble {
+				continue
+			}
+			b.note("trouble: runner %s, life %d crashes", h.id, h.lives)
+			kill(h.command)
+			all.Go(func() {
+				time.Sleep(300 * time.Millisecond)
+				_ = b.restartRunner(h)
+			})
+		}
+		time.Sleep(time.Second)
+	}
+	all.Wait()
+	time.Sleep(25 * time.Second)
+	done := 0
+	for n := range jobs {
+		if _, state := b.state(n, fmt.Sprintf("%s%016x", batch, 0xf100+n)); state == "done" {
+			done++
+		}
+	}
+	twice := b.twice()
+	for _, t := range twice {
+		b.note("case: %s", t)
+	}
+	text := fmt.Sprintf("%d tasks ran twice; %d of %d submissions are done", len(twice), done, jobs)
+	if len(twice) > 0 {
+		return broken, text + "; first " + twice[0]
+	}
+	return held, text
+}
+
+// twice returns the tasks that ran twice: at the same time on runners that are up, or after an
+// end done that was taken note of.
+func (b *bed) twice() []string {
+	type place struct{ runner, attempt string }
+	running, noted := map[string]map[place]string{}, map[string]string{}
+	var list []string
+	pattern := regexp.MustCompile(`^(\S+) (?:runner|trouble: runner) ([^:]+?)(?:: run (\S+)/(\d+) (started|ended)|: end of (\S+)/(\d+) taken note of| (crashes))`)
+	for _, line := range b.recorded("runner ") {
+		m := pattern.FindStringSubmatch(line)
+		switch {
+		case m == nil:
+		case m[8] != "":
+			for _, all := range running {
+				for p := range all {
+					if p.runner == m[2] {
+						delete(all, p)
+					}
+				}
+			}
+		case m[6] != "":
+			noted[m[6]] = line
+		case m[5] == "ended":
+			delete(running[m[3]], place{m[2], m[4]})
+		default:
+			task := m[3]
+			for p, began := range running[task] {
+				list = append(list, fmt.Sprintf("%s started on %s, attempt %s, at %s while attempt %s runs on %s since %s", task, m[2], m[4], m[1], p.attempt, p.runner, began))
+			}
+			if end := noted[task]; end != "" {
+				list = append(list, fmt.Sprintf("%s started on %s, attempt %s, at %s after %q", task, m[2], m[4], m[1], end))
+			}
+			if running[task] == nil {
+				running[task] = map[place]string{}
+			}
+			running[task][place{m[2], m[4]}] = m[1]
+		}
+	}
+	return list
+}
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -26,7 +26,7 @@
 var cases = map[string]func(b *bed, hasTrouble bool) (outcome, string){
 	"schedule":  schedule,
 	"failures":  failures,
-	"crashes":   crashes,
+	"late":      late,
 	"sick":      sick,
 	"slowburst": slowBurst,
 }
@@ -63,6 +63,9 @@
 		return notRun
 	}
 	defer b.stop()
+	if name == "late" {
+		b.proxy = newProxy(b)
+	}
 	type result struct {
 		outcome outcome
 		text    string
--- a/review/probe/runner.go
+++ b/review/probe/runner.go
@@ -38,11 +38,13 @@
 type runner struct {
 	id, service, zone, rack, kind string
 	cpu, memory                   int64
-	addr, platform                string
-	startedAt                     time.Time
-	born                          int64
-	record                        *os.File
-	changed                       chan struct{}
+	// addr is where the runner listens, entry what its entry names, and name is its id with
+	// the number of its life, for the record.
+	addr, entry, name, platform string
+	startedAt                   time.Time
+	born                        int64
+	record                      *os.File
+	changed                     chan struct{}
 
 	mu       sync.Mutex
 	fence    int64
@@ -53,7 +55,9 @@
 	ends     int
 	// counts has the numbers of the runs that the record doesn't list.
 	counts map[string]int
-	seq    int
+	// many has the submissions of these runs.
+	many map[string]bool
+	seq  int
 }
 
 // startupMillis is how long a task that lasts starts up.
@@ -61,13 +65,15 @@
 
 func runRunner(args []string) error {
 	f := flag.NewFlagSet("runner", flag.ExitOnError)
-	r := &runner{startedAt: time.Now(), born: time.Now().UnixMilli(), runs: map[runKey]*run{}, refused: map[string]int{}, counts: map[string]int{}, changed: make(chan struct{})}
+	r := &runner{startedAt: time.Now(), born: time.Now().UnixMilli(), runs: map[runKey]*run{}, refused: map[string]int{}, counts: map[string]int{}, many: map[string]bool{}, changed: make(chan struct{})}
 	f.StringVar(&r.id, "id", "", "")
 	f.StringVar(&r.service, "service", "", "")
 	f.StringVar(&r.zone, "zone", "", "")
 	f.StringVar(&r.rack, "rack", "", "")
 	f.StringVar(&r.kind, "kind", "a", "")
 	f.StringVar(&r.addr, "addr", "", "")
+	f.StringVar(&r.entry, "entry", "", "")
+	f.StringVar(&r.name, "name", "", "")
 	f.StringVar(&r.platform, "platform", "", "")
 	f.Int64Var(&r.cpu, "cpu", 32000, "")
 	f.Int64Var(&r.memory, "mem", 128000, "")
@@ -86,7 +92,7 @@
 	go r.advance()
 	go r.register()
 	go r.noteCounts()
-	r.note("runner %s: up at %s", r.id, r.addr)
+	r.note("runner %s: up at %s", r.name, r.addr)
 	return http.Serve(l, r)
 }
 
@@ -102,7 +108,7 @@
 	for range time.Tick(5 * time.Second) {
 		r.mu.Lock()
 		if len(r.counts) > 0 {
-			r.note("runner %s: of the many runs so far %v; running now %d, ends not taken note of %d", r.id, r.counts, len(r.runs), len(r.finished))
+			r.note("runner %s: of the many runs so far %v; running now %d, ends not taken note of %d", r.name, r.counts, len(r.runs), len(r.finished))
 		}
 		r.mu.Unlock()
 	}
@@ -113,7 +119,7 @@
 	for {
 		r.seq++
 		entry, _ := json.Marshal(map[string]any{
-			"service": r.service, "addr": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": r.seq,
+			"service": r.service, "addr": r.entry, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": r.seq,
 			"born": r.born, "capacity": map[string]int64{"cpu": r.cpu, "memMb": r.memory}, "labels": []string{r.kind, r.rack},
 		})
 		response, err := http.Post("http://"+r.platform+"/runner?id="+r.id, "application/json", bytes.NewReader(entry))
@@ -161,11 +167,14 @@
 	if x.IsMany {
 		r.counts["ended "+how]++
 	} else {
-		r.note("runner %s: run %s/%d ended %s", r.id, k.task, k.attempt, how)
+		r.note("runner %s: run %s/%d ended %s", r.name, k.task, k.attempt, how)
 	}
 	r.notify()
 }
 
+// isMany reports whether the record only counts the runs of a task's submission.
+func (r *runner) isMany(task string) bool { return r.many[task[:strings.IndexByte(task, '.')]] }
+
 func (r *runner) lists() map[string]any {
 	running, finished := [][]any{}, [][]any{}
 	for k, x := range r.runs {
@@ -238,9 +247,10 @@
 			_ = json.Unmarshal([]byte(o.Spec), &x.work)
 			r.runs[k] = x
 			if x.IsMany {
+				r.many[k.task[:strings.IndexByte(k.task, '.')]] = true
 				r.counts["started"]++
 			} else {
-				r.note("runner %s: run %s/%d started, fence %d", r.id, k.task, k.attempt, o.Fence)
+				r.note("runner %s: run %s/%d started, fence %d", r.name, k.task, k.attempt, o.Fence)
 			}
 		}
 	case "/v1/run-stop":
@@ -251,6 +261,9 @@
 	case "/v1/pace":
 	case "/v1/hold":
 		for len(r.finished) > 0 && r.finished[0][0].(int) <= o.Ack {
+			if e := r.finished[0]; e[3] == "done" && !r.isMany(e[1].(string)) {
+				r.note("runner %s: end of %s/%d taken note of", r.name, e[1], e[2])
+			}
 			r.finished = r.finished[1:]
 		}
 		timeout := time.After(time.Duration(min(o.Wait, 2000)) * time.Millisecond)
