--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
 ROOT=$(cd ../.. && pwd) || exit 2
 export ROOT TARRAGOND="$ROOT/target/tarragond"
 [ -x "$TARRAGOND" ] && [ -x "$ROOT/target/probe" ] || exit 2
-exec "$ROOT/target/probe" failures record.txt
+exec "$ROOT/target/probe" schedule record.txt
