Tell unanswered starts apart by cause, and take late answers

A start without an answer in time counted as one that may still be carried out, whatever had become of it. The owner closed the connection, so that an answer that came later was lost; a start of which nothing was sent, and one that another process refused with 421, counted in the same way.

The adapter now goes on listening for 4 s after the timeout of a start, and hands the outcome to the owner. It still retires connections at the timeout. UnsentError reports a call without a connection. tarragonhead_orders_total has the outcomes not_sent, other_process and disconnected beside unanswered, and answered_late and never_answered for starts that were unanswered.

--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -18,6 +18,9 @@
 	// milliseconds; an order that takes longer may be carried out much later.
 	minOrderTimeout = 400 * time.Millisecond
 	maxOrderTimeout = 1500 * time.Millisecond
+	// startListenTime is how long the answer to a start is still awaited after the timeout.
+	// Behind a full link answers take up to some seconds. Each such call holds a connection.
+	startListenTime = 4 * time.Second
 	// maxBlamelessTime is how long calls to a worker may go unanswered because of this
 	// daemon's own link before the worker counts as silent all the same.
 	maxBlamelessTime = 2 * time.Second
@@ -201,12 +204,13 @@
 	w, ok := c.planner.Worker(o.WorkerID)
 	if !ok || o.Kind == planner.StartRun && !c.planner.IsStarting(o.Run, o.WorkerID) {
 		outbox.Done(o.WorkerID)
+		c.dropOrder(now, o.Command)
 		return
 	}
 	s := c.session(w)
 	epoch, fence, timeout := c.epoch, c.fence(w), c.orderTimeout(s)
 	deadline, expiry := c.leaseDeadline(now, w, s)
-	clock := s.clockRange(now, timeout)
+	clock := s.clockRange(now, timeout+startListenTime)
 	if o.Kind == planner.StartRun {
 		c.planner.Leased(w.ID, expiry)
 	}
@@ -218,7 +222,11 @@
 			err = &NotSentError{age}
 		} else {
 			bounded, cancel := context.WithTimeout(ctx, timeout)
-			err = c.callWorker(bounded, w, o.Command, deadline, fence, clock)
+			answeredLate := func(err error) {
+				took := c.options.Now().Sub(sent)
+				c.post(ctx, func() { c.applyLateAnswer(epoch, o.Command, took, err) })
+			}
+			err = c.callWorker(bounded, w, o.Command, deadline, fence, clock, answeredLate)
 			cancel()
 		}
 		took := c.options.Now().Sub(sent)
@@ -227,8 +235,12 @@
 			if err != nil {
 				c.options.Log.Info().Str("order", orderKinds[o.Kind]).Str("run", o.Run.String()).Str("worker", o.WorkerID).Int64("born", w.Born).Int64("epoch", epoch).Dur("deadline", deadline).Dur("took", took).Bool("stale", s.isStale).Err(err).Msg("conductor: order not done")
 			}
-			if !s.isStale && c.planner != nil && c.epoch == epoch {
-				c.applyOrderResult(o.Command, s, took, err)
+			if c.planner != nil && c.epoch == epoch {
+				if s.isStale {
+					c.settleStart(c.options.Now(), o.Command, err)
+				} else {
+					c.applyOrderResult(o.Command, s, took, err)
+				}
 			}
 			if c.planner != nil && c.outbox == outbox {
 				c.sendOrders(ctx)
@@ -237,6 +249,52 @@
 	})
 }
 
+// applyLateAnswer applies the answer to a start that has come after the start was taken for
+// unanswered.
+func (c *Conductor) applyLateAnswer(epoch int64, o planner.Command, took time.Duration, err error) {
+	if c.planner == nil || c.epoch != epoch {
+		return
+	}
+	outcome := "never_answered"
+	if c.settleStart(c.options.Now(), o, err) {
+		outcome = "answered_late"
+	}
+	c.metrics.orders.WithLabelValues(orderKinds[o.Kind], outcome).Inc()
+	c.options.Log.Info().Str("run", o.Run.String()).Str("worker", o.WorkerID).Str("outcome", outcome).Dur("took", took).Err(err).Msg("conductor: unanswered start")
+}
+
+// settleStart tells the planner that a start can't be carried out any more, and reports
+// whether its outcome shows that.
+func (c *Conductor) settleStart(now time.Time, o planner.Command, err error) bool {
+	if o.Kind != planner.StartRun {
+		return false
+	}
+	var refused *RefusedError
+	var restarted *RestartedError
+	switch {
+	case err == nil:
+		c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Started, "")
+	case errors.As(err, &restarted):
+		c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Misplaced, err.Error())
+	case errors.As(err, &refused):
+		c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Refused, refused.Reason)
+	case hasNotArrived(err):
+		c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Refused, "")
+	default:
+		return false
+	}
+	return true
+}
+
+// hasNotArrived reports whether the outcome of an order shows that its worker didn't get it:
+// nothing was sent, or another process has refused it.
+func hasNotArrived(err error) bool {
+	var held *NotSentError
+	var unsent *UnsentError
+	var other *OtherProcessError
+	return errors.As(err, &held) || errors.As(err, &unsent) || errors.As(err, &other)
+}
+
 // orderTimeout returns the timeout of an order to a worker.
 func (c *Conductor) orderTimeout(s *session) time.Duration {
 	return max(c.orderTrips.Timeout(minOrderTimeout, maxOrderTimeout), s.trips.Timeout(minOrderTimeout, maxOrderTimeout))
@@ -260,10 +318,13 @@
 }
 
 // callWorker makes the call of an order.
-func (c *Conductor) callWorker(ctx context.Context, w planner.Worker, o planner.Command, deadline time.Duration, fence int64, clock ClockRange) error {
+func (c *Conductor) callWorker(ctx context.Context, w planner.Worker, o planner.Command, deadline time.Duration, fence int64, clock ClockRange, answeredLate func(error)) error {
 	switch o.Kind {
 	case planner.StartRun:
-		return c.options.Workers.Start(ctx, w, StartOrder{Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint, Deadline: deadline, Fence: fence, Clock: clock})
+		return c.options.Workers.Start(ctx, w, StartOrder{
+			Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint, Deadline: deadline, Fence: fence, Clock: clock,
+			Listen: startListenTime, AnsweredLate: answeredLate,
+		})
 	case planner.StopRun:
 		return c.options.Workers.Stop(ctx, w, StopOrder{o.Run, fence})
 	default:
@@ -293,11 +354,15 @@
 	case errors.As(err, &restarted):
 		outcome = "misplaced"
 	case err != nil:
-		outcome = "unanswered"
+		outcome = unansweredOutcome(err)
 	}
 	c.metrics.orders.WithLabelValues(kind, outcome).Inc()
 	c.metrics.latency.WithLabelValues(kind).Observe(took.Seconds())
 	c.measureOrder(s, took, err)
+	if hasNotArrived(err) {
+		// Before the worker may be taken for crashed, for which the run is not to blame.
+		c.settleStart(now, o, err)
+	}
 	if !c.applyAnswer(now, o.WorkerID, s, took, err) {
 		return
 	}
@@ -312,6 +377,7 @@
 			c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Misplaced, err.Error())
 		case isRefused:
 			c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Refused, refused.Reason)
+		case hasNotArrived(err):
 		case err != nil:
 			c.planner.StartAnswered(now, o.Run, o.WorkerID, planner.Unclear, err.Error())
 		default:
@@ -330,6 +396,23 @@
 	}
 }
 
+// unansweredOutcome names the outcome of an order that its worker has not answered.
+func unansweredOutcome(err error) string {
+	var unsent *UnsentError
+	var other *OtherProcessError
+	var disconnected *DisconnectedError
+	switch {
+	case errors.As(err, &unsent):
+		return "not_sent"
+	case errors.As(err, &other):
+		return "other_process"
+	case errors.As(err, &disconnected):
+		return "disconnected"
+	default:
+		return "unanswered"
+	}
+}
+
 // applyAnswer applies what the outcome of a call tells about the worker. It
 // reports false if the outcome ends the session or the ownership.
 func (c *Conductor) applyAnswer(now time.Time, workerID string, s *session, took time.Duration, err error) bool {
--- a/internal/conductor/orders.go
+++ b/internal/conductor/orders.go
@@ -20,6 +20,11 @@
 		Fence      int64
 		// Clock is that of the process which the order is meant for.
 		Clock ClockRange
+		// Listen is how long the answer is awaited beyond the time that the caller waits.
+		// AnsweredLate, if not nil, gets the outcome of a call that the caller has ceased
+		// to wait for. It is called once at most, from another goroutine.
+		Listen       time.Duration
+		AnsweredLate func(error)
 	}
 	// StopOrder stops a run, or prevents its start if it has not started yet.
 	StopOrder struct {
@@ -61,7 +66,7 @@
 }
 
 // WorkerCalls are the calls to a worker. Each is safe for concurrent use.
-// Errors are RefusedError if the worker did nothing, FencedError,
+// Errors are RefusedError if the worker did nothing, UnsentError, FencedError,
 // OtherProcessError, RestartedError, DisconnectedError, or any other error if the
 // outcome is unknown.
 type WorkerCalls struct {
@@ -81,6 +86,18 @@
 
 func (e *RefusedError) Error() string { return "worker refused: " + e.Reason }
 
+// UnsentError reports a call of which nothing was sent, because there was no connection to
+// the worker.
+type UnsentError struct {
+	Worker string
+	Err    error
+}
+
+func (e *UnsentError) Error() string { return "not sent to worker " + e.Worker + ": " + e.Err.Error() }
+
+// Unwrap returns the cause, which may be a DisconnectedError.
+func (e *UnsentError) Unwrap() error { return e.Err }
+
 // FencedError reports an order with a fence lower than one the worker has seen.
 type FencedError struct{ Worker string }
 
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -180,23 +180,45 @@
 	if u.IsLinkFull = c.all.isLinkFull != nil && c.all.isLinkFull(u.Waited); u.IsLinkFull {
 		return u
 	}
-	if c.sentAt.After(c.server.unansweredAt) {
-		c.server.unansweredAt = c.sentAt
-	}
 	var network net.Error
 	isSilent := errors.As(err, &network) && network.Timeout()
-	for o := range c.server.open {
-		if o == c || !o.isRetired() {
+	u.Retired = c.server.retire(now, c.sentAt, isSilent, c)
+	return u
+}
+
+// retire retires the connections, other than one, that were open before an unanswered call
+// was sent and have received nothing since. It returns how many are retired.
+func (s *serverConnections) retire(now, sentAt time.Time, isSilent bool, except *connection) int {
+	if sentAt.After(s.unansweredAt) {
+		s.unansweredAt = sentAt
+	}
+	count := 0
+	for o := range s.open {
+		if o == except || !o.isRetired() {
 			continue
 		}
-		u.Retired++
+		count++
 		if isSilent && o.isForWatches && o.isWaiting {
 			o.isAbandoned = true
 			// The connection is closed by the call that the deadline ends.
 			_ = o.Conn.SetReadDeadline(now)
 		}
 	}
-	return u
+	return count
+}
+
+// NoteOverdue retires connections as an unanswered call does, for a call to an address
+// that was sent at the given time and whose caller goes on waiting for the answer. Its own
+// connection is used again once that has arrived.
+func (s *Connector) NoteOverdue(address string, sentAt time.Time) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server := s.servers[address]
+	if server == nil || s.isLinkFull != nil && s.isLinkFull(now.Sub(sentAt)) {
+		return
+	}
+	server.retire(now, sentAt, true, nil)
 }
 
 // Close closes the connection.
