Start no task again while a start of it may still be carried out

An owner that got no answer to a start stopped the run, and started the task elsewhere once the worker had confirmed the stop. That binds the process that confirmed it. The next process of the id knows neither the stop nor a fence, and carried the first start out up to 12 s after it was sent.

A start without an answer is now kept with its task until it is answered, listed by its worker, or 15 s old (late.go). Meanwhile - a task that ends stays where its start was sent, if that may be carried out there, which saves the restart where the start comes late; otherwise it waits for the rest of the 15 s, whatever has become of the worker; - a long-running task starts again at once, but only on the worker with the same id, whose processes never run at the same time, and it is not handed over to another shard; - a speculative task may have two runs and starts again as before. The starts are stored with the progress, before the next one, so that a successor waits too. An answer that comes late ends the wait, and a start that was not sent, or that another process refused, causes none.

--- a/internal/conductor/answered_start_test.go
+++ b/internal/conductor/answered_start_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,3 +93,38 @@
 
 // lateCallLimit is how long after it was sent a call may still be carried out.
 const lateCallLimit = planner.LateCallLimit
+
+// TestLateAnswerEndsWait guards against a task that waits for a start to be carried out late
+// although an answer has shown since that it was refused or never sent, and against a later
+// answer that is taken for none.
+func TestLateAnswerEndsWait(t *testing.T) {
+	for name, tt := range map[string]struct {
+		// inTime is the outcome of the first start in time, and late the one after it, if any.
+		inTime, late error
+	}{
+		"refused late":            {errors.New("no answer"), &conductor.RefusedError{Reason: "old"}},
+		"not sent":                {&conductor.UnsentError{Worker: "w", Err: errors.New("no connection")}, nil},
+		"not sent, as shows late": {errors.New("no answer"), &conductor.UnsentError{Worker: "w", Err: errors.New("no connection")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestCluster(t, 50*time.Millisecond)
+			calls := s.pool.calls()
+			start := calls.Start
+			var starts atomic.Int64
+			calls.Start = func(ctx context.Context, w planner.Worker, o conductor.StartOrder) error {
+				if starts.Add(1) > 1 {
+					return start(ctx, w, o)
+				}
+				if tt.late != nil {
+					time.AfterFunc(300*time.Millisecond, func() { o.AnsweredLate(tt.late) })
+				}
+				return tt.inTime
+			}
+			c, stop := s.startDaemonOf(testShard{name: "0", cpu: 64000, pool: s.pool, calls: &calls}, 1)
+			defer stop()
+			s.submit("a", 1)
+			s.eventually("done", testTimeout, func() bool { return state(c, "a") == planner.Done })
+			s.checkEachStartedOnce("a", 1)
+		})
+	}
+}
--- a/internal/conductor/calls.go
+++ b/internal/conductor/calls.go
@@ -212,7 +212,7 @@
 	deadline, expiry := c.leaseDeadline(now, w, s)
 	clock := s.clockRange(now, timeout+startListenTime)
 	if o.Kind == planner.StartRun {
-		c.planner.Leased(w.ID, expiry)
+		c.planner.StartSent(now, o.Run, w.ID, expiry)
 	}
 	c.background.Go(func() {
 		sent := c.options.Now()
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -390,6 +390,7 @@
 	c.metrics.jobs.WithLabelValues("listed_workers").Set(float64(len(c.workers)))
 	c.metrics.jobs.WithLabelValues("sick_workers").Set(float64(u.Sick))
 	c.metrics.jobs.WithLabelValues("unstored_ends").Set(float64(u.UnstoredEnds))
+	c.metrics.jobs.WithLabelValues("tasks_with_late_starts").Set(float64(u.LateTasks))
 }
 
 // isOwnershipConfirmed reports whether the ownership was proved so recently
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -148,6 +148,7 @@
 // TestUnansweredStart guards against a second run of a task whose start was not
 // answered, while the worker refuses the stop because it is unhealthy.
 func TestUnansweredStart(t *testing.T) {
+	t.Parallel()
 	s := newTestCluster(t, 50*time.Millisecond)
 	isLost, refuse := false, true
 	s.pool.intercept = func(kind string) error {
@@ -168,7 +169,7 @@
 	s.pool.mu.Lock()
 	refuse = false
 	s.pool.mu.Unlock()
-	s.eventually("done", testTimeout, func() bool { return state(c, "a") == planner.Done })
+	s.eventually("done", planner.LateCallLimit+testTimeout, func() bool { return state(c, "a") == planner.Done })
 	s.checkEachStartedOnce("a", 1)
 }
 
--- a/internal/conductor/process_test.go
+++ b/internal/conductor/process_test.go
@@ -107,7 +107,7 @@
 		},
 	}}, 1)
 	defer end()
-	s.submit("a", 1)
+	s.submitSpeculative("a")
 	<-stopSent
 	s.pool.restart(20)
 	s.eventually("stop sent to the new process", testTimeout, func() bool { return stops.Load() > 1 })
--- a/internal/conductor/refused_stop_test.go
+++ b/internal/conductor/refused_stop_test.go
@@ -37,7 +37,7 @@
 			}
 			c, stop := s.startDaemon(1)
 			defer stop()
-			s.submit("a", 1)
+			s.submitSpeculative("a")
 			time.Sleep(1500 * time.Millisecond)
 			s.Assert(s.pool.startsOf("a"), quicktest.HasLen, 0, quicktest.Commentf("started again though the first start may still be carried out"))
 			s.pool.mu.Lock()
@@ -69,7 +69,7 @@
 	}
 	c, stop := s.startDaemon(1)
 	defer stop()
-	s.submit("a", 1)
+	s.submitSpeculative("a")
 	s.eventually("done", testTimeout, func() bool { return state(c, "a") == planner.Done })
 	s.checkEachStartedOnce("a", 1)
 	s.pool.mu.Lock()
--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -273,10 +273,10 @@
 func (t *task) areCrashesStored() bool { return t.step.occurrence.job.committed >= t.crashVersion }
 
 // isSafeToStart reports whether a successor would know what it needs of the next run of a
-// task: an attempt number that the run is below, and the crash of its worker. The crashes
-// so far are stored, and a further one could be.
+// task: an attempt number that the run is below, the starts that may still be carried out,
+// and the crash of its worker. The crashes so far are stored, and a further one could be.
 func (p *Planner) isSafeToStart(now time.Time, t *task) bool {
-	return p.ensureAttempt(t) && (t.suspicion() == notSuspected || t.areCrashesStored() && now.Sub(p.provenAt) < suspectHorizon)
+	return p.ensureAttempt(t) && t.areLateStartsStored() && (t.suspicion() == notSuspected || t.areCrashesStored() && now.Sub(p.provenAt) < suspectHorizon)
 }
 
 // giveUpDeadlyTasks ends the jobs of the tasks that are given up, once it is known that
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -48,6 +48,10 @@
 		return "may run on workers that this owner can't identify"
 	case s.occurrence.job.mayHaveUnverifiedRuns && p.hasUnverifiedWorkers(s.occurrence.job) && !s.Speculative:
 		return fmt.Sprintf("may run on one of %d workers that have not answered this owner", len(p.unverified))
+	case t.mustWait():
+		return fmt.Sprintf("starts again once %d starts without an answer can't be carried out any more", len(t.lateStarts))
+	case !t.areLateStartsStored():
+		return "starts again once the store answers, since a start of it may still be carried out"
 	case !p.isSafeToStart(now, t):
 		return fmt.Sprintf("starts again once the store answers, since workers crashed under it: %v", t.crashedWorkers())
 	case now.Before(t.retryAt):
--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -168,7 +168,7 @@
 
 // Unplaced returns the long-running tasks that may be handed over to another
 // shard, those that have waited longest first. It excludes tasks that may still
-// have a run here.
+// have a run here, or get one by a start that is carried out late.
 func (p *Planner) Unplaced(now time.Time) []Unplaced {
 	type group struct {
 		Unplaced
@@ -203,7 +203,7 @@
 
 func (p *Planner) isUnplaced(now time.Time, t *task) bool {
 	s := t.step
-	if !s.LongRunning || !s.isOpen || t.isElsewhere || len(t.runs) > 0 || t.readyAt.IsZero() || now.Before(t.retryAt) {
+	if !s.LongRunning || !s.isOpen || t.isElsewhere || len(t.runs) > 0 || t.readyAt.IsZero() || now.Before(t.retryAt) || len(t.lateStarts) > 0 {
 		return false
 	}
 	if t.hasReservedWorker(now) && now.Sub(t.reservedAt) < reserveHandoverDelay {
--- a/internal/planner/late_orders_test.go
+++ b/internal/planner/late_orders_test.go
@@ -62,6 +62,11 @@
 			d.p.StopAnswered(d.now, start.Run, start.WorkerID)
 			d.advance(100 * time.Millisecond)
 			d.answerEmpty(start, d.now)
+		}, false},
+		"no answer, and it can't arrive any more": {func(d *driver, start planner.Command) {
+			d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Unclear, "no answer")
+			d.advance(planner.LateCallLimit + time.Millisecond)
+			d.answerEmpty(start, d.now)
 		}, true},
 		"listed, and then the start has no answer": {func(d *driver, start planner.Command) {
 			d.running[start.WorkerID] = []planner.RunStatus{{Run: start.Run}}
--- a/internal/planner/limit_test.go
+++ b/internal/planner/limit_test.go
@@ -44,9 +44,11 @@
 	d.p.StartAnswered(d.now, starts[0].Run, "a", planner.Started, "")
 	d.p.StartAnswered(d.now, starts[1].Run, "a", planner.Refused, "")
 	stops := map[planner.RunID]bool{}
+	// The other starts are answered after the gang is stopped.
 	for _, o := range d.p.Plan(d.now, d.proven()) {
 		d.Assert(o.Kind, quicktest.Equals, planner.StopRun)
 		stops[o.Run] = true
+		d.p.StartAnswered(d.now, o.Run, "a", planner.Started, "")
 		d.p.StopAnswered(d.now, o.Run, "a")
 	}
 	d.Assert(stops, quicktest.HasLen, 3)
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -197,7 +197,7 @@
 			r.targetPace = r.pace
 		}
 	}
-	r.isListed = true
+	p.markListed(r)
 	if r.state == "starting" {
 		p.confirmStart(now, r)
 	}
@@ -237,6 +237,7 @@
 	delete(p.unknownRuns, id)
 	r := &run{id: id, task: t, worker: w, state: p.chart.Start(), startedAt: now, decidedAt: now, isListed: true, progressAt: now, pace: 100, targetPace: 100}
 	p.transition(r, "confirm")
+	p.settleLateStart(id, "listed")
 	w.addRun(r)
 	p.noteAdopted(r)
 	p.Leased(w.ID, p.options.PredecessorLeaseEnd)
@@ -329,6 +330,7 @@
 		p.failTask(now, w, t, e.Run.Attempt)
 	case EndStopped, EndLapsed, EndBroken, EndAlone:
 	}
+	p.settleLateStart(e.Run, "listed as ended")
 	if r := w.runs[e.Run]; r != nil {
 		r.isListed = true
 		p.endRun(r, "end", string(e.Kind))
@@ -382,9 +384,7 @@
 	if t.done {
 		return
 	}
-	if !slices.Contains(t.avoidedWorkers, w.ID) {
-		t.avoidedWorkers = append(t.avoidedWorkers, w.ID)
-	}
+	t.avoid(w)
 	if slices.Contains(t.failures, attempt) {
 		return
 	}
@@ -427,6 +427,15 @@
 	return true
 }
 
+// markListed records that the worker's process has the run, so that its start has been
+// carried out.
+func (p *Planner) markListed(r *run) {
+	if !r.isListed {
+		r.isListed = true
+		p.settleLateStart(r.id, "listed")
+	}
+}
+
 // endRun removes a run from its worker and queues its task again if the task is
 // not done.
 func (p *Planner) endRun(r *run, event, reason string) {
@@ -436,6 +445,7 @@
 	t, w := r.task, r.worker
 	w.removeRun(r)
 	w.noteWithdrawn(r)
+	p.noteLateStart(r)
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	p.reportRun("run_ended", r, reason)
 	if len(t.runs) == 0 {
--- a/internal/planner/outcome.go
+++ b/internal/planner/outcome.go
@@ -18,15 +18,25 @@
 	Misplaced
 )
 
-// StartAnswered applies the outcome of a start command.
+// StartAnswered applies the outcome of a start command. Another outcome than Unclear may
+// follow later, also when the run has ended: the command can't be carried out any more then.
 func (p *Planner) StartAnswered(now time.Time, id RunID, workerID string, o StartOutcome, reason string) {
 	w := p.workers[workerID]
+	if o != Unclear {
+		p.settleLateStart(id, "answered")
+		if w != nil {
+			w.forgetWithdrawn(id)
+		}
+	}
 	if w == nil || w.runs[id] == nil {
 		return
 	}
 	r := w.runs[id]
-	if o == Started || o == Refused {
+	switch o {
+	case Started, Refused:
 		r.answeredAt = now
+	case Misplaced:
+		r.isSettled = true
 	}
 	j := r.task.step.occurrence.job
 	switch o {
@@ -36,11 +46,16 @@
 	case Refused:
 		r.task.retryAt = now.Add(retryDelay)
 		if reason != "" {
-			r.task.avoidedWorkers = append(r.task.avoidedWorkers, w.ID)
+			r.task.avoid(w)
 		}
 		p.endRun(r, "refuse", "start refused: "+reason)
 		p.stopGang(now, r.task.step)
 	case Unclear:
+		p.noteLateStart(r)
+		if p.mayAwaitLateStart(r) {
+			r.isOverdue = true
+			return
+		}
 		p.stop(now, r, "start without an answer")
 	case Misplaced:
 		r.wasSentToEnded, w.replacedAt = true, now
@@ -48,6 +63,15 @@
 	}
 }
 
+// StartSent records that a start command is sent with a lease that expires at the given time
+// or earlier.
+func (p *Planner) StartSent(now time.Time, id RunID, workerID string, leaseEnd time.Time) {
+	p.Leased(workerID, leaseEnd)
+	if w := p.workers[workerID]; w != nil && w.runs[id] != nil {
+		w.runs[id].startedAt, w.runs[id].startLeaseEnd = now, leaseEnd
+	}
+}
+
 // stopGang stops the runs of a gang of which a member doesn't start, since the others would
 // wait for it in vain.
 func (p *Planner) stopGang(now time.Time, s *step) {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -107,7 +107,7 @@
 	var best *Worker
 	var lowest float64
 	for _, w := range candidates {
-		if !w.free.Fits(need) || !p.isWithinWorkerLimit(t, w) || w.isReservedAgainst(now, t) || !w.isSeparate(t) {
+		if !w.free.Fits(need) || !p.isWithinWorkerLimit(t, w) || w.isReservedAgainst(now, t) || !w.isSeparate(t) || t.isBoundElsewhere(w) {
 			continue
 		}
 		cost, ok := p.placementCost(now, t, w, pace, limit)
@@ -168,6 +168,13 @@
 	return true
 }
 
+// avoid records a worker on which the task failed, stalled, was slow or was refused.
+func (t *task) avoid(w *Worker) {
+	if !slices.Contains(t.avoidedWorkers, w.ID) {
+		t.avoidedWorkers = append(t.avoidedWorkers, w.ID)
+	}
+}
+
 // chooseGang returns one worker for each task of a gang, or nil if not all
 // tasks fit. A gang with SameRack is placed in one rack if any rack has room
 // for it.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -47,6 +47,7 @@
 	if len(p.forgotten) > 0 {
 		p.applyDiscovered(now)
 	}
+	p.expireLateStarts(now)
 	p.recordCrashes(now)
 	p.giveUpDeadlyTasks(now)
 	p.openOccurrences(now)
@@ -55,6 +56,7 @@
 		if w.Draining {
 			p.drainWorker(now, w)
 		}
+		p.checkOverdueStarts(now, w)
 		p.checkRuns(now, w)
 	}
 	p.resendStops(now)
@@ -245,14 +247,14 @@
 				p.reportWorker("worker_sick", w, "a task stands still")
 				w.markSick(now)
 			}
-			r.task.avoidedWorkers = append(r.task.avoidedWorkers, w.ID)
+			r.task.avoid(w)
 			p.stop(now, r, fmt.Sprintf("no progress at %d%% for %s", r.percent, now.Sub(r.progressAt)))
 		case r.rateAt == w.polledAt && !r.rateAt.IsZero() && r.cpuShare() > minRateShare:
 			// A run that gets less CPU than it needs is slower for that reason,
 			// so its rate is corrected by its CPU share.
 			w.recordSpeed(now, r.rate/expected/r.cpuShare())
 			if w.isSlow(now) && p.isSoonerElsewhere(r) && p.hasRoomElsewhere(now, r) {
-				r.task.avoidedWorkers = append(r.task.avoidedWorkers, w.ID)
+				r.task.avoid(w)
 				p.stop(now, r, fmt.Sprintf("worker at %.2f of its speed", w.speed))
 			}
 			r.rateAt = time.Time{}
@@ -376,7 +378,7 @@
 		if p.startsLeft <= 0 {
 			return
 		}
-		if now.Before(t.retryAt) || !p.isSafeToStart(now, t) {
+		if now.Before(t.retryAt) || t.mustWait() || !p.isSafeToStart(now, t) {
 			continue
 		}
 		if p.isBlockedByCap(s, t) {
@@ -403,7 +405,7 @@
 			p.reserveWorker(now, t, candidates)
 			continue
 		}
-		if w == nil && t.suspicion() > notSuspected {
+		if w == nil && (t.suspicion() > notSuspected || len(t.lateStarts) > 0) {
 			continue
 		}
 		if w == nil {
@@ -465,7 +467,7 @@
 func (p *Planner) startGang(now time.Time, s *step) {
 	areSafe := true
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || now.Before(t.retryAt) {
+		if t.done || len(t.runs) > 0 || now.Before(t.retryAt) || t.mustWait() {
 			return
 		}
 		// One commit stores what is missing of all members.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -174,6 +174,8 @@
 	// startLimit is how many starts a plan may decide, and startsLeft how many the
 	// present one still may.
 	startLimit, startsLeft int
+	// lateTasks holds the tasks with starts that may still be carried out.
+	lateTasks []*task
 	// deadlyTasks holds the tasks to give up.
 	deadlyTasks []*task
 	commands    []Command
@@ -240,6 +242,12 @@
 	}
 }
 
+func (p *Planner) reportTask(event string, t *task, detail string) {
+	if p.options.OnDecision != nil {
+		p.options.OnDecision(Decision{Event: event, Job: t.id.Job, Detail: t.id.String() + ": " + detail})
+	}
+}
+
 func (p *Planner) reportWorker(event string, w *Worker, detail string) {
 	if p.options.OnDecision != nil {
 		p.options.OnDecision(Decision{Event: event, Worker: w.ID, Detail: detail})
@@ -294,7 +302,7 @@
 			j.markAllElsewhere()
 		}
 	}
-	j.restore(r)
+	p.restore(now, j, r)
 	p.acceptArrivals(now, j, d.Arrived)
 	j.visibleState = j.state
 	p.jobs[d.ID] = j
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -49,7 +50,7 @@
 }
 
 // TaskProgress is the progress of a task that has failed, is suspected of a crash, has
-// a checkpoint or was handed over.
+// a checkpoint, was handed over or has starts that may still be carried out.
 type TaskProgress struct {
 	Step  int `cbor:"step"`
 	Index int `cbor:"index"`
@@ -67,6 +68,9 @@
 	// Attempt is the highest attempt that an owner had used when it had used those of a
 	// whole epoch, less the gaps of the epochs before; zero if none has.
 	Attempt int `cbor:"attempt,omitempty"`
+	// LateStarts holds the starts that may still be carried out. Earlier versions don't
+	// know them.
+	LateStarts []LateStart `cbor:"late_starts,omitempty"`
 }
 
 // Encode returns the stored form of v. It fails if a time of v is outside of the years 0 to
@@ -103,8 +107,8 @@
 					done.setDone(t.id.Index)
 					continue
 				}
-				if t.done || len(t.failures) > 0 || t.checkpoint != "" || t.departure != nil || len(t.crashes) > 0 || t.raisedFloor > 0 {
-					op.Tasks = append(op.Tasks, TaskProgress{t.id.Step, t.id.Index, t.done, t.failures, t.checkpoint, t.departure, t.crashes, t.raisedFloor})
+				if t.done || len(t.failures) > 0 || t.checkpoint != "" || t.departure != nil || len(t.crashes) > 0 || t.raisedFloor > 0 || len(t.lateStarts) > 0 {
+					op.Tasks = append(op.Tasks, TaskProgress{t.id.Step, t.id.Index, t.done, t.failures, t.checkpoint, t.departure, t.crashes, t.raisedFloor, t.storedLateStarts()})
 				}
 			}
 			if len(done.Done) > 0 {
@@ -119,7 +123,7 @@
 }
 
 // restore applies stored progress to a newly added job.
-func (j *job) restore(r Progress) {
+func (p *Planner) restore(now time.Time, j *job, r Progress) {
 	j.state = r.State
 	if j.state == "" {
 		j.state = Queued
@@ -143,6 +147,7 @@
 			t.failures, t.checkpoint, t.crashes = tp.Failures, tp.Checkpoint, tp.Crashes
 			t.hasStoredCrashes = len(tp.Crashes) > 0
 			t.raisedFloor, t.attemptFloor = tp.Attempt, max(t.attemptFloor, tp.Attempt)
+			p.restoreLateStarts(now, t, tp.LateStarts)
 			j.hasStarted = j.hasStarted || tp.Done || len(tp.Failures) > 0 || tp.Checkpoint != "" || len(tp.Crashes) > 0
 			if tp.Departure != nil {
 				t.departure, t.handovers = tp.Departure, tp.Departure.Move
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -89,7 +89,7 @@
 	var best *Worker
 	var most int64
 	for _, w := range candidates {
-		if w.isReserved(now) || !p.isWithinWorkerLimit(t, w) || slices.Contains(t.avoidedWorkers, w.ID) {
+		if w.isReserved(now) || !p.isWithinWorkerLimit(t, w) || slices.Contains(t.avoidedWorkers, w.ID) || t.isBoundElsewhere(w) {
 			continue
 		}
 		room := w.roomForLongRunning()
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -146,6 +146,11 @@
 	// blockedIn is the number of the last plan in which the cap of its organisation kept
 	// the task from starting.
 	blockedIn uint64
+	// lateStarts holds the starts that may still be carried out although their runs have
+	// ended or are being stopped, and lateVersion is the version of the job that has the
+	// last one.
+	lateStarts  []lateStart
+	lateVersion uint64
 	// retryAt is the earliest time at which the task may start after a failure.
 	retryAt time.Time
 	// readyAt is when the task was first seen waiting in an open step. soughtAt is
@@ -189,6 +194,14 @@
 	// answeredAt is when the start was answered, so that it can't be carried out any
 	// more; zero before.
 	answeredAt time.Time
+	// startLeaseEnd is when the lease that the start grants has certainly expired, so that
+	// the worker no longer carries the start out; zero if it is not known.
+	startLeaseEnd time.Time
+	// isOverdue is set when the start had no answer in time and is awaited.
+	isOverdue bool
+	// isSettled is set when the start can't be carried out any more although its worker has
+	// not answered it: a later process has done so, or its time has passed.
+	isSettled bool
 	// suspicion is that of the task, as the worker counts it.
 	suspicion suspicion
 	// wasSentToEnded is set when the start was sent to an ended process that had the
--- a/internal/planner/usage.go
+++ b/internal/planner/usage.go
@@ -3,12 +3,13 @@
 import "time"
 
 // Usage holds the numbers of unfinished jobs, waiting tasks, runs, workers, sick
-// workers, and ends whose effect is not in the store, for metrics.
-type Usage struct{ Jobs, Waiting, Runs, Workers, Sick, UnstoredEnds int }
+// workers, ends whose effect is not in the store, and tasks of which a start may still be
+// carried out, for metrics.
+type Usage struct{ Jobs, Waiting, Runs, Workers, Sick, UnstoredEnds, LateTasks int }
 
 // Usage returns the current counts.
 func (p *Planner) Usage(now time.Time) Usage {
-	u := Usage{Jobs: len(p.activeJobs), Workers: len(p.workers)}
+	u := Usage{Jobs: len(p.activeJobs), Workers: len(p.workers), LateTasks: len(p.lateTasks)}
 	for _, w := range p.sortedWorkers {
 		u.Runs += len(w.runs)
 		u.UnstoredEnds += w.unstoredEnds(p.jobsReadAt)
--- a/internal/planner/withdraw.go
+++ b/internal/planner/withdraw.go
@@ -28,6 +28,11 @@
 	}
 }
 
+// forgetWithdrawn forgets a withdrawn start that was answered after its run had ended.
+func (w *Worker) forgetWithdrawn(id RunID) {
+	w.withdrawnStarts = slices.DeleteFunc(w.withdrawnStarts, func(s withdrawnStart) bool { return s.run == id })
+}
+
 func (w *Worker) confirmWithdrawal(id RunID) {
 	for i := range w.withdrawnStarts {
 		if s := &w.withdrawnStarts[i]; s.run == id && !s.stopSent.IsZero() {
--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -133,7 +133,7 @@
 	m := w.machineAt(known.Address)
 	l := s.grant(w, m, o.isWithinHorizon())
 	if c.Kind == planner.StartRun {
-		p.Leased(c.WorkerID, w.leaseEnd())
+		p.StartSent(w.now, c.Run, c.WorkerID, w.leaseEnd())
 	}
 	isDelayed := w.noise.Float64() < w.delayedShare
 	if !o.canReach(m) || isDelayed {
@@ -146,7 +146,7 @@
 	w.schedule(w.now.Add(delay), func() {
 		outcome := o.execute(known, c, l, false)
 		if outcome == unanswered {
-			w.schedule(w.now.Add(delay), func() { o.handleTimeout(c, s) })
+			w.schedule(w.now.Add(delay), func() { o.handleRefusedConnection(c, s) })
 			return
 		}
 		w.schedule(w.now.Add(delay), func() { o.handleAnswer(c, s, outcome) })
@@ -168,6 +168,15 @@
 	}
 }
 
+// handleRefusedConnection applies that no process has the worker's address, so that nothing
+// of a command was sent.
+func (o *owner) handleRefusedConnection(c planner.Command, s *session) {
+	if c.Kind == planner.StartRun && !o.isRemoved() {
+		o.planner.StartAnswered(o.world.now, c.Run, c.WorkerID, planner.Refused, "")
+	}
+	o.handleTimeout(c, s)
+}
+
 // callOutcome is the result of a command that has arrived at an address.
 type callOutcome int
 
@@ -218,6 +227,9 @@
 	}
 	p, now := o.planner, o.world.now
 	if outcome == misdirected {
+		if c.Kind == planner.StartRun {
+			p.StartAnswered(now, c.Run, c.WorkerID, planner.Refused, "")
+		}
 		o.handleOtherProcess(c.WorkerID, s)
 		return
 	}
