Store the occurrences that are done as ranges, and forget them

A job that runs many times listed each of its occurrences in its stored progress, with the bits of its tasks, 35 bytes each. At about 30,000 the store refused the record, and the owner repeated the transaction with it for ever.

What is done and in order needs a first and a last number. Occurrences that are done are no longer stored one by one, nor kept in memory once no run and no unacknowledged end refers to them; a plan no longer passes over all of them. An end that is listed again after that counts once.

Records of the version before are read, with or without the bits of done tasks, so that a deployment that is stuck comes free: the next commit is short. The version before can't read ranges, and leaves such a job to an owner of this version instead of running again what is done.

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -372,8 +372,8 @@
 	if s.unfinished > 0 || !s.occurrence.isDone() {
 		return
 	}
-	j.ended[s.occurrence.number] = true
-	if len(j.ended) >= max(1, j.Times) {
+	j.ended.add(s.occurrence.number)
+	if j.ended.count() >= max(1, j.Times) {
 		p.finishJob(now, j, Done)
 	}
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -291,7 +291,7 @@
 	if q, ok := p.config.Queues[d.Queue.Name]; ok {
 		d.Queue = q
 	}
-	j := &job{Job: d, ended: map[int]bool{}, wasLoaded: p.jobsReadAt.IsZero(), mayPredateOwner: p.hadPredecessor}
+	j := &job{Job: d, byNumber: map[int]*occurrence{}, wasLoaded: p.jobsReadAt.IsZero(), mayPredateOwner: p.hadPredecessor}
 	j.mayHaveUnverifiedRuns = p.hasUnverifiedWorkers(j)
 	// Clocks of instances differ, so the arrival is clamped to the present.
 	age := max(0, p.options.WallTime(now).Sub(d.Received))
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -13,8 +13,9 @@
 // does not include where the tasks run, because the workers report that.
 type Progress struct {
 	State State `cbor:"state"`
-	// Ended holds the numbers of the occurrences that are done.
-	Ended       []int                `cbor:"ended,omitempty"`
+	// Ended holds the numbers of the occurrences that are done, and Occurrences has the
+	// progress of others.
+	Ended       numberSet            `cbor:"ended,omitzero"`
 	Occurrences []OccurrenceProgress `cbor:"occurrences,omitempty"`
 	// Shards names the shards to which tasks of the job were handed over. Each of them
 	// keeps a record of the job until it is told that the job is cancelled.
@@ -93,12 +94,12 @@
 	if j.state.isFinal() {
 		return r
 	}
-	for k := range j.ended {
-		r.Ended = append(r.Ended, k)
-	}
-	slices.Sort(r.Ended)
+	r.Ended.ranges = slices.Clone(j.ended.ranges)
 	r.Shards = j.shards
 	for _, o := range j.occurrences {
+		if j.ended.has(o.number) {
+			continue
+		}
 		op := OccurrenceProgress{Number: o.number}
 		for _, s := range o.steps {
 			done := StepProgress{Step: s.number}
@@ -129,14 +130,16 @@
 		j.state = Queued
 	}
 	j.shards = r.Shards
-	for _, k := range r.Ended {
-		j.ended[k] = true
-	}
-	j.hasStarted = len(r.Ended) > 0
+	j.ended.ranges = slices.Clone(r.Ended.ranges)
+	j.hasStarted = !r.Ended.IsZero()
 	if j.state.isFinal() {
 		return
 	}
 	for _, op := range r.Occurrences {
+		if j.ended.has(op.Number) {
+			// Earlier versions store the progress of these too.
+			continue
+		}
 		o := j.occurrence(op.Number)
 		for _, tp := range op.Tasks {
 			if tp.Step < 0 || tp.Step >= len(o.steps) || tp.Index < 0 || tp.Index >= len(o.steps[tp.Step].tasks) {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -20,8 +20,12 @@
 	// version counts the changes to commit; committed is the version in the
 	// store.
 	version, committed uint64
-	occurrences        []*occurrence
-	ended              map[int]bool
+	// occurrences holds those that are open, and those that have ended until nothing
+	// refers to them. byNumber has the same.
+	occurrences []*occurrence
+	byNumber    map[int]*occurrence
+	// ended holds the numbers of the occurrences that are done.
+	ended numberSet
 	// shards names the shards to which tasks of the job were handed over.
 	shards []string
 	// arrived is when the job was received, on the planner's clock.
@@ -49,13 +53,11 @@
 
 // occurrence returns occurrence k and creates it if needed.
 func (j *job) occurrence(k int) *occurrence {
-	for _, o := range j.occurrences {
-		if o.number == k {
-			return o
-		}
+	if o := j.byNumber[k]; o != nil {
+		return o
 	}
 	o := &occurrence{job: j, number: k}
-	isEnded := j.ended[k]
+	isEnded := j.ended.has(k)
 	for i := range j.Steps {
 		s := &step{Step: &j.Steps[i], occurrence: o, number: i, unfinished: j.Steps[i].Count}
 		for n := range s.Count {
@@ -70,6 +72,7 @@
 	}
 	o.openSteps()
 	j.occurrences = append(j.occurrences, o)
+	j.byNumber[k] = o
 	return o
 }
 
