Store one failure of a long-running task

Such a task may fail without end, and nothing counts its failures. Only the highest attempt that failed is kept, which is enough to count an end once that is listed twice, as attempts rise and one runs at a time. Its later failures change nothing that has to be stored, so that they cost no commit either.

--- a/internal/planner/growth_test.go
+++ b/internal/planner/growth_test.go
@@ -142,6 +142,33 @@
 	}
 }
 
+// TestProgressOfFailingLongRunningTask guards against a long-running task whose stored
+// progress grows with each failure, and against a failure that is listed twice.
+func TestProgressOfFailingLongRunningTask(t *testing.T) {
+	d := newDriver(t, 1, worker("a", 8)).registerWorkers()
+	s := step(1, 1)
+	s.LongRunning = true
+	d.add(job("1", s))
+	largest := 0
+	for range 1500 {
+		for _, o := range d.startTasks() {
+			d.endRun(o, planner.EndFailed)
+		}
+		for _, ch := range d.p.Changes(10) {
+			value, err := planner.Encode(ch.Progress)
+			d.Assert(err, quicktest.IsNil)
+			largest = max(largest, len(value))
+			d.p.Committed([]planner.Change{ch})
+		}
+		d.advance(time.Second)
+		d.poll("a")
+	}
+	if largest > maxSmallRecord {
+		d.Fatalf("%d bytes", largest)
+	}
+	d.Assert(d.decisionCounts["start"] > 1000, quicktest.IsTrue, quicktest.Commentf("%d starts", d.decisionCounts["start"]))
+}
+
 // BenchmarkLongSchedule measures a plan of a job that has run a million times.
 func BenchmarkLongSchedule(b *testing.B) {
 	const count = 1_000_000
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -385,12 +385,15 @@
 		return
 	}
 	t.avoid(w)
-	if slices.Contains(t.failures, attempt) {
+	if t.hasFailed(attempt) {
 		return
 	}
-	t.failures = append(t.failures, attempt)
+	if len(t.failures) == 0 || !t.step.LongRunning {
+		// The number of the failures of a long-running task doesn't matter.
+		j.markChanged()
+	}
+	t.setFailures(append(t.failures, attempt))
 	t.retryAt = now.Add(retryDelay)
-	j.markChanged()
 	if w.recordFailure(now, j.ID) {
 		p.reportWorker("worker_sick", w, fmt.Sprintf("%d jobs failed in a row", sickFailures))
 	}
@@ -399,6 +402,24 @@
 	}
 }
 
+// hasFailed reports whether the failure of an attempt is known. Those of a long-running
+// task are known in the order of the attempts.
+func (t *task) hasFailed(attempt int) bool {
+	if t.step.LongRunning {
+		return len(t.failures) > 0 && attempt <= t.failures[0]
+	}
+	return slices.Contains(t.failures, attempt)
+}
+
+// setFailures sets the attempts that have failed. A long-running task may fail without
+// end, so only the highest is kept.
+func (t *task) setFailures(list []int) {
+	if t.step.LongRunning && len(list) > 1 {
+		list = []int{slices.Max(list)}
+	}
+	t.failures = list
+}
+
 // failedAttempts returns how many attempts of the task, or of its gang, have
 // failed.
 func (t *task) failedAttempts() int {
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -59,7 +59,7 @@
 	// in this way.
 	Done bool `cbor:"done,omitempty"`
 	// Failures holds the attempts that failed, so that an end which a worker
-	// lists again is counted once.
+	// lists again is counted once. Of a long-running task, it holds one of them.
 	Failures   []int  `cbor:"failures,omitempty"`
 	Checkpoint string `cbor:"checkpoint,omitempty"`
 	// Departure is set when the task was handed over to another shard.
@@ -147,7 +147,8 @@
 			}
 			s := o.steps[tp.Step]
 			t := s.tasks[tp.Index]
-			t.failures, t.checkpoint, t.crashes = tp.Failures, tp.Checkpoint, tp.Crashes
+			t.setFailures(tp.Failures)
+			t.checkpoint, t.crashes = tp.Checkpoint, tp.Crashes
 			t.hasStoredCrashes = len(tp.Crashes) > 0
 			t.raisedFloor, t.attemptFloor = tp.Attempt, max(t.attemptFloor, tp.Attempt)
 			p.restoreLateStarts(now, t, tp.LateStarts)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -129,7 +129,8 @@
 	done bool
 	// attempt is the highest attempt used by this owner.
 	attempt int
-	// failures holds the numbers of the attempts that failed.
+	// failures holds the numbers of the attempts that failed, of a long-running task only
+	// the highest.
 	failures []int
 	// crashes holds the crashes of workers on which the task had just started, one
 	// for each process.
