Keep the last arrival of a task in the record of its job

The record that a shard has of a job whose tasks other shards hand over listed each arrival, so that it grew with each task that came back, until a handover was refused for its size. Only the last arrival of a task matters: its number decides which shard has the task, and its attempt is the highest.

Found by the search for records that grow. TestMergeArrivals doesn't build before; the record had 100 arrivals then where it has 4.

--- a/internal/conductor/handover.go
+++ b/internal/conductor/handover.go
@@ -168,7 +168,7 @@
 		if err != nil {
 			return &UnusableRecordError{key, err}
 		}
-		known.Arrived = append(known.Arrived, record.Arrived...)
+		known.Arrived = planner.MergeArrivals(known.Arrived, record.Arrived)
 		record = known
 	}
 	value, err := encodeStorable(key, record)
--- a/internal/planner/growth_test.go
+++ b/internal/planner/growth_test.go
@@ -169,6 +169,21 @@
 	d.Assert(d.decisionCounts["start"] > 1000, quicktest.IsTrue, quicktest.Commentf("%d starts", d.decisionCounts["start"]))
 }
 
+// TestMergeArrivals guards against the record of a job that grows each time a task comes back
+// to a shard.
+func TestMergeArrivals(t *testing.T) {
+	var known []planner.Arrival
+	for move := 1; move < 100; move += 2 {
+		known = planner.MergeArrivals(known, []planner.Arrival{{Step: 0, Index: move % 3, Move: move}, {Step: 1, Index: 0, Move: move}})
+	}
+	last := map[string]int{}
+	for _, a := range known {
+		last[fmt.Sprint(a.Step, a.Index)] = a.Move
+	}
+	quicktest.Assert(t, known, quicktest.HasLen, 4)
+	quicktest.Assert(t, last, quicktest.DeepEquals, map[string]int{"0 0": 99, "0 1": 97, "0 2": 95, "1 0": 99})
+}
+
 // BenchmarkLongSchedule measures a plan of a job that has run a million times.
 func BenchmarkLongSchedule(b *testing.B) {
 	const count = 1_000_000
--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -47,6 +47,15 @@
 	return a.Step == o.Step && a.Index == o.Index && a.Move == o.Move
 }
 
+// MergeArrivals returns the arrivals of a job with later ones added. Of each task, only the
+// last arrival matters.
+func MergeArrivals(known, later []Arrival) []Arrival {
+	kept := slices.DeleteFunc(slices.Clone(known), func(a Arrival) bool {
+		return slices.ContainsFunc(later, func(o Arrival) bool { return a.Step == o.Step && a.Index == o.Index && a.Move < o.Move })
+	})
+	return append(kept, later...)
+}
+
 // Departure records the shard to which a task was handed over.
 type Departure struct {
 	Shard string `cbor:"shard"`
