Hold back the record that the store refuses, and no other

One job whose progress the store refused kept that of all others from being stored: up to 15 jobs share a transaction, and the same one was repeated every 100 ms.

A refusal that blames the call (4xx but 429 and 408) is told apart from a store that is away. After one, each of the jobs in the transaction is stored alone; a job that is refused alone is held back for 0.5 s, then twice as long each time, up to 30 s. The log names it with the size of its record, the limit and the refusal ("progress of a job refused"), and who waits for its cancellation gets an error. A large record is stored without checkpoints and crashes next time. If it is refused all the same, the job is given up as failed, since ends whose effect isn't stored hide the later ones of their workers; the record of a job in a final state is small. The limit is that of the settings (platform.valueBytes), and is checked before a record is sent. Transactions hold no more than one largest value together.

Two of the three rows of TestRefusedRecordHoldsUpNoOtherJob fail before (the other jobs aren't done within 10 s; the job is never given up); the third, in which the job ends by itself, passes.

--- a/internal/conductor/commit.go
+++ b/internal/conductor/commit.go
@@ -17,53 +17,65 @@
 // expectation and a write, and the head takes an expectation.
 const maxJobsPerCommit = (storeclient.MaxTransactionEntries - 1) / 2
 
-// commit stores progress that isn't stored yet. It expects the known revision
-// of each record, so that a commit which the store applies late can't overwrite
-// a newer one.
+// commit stores progress that isn't stored yet.
 func (c *Conductor) commit(ctx context.Context, now time.Time) {
 	if c.isCommitting || now.Before(c.nextCommitAt) {
 		return
 	}
-	changes := c.planner.Changes(maxJobsPerCommit)
-	if len(changes) == 0 {
+	t, sent := c.newCommit(now)
+	if len(sent) == 0 {
 		return
 	}
+	c.isCommitting = true
+	c.transact(ctx, t, "progress", func(_ uint64, err error) {
+		c.isCommitting = false
+		c.nextCommitAt = c.options.Now().Add(commitInterval)
+		c.soloCommits = max(0, c.soloCommits-1)
+		if err != nil {
+			c.nextCommitAt = c.options.Now().Add(storeRetryDelay)
+			c.applyRefusedCommit(sent, t, err)
+			return
+		}
+		c.planner.Committed(sent)
+		for _, ch := range sent {
+			c.noteStored(ch)
+			if ch.Progress.State.IsFinal() {
+				c.replyCancelled(ch.Job)
+			}
+		}
+	})
+}
+
+// newCommit returns a transaction that stores progress which isn't stored yet, and the changes
+// in it. It expects the known revision of each record, so that a commit which the store applies
+// late can't overwrite a newer one. Progress that can't be stored is held back.
+func (c *Conductor) newCommit(now time.Time) (storeclient.Transaction, []planner.Change) {
+	changes := c.planner.Changes(c.jobsPerCommit())
 	t := storeclient.Transaction{Expect: []storeclient.Expectation{{Key: c.keys.head(), Revision: c.headRevision}}}
-	entries := 1
+	entries, bytes := 1, 0
+	var sent []planner.Change
 	for _, ch := range changes {
-		value, err := planner.Encode(ch.Progress)
+		key := c.keys.progress(ch.Job)
+		value, err := c.encodeProgress(key, ch.Job, ch.Progress)
 		if err != nil {
-			c.options.Log.Error().Err(err).Str("job", ch.Job).Msg("conductor: progress not encoded")
-			return
+			c.holdCommit(now, ch, len(value), err)
+			continue
 		}
-		if entries += 2 + len(ch.Cancels); entries > storeclient.MaxTransactionEntries {
+		entries += 2 + len(ch.Cancels)
+		bytes += len(value)
+		if len(sent) > 0 && (entries > storeclient.MaxTransactionEntries || bytes > c.maxValueBytes()) {
 			break
 		}
-		key := c.keys.progress(ch.Job)
+		sent = append(sent, ch)
 		t.Expect = append(t.Expect, storeclient.Expectation{Key: key, Revision: c.revisions[key]})
 		t.Writes = append(t.Writes, storeclient.Write{Key: key, Value: value})
 	}
-	changes = changes[:len(t.Writes)]
-	for _, ch := range changes {
+	for _, ch := range sent {
 		for _, shard := range ch.Cancels {
 			t.Writes = append(t.Writes, storeclient.Write{Key: keys{shard}.cancelled(ch.Job), Value: []byte{}})
 		}
 	}
-	c.isCommitting = true
-	c.transact(ctx, t, "progress", func(_ uint64, err error) {
-		c.isCommitting = false
-		c.nextCommitAt = c.options.Now().Add(commitInterval)
-		if err != nil {
-			c.nextCommitAt = c.options.Now().Add(storeRetryDelay)
-			return
-		}
-		c.planner.Committed(changes)
-		for _, ch := range changes {
-			if ch.Progress.State == planner.Cancelled || ch.Progress.State == planner.Done || ch.Progress.State == planner.Failed {
-				c.replyCancelled(ch.Job)
-			}
-		}
-	})
+	return t, sent
 }
 
 // replyCancelled answers the callers that wait until the cancellation of a job
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -144,6 +144,9 @@
 	StateRetention time.Duration
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
+	// MaxValueBytes is the size of the largest value that the store accepts;
+	// storeclient.MaxValueBytes if zero.
+	MaxValueBytes int
 }
 
 // NotOwnerError reports a question to a daemon that doesn't own the shard.
@@ -209,9 +212,13 @@
 	// outbox holds the orders of the current ownership that wait to be sent.
 	outbox *sender.Queue
 	// sessions has the session with each worker, by worker id.
-	sessions           map[string]*session
-	isCommitting       bool
-	nextCommitAt       time.Time
+	sessions     map[string]*session
+	isCommitting bool
+	nextCommitAt time.Time
+	// heldCommits has, by job id, what the store has refused, and soloCommits is how many of
+	// the following commits have one job each.
+	heldCommits        map[string]heldCommit
+	soloCommits        int
 	isRecordingWorkers bool
 	lastExpiryAt       time.Time
 	// expired has the jobs whose removal from the store isn't known to be done, or was
@@ -281,7 +288,7 @@
 			caps:             factory.NewGaugeVec(prometheus.GaugeOpts{Name: "tarragonhead_organisation_cap", Help: "What an organisation with a cap uses, waits for and holds in the shard, and its cap, by resource."}, []string{"organisation", "resource", "kind"}),
 		},
 		revisions: map[string]uint64{}, unusableJobs: map[string]bool{}, sessions: map[string]*session{}, workers: map[string]planner.Worker{},
-		cancelReplies: map[string][]func(bool, error){}, heldHandovers: map[string]time.Time{},
+		cancelReplies: map[string][]func(bool, error){}, heldHandovers: map[string]time.Time{}, heldCommits: map[string]heldCommit{},
 	}, nil
 }
 
--- a/internal/conductor/handover.go
+++ b/internal/conductor/handover.go
@@ -100,7 +100,7 @@
 	list := make([]pendingHandover, len(handovers))
 	for i, h := range handovers {
 		key := c.keys.progress(h.Job.ID)
-		value, err := encodeStorable(key, h.Change.Progress)
+		value, err := c.encodeProgress(key, h.Job.ID, h.Change.Progress)
 		list[i] = pendingHandover{Handover: h, err: err}
 		list[i].expect[0] = storeclient.Expectation{Key: key, Revision: c.revisions[key]}
 		list[i].writes[0] = storeclient.Write{Key: key, Value: value}
@@ -171,21 +171,21 @@
 		known.Arrived = planner.MergeArrivals(known.Arrived, record.Arrived)
 		record = known
 	}
-	value, err := encodeStorable(key, record)
+	value, err := encodeStorable(key, record, c.maxValueBytes())
 	h.expect[1] = storeclient.Expectation{Key: key, Revision: entry.Revision}
 	h.writes[1] = storeclient.Write{Key: key, Value: value}
 	return err
 }
 
 // encodeStorable returns the stored form of the record at key. It fails if the store would
-// refuse the record, and with it the whole transaction.
-func encodeStorable[T planner.Job | planner.Progress](key string, record T) ([]byte, error) {
+// refuse the record, which has more than limit bytes then, and with it the whole transaction.
+func encodeStorable[T planner.Job | planner.Progress](key string, record T, limit int) ([]byte, error) {
 	value, err := planner.Encode(record)
-	if err == nil && len(value) > storeclient.MaxValueBytes {
+	if err == nil && len(value) > limit {
 		err = errors.Errorf("%d bytes, more than the store accepts", len(value))
 	}
 	if err != nil {
-		return nil, &UnusableRecordError{key, err}
+		return value, &UnusableRecordError{key, err}
 	}
 	return value, nil
 }
--- a/internal/conductor/load.go
+++ b/internal/conductor/load.go
@@ -84,7 +84,7 @@
 		Epoch: lowestFence(c.epoch), MaxFenceOffset: fencesPerEpoch - 1, Horizon: horizon, ViolationLimit: limits.ViolationLimit,
 		Retention: limits.StateRetention, WallTime: c.options.WallTime, HasRoom: c.options.HasRoom,
 		PredecessorLeaseEnd: now.Add(ownerLease), OwnerLease: ownerLease, LongestLease: longestLease(limits.MaxLease),
-		OnDecision: c.logDecision, Shards: c.options.Shards, OnJobMetered: c.countJob,
+		IsHeld: func(job string) bool { return c.options.Now().Before(c.heldCommits[job].until) }, OnDecision: c.logDecision, Shards: c.options.Shards, OnJobMetered: c.countJob,
 	})
 	if err != nil {
 		c.options.Log.Error().Err(err).Msg("conductor: planner not created")
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -406,6 +406,8 @@
 	c.isCommitting, c.isRecordingWorkers, c.isAnnouncing = false, false, false
 	c.expired = nil
 	clear(c.heldHandovers)
+	clear(c.heldCommits)
+	c.soloCommits = 0
 	c.caps = capState{loweredAt: c.caps.loweredAt}
 	c.metrics.caps.Reset()
 	if c.stopFollowing != nil {
--- a/internal/conductor/question.go
+++ b/internal/conductor/question.go
@@ -108,6 +108,7 @@
 			reply(Answer{state, true}, nil)
 			return
 		}
+		c.releaseCommit(id)
 		c.cancelReplies[id] = append(c.cancelReplies[id], func(ok bool, err error) { reply(Answer{planner.Cancelled, ok}, err) })
 	})
 }
--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -220,7 +220,7 @@
 		c := Crash{w.ID, w.Born, w.isPrompt(r)}
 		t := r.task
 		j := t.step.occurrence.job
-		if t.done || j.state.isFinal() || slices.ContainsFunc(t.crashes, c.isSameProcess) {
+		if t.done || j.state.IsFinal() || slices.ContainsFunc(t.crashes, c.isSameProcess) {
 			continue
 		}
 		t.setCrashes(append(slices.Clone(t.crashes), c))
@@ -284,7 +284,7 @@
 func (p *Planner) giveUpDeadlyTasks(now time.Time) {
 	p.deadlyTasks = slices.DeleteFunc(p.deadlyTasks, func(t *task) bool {
 		j := t.step.occurrence.job
-		if !t.isDeadly() || t.done || j.state.isFinal() {
+		if !t.isDeadly() || t.done || j.state.IsFinal() {
 			return true
 		}
 		if slices.ContainsFunc(t.runs, func(r *run) bool { return r.worker.isCrashRecorded }) {
--- a/internal/planner/handover.go
+++ b/internal/planner/handover.go
@@ -253,7 +253,7 @@
 // task any more, or if the job already has tasks in too many shards.
 func (p *Planner) HandOver(now time.Time, h Unplaced, count int, to string) (Handover, bool) {
 	j := p.jobs[h.Job]
-	if j == nil || j.state.isFinal() || len(j.occurrences) == 0 || h.Step >= len(j.occurrences[0].steps) {
+	if j == nil || j.state.IsFinal() || len(j.occurrences) == 0 || h.Step >= len(j.occurrences[0].steps) {
 		return Handover{}, false
 	}
 	shards := j.handoverShards()
@@ -324,7 +324,7 @@
 // acceptArrivals takes over the tasks that have arrived from other shards since
 // the record was last read.
 func (p *Planner) acceptArrivals(now time.Time, j *job, list []Arrival) {
-	if j.state.isFinal() || len(j.occurrences) == 0 {
+	if j.state.IsFinal() || len(j.occurrences) == 0 {
 		return
 	}
 	for _, a := range list {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -224,8 +224,8 @@
 	Cancelled State = "cancelled"
 )
 
-// isFinal reports whether the state has no successor.
-func (s State) isFinal() bool { return s == Done || s == Failed || s == Cancelled }
+// IsFinal reports whether the state has no successor.
+func (s State) IsFinal() bool { return s == Done || s == Failed || s == Cancelled }
 
 // TaskID identifies a task.
 type TaskID struct {
--- a/internal/planner/late.go
+++ b/internal/planner/late.go
@@ -31,7 +31,7 @@
 func (p *Planner) noteLateStart(r *run) {
 	t := r.task
 	j := t.step.occurrence.job
-	if r.isAnswered() || r.isListed || r.isSettled || t.step.Speculative || t.done || j.state.isFinal() {
+	if r.isAnswered() || r.isListed || r.isSettled || t.step.Speculative || t.done || j.state.IsFinal() {
 		return
 	}
 	if slices.ContainsFunc(t.lateStarts, func(o lateStart) bool { return o.attempt == r.id.Attempt }) {
@@ -76,11 +76,11 @@
 	p.lateTasks = slices.DeleteFunc(p.lateTasks, func(t *task) bool {
 		count := len(t.lateStarts)
 		t.lateStarts = slices.DeleteFunc(t.lateStarts, func(s lateStart) bool { return now.Sub(s.sentAt) > LateCallLimit })
-		if j := t.step.occurrence.job; len(t.lateStarts) < count && !j.state.isFinal() {
+		if j := t.step.occurrence.job; len(t.lateStarts) < count && !j.state.IsFinal() {
 			j.markChanged()
 			p.reportTask("late_start_expired", t, "not carried out")
 		}
-		return len(t.lateStarts) == 0 || t.step.occurrence.job.state.isFinal()
+		return len(t.lateStarts) == 0 || t.step.occurrence.job.state.IsFinal()
 	})
 }
 
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -220,7 +220,7 @@
 	j := p.jobs[id.Job]
 	t := p.findTask(id.TaskID)
 	// A task that this shard has not had may have arrived since the jobs were read.
-	if t == nil || t.isElsewhere && t.departure == nil && !j.state.isFinal() {
+	if t == nil || t.isElsewhere && t.departure == nil && !j.state.IsFinal() {
 		s, ok := p.unknownRuns[id]
 		if !ok {
 			p.unknownRuns[id] = unknownRun{w, now}
@@ -242,7 +242,7 @@
 	p.noteAdopted(r)
 	p.Leased(w.ID, p.options.PredecessorLeaseEnd)
 	t.attempt = max(t.attempt, id.Attempt)
-	isUnneeded := t.done || t.isElsewhere || j.state.isFinal() || (len(t.runs) > 0 && !t.step.Speculative)
+	isUnneeded := t.done || t.isElsewhere || j.state.IsFinal() || (len(t.runs) > 0 && !t.step.Speculative)
 	t.runs = append(t.runs, r)
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
 	j.hasStarted = true
@@ -344,7 +344,7 @@
 func (p *Planner) completeTask(now time.Time, t *task, by RunID) {
 	s := t.step
 	j := s.occurrence.job
-	if t.done || j.state.isFinal() || s.LongRunning {
+	if t.done || j.state.IsFinal() || s.LongRunning {
 		return
 	}
 	all := []*task{t}
@@ -397,7 +397,7 @@
 	if w.recordFailure(now, j.ID) {
 		p.reportWorker("worker_sick", w, fmt.Sprintf("%d jobs failed in a row", sickFailures))
 	}
-	if !t.step.LongRunning && t.failedAttempts() >= max(1, j.Queue.Attempts) && !j.state.isFinal() {
+	if !t.step.LongRunning && t.failedAttempts() >= max(1, j.Queue.Attempts) && !j.state.IsFinal() {
 		p.finishJob(now, j, Failed)
 	}
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -176,7 +176,7 @@
 func (p *Planner) stopFinalJobs(now time.Time) {
 	for _, w := range p.sortedWorkers {
 		for _, r := range w.runsInOrder {
-			if r.task.step.occurrence.job.state.isFinal() {
+			if r.task.step.occurrence.job.state.IsFinal() {
 				p.stop(now, r, "job is "+string(r.task.step.occurrence.job.state))
 			}
 		}
@@ -542,7 +542,7 @@
 		}
 		for _, r := range runsOf(w) {
 			t := r.task
-			if !t.step.Speculative || len(t.runs) > 1 || t.done || t.step.occurrence.job.state.isFinal() || now.Before(t.retryAt) || !p.mayBeCopied(now, r) || !p.isWithinCap(t.step, 1) {
+			if !t.step.Speculative || len(t.runs) > 1 || t.done || t.step.occurrence.job.state.IsFinal() || now.Before(t.retryAt) || !p.mayBeCopied(now, r) || !p.isWithinCap(t.step, 1) {
 				continue
 			}
 			if c := p.chooseWorker(now, t, p.candidates(now, t.step)); c != nil {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -94,6 +94,9 @@
 	// DisableLastTasksFirst treats the last tasks of a step like the others, so that the
 	// decisions can be compared.
 	DisablePacking, DisableLastTasksFirst bool
+	// IsHeld reports whether the progress of a job is held back, so that Changes leaves it
+	// out; nil for none.
+	IsHeld func(job string) bool
 	// OnDecision, if not nil, receives each decision.
 	OnDecision func(Decision)
 }
@@ -308,7 +311,7 @@
 	p.jobs[d.ID] = j
 	p.allJobs = append(p.allJobs, j)
 	p.fairness.unmetered = append(p.fairness.unmetered, j)
-	if j.state.isFinal() {
+	if j.state.IsFinal() {
 		j.finalAt = now
 		return
 	}
@@ -342,12 +345,20 @@
 	if j == nil {
 		return false
 	}
-	if !j.state.isFinal() {
+	if !j.state.IsFinal() {
 		p.finishJob(now, j, Cancelled)
 	}
 	return true
 }
 
+// GiveUp ends a job as failed whose progress can't be stored.
+func (p *Planner) GiveUp(now time.Time, id, reason string) {
+	if j := p.jobs[id]; j != nil && !j.state.IsFinal() {
+		p.reportJob("given_up", j, reason)
+		p.finishJob(now, j, Failed)
+	}
+}
+
 // finishJob puts a job into a final state. The next Plan stops its runs.
 func (p *Planner) finishJob(now time.Time, j *job, s State) {
 	j.state, j.finalAt = s, now
@@ -363,7 +374,7 @@
 	switch {
 	case j == nil:
 		return "", false
-	case j.visibleState.isFinal():
+	case j.visibleState.IsFinal():
 		return j.visibleState, true
 	case j.hasStarted:
 		return Running, true
@@ -398,9 +409,9 @@
 func (p *Planner) Changes(limit int) []Change {
 	var list []Change
 	for _, j := range p.allJobs {
-		if j.version > j.committed {
+		if j.version > j.committed && (p.options.IsHeld == nil || !p.options.IsHeld(j.ID)) {
 			change := Change{Job: j.ID, Version: j.version, Progress: j.progress()}
-			if j.state.isFinal() {
+			if j.state.IsFinal() {
 				change.Cancels = j.handoverShards()
 			}
 			list = append(list, change)
@@ -430,7 +441,7 @@
 func (p *Planner) Expired(now time.Time) []Job {
 	var list []Job
 	p.allJobs = slices.DeleteFunc(p.allJobs, func(j *job) bool {
-		isExpired := j.state.isFinal() && j.committed == j.version && now.Sub(j.finalAt) > p.options.Retention
+		isExpired := j.state.IsFinal() && j.committed == j.version && now.Sub(j.finalAt) > p.options.Retention
 		if isExpired {
 			list = append(list, j.Job)
 			delete(p.jobs, j.ID)
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -91,7 +91,7 @@
 // progress returns the job's progress for the store.
 func (j *job) progress() Progress {
 	r := Progress{State: j.state}
-	if j.state.isFinal() {
+	if j.state.IsFinal() {
 		return r
 	}
 	r.Ended.ranges = slices.Clone(j.ended.ranges)
@@ -123,6 +123,25 @@
 	return r
 }
 
+// Reduced returns the progress without what its job can do without: checkpoints, whose work
+// is done again, and crashes, after which a task is kept apart.
+func (r Progress) Reduced() Progress {
+	r.Occurrences = slices.Clone(r.Occurrences)
+	for i := range r.Occurrences {
+		o := &r.Occurrences[i]
+		o.Tasks = slices.Clone(o.Tasks)
+		for n := range o.Tasks {
+			o.Tasks[n].Checkpoint, o.Tasks[n].Crashes = "", nil
+		}
+		o.Tasks = slices.DeleteFunc(o.Tasks, TaskProgress.isEmpty)
+	}
+	return r
+}
+
+func (t TaskProgress) isEmpty() bool {
+	return !t.Done && len(t.Failures) == 0 && t.Checkpoint == "" && t.Departure == nil && len(t.Crashes) == 0 && t.Attempt == 0 && len(t.LateStarts) == 0
+}
+
 // restore applies stored progress to a newly added job.
 func (p *Planner) restore(now time.Time, j *job, r Progress) {
 	j.state = r.State
@@ -132,7 +151,7 @@
 	j.shards = r.Shards
 	j.ended.ranges = slices.Clone(r.Ended.ranges)
 	j.hasStarted = !r.Ended.IsZero()
-	if j.state.isFinal() {
+	if j.state.IsFinal() {
 		return
 	}
 	for _, op := range r.Occurrences {
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -48,7 +48,7 @@
 	if r.task == nil {
 		return false
 	}
-	isOver := r.task.done || r.task.isElsewhere || len(r.task.runs) > 0 || r.task.step.occurrence.job.state.isFinal() || now.Sub(r.since) > reserveTime
+	isOver := r.task.done || r.task.isElsewhere || len(r.task.runs) > 0 || r.task.step.occurrence.job.state.IsFinal() || now.Sub(r.since) > reserveTime
 	if isOver {
 		w.reservation = reservation{}
 	}
--- a/internal/receiver/question.go
+++ b/internal/receiver/question.go
@@ -93,7 +93,7 @@
 		waiter.Wait(ctx, askRetryDelay)
 	}
 	r.options.Log.Warn().Str("job", q.Job).Str("question", string(q.Kind)).AnErr("cause", cause).Msg("receiver: not answered")
-	return "", &RefusedError{"the owner of the shard can't be reached", retryAfter}
+	return "", &RefusedError{"the owner of the shard can't be reached, or can't store what is asked for", retryAfter}
 }
 
 // unreadJobError reports an accepted job that the owner of its shard has not read yet, or
--- a/internal/storeclient/prefix.go
+++ b/internal/storeclient/prefix.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -75,6 +76,12 @@
 	return fmt.Sprintf("store: %s refused with status %d", e.Op, e.Status)
 }
 
+// IsForGood reports whether the status blames the call, so that the store would refuse the
+// same call again.
+func (e *RefusedError) IsForGood() bool {
+	return e.Status >= 400 && e.Status < 500 && e.Status != http.StatusTooManyRequests && e.Status != http.StatusRequestTimeout
+}
+
 // Event is a write or the removal of an entry.
 type Event struct {
 	Entry
