Store the starts without an answer when a shard is given up

An owner that shuts down forgot the starts that were under way. Its successor polls the workers, which reject them, and starts the tasks again; a process that follows under the id of a worker would carry such a start out beside that. The owner now stores them with the progress of their jobs before it ends its lease. The store gets 1.5 s for it.

An owner that is killed in the 0.4 to 1.5 s between a start and the time at which it counts as unanswered still leaves no trace of it.

TestReleasedShardTellsLateStarts fails before: the record has no such start.

--- a/internal/conductor/answered_start_test.go
+++ b/internal/conductor/answered_start_test.go
@@ -128,3 +128,26 @@
 		})
 	}
 }
+
+// TestReleasedShardTellsLateStarts guards against a successor of an owner that has given the
+// shard up, which doesn't know that a start of its predecessor may still be carried out.
+func TestReleasedShardTellsLateStarts(t *testing.T) {
+	s := newTestCluster(t, time.Minute)
+	calls := s.pool.calls()
+	isSent := make(chan bool, 1)
+	calls.Start = func(ctx context.Context, _ planner.Worker, _ conductor.StartOrder) error {
+		isSent <- true
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	_, stop := s.startDaemonOf(testShard{name: "0", cpu: 64000, pool: s.pool, calls: &calls}, 1)
+	s.submit("a", 1)
+	<-isSent
+	stop()
+	entry, err := s.keeper.Store().Get(context.Background(), "th/0/progress/a")
+	s.Assert(err, quicktest.IsNil)
+	progress, err := planner.Decode[planner.Progress](entry.Value)
+	s.Assert(err, quicktest.IsNil)
+	s.Assert(progress.Occurrences, quicktest.HasLen, 1)
+	s.Assert(progress.Occurrences[0].Tasks[0].LateStarts, quicktest.HasLen, 1)
+}
--- a/internal/conductor/ownership.go
+++ b/internal/conductor/ownership.go
@@ -434,10 +434,43 @@
 	}
 }
 
+// storeLateStarts stores the starts that have no answer yet, so that a successor waits until
+// they can't be carried out any more. A commit that is under way may change the revisions
+// that are known.
+func (c *Conductor) storeLateStarts() {
+	c.planner.NoteUnanswered()
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	hasConflict := false
+	for {
+		t, sent := c.newCommit(c.options.Now())
+		if len(sent) == 0 {
+			return
+		}
+		_, err := c.options.Store.Transact(ctx, t)
+		var conflict *storeclient.ExpectationError
+		switch {
+		case err == nil:
+			c.planner.Committed(sent)
+		case errors.As(err, &conflict) && !hasConflict && conflict.Revision(c.keys.head()) == c.headRevision:
+			hasConflict = true
+			for _, e := range t.Expect {
+				c.revisions[e.Key] = conflict.Revision(e.Key)
+			}
+		default:
+			c.options.Log.Warn().Err(err).Int("jobs", len(sent)).Msg("conductor: progress not stored before the shard is given up")
+			return
+		}
+	}
+}
+
 // shutDown gives the shard up, so that a successor need not wait for the lease
 // to expire.
 func (c *Conductor) shutDown() {
 	wasOwner := c.role == "owning" || c.role == "loading"
+	if c.role == "owning" {
+		c.storeLateStarts()
+	}
 	c.applyEvent("shut_down")
 	if !wasOwner {
 		return
