Replay jobs that run many times and long-running tasks that fail

The replayer stores the progress of jobs in its encoded form, reports a record of more than 4,000 bytes as a violation, and gives a new owner what it decodes. Two patterns have jobs that run 1,500 times and long-running tasks all of whose runs fail, with new owners and restarts.

--- a/standins/replayer/drive.go
+++ b/standins/replayer/drive.go
@@ -86,7 +86,7 @@
 	if changes := p.Changes(15); len(changes) > 0 {
 		o.nextCommit = w.now.Add(20 * time.Millisecond)
 		for _, c := range changes {
-			w.progress[c.Job] = c.Progress
+			w.progress[c.Job] = w.store(c)
 			if c.Progress.State == planner.Done {
 				w.recordDone(c.Job)
 			}
@@ -95,6 +95,27 @@
 	}
 }
 
+// maxRecordBytes bounds the stored progress of a job, however long it has run and however often
+// its tasks have failed. Jobs here have up to some hundred tasks.
+const maxRecordBytes = 4000
+
+// store returns the progress of a job as a successor reads it.
+func (w *World) store(c planner.Change) planner.Progress {
+	value, err := planner.Encode(c.Progress)
+	if err != nil {
+		w.recordViolation("record", "progress of %s: %v", c.Job, err)
+		return c.Progress
+	}
+	if len(value) > maxRecordBytes {
+		w.recordViolation("record", "the progress of %s has %d bytes", c.Job, len(value))
+	}
+	progress, err := planner.Decode[planner.Progress](value)
+	if err != nil {
+		w.recordViolation("record", "progress of %s: %v", c.Job, err)
+	}
+	return progress
+}
+
 // noteFenced handles a call that was rejected because the worker has seen a higher fence.
 // If that is not one of the owner's own, the owner is removed.
 func (o *owner) noteFenced(known planner.Worker) {
--- a/standins/replayer/machine.go
+++ b/standins/replayer/machine.go
@@ -163,7 +163,7 @@
 	if e.step.Checkpoints {
 		e.checkpointed = e.done.Truncate(w.pattern.CheckpointEvery)
 	}
-	if m.fails && w.now.Sub(e.began) > failureDelay {
+	if (m.fails || e.step.LongRunning && e.plannedEnd == planner.EndFailed) && w.now.Sub(e.began) > failureDelay {
 		m.end(w, e, planner.EndFailed)
 		return
 	}
--- a/standins/replayer/replayer.go
+++ b/standins/replayer/replayer.go
@@ -60,11 +60,15 @@
 	// Lifetime is the mean time after which a long-running job is cancelled; zero
 	// stands for never.
 	Lifetime time.Duration
+	// Times and Interval are those of scheduled jobs.
+	Times    int
+	Interval time.Duration
 	// Initial is the number of jobs that arrive before the replay starts.
 	Initial int
 	// AlwaysFailShare is the share of jobs whose runs always fail.
 	AlwaysFailShare float64
-	// FailShare is the share of runs that fail through no fault of the worker.
+	// FailShare is the share of runs that fail through no fault of the worker. Those of
+	// long-running tasks fail soon after their start.
 	FailShare float64
 }
 
@@ -366,7 +370,7 @@
 	if w.storeDown {
 		return
 	}
-	j := &planner.Job{ID: fmt.Sprintf("%016x", w.rng.Uint64()), Queue: c.Queue, Payload: "payload", Received: w.now}
+	j := &planner.Job{ID: fmt.Sprintf("%016x", w.rng.Uint64()), Queue: c.Queue, Payload: "payload", Received: w.now, Times: c.Times, First: w.now, Interval: c.Interval}
 	steps := 1
 	if c.Steps > 1 {
 		steps = 1 + w.rng.IntN(2*c.Steps-1)
--- a/standins/replayer/replayer_test.go
+++ b/standins/replayer/replayer_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"tarragonhead.example/tarragonhead/internal/planner"
 	"tarragonhead.example/tarragonhead/standins/replayer"
 )
 
@@ -84,6 +85,13 @@
 		outage(12*time.Second), restartSameID(14*time.Second, 500*time.Millisecond, 3), takeover(15040*time.Millisecond),
 		outage(18*time.Second), takeover(21060*time.Millisecond), outage(23*time.Second), takeover(26050*time.Millisecond)),
 	"quick restarts of tasks with checkpoints": resumable(replayer.Cellarlog(scale)).With(restart(5*time.Second, 500*time.Millisecond, 4), restartSameID(14*time.Second, 500*time.Millisecond, 4)),
+	"long-running tasks that fail again and again, new owners": withProbes(replayer.Cellarlog(scale), func(c *replayer.Class) {
+		c.AlwaysFailShare, c.Initial, c.PerSecond, c.Width, c.Need = 1, 2, 0, 40, planner.Resources{CPU: 500, Memory: 100}
+	}).With(takeover(10*time.Second), takeover(20*time.Second)),
+	"jobs that run many times, new owners and restarts": withReports(replayer.Cellarlog(scale), func(c *replayer.Class) {
+		c.Times, c.Interval, c.Steps, c.Width, c.Initial, c.PerSecond, c.AlwaysFailShare, c.FailShare = 1500, 20*time.Millisecond, 1, 1, 2, 0, 0, 0
+		c.Need, c.Work = planner.Resources{CPU: 500, Memory: 100}, 40*time.Millisecond
+	}).With(takeover(10*time.Second), restartSameID(14*time.Second, 500*time.Millisecond, 2), takeover(20*time.Second)),
 	"gangs":                   gangs(replayer.Cellarlog(scale)),
 	"quick restarts of gangs": gangs(replayer.Cellarlog(scale)).With(restart(5*time.Second, 500*time.Millisecond, 3), restartSameID(14*time.Second, time.Second, 3)),
 	"quick restarts of gangs while commands are late": gangs(replayer.Cellarlog(scale)).With(
@@ -127,6 +135,13 @@
 	return p
 }
 
+// withProbes returns a copy of a pattern with its long-running jobs changed.
+func withProbes(p replayer.Pattern, change func(*replayer.Class)) replayer.Pattern {
+	p.Classes = slices.Clone(p.Classes)
+	change(&p.Classes[2])
+	return p
+}
+
 // failing makes many short tasks fail through no fault of their worker.
 func failing(p replayer.Pattern) replayer.Pattern {
 	return withReports(p, func(c *replayer.Class) { c.FailShare = 0.3 })
