Store a start without an answer before its timeout

An owner that was killed before a start counted as unanswered, after 0.4 to 1.5 s, left no trace of it for its successor. Such a start is now stored from an age of 0.1 s on. One that is sent in the last 0.1 s, or whose record isn't stored in time, is still unknown.

The row "owner is killed before" of TestSuccessorKnowsLateStarts fails before.

--- a/internal/planner/late.go
+++ b/internal/planner/late.go
@@ -23,6 +23,11 @@
 	WorkerID string `cbor:"worker"`
 }
 
+// lateNoteAge is the age from which a start without an answer is stored. It is far longer than
+// an answer takes on an idle link, and far shorter than the timeout of a start, so that few
+// starts of an owner that is killed are unknown to its successor.
+const lateNoteAge = 100 * time.Millisecond
+
 // maxLateStarts bounds the starts of a task that may still be carried out. Each start that
 // a worker leaves unanswered prolongs the time for which the task is bound to it.
 const maxLateStarts = 3
@@ -99,12 +104,17 @@
 	return !w.Draining && !p.evacuatedDomains[w.Domain]
 }
 
-// checkOverdueStarts withdraws the overdue starts that the worker won't carry out or that are
-// no longer wanted there, and ends the runs of those that no process can carry out any more.
+// checkOverdueStarts notes the starts that have had no answer for a while. It withdraws those
+// that the worker won't carry out or that are no longer wanted there, and ends the runs of
+// those that no process can carry out any more.
 func (p *Planner) checkOverdueStarts(now time.Time, w *Worker) {
 	for _, r := range runsOf(w) {
 		switch {
-		case !r.isOverdue || r.state != "starting":
+		case r.state != "starting":
+		case !r.isOverdue:
+			if r.isSent && now.Sub(r.startedAt) > lateNoteAge {
+				p.noteLateStart(r)
+			}
 		case now.Sub(r.startedAt) > LateCallLimit:
 			r.isSettled = true
 			r.task.avoid(w)
--- a/internal/planner/late_lease_test.go
+++ b/internal/planner/late_lease_test.go
@@ -21,12 +21,12 @@
 		// again is set if the task starts again.
 		again bool
 	}{
-		"another process is listed, start answered":              {false, true, planner.Started, lease, false},
-		"another process is listed, start unanswered":            {false, true, planner.Unclear, lease, false},
-		"another process is listed, last lease has expired":      {false, true, planner.Unclear, lease + 15*time.Second, true},
-		"another process is listed, the ended one had the run":   {true, true, planner.Started, lease, true},
-		"no other process is listed, last lease has expired":     {false, false, planner.Unclear, lease, false},
-		"no other process is listed, no start can arrive":        {false, false, planner.Unclear, planner.LateCallLimit, true},
+		"another process is listed, start answered":            {false, true, planner.Started, lease, false},
+		"another process is listed, start unanswered":          {false, true, planner.Unclear, lease, false},
+		"another process is listed, last lease has expired":    {false, true, planner.Unclear, lease + 15*time.Second, true},
+		"another process is listed, the ended one had the run": {true, true, planner.Started, lease, true},
+		"no other process is listed, last lease has expired":   {false, false, planner.Unclear, lease, false},
+		"no other process is listed, no start can arrive":      {false, false, planner.Unclear, planner.LateCallLimit, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w, other := worker("a", 8), worker("c", 8)
--- a/internal/planner/late_test.go
+++ b/internal/planner/late_test.go
@@ -115,17 +115,23 @@
 // unanswered start of its predecessor may still be carried out. Its worker has rejected the
 // start to the successor, but a later process with the id would carry it out.
 func TestSuccessorKnowsLateStarts(t *testing.T) {
-	for name, isNoted := range map[string]bool{"start counts as unanswered": false, "owner ends before": true} {
+	for name, note := range map[string]func(d *driver, start planner.Command){
+		"start counts as unanswered": func(d *driver, start planner.Command) {
+			d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Unclear, "no answer")
+		},
+		"owner gives the shard up before": func(d *driver, _ planner.Command) { d.p.NoteUnanswered() },
+		"owner is killed before": func(d *driver, start planner.Command) {
+			d.p.StartSent(d.now, start.Run, start.WorkerID, d.now.Add(time.Second))
+			d.advance(150 * time.Millisecond)
+			d.p.Plan(d.now, d.proven())
+		},
+	} {
 		t.Run(name, func(t *testing.T) {
 			w, other := worker("a", 8), worker("b", 8)
 			d := newDriver(t, 1, w, other).registerWorkers()
 			d.add(job("1", step(1, 1)))
 			start := d.p.Plan(d.now, d.proven())[0]
-			if isNoted {
-				d.p.NoteUnanswered()
-			} else {
-				d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Unclear, "no answer")
-			}
+			note(d, start)
 			changes := d.p.Changes(10)
 			d.Assert(changes, quicktest.HasLen, 1)
 			value, err := planner.Encode(changes[0].Progress)
--- a/internal/planner/outcome.go
+++ b/internal/planner/outcome.go
@@ -68,7 +68,8 @@
 func (p *Planner) StartSent(now time.Time, id RunID, workerID string, leaseEnd time.Time) {
 	p.Leased(workerID, leaseEnd)
 	if w := p.workers[workerID]; w != nil && w.runs[id] != nil {
-		w.runs[id].startedAt, w.runs[id].startLeaseEnd = now, leaseEnd
+		r := w.runs[id]
+		r.startedAt, r.startLeaseEnd, r.isSent = now, leaseEnd, true
 	}
 }
 
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -198,6 +198,8 @@
 	// answeredAt is when the start was answered, so that it can't be carried out any
 	// more; zero before.
 	answeredAt time.Time
+	// isSent is set once the start command was sent.
+	isSent bool
 	// startLeaseEnd is when the lease that the start grants has certainly expired, so that
 	// the worker no longer carries the start out; zero if it is not known.
 	startLeaseEnd time.Time
