--- a/internal/planner/late.go
+++ b/internal/planner/late.go
@@ -96,7 +96,7 @@
 // of a gang would wait in vain.
 func (p *Planner) mayAwaitLateStart(r *run) bool {
 	s := r.task.step
-	return r.state == "starting" && !s.LongRunning && !s.Speculative && !s.Gang && p.acceptsLateStart(r.worker)
+	return r.isStarting() && !s.LongRunning && !s.Speculative && !s.Gang && p.acceptsLateStart(r.worker)
 }
 
 // acceptsLateStart reports whether a task may still start on the worker.
@@ -108,9 +108,13 @@
 // that the worker won't carry out or that are no longer wanted there, and ends the runs of
 // those that no process can carry out any more.
 func (p *Planner) checkOverdueStarts(now time.Time, w *Worker) {
+	// Most workers have no start under way.
+	if !slices.ContainsFunc(w.runsInOrder, (*run).isStarting) {
+		return
+	}
 	for _, r := range runsOf(w) {
 		switch {
-		case r.state != "starting":
+		case !r.isStarting():
 		case !r.isOverdue:
 			if r.isSent && now.Sub(r.startedAt) > lateNoteAge {
 				p.noteLateStart(r)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -252,6 +252,10 @@
 	usedCPU int64
 }
 
+// isStarting reports whether the start is neither answered nor withdrawn, and the worker has
+// not listed the run.
+func (r *run) isStarting() bool { return r.state == "starting" }
+
 func (r *run) isAnswered() bool { return !r.answeredAt.IsZero() }
 
 // Worker is a machine that runs tasks.
