Start nothing in a failure domain that doesn't answer

When a domain is cut off, an owner went on sending starts into it until each worker there had failed to answer for 0.7 s and more. Each such start keeps its task from running elsewhere for up to 15 s.

A domain in which three workers have left a start unanswered for 0.1 s, and none has answered any call since, gets no start until one answers (domain_silent and domain_answers in the log).

--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -82,6 +82,7 @@
 func (p *Planner) Answered(now time.Time, workerID string) {
 	if w := p.workers[workerID]; w != nil {
 		w.answeredAt, w.failedSince = now, time.Time{}
+		p.answeredDomains[w.Domain] = now
 	}
 }
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -41,7 +41,7 @@
 // isUsable reports whether tasks may start on a worker now.
 func (p *Planner) isUsable(now time.Time, w *Worker) bool {
 	isUnresponsive := !w.failedSince.IsZero() && now.Sub(w.failedSince) > answerLimit
-	return w.isProved() && w.replacedAt.IsZero() && !w.isContested && w.isRecorded && w.isListed && !w.Draining && !p.evacuatedDomains[w.Domain] && !w.isSick(now) && !w.hasUnknownRuns && !isUnresponsive
+	return w.isProved() && w.replacedAt.IsZero() && !w.isContested && w.isRecorded && w.isListed && !w.Draining && !p.evacuatedDomains[w.Domain] && !p.silentDomains[w.Domain] && !w.isSick(now) && !w.hasUnknownRuns && !isUnresponsive
 }
 
 // placeKey holds the properties of a task, apart from its resource needs, that
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -61,6 +61,7 @@
 		p.checkRuns(now, w)
 	}
 	p.resendStops(now)
+	p.updateSilentDomains(now)
 	p.countCaps()
 	if now.Sub(proven) < p.options.Horizon {
 		p.startWaiting(now)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -132,6 +132,10 @@
 	discovered       []Worker
 	forgotten        map[string]*Worker
 	evacuatedDomains map[string]bool
+	// answeredDomains holds when a worker of each failure domain last answered a call, and
+	// silentDomains has those that are silent as of the last plan.
+	answeredDomains map[string]time.Time
+	silentDomains   map[string]bool
 	// endedProcesses holds the processes that have ended and that the list may
 	// still show.
 	endedProcesses map[processID]bool
@@ -222,7 +226,7 @@
 		return nil, err
 	}
 	return &Planner{
-		options: o, chart: c, processChart: processes, endedProcesses: map[processID]bool{}, fences: map[string]fence{}, jobs: map[string]*job{}, workers: map[string]*Worker{}, forgotten: map[string]*Worker{}, evacuatedDomains: map[string]bool{},
+		options: o, chart: c, processChart: processes, endedProcesses: map[processID]bool{}, fences: map[string]fence{}, jobs: map[string]*job{}, workers: map[string]*Worker{}, forgotten: map[string]*Worker{}, evacuatedDomains: map[string]bool{}, answeredDomains: map[string]time.Time{},
 		unverified: map[string]bool{}, unknownRuns: map[RunID]unknownRun{}, interference: newTailModels(), caps: newCapLedger(),
 		startLimit:     math.MaxInt,
 		candidateCache: map[candidateKey][]*Worker{}, unplaceable: map[placeKey]Resources{}, busyServices: map[string]bool{},
@@ -245,6 +249,12 @@
 	}
 }
 
+func (p *Planner) report(event, detail string) {
+	if p.options.OnDecision != nil {
+		p.options.OnDecision(Decision{Event: event, Detail: detail})
+	}
+}
+
 func (p *Planner) reportTask(event string, t *task, detail string) {
 	if p.options.OnDecision != nil {
 		p.options.OnDecision(Decision{Event: event, Job: t.id.Job, Detail: t.id.String() + ": " + detail})
