Count the wait for a late start from when it was sent, also over owners

A successor waited 15 s from its load for each start without an answer that its predecessor had stored, and its own successor again.

The record has the wall-clock time at which the start was sent. Clocks of two owners may differ by 3 s, and the limit of 15 s allows for 3 s more, as calls are carried out within 12 s.

TestWaitForLateStartIsNotProlonged fails before.

--- a/internal/planner/late.go
+++ b/internal/planner/late.go
@@ -13,16 +13,23 @@
 type lateStart struct {
 	attempt  int
 	workerID string
-	// sentAt is when the start was sent, or when the record of it was loaded.
-	sentAt time.Time
+	// sentAt is when the start was sent. Of a start of an earlier owner it is no earlier than
+	// that, and sentAtWall is the wall-clock time that the record has.
+	sentAt, sentAtWall time.Time
 }
 
 // LateStart is the stored form of a start that may still be carried out.
 type LateStart struct {
 	Attempt  int    `cbor:"attempt"`
 	WorkerID string `cbor:"worker"`
+	// SentAt is the wall-clock time at which the start was sent.
+	SentAt time.Time `cbor:"sent_at"`
 }
 
+// maxClockSkew bounds the difference between the clocks of two owners. LateCallLimit allows
+// for as much again.
+const maxClockSkew = 3 * time.Second
+
 // lateNoteAge is the age from which a start without an answer is stored. It is far longer than
 // an answer takes on an idle link, and far shorter than the timeout of a start, so that few
 // starts of an owner that is killed are unknown to its successor.
@@ -42,7 +49,7 @@
 	if slices.ContainsFunc(t.lateStarts, func(o lateStart) bool { return o.attempt == r.id.Attempt }) {
 		return
 	}
-	p.addLateStart(t, lateStart{r.id.Attempt, r.worker.ID, r.startedAt})
+	p.addLateStart(t, lateStart{r.id.Attempt, r.worker.ID, r.startedAt, p.options.WallTime(r.startedAt)})
 	p.reportRun("late_start", r, "may still be carried out")
 }
 
@@ -155,16 +162,17 @@
 func (t *task) storedLateStarts() []LateStart {
 	var list []LateStart
 	for _, s := range t.lateStarts {
-		list = append(list, LateStart{s.attempt, s.workerID})
+		list = append(list, LateStart{s.attempt, s.workerID, s.sentAtWall})
 	}
 	return list
 }
 
-// restoreLateStarts takes over the late starts that an earlier owner has stored. They were
-// sent before the record was loaded.
+// restoreLateStarts takes over the late starts that an earlier owner has stored, each with its
+// age, so that the wait doesn't begin anew with each change of owner.
 func (p *Planner) restoreLateStarts(now time.Time, t *task, list []LateStart) {
 	for _, s := range list {
-		p.appendLateStart(t, lateStart{s.Attempt, s.WorkerID, now})
+		age := p.options.WallTime(now).Sub(s.SentAt) - maxClockSkew
+		p.appendLateStart(t, lateStart{s.Attempt, s.WorkerID, now.Add(-max(0, age)), s.SentAt})
 	}
 }
 
--- a/internal/planner/late_test.go
+++ b/internal/planner/late_test.go
@@ -182,3 +182,32 @@
 	}
 	d.Assert(d.p.Unplaced(d.now), quicktest.HasLen, 1)
 }
+
+// TestWaitForLateStartIsNotProlonged guards against a task that waits anew for a start without
+// an answer at each change of owner.
+func TestWaitForLateStartIsNotProlonged(t *testing.T) {
+	w, other := worker("a", 8), worker("b", 8)
+	d := newDriver(t, 1, w, other).registerWorkers()
+	d.add(job("1", step(1, 1)))
+	start := d.p.Plan(d.now, d.proven())[0]
+	d.p.StartAnswered(d.now, start.Run, start.WorkerID, planner.Unclear, "no answer")
+	progress := d.p.Changes(1)[0].Progress
+	for epoch, age := range map[int64]time.Duration{2: 8 * time.Second, 3: 16 * time.Second} {
+		value, err := planner.Encode(progress)
+		d.Assert(err, quicktest.IsNil)
+		stored, err := planner.Decode[planner.Progress](value)
+		d.Assert(err, quicktest.IsNil)
+		next := newDriver(t, epoch, w, other)
+		for _, known := range next.workers {
+			next.p.AddUnverifiedWorker(known)
+		}
+		next.now = origin.Add(age)
+		next.p.AddJob(next.now, job("1", step(1, 1)), stored)
+		next.registerWorkers()
+		next.Assert(next.startTasks(), quicktest.HasLen, 0)
+		next.now = origin.Add(planner.LateCallLimit)
+		next.Assert(next.startTasks(), quicktest.HasLen, 0)
+		next.now = origin.Add(planner.LateCallLimit + 3*time.Second + time.Millisecond)
+		next.Assert(next.startTasks(), quicktest.HasLen, 1)
+	}
+}
