Take a late start for settled once another process has its address

A start goes to an address, and the process that has it by then refuses it with 421. The machine may start again under the id that it had, which isn't that of the process before. So the wait ends once a process with another id has answered at the address.

--- a/internal/planner/late.go
+++ b/internal/planner/late.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// settleStartsTo records that the starts which were sent to a worker won't be carried out,
+// because a process with another id has its address. It refuses them. The machine may start
+// again under that id, but not under the one before.
+func (p *Planner) settleStartsTo(w *Worker) {
+	for _, t := range p.lateTasks {
+		count := len(t.lateStarts)
+		t.lateStarts = slices.DeleteFunc(t.lateStarts, func(s lateStart) bool { return s.workerID == w.ID })
+		if len(t.lateStarts) < count {
+			t.step.occurrence.job.markChanged()
+			p.reportTask("late_start_settled", t, "another process has the address")
+		}
+	}
+}
+
 // expireLateStarts forgets the starts that can't be carried out any more.
 func (p *Planner) expireLateStarts(now time.Time) {
 	p.lateTasks = slices.DeleteFunc(p.lateTasks, func(t *task) bool {
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -76,6 +76,7 @@
 	for _, o := range slices.Clone(p.sortedWorkers) {
 		if o != w && o.Address == w.Address && !sent.Before(o.knownSince) {
 			p.endProcess(o, w.ID+" answered at its address")
+			p.settleStartsTo(o)
 		}
 	}
 }
@@ -116,6 +117,7 @@
 func (p *Planner) OtherProcessAnswered(workerID string) {
 	if w := p.workers[workerID]; w != nil {
 		p.endProcess(w, "another process answered")
+		p.settleStartsTo(w)
 	}
 }
 
