--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -122,13 +122,6 @@
 	return planner.Step{Count: count, Need: planner.Resources{CPU: cores * 1000, Memory: 100}, Estimate: time.Second}
 }
 
-// speculative returns the step with tasks that may run twice at the same time, so that they
-// start again while a start without an answer may still be carried out.
-func speculative(s planner.Step) planner.Step {
-	s.Speculative = true
-	return s
-}
-
 func job(id string, steps ...planner.Step) planner.Job {
 	q := planner.Queue{Name: "queue", Service: "service", Attempts: 2, Stretch: 2, Slack: time.Second}
 	return planner.Job{ID: id, Queue: q, Payload: "payload", Steps: steps, Received: origin}
--- a/internal/planner/withdraw_test.go
+++ b/internal/planner/withdraw_test.go
@@ -202,3 +202,10 @@
 		})
 	}
 }
+
+// speculative returns the step with tasks that may run twice at the same time, so that they
+// start again while a start without an answer may still be carried out.
+func speculative(s planner.Step) planner.Step {
+	s.Speculative = true
+	return s
+}
